--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# KEEP=1 leaves the demo fleet up until interrupted.
+KEEP ?=
+SEED ?= 1
+MINUTES ?= 1
+
+.PHONY: install build check test demo soak chaos measure
+
+node_modules: package.json package-lock.json
+	npm ci
+	touch node_modules
+
+install: node_modules
+
+build: node_modules
+	npm run --silent build
+
+check: node_modules
+	npm run --silent format:check
+	npm run --silent lint
+
+test: build
+	npm test --silent
+
+demo: build
+	KEEP=$(KEEP) node dist/bench/demo_main.js
+
+soak: build
+	node dist/bench/soak_main.js --seed $(SEED) --minutes $(MINUTES)
+
+chaos: build
+	node dist/bench/chaos_main.js --seed $(SEED) --minutes $(MINUTES)
+
+measure: build
+	node dist/bench/measure_main.js
--- /dev/null
+++ b/src/debug_test.ts
@@ -0,0 +1,13 @@
+import * as Debug from "./debug.ts";
+
+test("a breach throws unless a handler is installed", () => {
+  expect(() => Debug.assert(false, "sum", () => "3 > 2")).toThrow("sum: 3 > 2");
+  const seen: string[] = [];
+  const previous = Debug.setBreachHandler((breach) => {
+    seen.push(breach.invariant);
+  });
+  Debug.assert(false, "sum");
+  Debug.assert(true, "other");
+  Debug.setBreachHandler(previous);
+  expect(seen).toEqual(["sum"]);
+});
--- /dev/null
+++ b/src/diagnostics.ts
@@ -0,0 +1,102 @@
+/**
+ * The one table of everything that can go wrong for a caller or an operator.
+ *
+ * A refusal is sent as problem+json (RFC 9457); its `type` is
+ * `urn:corianderflow:<code>`.
+ */
+import type { Ran } from "./types.ts";
+
+/** A row of the table. */
+export interface Diagnostic {
+  readonly code: DiagnosticCode;
+  /** HTTP status of the refusal. */
+  readonly status: number;
+  readonly title: string;
+  /** Whether a retry of the same request can help. */
+  readonly retryable: boolean;
+}
+
+const rows = {
+  "bad-request": [400, "The request is malformed", false],
+  "bad-json": [400, "The body is not JSON", false],
+  "bad-chat-id": [400, "The chat id is malformed", false],
+  "missing-idempotency-key": [
+    400,
+    "This route needs an Idempotency-Key",
+    false,
+  ],
+  "bad-idempotency-key": [400, "The Idempotency-Key is malformed", false],
+  "unknown-key": [401, "The workspace key is unknown", false],
+  "unknown-model": [404, "No service serves this model", false],
+  "unknown-route": [404, "No service has this route", false],
+  "body-too-large": [413, "The body is too large", false],
+  "request-timeout": [408, "The request was not sent in time", true],
+  "idempotency-mismatch": [
+    422,
+    "The Idempotency-Key was used for another request",
+    false,
+  ],
+  "in-progress": [409, "A request with this key is in progress", true],
+  "workspace-limit": [429, "The workspace is at its limit", true],
+  "queue-full": [503, "The queue is full", true],
+  "would-miss-deadline": [503, "The wait would pass the deadline", true],
+  "deadline-passed": [504, "The deadline has passed", true],
+  "no-capacity": [503, "No upstream can take the request", true],
+  "no-owner": [503, "No router that owns the pool can be reached", true],
+  "not-ready": [503, "The router is not ready", true],
+  "key-value-unavailable": [
+    503,
+    "The platform's key-value service can't be reached",
+    true,
+  ],
+  "upstream-unreachable": [503, "The upstream can't be reached", true],
+  "upstream-failed": [502, "The upstream failed while it answered", false],
+  "outcome-unknown": [502, "The outcome of the request is unknown", false],
+  "internal": [500, "The router failed", false],
+} as const satisfies Record<string, readonly [number, string, boolean]>;
+
+/** Stable code of a diagnostic. */
+export type DiagnosticCode = keyof typeof rows;
+
+/** Looks up a row by its code. */
+export function getDiagnostic(code: DiagnosticCode): Diagnostic {
+  const [status, title, retryable] = rows[code];
+  return { code, status, title, retryable };
+}
+
+/** Lists every code of the table. */
+export function getDiagnosticCodes(): DiagnosticCode[] {
+  return Object.keys(rows) as DiagnosticCode[];
+}
+
+/** A refusal of one request, with what the caller needs to act on it. */
+export interface Refusal {
+  readonly code: DiagnosticCode;
+  readonly ran: Ran;
+  readonly detail: string;
+  /** When to come back, in milliseconds; absent where a retry can't help. */
+  readonly retryAfterMs?: number;
+}
+
+/** Options of a refusal. */
+export interface RefusalOptions {
+  ran?: Ran;
+  retryAfterMs?: number;
+}
+
+const DEFAULT_RETRY_AFTER_MS = 1_000;
+
+/** Creates a refusal; a retryable one says when to come back. */
+export function createRefusal(
+  code: DiagnosticCode,
+  detail: string,
+  { ran = "no", retryAfterMs }: RefusalOptions = {},
+): Refusal {
+  if (!getDiagnostic(code).retryable) return { code, ran, detail };
+  return {
+    code,
+    ran,
+    detail,
+    retryAfterMs: retryAfterMs ?? DEFAULT_RETRY_AFTER_MS,
+  };
+}
