--- /dev/null
+++ b/src/filters/exchange.ts
@@ -0,0 +1,82 @@
+/**
+ * One request on its way through the filter chain, and what came of it.
+ */
+import type { Buffer } from "node:buffer";
+import type { IncomingHttpHeaders } from "node:http";
+import type { Service, Workspace } from "../config/manifest.ts";
+import type { Refusal } from "../diagnostics.ts";
+
+/** Headers of an answer, in lower case. */
+export type AnswerHeaders = Record<string, string | string[]>;
+
+/** What a filter returns. */
+export type Outcome =
+  | { readonly kind: "refused"; readonly refusal: Refusal }
+  | {
+    readonly kind: "whole";
+    readonly status: number;
+    readonly headers: AnswerHeaders;
+    readonly body: Buffer;
+  }
+  | {
+    readonly kind: "stream";
+    readonly status: number;
+    readonly headers: AnswerHeaders;
+    readonly body: AsyncIterable<Uint8Array>;
+  };
+
+/** A request; the filters fill in what they find out. */
+export interface Exchange {
+  readonly requestId: string;
+  readonly method: string;
+  /** Path with its query. */
+  readonly target: string;
+  /** Path without its query. */
+  readonly path: string;
+  readonly headers: IncomingHttpHeaders;
+  /** Aborted once the caller has gone or the deadline is long past. */
+  readonly signal: AbortSignal;
+  /** Monotonic time of arrival, milliseconds. */
+  readonly arrivedAt: number;
+  body: Buffer;
+  service?: Service;
+  workspace?: Workspace;
+  isIdempotent: boolean;
+  isStreaming: boolean;
+  chat?: string;
+  idempotencyKey?: string;
+  /** Monotonic time of the deadline, milliseconds. */
+  deadlineAt: number;
+  /** Prompt length estimated from the body, in tokens. */
+  promptTokens: number;
+  /** Routers that have passed the request on so far. */
+  hops: number;
+}
+
+/** Runs the rest of the chain. */
+export type Next = () => Promise<Outcome>;
+
+/** One step of the chain. */
+export interface Filter {
+  readonly name: string;
+  handle(exchange: Exchange, next: Next): Promise<Outcome>;
+}
+
+/** A chain of filters, run in order. */
+export interface FilterChain {
+  handle(exchange: Exchange): Promise<Outcome>;
+}
+
+/** Creates the chain of `filters`; the last one must not call `next`. */
+export function createFilterChain(filters: readonly Filter[]): FilterChain {
+  function run(exchange: Exchange, index: number): Promise<Outcome> {
+    const filter = filters[index]!;
+    return filter.handle(exchange, () => run(exchange, index + 1));
+  }
+  return { handle: (exchange) => run(exchange, 0) };
+}
+
+/** Wraps a refusal. */
+export function refused(refusal: Refusal): Outcome {
+  return { kind: "refused", refusal };
+}
--- /dev/null
+++ b/src/transport/http_server.ts
@@ -0,0 +1,137 @@
+/**
+ * Small helpers of the HTTP servers: reading a bounded body and writing an
+ * outcome.
+ */
+import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { Err, Ok, type Result } from "ts-results";
+import { createRefusal, type Refusal } from "../diagnostics.ts";
+import type { Outcome } from "../filters/exchange.ts";
+import { parseAddress } from "./peer_connection.ts";
+import { renderProblem } from "./problem.ts";
+
+/** Bounds on what a client may send. */
+export interface ServerLimits {
+  maxBodyBytes: number;
+  /** Time for the whole head and body, in milliseconds. */
+  requestTimeoutMs: number;
+  maxConnections: number;
+}
+
+/** Listens at `address`; resolves once it is bound. */
+export function listenForHttp(
+  address: string,
+  options: {
+    limits: ServerLimits;
+    handle(request: IncomingMessage, response: ServerResponse): void;
+  },
+): Promise<Server> {
+  const { limits } = options;
+  const server = createServer({
+    requestTimeout: limits.requestTimeoutMs,
+    headersTimeout: limits.requestTimeoutMs,
+    keepAliveTimeout: 10_000,
+    connectionsCheckingInterval: 1_000,
+  }, options.handle);
+  server.maxConnections = limits.maxConnections;
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(parseAddress(address), () => resolve(server));
+  });
+}
+
+/** Reads the whole body, or refuses it. */
+export async function readBody(
+  request: IncomingMessage,
+  limits: ServerLimits,
+): Promise<Result<Buffer, Refusal>> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  const limit = limits.maxBodyBytes;
+  if (Number(request.headers["content-length"] ?? 0) > limit) {
+    return Err(createRefusal("body-too-large", `The limit is ${limit} bytes.`));
+  }
+  try {
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      bytes += chunk.length;
+      if (bytes > limit) {
+        return Err(
+          createRefusal("body-too-large", `The limit is ${limit} bytes.`),
+        );
+      }
+      chunks.push(chunk);
+    }
+  } catch {
+    return Err(createRefusal("bad-request", "The body ended early."));
+  }
+  return Ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+}
+
+/** Writes what came of a request; resolves when all is handed over. */
+export async function writeOutcome(
+  response: ServerResponse,
+  outcome: Outcome,
+  requestId: string,
+): Promise<void> {
+  if (outcome.kind === "refused") {
+    const problem = renderProblem(outcome.refusal, requestId);
+    writeWhole(response, problem);
+    return;
+  }
+  response.setHeader("x-request-id", requestId);
+  if (outcome.kind === "whole") {
+    writeWhole(response, outcome);
+    return;
+  }
+  response.writeHead(outcome.status, outcome.headers);
+  await writeStream(response, outcome.body);
+}
+
+function writeWhole(
+  response: ServerResponse,
+  answer: {
+    status: number;
+    headers: Record<string, string | string[]>;
+    body: Buffer;
+  },
+): void {
+  if (response.destroyed) return;
+  response.writeHead(answer.status, answer.headers);
+  response.end(answer.body);
+}
+
+async function writeStream(
+  response: ServerResponse,
+  body: AsyncIterable<Uint8Array>,
+): Promise<void> {
+  try {
+    response.flushHeaders();
+    for await (const chunk of body) {
+      if (response.destroyed) return;
+      if (!response.write(chunk)) await drained(response);
+    }
+    response.end();
+  } catch {
+    // The head is out, so that a reset is the only honest end.
+    response.destroy();
+  }
+}
+
+async function drained(response: ServerResponse): Promise<void> {
+  const controller = new AbortController();
+  const { signal } = controller;
+  try {
+    await Promise.race([
+      once(response, "drain", { signal }),
+      once(response, "close", { signal }),
+    ]);
+  } finally {
+    controller.abort();
+  }
+}
