--- a/src/filters/exchange.ts
+++ b/src/filters/exchange.ts
@@ -3,6 +3,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
+import type { Result } from "ts-results";
 import type { Service, Workspace } from "../config/manifest.ts";
 import type { Refusal } from "../diagnostics.ts";
 
@@ -38,6 +39,8 @@
   readonly signal: AbortSignal;
   /** Monotonic time of arrival, milliseconds. */
   readonly arrivedAt: number;
+  /** Reads the body within the server's bounds; called once. */
+  readBody(): Promise<Result<Buffer, Refusal>>;
   body: Buffer;
   service?: Service;
   workspace?: Workspace;
--- /dev/null
+++ b/src/filters/workspace_filter.ts
@@ -0,0 +1,35 @@
+/**
+ * Names the workspace by the bearer token of the request.
+ */
+import type { Workspace } from "../config/manifest.ts";
+import { createRefusal } from "../diagnostics.ts";
+import {
+  type Exchange,
+  type Filter,
+  type Next,
+  type Outcome,
+  refused,
+} from "./exchange.ts";
+
+const BEARER = /^Bearer ([\x21-\x7e]{1,256})$/;
+
+/** Refuses a request without a known workspace key. */
+export class WorkspaceFilter implements Filter {
+  readonly name = "workspace";
+  readonly #find: (key: string) => Workspace | undefined;
+
+  constructor(options: { find(key: string): Workspace | undefined }) {
+    this.#find = options.find;
+  }
+
+  handle(exchange: Exchange, next: Next): Promise<Outcome> {
+    const match = BEARER.exec(exchange.headers.authorization ?? "");
+    const workspace = match ? this.#find(match[1]!) : undefined;
+    if (workspace === undefined) {
+      const detail = "Send the workspace key as a bearer token.";
+      return Promise.resolve(refused(createRefusal("unknown-key", detail)));
+    }
+    exchange.workspace = workspace;
+    return next();
+  }
+}
