--- /dev/null
+++ b/src/filters/upstream_filter.ts
@@ -0,0 +1,313 @@
+/**
+ * Last filter at the owner: places the request, sends it and passes the answer
+ * back.
+ */
+import { Buffer } from "node:buffer";
+import type { AttemptEnd, Grant, Pool } from "../control/pool.ts";
+import type { Clock } from "../control/views.ts";
+import type { Log } from "../daemon/log.ts";
+import { createRefusal, type Refusal } from "../diagnostics.ts";
+import type { ChatHash } from "../policy/chat_directory.ts";
+import {
+  copyAnswerHeaders,
+  copyEndToEndHeaders,
+} from "../transport/forward_headers.ts";
+import type {
+  HttpClient,
+  IncomingAnswer,
+  SendFailure,
+} from "../transport/http_client.ts";
+import { parseLoadHeaders } from "../transport/load_header.ts";
+import {
+  type Exchange,
+  type Filter,
+  type Outcome,
+  refused,
+} from "./exchange.ts";
+import { streamAnswer } from "./stream_answer.ts";
+
+/** Options of the filter. */
+export interface UpstreamFilterOptions {
+  readonly client: HttpClient;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** The pool that serves the request, where this router is a replica. */
+  findPool(exchange: Exchange): Pool | undefined;
+  /** Takes one retry from the budget, if there is one. */
+  tryRetry(): boolean;
+  /** Notes a request, by which the budget grows. */
+  onRequest(): void;
+  hashChat(workspace: string, chat: string): ChatHash;
+}
+
+/** An attempt that was sent. */
+interface Attempt {
+  readonly grant: Grant;
+  readonly pool: Pool;
+  readonly sentAt: number;
+}
+
+/** What an attempt led to: an outcome, or a failure that a retry may mend. */
+type AttemptResult =
+  | { readonly kind: "outcome"; readonly outcome: Outcome }
+  | {
+    readonly kind: "failed";
+    readonly refusal: Refusal;
+    /** Whether the upstream can't have run it. */
+    readonly isNotRun: boolean;
+  };
+
+const MAX_ATTEMPTS = 2;
+/** Largest answer that is held back until it is whole. */
+const MAX_WHOLE_BYTES = 1_048_576;
+const NOT_RUN_STATUS = 503;
+
+/** Sends requests to the upstreams of this router's pools. */
+export class UpstreamFilter implements Filter {
+  readonly name = "upstream";
+  readonly #options: UpstreamFilterOptions;
+
+  constructor(options: UpstreamFilterOptions) {
+    this.#options = options;
+  }
+
+  async handle(exchange: Exchange): Promise<Outcome> {
+    const pool = this.#options.findPool(exchange);
+    if (pool === undefined) {
+      const detail = "This router is no replica of the pool.";
+      return refused(createRefusal("no-owner", detail));
+    }
+    this.#options.onRequest();
+    return await this.#serve(exchange, pool);
+  }
+
+  async #serve(exchange: Exchange, pool: Pool): Promise<Outcome> {
+    const excluded: string[] = [];
+    let ran: Refusal["ran"] = "no";
+    let failure: Refusal | undefined;
+    while (excluded.length < MAX_ATTEMPTS) {
+      const grant = await pool.acquire(this.#toAcquire(exchange, excluded));
+      // What failed first says more than that there is no second upstream.
+      if (grant.err) return refused({ ...(failure ?? grant.val), ran });
+      const result = await this.#attempt(exchange, { pool, grant: grant.val });
+      if (result === undefined) continue;
+      if (result.kind === "outcome") return result.outcome;
+      failure = result.refusal;
+      if (!result.isNotRun) ran = "unknown";
+      excluded.push(grant.val.upstream.name);
+      const mayRepeat = result.isNotRun || exchange.isIdempotent;
+      if (!mayRepeat || !this.#options.tryRetry()) break;
+    }
+    return refused({ ...failure!, ran });
+  }
+
+  #toAcquire(exchange: Exchange, excluded: readonly string[]) {
+    const workspace = exchange.workspace!;
+    const { chat } = exchange;
+    return {
+      requestId: exchange.requestId,
+      workspace: workspace.name,
+      weight: workspace.weight,
+      chat: chat === undefined
+        ? undefined
+        : this.#options.hashChat(workspace.name, chat),
+      promptTokens: exchange.promptTokens,
+      deadlineAt: exchange.deadlineAt,
+      excluded,
+      signal: exchange.signal,
+    };
+  }
+
+  /** Sends one attempt; undefined if the grant lapsed before it was sent. */
+  async #attempt(
+    exchange: Exchange,
+    { pool, grant }: { pool: Pool; grant: Grant },
+  ): Promise<AttemptResult | undefined> {
+    const { clock, client } = this.#options;
+    // Read last, right before the request is sent.
+    if (!pool.isUsable(grant)) {
+      pool.release(grant, { fate: "not-sent", isOk: true });
+      return undefined;
+    }
+    const attempt = { grant, pool, sentAt: clock() };
+    const sent = await client.send({
+      address: grant.upstream.address,
+      method: exchange.method,
+      path: exchange.target,
+      headers: this.#headersOf(exchange, grant),
+      body: exchange.body.length > 0 ? exchange.body : undefined,
+      firstByteTimeoutMs: grant.service.firstByteTimeoutMs,
+      betweenBytesTimeoutMs: grant.service.betweenBytesTimeoutMs,
+      signal: exchange.signal,
+      isFresh: !exchange.isIdempotent,
+    });
+    if (sent.err) return this.#failed(exchange, { attempt, failure: sent.val });
+    return await this.#answered(exchange, { attempt, answer: sent.val });
+  }
+
+  #headersOf(exchange: Exchange, grant: Grant): Record<string, string> {
+    const remainingMs = exchange.deadlineAt - this.#options.clock();
+    return {
+      ...copyEndToEndHeaders(exchange.headers),
+      "x-request-id": exchange.requestId,
+      "x-attempt-id": grant.attemptId,
+      "x-workspace": exchange.workspace!.name,
+      "x-deadline-ms": String(Math.max(1, Math.round(remainingMs))),
+    };
+  }
+
+  #failed(
+    exchange: Exchange,
+    { attempt, failure }: { attempt: Attempt; failure: SendFailure },
+  ): AttemptResult {
+    const { grant } = attempt;
+    const isNotRun = failure.kind === "not-sent";
+    this.#options.log.warn("An attempt got no answer.", {
+      requestId: exchange.requestId,
+      attemptId: grant.attemptId,
+      upstream: grant.upstream.name,
+      kind: failure.kind,
+      detail: failure.message,
+    });
+    this.#release(attempt, {
+      fate: isNotRun ? "not-sent" : "unclear",
+      isOk: failure.kind === "cancelled",
+    });
+    if (!isNotRun) this.#cancel(attempt);
+    if (isNotRun) {
+      const detail = `${grant.upstream.name} refused the connection.`;
+      const refusal = createRefusal("upstream-unreachable", detail);
+      return { kind: "failed", refusal, isNotRun };
+    }
+    return { kind: "failed", refusal: unclearRefusal(exchange), isNotRun };
+  }
+
+  async #answered(
+    exchange: Exchange,
+    { attempt, answer }: { attempt: Attempt; answer: IncomingAnswer },
+  ): Promise<AttemptResult> {
+    const { grant, pool } = attempt;
+    const report = parseLoadHeaders(answer.headers);
+    if (report !== undefined) pool.report(grant.upstream.name, report);
+    if (isNotRunAnswer(answer)) {
+      await answer.body.dump();
+      this.#release(attempt, { fate: "finished", isOk: false });
+      const detail = `${grant.upstream.name} did not take the request.`;
+      const refusal = createRefusal("no-capacity", detail);
+      return { kind: "failed", refusal, isNotRun: true };
+    }
+    if (answer.headers["x-attempt-id"] !== grant.attemptId) {
+      answer.body.destroy();
+      this.#release(attempt, { fate: "unclear", isOk: false });
+      const refusal = unclearRefusal(exchange);
+      return { kind: "failed", refusal, isNotRun: false };
+    }
+    return await this.#passOn(exchange, { attempt, answer });
+  }
+
+  async #passOn(
+    exchange: Exchange,
+    { attempt, answer }: { attempt: Attempt; answer: IncomingAnswer },
+  ): Promise<AttemptResult> {
+    const { grant } = attempt;
+    const headers = copyAnswerHeaders(answer.headers);
+    headers["x-upstream"] = grant.upstream.name;
+    const end: AttemptEnd = {
+      fate: "finished",
+      isOk: answer.status < 500,
+      firstByteMs: this.#options.clock() - attempt.sentAt,
+      cachedTokens: Number(answer.headers["x-prompt-tokens"] ?? 0),
+    };
+    const isEvents = String(answer.headers["content-type"] ?? "")
+      .startsWith("text/event-stream");
+    if (!isEvents && isSmall(answer)) {
+      return await this.#passWhole(exchange, { attempt, answer, headers, end });
+    }
+    delete headers["content-length"];
+    const body = streamAnswer(exchange, {
+      answer,
+      grant,
+      isEvents,
+      client: this.#options.client,
+      onEnd: (isWhole) =>
+        this.#ended(attempt, isWhole ? end : { fate: "unclear", isOk: false }),
+    });
+    return {
+      kind: "outcome",
+      outcome: { kind: "stream", status: answer.status, headers, body },
+    };
+  }
+
+  #ended(attempt: Attempt, end: AttemptEnd): void {
+    this.#release(attempt, end);
+    if (end.fate === "unclear") this.#cancel(attempt);
+  }
+
+  async #passWhole(
+    exchange: Exchange,
+    { attempt, answer, headers, end }: {
+      attempt: Attempt;
+      answer: IncomingAnswer;
+      headers: Record<string, string | string[]>;
+      end: AttemptEnd;
+    },
+  ): Promise<AttemptResult> {
+    try {
+      const body = Buffer.from(await answer.body.arrayBuffer());
+      this.#release(attempt, end);
+      headers["content-length"] = String(body.length);
+      const { status } = answer;
+      return {
+        kind: "outcome",
+        outcome: { kind: "whole", status, headers, body },
+      };
+    } catch {
+      this.#ended(attempt, { fate: "unclear", isOk: false });
+      const refusal = unclearRefusal(exchange);
+      return { kind: "failed", refusal, isNotRun: false };
+    }
+  }
+
+  #release({ pool, grant }: Attempt, end: AttemptEnd): void {
+    pool.release(grant, end);
+  }
+
+  /** Tells the upstream to stop; it may not get to know of it. */
+  #cancel({ grant }: Attempt): void {
+    if (grant.service.kind !== "engine") return;
+    const { client } = this.#options;
+    void client.send({
+      address: grant.upstream.address,
+      method: "DELETE",
+      path: `/v1/attempts/${grant.attemptId}`,
+      headers: {},
+      body: undefined,
+      firstByteTimeoutMs: CANCEL_TIMEOUT_MS,
+      betweenBytesTimeoutMs: CANCEL_TIMEOUT_MS,
+      signal: AbortSignal.timeout(CANCEL_TIMEOUT_MS),
+      isFresh: true,
+    }).then((sent) => sent.ok ? sent.val.body.dump() : undefined)
+      .catch(() => undefined);
+  }
+}
+
+const CANCEL_TIMEOUT_MS = 1_000;
+
+function isNotRunAnswer({ status, headers }: IncomingAnswer): boolean {
+  return status === NOT_RUN_STATUS && headers["x-not-run"] === "1";
+}
+
+function isSmall({ headers }: IncomingAnswer): boolean {
+  const length = headers["content-length"];
+  if (length === undefined) return false;
+  return Number(length) <= MAX_WHOLE_BYTES;
+}
+
+function unclearRefusal(exchange: Exchange): Refusal {
+  if (exchange.isIdempotent) {
+    const detail = "The upstream broke off before its answer was whole.";
+    return createRefusal("upstream-failed", detail, { ran: "unknown" });
+  }
+  const detail = "The call may have run; it will not be run again.";
+  return createRefusal("outcome-unknown", detail, { ran: "unknown" });
+}
--- /dev/null
+++ b/src/transport/forward_headers.ts
@@ -0,0 +1,106 @@
+/**
+ * Headers that carry an exchange from the ingress to the pool's owner.
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import type { Exchange } from "../filters/exchange.ts";
+
+/** Header that proves a forwarded request comes from a router of the fleet. */
+export const FORWARD_TOKEN_HEADER = "x-cf-token";
+
+const HOP_BY_HOP = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "host",
+  "content-length",
+  "expect",
+]);
+const PRIVATE_PREFIX = "x-cf-";
+
+/** What the owner needs to know beside the request itself. */
+export interface ForwardContext {
+  readonly requestId: string;
+  readonly service: string;
+  readonly workspace: string;
+  readonly isIdempotent: boolean;
+  readonly isStreaming: boolean;
+  /** Milliseconds that are left until the deadline. */
+  readonly remainingMs: number;
+  readonly hops: number;
+}
+
+/** Copies the headers that go on to the next hop. */
+export function copyEndToEndHeaders(
+  headers: IncomingHttpHeaders,
+): Record<string, string> {
+  const copy: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || HOP_BY_HOP.has(name)) continue;
+    if (name.startsWith(PRIVATE_PREFIX) || name === "authorization") continue;
+    copy[name] = Array.isArray(value) ? value.join(", ") : value;
+  }
+  return copy;
+}
+
+/** Renders the headers of a forwarded request. */
+export function renderForwardHeaders(
+  exchange: Exchange,
+  options: { token: string; now: number },
+): Record<string, string> {
+  return {
+    ...copyEndToEndHeaders(exchange.headers),
+    [FORWARD_TOKEN_HEADER]: options.token,
+    "x-cf-request-id": exchange.requestId,
+    "x-cf-service": exchange.service!.name,
+    "x-cf-workspace": exchange.workspace!.name,
+    "x-cf-idempotent": exchange.isIdempotent ? "1" : "0",
+    "x-cf-streaming": exchange.isStreaming ? "1" : "0",
+    "x-cf-remaining-ms": String(Math.round(exchange.deadlineAt - options.now)),
+    "x-cf-hops": String(exchange.hops + 1),
+  };
+}
+
+function text(headers: IncomingHttpHeaders, name: string): string {
+  const value = headers[name];
+  return typeof value === "string" ? value : "";
+}
+
+/** Reads the headers of a forwarded request; undefined where malformed. */
+export function parseForwardHeaders(
+  headers: IncomingHttpHeaders,
+): ForwardContext | undefined {
+  const remainingMs = Number(text(headers, "x-cf-remaining-ms"));
+  const hops = Number(text(headers, "x-cf-hops"));
+  const requestId = text(headers, "x-cf-request-id");
+  if (!Number.isFinite(remainingMs) || !Number.isInteger(hops)) {
+    return undefined;
+  }
+  if (requestId === "" || hops < 1) return undefined;
+  return {
+    requestId,
+    service: text(headers, "x-cf-service"),
+    workspace: text(headers, "x-cf-workspace"),
+    isIdempotent: headers["x-cf-idempotent"] === "1",
+    isStreaming: headers["x-cf-streaming"] === "1",
+    remainingMs,
+    hops,
+  };
+}
+
+/** Copies the headers of an answer that go back to the caller. */
+export function copyAnswerHeaders(
+  headers: IncomingHttpHeaders,
+): Record<string, string | string[]> {
+  const copy: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || name === "x-load") continue;
+    if (HOP_BY_HOP.has(name) && name !== "content-length") continue;
+    copy[name] = value;
+  }
+  return copy;
+}
