Rank names by rendezvous hashing

Placement and replica sets need one ranking on every router without agreement. xxhash-wasm loads once and then hashes synchronously; node:crypto was ruled out as too slow for the request path.

--- /dev/null
+++ b/src/policy/rendezvous_test.ts
@@ -0,0 +1,56 @@
+import fc from "fast-check";
+import {
+  type Hash,
+  loadHash,
+  poolOf,
+  rankByRendezvous,
+  rankByWeightedRendezvous,
+} from "./rendezvous.ts";
+
+const SEED = 1;
+let hash: Hash;
+
+beforeAll(async () => {
+  hash = await loadHash();
+});
+
+const names = fc.uniqueArray(fc.string({ minLength: 1 }), { minLength: 2 });
+
+test("a ranking ignores the order of names and survives a removal", () => {
+  fc.assert(
+    fc.property(fc.string(), names, (key, list) => {
+      const ranked = rankByRendezvous(key, list, { hash });
+      expect(rankByRendezvous(key, list.toReversed(), { hash }))
+        .toEqual(ranked);
+      const gone = list[0];
+      const rest = list.filter((name) => name !== gone);
+      expect(rankByRendezvous(key, rest, { hash }))
+        .toEqual(ranked.filter((name) => name !== gone));
+    }),
+    { seed: SEED, numRuns: 200 },
+  );
+});
+
+test("weights set how often a name is first", () => {
+  const weights: Record<string, number> = { a: 1, b: 3, none: 0 };
+  const firsts = { a: 0, b: 0, none: 0 } as Record<string, number>;
+  for (let index = 0; index < 4_000; index++) {
+    const [first] = rankByWeightedRendezvous(
+      `chat-${index}`,
+      ["a", "b", "none"],
+      { hash, weightOf: (name) => weights[name] ?? 0 },
+    );
+    firsts[first ?? ""]!++;
+  }
+  expect(firsts.none).toBe(0);
+  expect(Math.round(firsts.b! / 100) / 10).toBeCloseTo(3, 0);
+});
+
+test("a doubled pool count splits each pool in two", () => {
+  for (let index = 0; index < 100; index++) {
+    const name = `upstream-${index}`;
+    const pool = poolOf(name, 8, { hash });
+    expect([pool, pool + 8]).toContain(poolOf(name, 16, { hash }));
+  }
+  expect(() => poolOf("a", 6, { hash })).toThrow("pool-count");
+});
