Compute an upstream's limit from its bounds and the mean load

An upstream that is alone in its service has no load bound: its load is the mean, and a mean that is late would only refuse work for nothing.

--- /dev/null
+++ b/src/policy/load_bound_test.ts
@@ -0,0 +1,26 @@
+import { getMeanInFlight, limitOf } from "./load_bound.ts";
+
+const WARM = {
+  hardLimit: 16,
+  coldLimit: 2,
+  cold: false,
+  loadFactor: 1.25,
+  meanInFlight: 4,
+  upstreamCount: 4,
+};
+
+test.each([
+  ["the load factor bounds a warm upstream", {}, 5],
+  ["a fraction rounds up", { meanInFlight: 4.1 }, 6],
+  ["the hard limit bounds it", { meanInFlight: 100 }, 16],
+  ["the cold limit bounds a cold one", { cold: true }, 2],
+  ["one request is always possible", { meanInFlight: 0 }, 1],
+  ["a lone upstream has no load factor", { upstreamCount: 1 }, 16],
+])("%s", (_name, change, limit) => {
+  expect(limitOf({ ...WARM, ...change })).toBe(limit);
+});
+
+test("the mean counts only upstreams in service", () => {
+  expect(getMeanInFlight({ inFlight: 9, upstreamCount: 2 })).toBe(4.5);
+  expect(getMeanInFlight({ inFlight: 9, upstreamCount: 0 })).toBe(0);
+});
