Ramp a cold upstream as work completes well

The ramp follows completed work, not time, and at most doubles in an interval, so that a burst of short requests does not lift the limit in one step. Reports that were overtaken by newer ones are dropped by their time of making.

--- /dev/null
+++ b/src/policy/cold_start_test.ts
@@ -0,0 +1,108 @@
+import fc from "fast-check";
+import type { LoadReport } from "../types.ts";
+import { type Answer, createColdStart } from "./cold_start.ts";
+
+const OPTIONS = {
+  hardLimit: 16,
+  coldLimit: 2,
+  staleMs: 10_000,
+  doublingMs: 1_000,
+};
+const GOOD: Answer = { ok: true, firstByteMs: 20, incarnation: "1" };
+
+function report(change: Partial<LoadReport> = {}): LoadReport {
+  const base = { incarnation: "1", inFlight: 0, leaving: false, ageMs: 0 };
+  return { ...base, cold: false, ...change };
+}
+
+function createWarm() {
+  const upstream = createColdStart(OPTIONS);
+  for (let now = 0; now < 4_000; now += 100) upstream.onAnswer(GOOD, now);
+  expect(upstream.limit(4_000)).toBe(16);
+  return upstream;
+}
+
+test("the limit grows with work and at most doubles in an interval", () => {
+  const upstream = createColdStart(OPTIONS);
+  expect([upstream.limit(0), upstream.isCold(0)]).toEqual([2, true]);
+  const limits: number[] = [];
+  for (let now = 0; now < 3_000; now += 1_000) {
+    for (let count = 0; count < 20; count++) upstream.onAnswer(GOOD, now);
+    limits.push(upstream.limit(now));
+  }
+  expect(limits).toEqual([4, 8, 16]);
+  expect(upstream.isCold(3_000)).toBe(false);
+});
+
+test("work that leaves the limit unused does not grow it", () => {
+  const upstream = createColdStart({ ...OPTIONS, coldLimit: 4 });
+  upstream.onAnswer({ ...GOOD, inFlight: 1 }, 0);
+  expect(upstream.limit(0)).toBe(4);
+  upstream.onAnswer({ ...GOOD, inFlight: 2 }, 0);
+  expect(upstream.limit(0)).toBe(5);
+});
+
+test("a failure halves the limit", () => {
+  const upstream = createWarm();
+  upstream.onAnswer({ ok: false }, 4_000);
+  expect(upstream.limit(4_000)).toBe(8);
+});
+
+test.each<[string, (upstream: ReturnType<typeof createWarm>) => void]>([
+  ["a cold flag", (u) => u.onReport(report({ cold: true }), 4_000)],
+  ["a report's new incarnation", (u) => {
+    u.onReport(report({ incarnation: "2" }), 4_000);
+  }],
+  ["an answer's new incarnation", (u) => {
+    u.onAnswer({ ...GOOD, incarnation: "2" }, 4_000);
+  }],
+  ["a slow answer", (u) => {
+    u.onAnswer({ ...GOOD, firstByteMs: 900 }, 4_000);
+  }],
+  ["silence", (u) => u.limit(13_901)],
+])("%s makes a warm upstream cold", (_name, make) => {
+  const upstream = createWarm();
+  make(upstream);
+  expect(upstream.isCold(4_000)).toBe(true);
+  expect(upstream.limit(4_000)).toBe(2);
+});
+
+test("an overtaken report does not lift the cold flag", () => {
+  const upstream = createWarm();
+  upstream.onReport(report({ cold: true }), 4_000);
+  upstream.onReport(report({ ageMs: 500 }), 4_100);
+  upstream.onAnswer(GOOD, 4_200);
+  expect(upstream.limit(4_200)).toBe(2);
+  upstream.onReport(report(), 4_300);
+  upstream.onAnswer(GOOD, 4_300);
+  expect(upstream.limit(4_300)).toBe(3);
+});
+
+test("the limit stays within its bounds, and cold ones at the cold limit", () => {
+  const steps = fc.array(fc.record({
+    waitMs: fc.nat({ max: 6_000 }),
+    cold: fc.boolean(),
+    ageMs: fc.nat({ max: 3_000 }),
+    ok: fc.boolean(),
+    incarnation: fc.constantFrom("1", "2"),
+    isReport: fc.boolean(),
+  }));
+  fc.assert(
+    fc.property(steps, (list) => {
+      const upstream = createColdStart(OPTIONS);
+      let now = 0;
+      for (const step of list) {
+        now += step.waitMs;
+        if (step.isReport) upstream.onReport(report(step), now);
+        else upstream.onAnswer(step, now);
+        const limit = upstream.limit(now);
+        expect(limit).toBeGreaterThanOrEqual(2);
+        expect(limit).toBeLessThanOrEqual(16);
+        if (step.isReport && step.cold && step.ageMs === 0) {
+          expect(limit).toBe(2);
+        }
+      }
+    }),
+    { seed: 1, numRuns: 500 },
+  );
+});
