Add stand-ins for the model engine and the plain service

The routers need upstreams with limits, cold starts, late reports and faults that a test can order. Both stand-ins share state, HTTP plumbing and control; answers are a function of the request body.

--- /dev/null
+++ b/testing/answer.ts
@@ -0,0 +1,145 @@
+/**
+ * Answers of the stand-in engine as a pure function of the request body.
+ *
+ * The engine and the load tool share this module, so that a client can compare
+ * an answer byte for byte with the one that its request must get.
+ */
+import { createHash } from "node:crypto";
+
+/** One message of a chat. */
+export interface ChatMessage {
+  readonly role: string;
+  readonly content: string;
+}
+
+/** Body of a chat completion request; other fields don't change the answer. */
+export interface ChatBody {
+  readonly model: string;
+  readonly messages: readonly ChatMessage[];
+  readonly "max_tokens"?: number;
+  readonly stream?: boolean;
+}
+
+/** Token counts, as the last chunk and the whole answer carry them. */
+export interface Usage {
+  readonly "prompt_tokens": number;
+  readonly "completion_tokens": number;
+}
+
+/** The one answer that a body must get. */
+export interface Answer {
+  readonly id: string;
+  /** Seconds since the epoch, derived from the body. */
+  readonly created: number;
+  readonly model: string;
+  readonly tokens: readonly string[];
+  readonly text: string;
+  readonly usage: Usage;
+}
+
+const CHARACTERS_PER_TOKEN = 4;
+const MIN_TOKENS = 8;
+const TOKEN_SPREAD = 25;
+const MAX_TOKENS = 4_096;
+const CREATED_BASE = 1_700_000_000;
+const CREATED_SPREAD = 10_000_000;
+const HASH_INCREMENT = 0x9e3779b9;
+const CONSONANTS = "bdfghklmnprstvyz";
+const VOWELS = "aeiouaei";
+
+/** Counts the tokens of a text, approximated from its length. */
+export function countTokens(text: string): number {
+  return Math.ceil(text.length / CHARACTERS_PER_TOKEN);
+}
+
+/** Counts the prompt tokens of a chat; the sum over its messages. */
+export function countPromptTokens(messages: readonly ChatMessage[]): number {
+  let total = 0;
+  for (const message of messages) total += countTokens(message.content);
+  return total;
+}
+
+/** Scrambles 32 bits (the finalizer of MurmurHash3). */
+function mix(value: number): number {
+  let bits = value | 0;
+  bits = Math.imul(bits ^ (bits >>> 16), 0x85ebca6b);
+  bits = Math.imul(bits ^ (bits >>> 13), 0xc2b2ae35);
+  return (bits ^ (bits >>> 16)) >>> 0;
+}
+
+/** Writes the token at `index`; each is as long as the token count assumes. */
+function createToken(seed: number, index: number): string {
+  const bits = mix(seed + Math.imul(index + 1, HASH_INCREMENT));
+  const first = CONSONANTS.charAt(bits & 15);
+  const vowel = VOWELS.charAt((bits >>> 4) & 7);
+  const last = CONSONANTS.charAt((bits >>> 8) & 15);
+  return `${first}${vowel}${last} `;
+}
+
+/** Computes the answer that `body` must get. */
+export function expectedAnswer(body: ChatBody): Answer {
+  const identity = [body.model, body.max_tokens ?? null, body.messages];
+  const digest = createHash("sha256").update(JSON.stringify(identity)).digest();
+  const seed = digest.readUInt32LE(0);
+  const wanted = body.max_tokens ?? MIN_TOKENS + seed % TOKEN_SPREAD;
+  const count = Math.min(wanted, MAX_TOKENS);
+  const tokens: string[] = [];
+  for (let index = 0; index < count; index++) {
+    tokens.push(createToken(seed, index));
+  }
+  return {
+    id: `chatcmpl-${digest.toString("hex").slice(0, 24)}`,
+    created: CREATED_BASE + digest.readUInt32LE(4) % CREATED_SPREAD,
+    model: body.model,
+    tokens,
+    text: tokens.join(""),
+    usage: {
+      prompt_tokens: countPromptTokens(body.messages),
+      completion_tokens: count,
+    },
+  };
+}
+
+function createChunk(answer: Answer, fields: Record<string, unknown>): string {
+  const { id, created, model } = answer;
+  const object = "chat.completion.chunk";
+  return JSON.stringify({ id, object, created, model, ...fields });
+}
+
+/** Formats the event of the token at `index`. */
+export function formatTokenEvent(answer: Answer, index: number): string {
+  const content = answer.tokens[index] ?? "";
+  const delta = index === 0 ? { role: "assistant", content } : { content };
+  const choices = [{ index: 0, delta, finish_reason: null }];
+  return `id: ${index}\ndata: ${createChunk(answer, { choices })}\n\n`;
+}
+
+/** Formats the last chunk and the end marker of a stream. */
+export function formatLastEvents(answer: Answer): string {
+  const choices = [{ index: 0, delta: {}, finish_reason: "stop" }];
+  const chunk = createChunk(answer, { choices, usage: answer.usage });
+  return `data: ${chunk}\n\ndata: [DONE]\n\n`;
+}
+
+/** Formats a whole answer as one JSON document. */
+export function formatWholeBody(answer: Answer): string {
+  const { id, created, model, text, usage } = answer;
+  const message = { role: "assistant", content: text };
+  const choices = [{ index: 0, message, finish_reason: "stop" }];
+  const object = "chat.completion";
+  return JSON.stringify({ id, object, created, model, choices, usage });
+}
+
+/** The whole event stream that `body` must get. */
+export function expectedEventStream(body: ChatBody): string {
+  const answer = expectedAnswer(body);
+  const events = answer.tokens.map((_, index) =>
+    formatTokenEvent(answer, index)
+  );
+  return events.join("") + formatLastEvents(answer);
+}
+
+/** The whole JSON answer that `body` must get. */
+export function expectedWholeBody(body: ChatBody): string {
+  return formatWholeBody(expectedAnswer(body));
+}
--- /dev/null
+++ b/testing/engine.ts
@@ -0,0 +1,289 @@
+/**
+ * Stand-in for a model engine: its HTTP interface.
+ *
+ * It decides nothing on behalf of the routers: it runs what it is given and
+ * falls over when that is too much.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { performance } from "node:perf_hooks";
+import { type ChatBody, expectedAnswer } from "./answer.ts";
+import { AnswerWriter } from "./engine_answer_writer.ts";
+import { Attempt } from "./engine_attempt.ts";
+import { Attempts } from "./engine_attempts.ts";
+import { Batch } from "./engine_batch.ts";
+import { CacheEvents } from "./engine_cache_events.ts";
+import { type Order, Orders } from "./engine_orders.ts";
+import { PrefixCache } from "./engine_prefix_cache.ts";
+import { applyControl, type Control, Faults } from "./upstream_control.ts";
+import {
+  formatLoad,
+  getHeader,
+  type Headers,
+  readBody,
+  UpstreamServer,
+} from "./upstream_http.ts";
+import {
+  type Admission,
+  UpstreamState,
+  type UpstreamStateOptions,
+} from "./upstream_state.ts";
+
+/** Options of an engine. */
+export interface EngineOptions extends UpstreamStateOptions {
+  /** Time of a step with one attempt, in milliseconds. */
+  tokenMs?: number;
+  /** Attempts that run at once; the hard limit unless given. */
+  batchSize?: number;
+  prefillPerStep?: number;
+  /** Size of the prefix cache, in tokens. */
+  cacheTokens?: number;
+  seed?: number;
+  /** Whether an order with an older fencing number is refused. */
+  checksFencing?: boolean;
+}
+
+const DEFAULT_CACHE_TOKENS = 200_000;
+const ATTEMPT_PATH = /^\/v1\/attempts\/([^/]+)(\/stream)?$/;
+
+/** One stand-in engine. */
+export class Engine {
+  readonly #server: UpstreamServer;
+  readonly #state: UpstreamState;
+  readonly #faults = new Faults();
+  readonly #attempts = new Attempts();
+  readonly #events: CacheEvents;
+  readonly #cache: PrefixCache;
+  readonly #batch: Batch;
+  readonly #orders: Orders;
+  #cachedTokens = 0;
+  #promptTokens = 0;
+
+  constructor(options: EngineOptions) {
+    const { cacheTokens = DEFAULT_CACHE_TOKENS, hardLimit = 16 } = options;
+    const { checksFencing = false, seed } = options;
+    const clock = options.clock ?? (() => performance.now());
+    this.#server = new UpstreamServer((request, response) =>
+      this.#route(request, response)
+    );
+    this.#state = new UpstreamState({
+      ...options,
+      onFall: () => this.#dropAll(),
+    });
+    this.#events = new CacheEvents({ seed, clock });
+    this.#cache = new PrefixCache(cacheTokens, this.#events);
+    this.#batch = new Batch({
+      cache: this.#cache,
+      onDone: (attempt) => this.#finish(attempt),
+      tokenMs: options.tokenMs,
+      batchSize: options.batchSize ?? hardLimit,
+      prefillPerStep: options.prefillPerStep,
+    });
+    this.#orders = new Orders(checksFencing);
+  }
+
+  /** Listens on loopback; returns `ip:port`. */
+  listen(port: number): Promise<string> {
+    return this.#server.listen(port);
+  }
+
+  /** Aborts everything and closes. */
+  close(): void {
+    this.#batch.abortAll();
+    this.#server.close();
+  }
+
+  #route(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> | void {
+    const url = new URL(request.url ?? "/", "http://engine");
+    if (url.pathname.startsWith("/control")) {
+      return this.#control(request, response);
+    }
+    if (this.#state.isDown) return this.#refuse(response, "down");
+    const route = `${request.method} ${url.pathname}`;
+    if (route === "POST /v1/chat/completions") {
+      return this.#complete(request, response);
+    }
+    if (route === "GET /v1/load") {
+      return this.#send(response, 200, { ...this.#state.getReport() });
+    }
+    if (route === "GET /v1/cache-events") {
+      const page = this.#events.getPage(Number(url.searchParams.get("after")));
+      const { incarnation } = this.#state;
+      return this.#send(response, 200, { incarnation, ...page });
+    }
+    if (route === "GET /v1/orders") {
+      return this.#send(response, 200, { orders: this.#orders.done });
+    }
+    if (route === "POST /v1/orders") return this.#order(request, response);
+    this.#routeAttempt(request, { response, url });
+  }
+
+  #routeAttempt(
+    request: IncomingMessage,
+    { response, url }: { response: ServerResponse; url: URL },
+  ): void {
+    const [, id = "", stream] = ATTEMPT_PATH.exec(url.pathname) ?? [];
+    const attempt = this.#attempts.get(decodeURIComponent(id));
+    if (attempt === undefined) {
+      return this.#send(response, 404, { error: "not-found" });
+    }
+    if (request.method === "GET" && stream) {
+      const offset = Number(url.searchParams.get("offset"));
+      return this.#answer(attempt, { response, stream: true, offset });
+    }
+    if (request.method === "DELETE" && !stream) {
+      return this.#cancel(attempt, response);
+    }
+    this.#send(response, 405, { error: "method-not-allowed" });
+  }
+
+  async #complete(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const text = (await readBody(request)).toString();
+    if (this.#faults.tryTake("before")) return void response.destroy();
+    const id = getHeader(request, "x-attempt-id");
+    const body = parseChatBody(text);
+    if (id === undefined || body === undefined) {
+      return this.#send(response, 400, { error: "bad-request" });
+    }
+    if (this.#attempts.checkDuplicate(id)) {
+      return this.#send(response, 409, { error: "duplicate-attempt" });
+    }
+    const admission = this.#state.tryStart();
+    if (admission !== "started") return this.#refuse(response, admission);
+    const attempt = new Attempt({
+      id,
+      incarnation: this.#state.incarnation,
+      answer: expectedAnswer(body),
+      chat: getHeader(request, "x-chat-id"),
+      priority: Number(getHeader(request, "x-priority") ?? 0),
+    });
+    this.#attempts.add(attempt);
+    this.#batch.add(attempt);
+    this.#answer(attempt, { response, stream: body.stream === true });
+  }
+
+  #answer(
+    attempt: Attempt,
+    { response, stream, offset }: {
+      response: ServerResponse;
+      stream: boolean;
+      offset?: number;
+    },
+  ): void {
+    new AnswerWriter({
+      server: this.#server,
+      response,
+      attempt,
+      stream,
+      offset,
+      failsAmid: offset === undefined && this.#faults.tryTake("amid"),
+      getHeaders: () => this.#getAnswerHeaders(attempt),
+    }).start();
+  }
+
+  #cancel(attempt: Attempt, response: ServerResponse): void {
+    if (!attempt.isEnded) {
+      this.#batch.cancel(attempt);
+      this.#state.finish(attempt.incarnation);
+      this.#attempts.retire(attempt);
+    }
+    this.#send(response, 200, { state: attempt.state });
+  }
+
+  #finish(attempt: Attempt): void {
+    this.#cachedTokens += attempt.cachedTokens;
+    this.#promptTokens += attempt.answer.usage.prompt_tokens;
+    this.#state.finish(attempt.incarnation);
+    this.#attempts.retire(attempt);
+  }
+
+  #dropAll(): void {
+    this.#batch.abortAll();
+    this.#attempts.clear();
+    this.#cache.clear();
+    this.#events.clear();
+  }
+
+  async #order(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const order = JSON.parse((await readBody(request)).toString()) as Order;
+    const done = this.#orders.tryCarryOut(order);
+    if (done) this.#send(response, 200, { id: order.id });
+    else this.#send(response, 409, { error: "old-fence" });
+  }
+
+  async #control(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const text = (await readBody(request)).toString();
+    if (request.method !== "POST") {
+      return this.#send(response, 200, this.#getRecord());
+    }
+    // The answer goes first, since the order may silence its connection.
+    this.#send(response, 200, {});
+    applyControl(JSON.parse(text) as Control, {
+      state: this.#state,
+      server: this.#server,
+      faults: this.#faults,
+      setSlowFactor: (factor) => this.#batch.slowFactor = factor,
+    });
+  }
+
+  #refuse(response: ServerResponse, admission: Admission): void {
+    if (admission === "fell") return void response.destroy();
+    const headers = this.#getHeaders();
+    if (admission === "leaving") headers["x-not-run"] = "1";
+    const body = { error: admission };
+    this.#server.sendJson(response, 503, { headers, body });
+  }
+
+  #send(response: ServerResponse, status: number, body: unknown): void {
+    const headers = this.#getHeaders();
+    this.#server.sendJson(response, status, { headers, body });
+  }
+
+  #getHeaders(): Headers {
+    return {
+      "x-incarnation": this.#state.incarnation,
+      "x-load": formatLoad(this.#state.getReport()),
+    };
+  }
+
+  #getAnswerHeaders(attempt: Attempt): Headers {
+    return {
+      ...this.#getHeaders(),
+      "x-attempt-id": attempt.id,
+      "x-cached-tokens": String(attempt.cachedTokens),
+      "x-prompt-tokens": String(attempt.answer.usage.prompt_tokens),
+    };
+  }
+
+  #getRecord() {
+    return {
+      ...this.#state.getRecord(),
+      attempts: this.#attempts.count,
+      duplicateAttempts: this.#attempts.duplicates,
+      cachedTokens: this.#cachedTokens,
+      promptTokens: this.#promptTokens,
+    };
+  }
+}
+
+function parseChatBody(text: string): ChatBody | undefined {
+  try {
+    const body = JSON.parse(text) as Partial<ChatBody>;
+    const isChat = typeof body.model === "string" &&
+      Array.isArray(body.messages);
+    return isChat ? body as ChatBody : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/testing/upstream_http.ts
@@ -0,0 +1,146 @@
+/** HTTP plumbing that the stand-in upstreams share. */
+import { Buffer } from "node:buffer";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import type { LoadReport } from "../src/types.ts";
+
+/** Answer headers by name. */
+export type Headers = Record<string, string>;
+
+/** Handles one request. */
+export type Handler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => Promise<void> | void;
+
+const KEEP_ALIVE_MS = 60_000;
+
+/** Reads the whole body of a request. */
+export async function readBody(request: IncomingMessage): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  for await (const part of request) parts.push(part as Buffer);
+  return Buffer.concat(parts);
+}
+
+/** One request header, or undefined. */
+export function getHeader(
+  request: IncomingMessage,
+  name: string,
+): string | undefined {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+/** Formats a report for the header `x-load`. */
+export function formatLoad(report: LoadReport): string {
+  const cold = Number(report.cold);
+  const leaving = Number(report.leaving);
+  const { inFlight, ageMs } = report;
+  return `in-flight=${inFlight};cold=${cold};leaving=${leaving};age-ms=${ageMs}`;
+}
+
+/**
+ * An HTTP server whose open connections can be made to go silent: they stay
+ * open, but nothing that is sent on them arrives, either way.
+ */
+export class UpstreamServer {
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  readonly #silent = new WeakSet<Socket>();
+
+  constructor(handler: Handler) {
+    this.#server = createServer((request, response) => {
+      if (this.#silent.has(request.socket)) return;
+      this.#run(handler, { request, response });
+    });
+    this.#server.keepAliveTimeout = KEEP_ALIVE_MS;
+    this.#server.on("connection", (socket) => {
+      this.#sockets.add(socket);
+      socket.on("close", () => this.#sockets.delete(socket));
+      socket.on("error", () => socket.destroy());
+    });
+  }
+
+  /** Listens on loopback; returns `ip:port`. */
+  listen(port: number): Promise<string> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, "127.0.0.1", () => {
+        const address = this.#server.address() as AddressInfo;
+        resolve(`${address.address}:${address.port}`);
+      });
+    });
+  }
+
+  /** Closes the server and every connection. */
+  close(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  /** Makes every connection that is open now go silent for good. */
+  silenceOpenConnections(): void {
+    for (const socket of this.#sockets) this.#silent.add(socket);
+  }
+
+  /** Writes the head of an answer, unless its connection is silent. */
+  writeHead(
+    response: ServerResponse,
+    status: number,
+    { headers }: { headers: Headers },
+  ): void {
+    if (this.#isSilent(response)) return;
+    response.writeHead(status, headers);
+  }
+
+  /** Writes part of an answer, unless its connection is silent. */
+  write(response: ServerResponse, text: string): void {
+    if (this.#isSilent(response)) return;
+    response.write(text);
+  }
+
+  /** Ends an answer, unless its connection is silent. */
+  end(response: ServerResponse, text?: string): void {
+    if (this.#isSilent(response)) return;
+    response.end(text);
+  }
+
+  /** Sends a whole JSON answer. */
+  sendJson(
+    response: ServerResponse,
+    status: number,
+    { headers = {}, body }: { headers?: Headers; body: unknown },
+  ): void {
+    const text = typeof body === "string" ? body : JSON.stringify(body);
+    const length = String(Buffer.byteLength(text));
+    const all = {
+      "content-type": "application/json",
+      "content-length": length,
+      ...headers,
+    };
+    this.writeHead(response, status, { headers: all });
+    this.end(response, text);
+  }
+
+  #isSilent(response: ServerResponse): boolean {
+    return response.socket === null || response.destroyed ||
+      this.#silent.has(response.socket);
+  }
+
+  async #run(
+    handler: Handler,
+    exchange: { request: IncomingMessage; response: ServerResponse },
+  ): Promise<void> {
+    const { request, response } = exchange;
+    try {
+      await handler(request, response);
+    } catch {
+      response.destroy();
+    }
+  }
+}
