Keep a compact directory of where chats were last served

Returning chats must find their cache among millions of others, in a router with little memory. Slots of 20 bytes in typed arrays, linear probing, at most three quarters full.

--- /dev/null
+++ b/src/policy/chat_directory.ts
@@ -0,0 +1,263 @@
+/**
+ * Directory of where chats were last served: chat hash to upstream, time of
+ * last use and length of the prompt prefix that is cached there.
+ *
+ * A slot takes 20 bytes in typed arrays. The table is open-addressed with
+ * linear probing and is filled to three quarters at most, so that a chat takes
+ * under 64 bytes with the free slots counted: 27 in a full table and 54 right
+ * after it doubled. A JavaScript `Map` of objects takes several times that and
+ * burdens the garbage collector with an object for each chat.
+ *
+ * At capacity the oldest of a few neighbouring slots is evicted. Slots are in
+ * hash order, so neighbours are a random sample, and no list has to be kept.
+ */
+import * as Debug from "../debug.ts";
+
+/** A 64-bit hash of a chat id as two unsigned 32-bit halves. */
+export interface ChatHash {
+  readonly hi: number;
+  readonly lo: number;
+}
+
+/** What the directory knows of a chat. */
+export interface ChatEntry {
+  /** Index of the upstream, as the caller numbers them. */
+  readonly upstream: number;
+  /** Prompt tokens that the upstream had cached after the last request. */
+  readonly tokens: number;
+  /** Time of the last use in seconds. */
+  readonly usedAt: number;
+}
+
+/** Options of a directory. */
+export interface ChatDirectoryOptions {
+  /** Most chats that are kept. */
+  capacity?: number;
+}
+
+const DEFAULT_CAPACITY = 1_000_000;
+const MIN_SLOTS = 64;
+const MAX_FILL = 0.75;
+const EVICTION_SAMPLE = 16;
+const MAX_UPSTREAMS = 65_535;
+const EPOCHS = 65_536;
+const HASH_MULTIPLIER = 0x9E3779B1;
+/** Value of `owner` in a free slot. */
+const FREE = 0;
+
+function createColumns(slots: number) {
+  return {
+    slots,
+    hi: new Uint32Array(slots),
+    lo: new Uint32Array(slots),
+    usedAt: new Uint32Array(slots),
+    tokens: new Uint32Array(slots),
+    /** Index of the upstream plus one. */
+    owner: new Uint16Array(slots),
+    /** Epoch of the upstream when the slot was written. */
+    epoch: new Uint16Array(slots),
+  };
+}
+
+type Columns = ReturnType<typeof createColumns>;
+
+function getIdealSlot(hi: number, lo: number, slots: number): number {
+  const mixed = Math.imul(lo ^ (hi >>> 7), HASH_MULTIPLIER) ^ hi;
+  return (mixed ^ (mixed >>> 15)) & (slots - 1);
+}
+
+function copySlot(from: Columns, source: number, to: Columns, target: number) {
+  to.hi[target] = from.hi[source]!;
+  to.lo[target] = from.lo[source]!;
+  to.usedAt[target] = from.usedAt[source]!;
+  to.tokens[target] = from.tokens[source]!;
+  to.owner[target] = from.owner[source]!;
+  to.epoch[target] = from.epoch[source]!;
+}
+
+/** Finds the slot of a hash, or the free slot where it belongs. */
+function findSlot({ slots, hi, lo, owner }: Columns, hash: ChatHash): number {
+  const high = hash.hi >>> 0;
+  const low = hash.lo >>> 0;
+  let slot = getIdealSlot(high, low, slots);
+  while (owner[slot] !== FREE && (hi[slot] !== high || lo[slot] !== low)) {
+    slot = (slot + 1) & (slots - 1);
+  }
+  return slot;
+}
+
+/** Maps chats to the upstream that served them last; see the module. */
+export class ChatDirectory {
+  readonly #capacity: number;
+  #columns = createColumns(MIN_SLOTS);
+  /** Slots that are taken, by live chats or by stale ones. */
+  #taken = 0;
+  #live = 0;
+  #hand = 0;
+  /** Epoch of each upstream; a slot of an older epoch is stale. */
+  readonly #epochs = new Map<number, number>();
+  readonly #counts = new Map<number, number>();
+
+  constructor(capacity: number) {
+    this.#capacity = Math.max(1, capacity);
+  }
+
+  /** Number of chats that `get` would find. */
+  get size(): number {
+    return this.#live;
+  }
+
+  /** Bytes of the slots, free ones included. */
+  get bytes(): number {
+    const { slots, ...arrays } = this.#columns;
+    return Object.values(arrays)
+      .reduce((sum, array) => sum + array.BYTES_PER_ELEMENT * slots, 0);
+  }
+
+  /** Looks a chat up; does not count as a use. */
+  get(hash: ChatHash): ChatEntry | undefined {
+    const slot = findSlot(this.#columns, hash);
+    if (!this.#isLive(slot)) return undefined;
+    const { owner, tokens, usedAt } = this.#columns;
+    return {
+      upstream: owner[slot]! - 1,
+      tokens: tokens[slot]!,
+      usedAt: usedAt[slot]!,
+    };
+  }
+
+  /** Records that a chat was served; replaces what was known of it. */
+  set(hash: ChatHash, { upstream, tokens, usedAt }: ChatEntry): void {
+    Debug.assert(
+      upstream >= 0 && upstream < MAX_UPSTREAMS,
+      "directory-upstream",
+      () => `index ${upstream}`,
+    );
+    let slot = findSlot(this.#columns, hash);
+    if (this.#columns.owner[slot] === FREE) {
+      if (this.#makeRoom()) slot = findSlot(this.#columns, hash);
+      this.#taken++;
+    } else {
+      this.#uncount(slot);
+    }
+    const columns = this.#columns;
+    columns.hi[slot] = hash.hi;
+    columns.lo[slot] = hash.lo;
+    columns.usedAt[slot] = Math.max(0, Math.floor(usedAt));
+    columns.tokens[slot] = Math.max(0, Math.floor(tokens));
+    columns.owner[slot] = upstream + 1;
+    columns.epoch[slot] = this.#epochs.get(upstream) ?? 0;
+    this.#count(upstream, 1);
+  }
+
+  /** Drops a chat; returns whether it was known. */
+  forget(hash: ChatHash): boolean {
+    const slot = findSlot(this.#columns, hash);
+    const known = this.#isLive(slot);
+    if (this.#columns.owner[slot] !== FREE) this.#free(slot);
+    return known;
+  }
+
+  /**
+   * Drops every chat of an upstream, for instance because a new incarnation
+   * has lost the cache. Constant time: the slots are reclaimed later.
+   */
+  forgetUpstream(upstream: number): void {
+    this.#live -= this.#counts.get(upstream) ?? 0;
+    this.#counts.delete(upstream);
+    const epoch = ((this.#epochs.get(upstream) ?? 0) + 1) % EPOCHS;
+    // Slots of a reused epoch number would come back to life.
+    if (epoch === 0) this.#rebuild(this.#columns.slots);
+    this.#epochs.set(upstream, epoch);
+  }
+
+  #isLive(slot: number): boolean {
+    const owner = this.#columns.owner[slot]!;
+    if (owner === FREE) return false;
+    return this.#columns.epoch[slot] === (this.#epochs.get(owner - 1) ?? 0);
+  }
+
+  #count(upstream: number, change: number): void {
+    this.#live += change;
+    this.#counts.set(upstream, (this.#counts.get(upstream) ?? 0) + change);
+  }
+
+  #uncount(slot: number): void {
+    if (this.#isLive(slot)) this.#count(this.#columns.owner[slot]! - 1, -1);
+  }
+
+  /** Frees a slot and moves those after it up, so that no tombstone is left. */
+  #free(slot: number): void {
+    this.#uncount(slot);
+    this.#taken--;
+    const columns = this.#columns;
+    const mask = columns.slots - 1;
+    let hole = slot;
+    let next = (slot + 1) & mask;
+    while (columns.owner[next] !== FREE) {
+      const ideal = getIdealSlot(
+        columns.hi[next]!,
+        columns.lo[next]!,
+        columns.slots,
+      );
+      if (((next - ideal) & mask) >= ((next - hole) & mask)) {
+        copySlot(columns, next, columns, hole);
+        hole = next;
+      }
+      next = (next + 1) & mask;
+    }
+    columns.owner[hole] = FREE;
+  }
+
+  /** Makes room for one more chat; returns whether slots have moved. */
+  #makeRoom(): boolean {
+    const { slots } = this.#columns;
+    if (this.#taken >= this.#capacity) {
+      this.#evict();
+      return true;
+    }
+    if (this.#taken + 1 <= slots * MAX_FILL) return false;
+    const crowded = this.#live > slots * MAX_FILL / 2;
+    this.#rebuild(crowded ? slots * 2 : slots);
+    return true;
+  }
+
+  /** Frees the oldest of the next few taken slots, a stale one first. */
+  #evict(): void {
+    const { slots, owner, usedAt } = this.#columns;
+    let victim = -1;
+    let oldest = Infinity;
+    let seen = 0;
+    for (let step = 0; step < slots && seen < EVICTION_SAMPLE; step++) {
+      const slot = (this.#hand + step) & (slots - 1);
+      if (owner[slot] === FREE) continue;
+      seen++;
+      const age = this.#isLive(slot) ? usedAt[slot]! : -1;
+      if (age < oldest) [oldest, victim] = [age, slot];
+    }
+    this.#hand = (this.#hand + EVICTION_SAMPLE) & (slots - 1);
+    this.#free(victim);
+  }
+
+  /** Copies the live slots into a table of `slots` slots. */
+  #rebuild(slots: number): void {
+    const old = this.#columns;
+    const next = createColumns(slots);
+    let taken = 0;
+    for (let slot = 0; slot < old.slots; slot++) {
+      if (!this.#isLive(slot)) continue;
+      const hash = { hi: old.hi[slot]!, lo: old.lo[slot]! };
+      copySlot(old, slot, next, findSlot(next, hash));
+      taken++;
+    }
+    this.#columns = next;
+    this.#taken = taken;
+  }
+}
+
+/** Creates an empty directory. */
+export function createChatDirectory(
+  { capacity = DEFAULT_CAPACITY }: ChatDirectoryOptions = {},
+): ChatDirectory {
+  return new ChatDirectory(capacity);
+}
