--- a/src/filters/stream_answer.ts
+++ b/src/filters/stream_answer.ts
@@ -3,7 +3,6 @@
  * with an error event where it can't be resumed.
  */
 import type { Buffer } from "node:buffer";
-import type { Grant } from "../control/pool.ts";
 import { createRefusal } from "../diagnostics.ts";
 import {
   renderErrorEvent,
@@ -14,10 +13,19 @@
 import { createProblem } from "../transport/problem.ts";
 import type { Exchange } from "./exchange.ts";
 
+/** An attempt whose stream can be resumed at its upstream. */
+export interface ResumableAttempt {
+  readonly attemptId: string;
+  /** `ip:port` of the upstream. */
+  readonly address: string;
+  readonly betweenBytesTimeoutMs: number;
+}
+
 /** Options of a stream. */
 export interface StreamOptions {
   readonly answer: IncomingAnswer;
-  readonly grant: Grant;
+  /** Absent where the stream can't be resumed. */
+  readonly attempt: ResumableAttempt | undefined;
   /** Whether the answer is a stream of server-sent events. */
   readonly isEvents: boolean;
   readonly client: HttpClient;
@@ -55,10 +63,12 @@
   for (let resumes = 0; body !== undefined; resumes++) {
     try {
       for await (const event of splitEvents(body)) {
-        if (isRepeated(event, nextId)) continue;
+        if (event.isComment || isRepeated(event, nextId)) continue;
         if (event.id !== undefined) nextId = event.id + 1;
         yield event.bytes;
         if (event.isFinal) return true;
+        // The hop before has given the stream up and said so.
+        if (event.isError) return false;
       }
     } catch {
       // A broken body is resumed like one that ended early.
@@ -76,16 +86,17 @@
 
 async function resume(
   exchange: Exchange,
-  { client, grant, offset }: StreamOptions & { offset: number },
+  { client, attempt, offset }: StreamOptions & { offset: number },
 ): Promise<AsyncIterable<Uint8Array> | undefined> {
+  if (attempt === undefined) return undefined;
   const sent = await client.send({
-    address: grant.upstream.address,
+    address: attempt.address,
     method: "GET",
-    path: `/v1/attempts/${grant.attemptId}/stream?offset=${offset}`,
+    path: `/v1/attempts/${attempt.attemptId}/stream?offset=${offset}`,
     headers: { "x-request-id": exchange.requestId },
     body: undefined,
-    firstByteTimeoutMs: grant.service.betweenBytesTimeoutMs,
-    betweenBytesTimeoutMs: grant.service.betweenBytesTimeoutMs,
+    firstByteTimeoutMs: attempt.betweenBytesTimeoutMs,
+    betweenBytesTimeoutMs: attempt.betweenBytesTimeoutMs,
     signal: exchange.signal,
     isFresh: true,
   });
--- a/src/filters/upstream_filter.ts
+++ b/src/filters/upstream_filter.ts
@@ -226,7 +226,7 @@
     delete headers["content-length"];
     const body = streamAnswer(exchange, {
       answer,
-      grant,
+      attempt: toResumable(grant),
       isEvents,
       client: this.#options.client,
       onEnd: (isWhole) =>
@@ -293,6 +293,14 @@
 
 const CANCEL_TIMEOUT_MS = 1_000;
 
+function toResumable({ attemptId, upstream, service }: Grant) {
+  return {
+    attemptId,
+    address: upstream.address,
+    betweenBytesTimeoutMs: service.betweenBytesTimeoutMs,
+  };
+}
+
 function isNotRunAnswer({ status, headers }: IncomingAnswer): boolean {
   return status === NOT_RUN_STATUS && headers["x-not-run"] === "1";
 }
--- a/src/transport/event_stream.ts
+++ b/src/transport/event_stream.ts
@@ -15,6 +15,8 @@
   readonly isFinal: boolean;
   /** True for an event that reports a failure. */
   readonly isError: boolean;
+  /** True for a comment, which only shows that the connection lives. */
+  readonly isComment: boolean;
 }
 
 const BOUNDARY = Buffer.from("\n\n");
@@ -36,6 +38,7 @@
     id: id ? Number(id[1]) : undefined,
     isFinal: /^data: ?\[DONE\]$/m.test(text),
     isError: /^event: ?error$/m.test(text),
+    isComment: text.startsWith(":"),
   };
 }
 
