Add the key-value client and its stand-in

The client speaks etcd's v3 JSON gateway. Failures are sorted by whether the call may have taken effect: an error of the connect call, or a refusal, did not; a lost or malformed answer to a write, a timeout and a 5xx leave it open. The client repeats nothing by itself, since a repeated write would hide that.

The stand-in keeps a revisioned store in memory and counts a watch as one call. A delayed write takes effect even when its client has gone, which is the case that matters to whoever resolves a lost answer.

--- /dev/null
+++ b/src/platform/etcd_key_value_test.ts
@@ -0,0 +1,170 @@
+import { createServer, type Server } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  createKeyValueServer,
+  type KeyValueServer,
+} from "../../testing/kv_server.ts";
+import { createEtcdKeyValue } from "./etcd_key_value.ts";
+import type { KeyValue, WatchEvent } from "./key_value.ts";
+
+const PROGRESS_MS = 20;
+const STEP_MS = 5;
+const MAX_STEPS = 1_000;
+
+let server: KeyValueServer;
+let kv: KeyValue;
+
+beforeEach(async () => {
+  server = await createKeyValueServer({ progressMs: PROGRESS_MS });
+  kv = createEtcdKeyValue({ address: server.address });
+});
+
+afterEach(async () => {
+  await kv.close();
+  await server.close();
+});
+
+async function until(condition: () => boolean): Promise<void> {
+  for (let i = 0; i < MAX_STEPS && !condition(); i++) await sleep(STEP_MS);
+  expect(condition()).toBe(true);
+}
+
+function watch(prefix: string, options = {}): WatchEvent[] {
+  const events: WatchEvent[] = [];
+  kv.watch(prefix, (event) => events.push(event), options);
+  return events;
+}
+
+test("conditional writes say what was written or what stands there", async () => {
+  const written = (await kv.create("a/é", "1")).unwrap();
+  expect(written).toEqual({ kind: "written", revision: 2 });
+  const current = { key: "a/é", value: "1", revision: 2 };
+  const conflict = { kind: "conflict", current };
+  expect((await kv.create("a/é", "2")).val).toEqual(conflict);
+  expect((await kv.replace("a/é", "2", { revision: 1 })).val)
+    .toEqual(conflict);
+  expect((await kv.remove("a/é", 1)).val).toEqual(conflict);
+  expect((await kv.replace("a/é", "2", { revision: 2 })).val)
+    .toEqual({ kind: "written", revision: 3 });
+  expect((await kv.remove("a/é", 3)).val)
+    .toEqual({ kind: "written", revision: 4 });
+  expect((await kv.remove("a/é", 3)).val)
+    .toEqual({ kind: "conflict", current: undefined });
+  expect((await kv.get("a/é")).unwrap()).toBeUndefined();
+});
+
+test("a list keeps to its prefix, start and limit", async () => {
+  for (const key of ["a/1", "a/2", "a/3", "a0", "b"]) await kv.create(key, "");
+  const listed = async (prefix: string, options = {}) =>
+    (await kv.list(prefix, options)).unwrap().items.map((item) => item.key);
+  expect(await listed("a/")).toEqual(["a/1", "a/2", "a/3"]);
+  expect(await listed("a/", { from: "a/2", limit: 1 })).toEqual(["a/2"]);
+  expect(await listed("")).toHaveLength(5);
+});
+
+test("a revoked lease takes its keys along", async () => {
+  const lease = (await kv.grantLease(60)).unwrap();
+  await kv.create("k", "v", { lease });
+  expect((await kv.renewLease(lease)).unwrap()).toBe(60);
+  expect((await kv.revokeLease(lease)).ok).toBe(true);
+  expect((await kv.get("k")).unwrap()).toBeUndefined();
+  expect((await kv.renewLease(lease)).unwrap()).toBe(0);
+  expect((await kv.revokeLease(lease)).val).toMatchObject({ kind: "refused" });
+});
+
+test("a lost answer leaves a write unknown though it took effect", async () => {
+  server.setFaults({ loseNext: 1 });
+  expect((await kv.create("k", "v")).val).toMatchObject({ kind: "unknown" });
+  expect((await kv.get("k")).unwrap()).toMatchObject({ value: "v" });
+});
+
+test("a call past its timeout is unknown if it writes", async () => {
+  const slow = createEtcdKeyValue({ address: server.address, timeoutMs: 20 });
+  server.setFaults({ delayMs: 200 });
+  expect((await slow.get("k")).val).toMatchObject({ kind: "unavailable" });
+  expect((await slow.create("k", "v")).val).toMatchObject({ kind: "unknown" });
+  await until(() => server.store.range({ key: "k" }).length === 1);
+  await slow.close();
+});
+
+test("a service that is down breaks reads, writes and watches", async () => {
+  const events = watch("");
+  await until(() => server.getStats().watches === 1);
+  server.setFaults({ down: true });
+  expect((await kv.get("k")).val).toMatchObject({ kind: "unavailable" });
+  expect((await kv.create("k", "v")).val).toMatchObject({ kind: "unknown" });
+  await until(() => events.length === 1);
+  expect(events).toMatchObject([{
+    kind: "closed",
+    failure: { kind: "unavailable" },
+  }]);
+});
+
+test("a write that could not be sent did not take effect", async () => {
+  const unused: Server = createServer();
+  await new Promise<void>((resolve) => unused.listen(0, "127.0.0.1", resolve));
+  const { port } = unused.address() as { port: number };
+  await new Promise((resolve) => unused.close(resolve));
+  const gone = createEtcdKeyValue({ address: `127.0.0.1:${port}` });
+  expect((await gone.create("k", "v")).val)
+    .toMatchObject({ kind: "unavailable" });
+  await gone.close();
+});
+
+test("calls past the rate are refused", async () => {
+  const limited = await createKeyValueServer({ readsPerSecond: 0.001 });
+  const client = createEtcdKeyValue({ address: limited.address });
+  expect((await client.get("k")).ok).toBe(true);
+  expect((await client.get("k")).val).toMatchObject({ kind: "refused" });
+  await client.close();
+  await limited.close();
+});
+
+test("a watch replays from a revision and goes on", async () => {
+  await kv.create("a/1", "1");
+  await kv.create("b/1", "1");
+  await kv.remove("a/1", 2);
+  const events = watch("a/", { fromRevision: 2 });
+  await until(() => events.length === 2);
+  await kv.create("a/2", "2");
+  await until(() => events.length === 3);
+  expect(events).toEqual([
+    { kind: "put", item: { key: "a/1", value: "1", revision: 2 } },
+    { kind: "delete", key: "a/1" },
+    { kind: "put", item: { key: "a/2", value: "2", revision: 5 } },
+  ]);
+});
+
+test("a watch that goes silent closes once; a quiet one stays", async () => {
+  const silent = watch("", { silenceMs: 20 * PROGRESS_MS });
+  await until(() => server.getStats().watches === 1);
+  server.setFaults({ silentWatches: true });
+  const quiet = watch("", { silenceMs: 20 * PROGRESS_MS });
+  await until(() => silent.length > 0);
+  await sleep(20 * PROGRESS_MS);
+  expect(silent.map((event) => event.kind)).toEqual(["closed"]);
+  await kv.create("k", "v");
+  await until(() => quiet.length > 0);
+  expect(quiet.map((event) => event.kind)).toEqual(["put"]);
+});
+
+test("a watch from a compacted revision is refused", async () => {
+  server.store.compactRevision = 5;
+  const events = watch("", { fromRevision: 2 });
+  await until(() => events.length === 1);
+  expect(events).toMatchObject([{ failure: { kind: "refused" } }]);
+});
+
+test("bytes are counted in both directions", async () => {
+  const counts = { in: 0, out: 0 };
+  const client = createEtcdKeyValue({
+    address: server.address,
+    onBytes: (direction, count) => counts[direction] += count,
+  });
+  await client.create("k", "v".repeat(3_000));
+  expect(counts.out).toBeGreaterThan(4_000);
+  expect(counts.in).toBeLessThan(1_000);
+  await client.get("k");
+  expect(counts.in).toBeGreaterThan(4_000);
+  await client.close();
+});
--- /dev/null
+++ b/src/platform/etcd_messages.ts
@@ -0,0 +1,102 @@
+/**
+ * Messages of etcd's v3 JSON gateway: their shapes, and the conversions to and
+ * from the terms of the key-value interface.
+ *
+ * Keys and values are base64; 64-bit integers are strings; a field that holds
+ * its default is absent.
+ */
+import { Buffer } from "node:buffer";
+import { type Static, Type } from "@sinclair/typebox";
+import type { Item } from "./key_value.ts";
+
+const Int64Schema = Type.Optional(Type.String({ pattern: "^-?[0-9]+$" }));
+const HeaderSchema = Type.Object({ revision: Int64Schema });
+
+const KvSchema = Type.Object({
+  key: Type.String(),
+  value: Type.Optional(Type.String()),
+  "mod_revision": Int64Schema,
+});
+
+/** Answer to a range request. */
+export const RangeSchema = Type.Object({
+  header: HeaderSchema,
+  kvs: Type.Optional(Type.Array(KvSchema)),
+});
+
+/** Answer to a transaction whose failure branch reads the key. */
+export const TxnSchema = Type.Object({
+  header: HeaderSchema,
+  succeeded: Type.Optional(Type.Boolean()),
+  responses: Type.Optional(Type.Array(Type.Object({
+    "response_range": Type.Optional(Type.Object({
+      kvs: Type.Optional(Type.Array(KvSchema)),
+    })),
+  }))),
+});
+
+/** Answer to a lease grant. */
+export const GrantSchema = Type.Object({
+  ID: Type.String(),
+});
+
+/** Answer to a lease renewal. */
+export const KeepAliveSchema = Type.Object({
+  result: Type.Object({ TTL: Int64Schema }),
+});
+
+/** One line of a watch. */
+export const WatchLineSchema = Type.Object({
+  result: Type.Object({
+    canceled: Type.Optional(Type.Boolean()),
+    "compact_revision": Int64Schema,
+    events: Type.Optional(Type.Array(Type.Object({
+      type: Type.Optional(Type.String()),
+      kv: KvSchema,
+    }))),
+  }),
+});
+
+/** A key of an answer. */
+export type Kv = Static<typeof KvSchema>;
+/** One line of a watch. */
+export type WatchLine = Static<typeof WatchLineSchema>;
+
+/** Encodes text as base64 of its UTF-8 bytes. */
+export function encode(text: string): string {
+  return Buffer.from(text, "utf8").toString("base64");
+}
+
+/** Decodes base64 of UTF-8 bytes. */
+export function decode(text: string | undefined): string {
+  return Buffer.from(text ?? "", "base64").toString("utf8");
+}
+
+/** Encodes the start of a range; the empty key stands for the first one. */
+export function encodeRangeStart(key: string): string {
+  return encode(key === "" ? "\0" : key);
+}
+
+/** Encodes the first key that is above every key with the prefix. */
+export function encodePrefixEnd(prefix: string): string {
+  const bytes = Buffer.from(prefix, "utf8");
+  // UTF-8 has no byte 0xff, so the last byte can always be raised.
+  const last = bytes.length - 1;
+  if (last < 0) return Buffer.from([0]).toString("base64");
+  bytes[last]!++;
+  return bytes.toString("base64");
+}
+
+/** Reads a 64-bit integer; absent is 0. */
+export function toNumber(text: string | undefined): number {
+  return Number(text ?? 0);
+}
+
+/** Converts a key of an answer. */
+export function toItem(kv: Kv): Item {
+  return {
+    key: decode(kv.key),
+    value: decode(kv.value),
+    revision: toNumber(kv.mod_revision),
+  };
+}
