Add the checks of manifest and settings, the configuration log and deployments

A dropped entry leaves a mark at its key: with the key deleted, create-if-absent would let a delayed author commit at a version that the fleet has passed. Committed manifests are read by shape alone, so that a rule added later can't make the log unreadable.

ts-results 3.3.0 loads tslib, which it doesn't declare and the lock file lacks, so these suites don't load here with the packages as locked.

--- /dev/null
+++ b/src/config/configuration_codec.ts
@@ -0,0 +1,164 @@
+/**
+ * How entries and configurations are written to and read from text.
+ */
+import { type Static, Type } from "@sinclair/typebox";
+import { Ajv, type ValidateFunction } from "ajv";
+import { Err, Ok, type Result } from "ts-results";
+import type { Change, Configuration, Entry } from "./configuration.ts";
+import type { Manifest } from "./manifest.ts";
+import { checkManifestShape } from "./manifest_check.ts";
+
+/** Stored text that can't be read as what it should be. */
+export interface UnreadableText {
+  readonly kind: "unreadable";
+  readonly detail: string;
+}
+
+/** What the key of an entry holds: the entry, or a mark once it is dropped. */
+export type LogItem =
+  | { readonly kind: "entry"; readonly entry: Entry }
+  | { readonly kind: "compacted"; readonly version: number };
+
+const NameSchema = Type.String({ minLength: 1, maxLength: 128 });
+const NamesSchema = Type.Array(Type.String());
+const VersionSchema = Type.Integer({ minimum: 1 });
+const StateSchema = Type.Union([Type.Literal("in"), Type.Literal("out")]);
+
+const RoutersSchema = Type.Array(Type.Object({
+  name: NameSchema,
+  failureDomain: NameSchema,
+  controlAddress: Type.String(),
+  forwardAddress: Type.String(),
+}));
+
+const EntrySchema = Type.Object({
+  version: VersionSchema,
+  id: Type.String({ minLength: 1 }),
+  author: Type.String(),
+  at: Type.Integer(),
+  change: Type.Union([
+    Type.Object({ kind: Type.Literal("manifest"), manifest: Type.Unknown() }),
+    Type.Object({
+      kind: Type.Union([
+        Type.Literal("failure-domain"),
+        Type.Literal("host"),
+      ]),
+      name: NameSchema,
+      state: StateSchema,
+    }),
+    Type.Object({ kind: Type.Literal("routers"), routers: RoutersSchema }),
+  ]),
+});
+
+const CompactedSchema = Type.Object({
+  version: VersionSchema,
+  compacted: Type.Literal(true),
+});
+
+const ConfigurationSchema = Type.Object({
+  version: Type.Integer({ minimum: 0 }),
+  manifest: Type.Optional(Type.Unknown()),
+  failureDomainsOut: NamesSchema,
+  hostsOut: NamesSchema,
+  routers: RoutersSchema,
+  routersVersion: Type.Integer({ minimum: 0 }),
+});
+
+const ajv = new Ajv();
+const isEntry = ajv.compile<Static<typeof EntrySchema>>(EntrySchema);
+const isCompacted = ajv.compile<Static<typeof CompactedSchema>>(
+  CompactedSchema,
+);
+const isConfiguration = ajv.compile<Static<typeof ConfigurationSchema>>(
+  ConfigurationSchema,
+);
+
+/** Writes an entry as JSON. */
+export function encodeEntry(entry: Entry): string {
+  return JSON.stringify(entry);
+}
+
+/**
+ * Writes the mark that takes the place of a dropped entry. The key has to stay:
+ * were it deleted, create-if-absent would let a delayed author commit there.
+ */
+export function encodeCompacted(version: number): string {
+  return JSON.stringify({ version, compacted: true });
+}
+
+/** Reads an entry. */
+export function decodeEntry(text: string): Result<Entry, UnreadableText> {
+  const item = decodeLogItem(text);
+  if (item.err) return item;
+  if (item.val.kind === "entry") return Ok(item.val.entry);
+  return unreadable("the entry has been compacted");
+}
+
+/** Reads what the key of an entry holds. */
+export function decodeLogItem(text: string): Result<LogItem, UnreadableText> {
+  const document = parseJson(text);
+  if (document.err) return document;
+  if (isCompacted(document.val)) {
+    return Ok({ kind: "compacted", version: document.val.version });
+  }
+  if (!isEntry(document.val)) return unreadable(describeErrors(isEntry));
+  const { change, ...rest } = document.val;
+  if (change.kind !== "manifest") {
+    return Ok({ kind: "entry", entry: { ...rest, change } as Entry });
+  }
+  const manifest = decodeManifest(change.manifest);
+  if (manifest.err) return manifest;
+  const checked: Change = { kind: "manifest", manifest: manifest.val };
+  return Ok({ kind: "entry", entry: { ...rest, change: checked } });
+}
+
+/** Writes a configuration as JSON of ASCII only: a character is a byte. */
+export function encodeConfiguration(configuration: Configuration): string {
+  return JSON.stringify(configuration).replaceAll(
+    /[\u0080-\uffff]/g,
+    (unit) => "\\u" + unit.charCodeAt(0).toString(16).padStart(4, "0"),
+  );
+}
+
+/** Reads a configuration. */
+export function decodeConfiguration(
+  text: string,
+): Result<Configuration, UnreadableText> {
+  const document = parseJson(text);
+  if (document.err) return document;
+  if (!isConfiguration(document.val)) {
+    return unreadable(describeErrors(isConfiguration));
+  }
+  const { manifest: stored, ...rest } = document.val;
+  if (stored === undefined) return Ok({ ...rest, manifest: undefined });
+  const manifest = decodeManifest(stored);
+  if (manifest.err) return manifest;
+  return Ok({ ...rest, manifest: manifest.val });
+}
+
+function decodeManifest(document: unknown): Result<Manifest, UnreadableText> {
+  return checkManifestShape(document).mapErr((faults) => ({
+    kind: "unreadable",
+    detail: faults.map(({ path, message }) => `manifest${path} ${message}`)
+      .join("; "),
+  }));
+}
+
+/** Parses JSON without throwing. */
+export function parseJson(text: string): Result<unknown, UnreadableText> {
+  try {
+    return Ok(JSON.parse(text) as unknown);
+  } catch {
+    return unreadable("the text is not JSON");
+  }
+}
+
+function describeErrors({ errors }: ValidateFunction): string {
+  return (errors ?? [])
+    .map(({ instancePath, message }) => `${instancePath} ${message}`)
+    .join("; ");
+}
+
+function unreadable(detail: string): Err<UnreadableText> {
+  return Err({ kind: "unreadable", detail });
+}
--- /dev/null
+++ b/src/config/manifest_schema_test.ts
@@ -0,0 +1,9 @@
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import { formatManifestSchema } from "./manifest_schema.ts";
+
+test("the committed schema is the one that manifests are checked by", () => {
+  const path = join(__dirname, "../../docs/manifest.schema.json");
+  const committed: unknown = JSON.parse(readFileSync(path, "utf8"));
+  expect(committed).toEqual(JSON.parse(formatManifestSchema()));
+});
