--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -9,6 +9,7 @@
 import type { Server } from "node:net";
 import type { Log } from "../daemon/log.ts";
 import type { Router } from "../types.ts";
+import type { Offer, Stamp } from "../policy/loans.ts";
 import { createMembership, type Membership } from "../policy/membership.ts";
 import {
   dialPeer,
@@ -20,20 +21,17 @@
 import type { Task, TaskSystem } from "./task.ts";
 import type { Clock, LivenessView } from "./views.ts";
 
-/** Position of one pool's loan in a heartbeat. */
+/** A loan that the sender of a heartbeat makes in one pool. */
 export interface PoolOffer {
   readonly pool: string;
-  /** Newest `sentAt` of the receiver that the sender has seen. */
-  readonly echo: number;
-  readonly lends: boolean;
+  readonly offer: Offer;
 }
 
 /** A heartbeat as it arrived. */
 export interface Heartbeat {
   readonly peer: string;
-  readonly incarnation: string;
-  /** Monotonic time of the peer at which it was sent. */
-  readonly sentAt: number;
+  /** Process of the peer, and its monotonic time when it was sent. */
+  readonly sentAt: Stamp;
   readonly version: number;
   readonly isLeaving: boolean;
   readonly offers: readonly PoolOffer[];
@@ -45,9 +43,7 @@
   collectOffers(
     peers: readonly string[],
   ): Promise<readonly (readonly PoolOffer[])[]>;
-  onHeartbeat(heartbeat: Heartbeat, now: number): void;
-  onEntry(peer: string, params: unknown): void;
-  onPeerDown(peer: string): void;
+  onHeartbeat(heartbeat: Heartbeat): void;
   onRequest(method: string, params: unknown): Promise<unknown>;
   onBytes(direction: Direction, bytes: number): void;
   /** Version of the configuration in force here. */
@@ -117,30 +113,39 @@
   sentAt: number,
   version: number,
   isLeaving: 0 | 1,
-  loans: readonly (readonly [pool: string, echo: number, lends: 0 | 1])[],
+  loans: readonly WireLoan[],
 ];
 
+/** A loan with the stamp of the heartbeat that it answers. */
+type WireLoan = readonly [pool: string, incarnation: string, at: number];
+
 function parseHeartbeat(peer: string, params: unknown): Heartbeat | undefined {
   if (!Array.isArray(params) || params.length < 5) return undefined;
-  const [incarnation, sentAt, version, leaving, loans] =
+  const [incarnation, at, version, leaving, loans] =
     params as unknown as WireHeartbeat;
-  if (typeof sentAt !== "number" || typeof version !== "number") {
+  if (typeof at !== "number" || typeof version !== "number") return undefined;
+  if (typeof incarnation !== "string" || !Array.isArray(loans)) {
     return undefined;
   }
   return {
     peer,
-    incarnation: String(incarnation),
-    sentAt,
+    sentAt: { incarnation, at },
     version,
     isLeaving: leaving === 1,
-    offers: loans.map(([pool, echo, lends]) => ({
-      pool,
-      echo,
-      lends: lends === 1,
-    })),
+    offers: loans.map(toOffer),
   };
 }
 
+function toOffer([pool, incarnation, at]: WireLoan): PoolOffer {
+  return { pool, offer: { echo: { incarnation, at }, lends: true } };
+}
+
+function toWireLoans(offers: readonly PoolOffer[]): WireLoan[] {
+  return offers.flatMap(({ pool, offer: { echo } }) =>
+    echo === undefined ? [] : [[pool, echo.incarnation, echo.at] as const]
+  );
+}
+
 /** Creates a peers controller; `open` starts it. */
 export function createPeersController(options: PeersOptions): PeersController {
   return new SocketPeersController(options);
@@ -260,9 +265,6 @@
           params: unknown,
         ) => {
           if (method === "hb") send({ kind: "heartbeat", connection, params });
-          if (method === "config.entry") {
-            hooks.onEntry(connection.peer, params);
-          }
         },
         onRequest: (_: PeerConnection, method: string, params: unknown) =>
           hooks.onRequest(method, params),
@@ -323,7 +325,6 @@
     this.#options.log.warn("Lost the connection to a peer.", {
       peer: connection.peer,
     });
-    this.#options.hooks.onPeerDown(connection.peer);
   }
 
   #forgetDials(): void {
@@ -398,7 +399,7 @@
       clock(),
       hooks.version(),
       this.#isLeaving ? 1 : 0,
-      offers.map(({ pool, echo, lends }) => [pool, echo, lends ? 1 : 0]),
+      toWireLoans(offers),
     ];
     connection.notify("hb", params);
   }
@@ -408,13 +409,13 @@
     const peer = this.#peers.get(connection.peer);
     if (heartbeat === undefined || peer === undefined) return;
     const now = this.#options.clock();
-    const { incarnation } = heartbeat;
+    const { incarnation } = heartbeat.sentAt;
     peer.heardAt = now;
     peer.version = heartbeat.version;
     this.#membership.heard(connection.peer, now, { incarnation });
     if (heartbeat.isLeaving) {
       this.#membership.leaving(connection.peer, { incarnation });
     }
-    this.#options.hooks.onHeartbeat(heartbeat, now);
+    this.#options.hooks.onHeartbeat(heartbeat);
   }
 }
--- a/src/control/pool.ts
+++ b/src/control/pool.ts
@@ -30,8 +30,11 @@
   readonly pool: string;
   readonly service: Service;
   readonly upstream: Upstream;
+  /** Monotonic time of the admission. */
+  readonly beganAt: number;
   /** Monotonic time past which the grant must not be used. */
   readonly sendBy: number;
+  readonly request: AcquireRequest;
 }
 
 /** How an attempt ended. */
@@ -44,7 +47,9 @@
   /** False for a failure that is the upstream's. */
   readonly isOk: boolean;
   readonly firstByteMs?: number;
-  /** Prompt tokens that the upstream now has cached for the chat. */
+  /** Prompt tokens of the request; the upstream now has them cached. */
+  readonly promptTokens?: number;
+  /** Prompt tokens that were found in the cache. */
   readonly cachedTokens?: number;
 }
 
@@ -55,7 +60,8 @@
   /** Whether the grant may be used at this very moment. */
   isUsable(grant: Grant): boolean;
   release(grant: Grant, end: AttemptEnd): void;
-  report(upstream: string, report: LoadReport): void;
+  /** Notes a report; `askedAt` is when the request it answers was sent. */
+  report(upstream: string, report: LoadReport, askedAt: number): void;
 }
 
 /** Where the requests of a service go. */
--- /dev/null
+++ b/src/control/pool_controller.ts
@@ -0,0 +1,762 @@
+/**
+ * Controller of one pool: admits requests to its upstreams within this router's
+ * capacity shares, queues what has no room and places what has.
+ */
+import { randomUUID } from "node:crypto";
+import { Err, Ok, type Result } from "ts-results";
+import type { Service, Upstream } from "../config/manifest.ts";
+import type { Log } from "../daemon/log.ts";
+import type { Metrics } from "../daemon/metrics.ts";
+import {
+  createRefusal,
+  type DiagnosticCode,
+  type Refusal,
+} from "../diagnostics.ts";
+import {
+  type AdmissionQueue,
+  createAdmissionQueue,
+} from "../policy/admission_queue.ts";
+import {
+  type CapacityShares,
+  createCapacityShares,
+} from "../policy/capacity_shares.ts";
+import {
+  type ChatDirectory,
+  createChatDirectory,
+} from "../policy/chat_directory.ts";
+import { getMeanInFlight, limitOf } from "../policy/load_bound.ts";
+import {
+  createLoans,
+  type Heartbeat,
+  type Loans,
+  type Offer,
+} from "../policy/loans.ts";
+import { type Candidate, place, type Placement } from "../policy/placement.ts";
+import { type Hash, rankByRendezvous } from "../policy/rendezvous.ts";
+import type { LoadReport } from "../types.ts";
+import type { AcquireRequest, AttemptEnd, Grant, Pool } from "./pool.ts";
+import type { Task, TaskSystem } from "./task.ts";
+import {
+  createUpstreamState,
+  describe,
+  noteReport,
+  noteTimes,
+  type UpstreamState,
+} from "./upstream_state.ts";
+import type { Clock, LivenessView } from "./views.ts";
+
+/** Times that a pool goes by, in milliseconds. */
+export interface PoolTiming {
+  readonly loanMs: number;
+  readonly driftMs: number;
+  readonly transitMs: number;
+  readonly holdDownMs: number;
+}
+
+/** Options of a pool's controller. */
+export interface PoolOptions {
+  readonly id: string;
+  readonly self: string;
+  readonly incarnation: string;
+  readonly timing: PoolTiming;
+  readonly clock: Clock;
+  readonly hash: Hash;
+  readonly random: () => number;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly tasks: TaskSystem;
+  readonly liveness: LivenessView;
+  /** The last word on whether work may be sent to an upstream. */
+  isInService(upstream: Upstream): boolean;
+  /** Monotonic time at which the configuration was last confirmed. */
+  confirmedAt(): number;
+  /** Asks an upstream for its load; undefined if it does not answer. */
+  poll(upstream: Upstream): Promise<LoadReport | undefined>;
+}
+
+/** State of an upstream as operators see it. */
+export interface UpstreamSummary {
+  readonly upstream: Upstream;
+  readonly isInService: boolean;
+  readonly isLeaving: boolean;
+  readonly isCold: boolean;
+  readonly inFlight: number;
+  readonly limit: number;
+  readonly room: number;
+  readonly reportAgeMs: number;
+}
+
+/** State of a pool as operators see it. */
+export interface PoolSummary {
+  readonly id: string;
+  readonly service: string;
+  readonly replicas: readonly string[];
+  readonly owner: string | undefined;
+  readonly heldRanks: readonly string[];
+  readonly queued: number;
+  readonly chats: number;
+  readonly upstreams: readonly UpstreamSummary[];
+}
+
+/** The controller of a pool. */
+export interface PoolController extends Pool {
+  configure(service: Service, options: {
+    upstreams: readonly Upstream[];
+    replicas: readonly string[];
+  }): void;
+  /** Makes the offers of this pool to `peers`, in the same order. */
+  collectOffers(peers: readonly string[]): Promise<readonly Offer[]>;
+  receive(peer: string, heartbeat: Heartbeat): void;
+  summarise(): PoolSummary;
+  /** Order in which a chat would try the upstreams. */
+  explain(request: AcquireRequest): {
+    home: string | undefined;
+    order: readonly string[];
+  };
+  close(): void;
+}
+
+type Message =
+  | {
+    readonly kind: "acquire";
+    readonly request: AcquireRequest;
+    reply(result: Result<Grant, Refusal>): void;
+  }
+  | { readonly kind: "cancel"; readonly id: string }
+  | {
+    readonly kind: "release";
+    readonly grant: Grant;
+    readonly end: AttemptEnd;
+  }
+  | {
+    readonly kind: "report";
+    readonly upstream: string;
+    readonly report: LoadReport | undefined;
+    readonly askedAt: number;
+    readonly isPoll: boolean;
+  }
+  | {
+    readonly kind: "offers";
+    readonly peers: readonly string[];
+    reply(offers: readonly Offer[]): void;
+  }
+  | {
+    readonly kind: "heartbeat";
+    readonly peer: string;
+    readonly heartbeat: Heartbeat;
+  }
+  | {
+    readonly kind: "configure";
+    readonly service: Service;
+    readonly upstreams: readonly Upstream[];
+    readonly replicas: readonly string[];
+  }
+  | { readonly kind: "tick" };
+
+interface Waiting {
+  readonly request: AcquireRequest;
+  readonly since: number;
+  reply(result: Result<Grant, Refusal>): void;
+}
+
+/** Work that may still run at an upstream after its attempt has ended. */
+interface Remainder {
+  readonly grant: Grant;
+  /** When the upstream has dropped it by its deadline. */
+  readonly goneAt: number;
+  readonly brokenAt: number;
+}
+
+const TICK_MS = 100;
+/** Silence after which an upstream is asked for its load. */
+const POLL_SILENCE_MS = 4_000;
+/** Interval of the polls while a report is needed to use a rank. */
+const NEEDED_POLL_MS = 250;
+const QUEUE_UNIT_MS = 100;
+
+/** Creates the controller of a pool; it admits nothing until configured. */
+export function createPoolController(options: PoolOptions): PoolController {
+  return new SharedPool(options);
+}
+
+class SharedPool implements PoolController {
+  readonly id: string;
+  readonly #options: PoolOptions;
+  readonly #task: Task<Message>;
+  readonly #loans: Loans;
+  readonly #shares: CapacityShares;
+  readonly #directory: ChatDirectory = createChatDirectory();
+  readonly #queue: AdmissionQueue;
+  readonly #waiting = new Map<string, Waiting>();
+  readonly #upstreams = new Map<string, UpstreamState>();
+  readonly #byIndex: UpstreamState[] = [];
+  readonly #timer: NodeJS.Timeout;
+  #remainders: Remainder[] = [];
+  #service: Service | undefined;
+  #replicas: readonly string[] = [];
+  #isClosed = false;
+
+  constructor(options: PoolOptions) {
+    const { timing, clock, hash } = options;
+    this.id = options.id;
+    this.#options = options;
+    this.#loans = createLoans({
+      self: options.self,
+      incarnation: options.incarnation,
+      startedAt: clock(),
+      loanMs: timing.loanMs,
+      driftMs: timing.driftMs,
+    });
+    this.#shares = createCapacityShares({
+      loans: this.#loans,
+      hash,
+      transitMs: timing.transitMs,
+      driftMs: timing.driftMs,
+      holdDownMs: timing.holdDownMs,
+      confirmMs: timing.holdDownMs - timing.driftMs,
+    });
+    this.#queue = createAdmissionQueue({
+      limit: Number.MAX_SAFE_INTEGER,
+      initialUnitMs: QUEUE_UNIT_MS,
+      random: options.random,
+    });
+    this.#task = options.tasks.spawn<Message>(`pool-${toTaskName(this.id)}`, {
+      handle: (message) => this.#handle(message),
+      onFailure: (cause) => {
+        const detail = cause instanceof Error ? cause.stack : String(cause);
+        options.log.error("A message failed.", { pool: this.id, detail });
+      },
+    });
+    this.#timer = setInterval(() => this.#send({ kind: "tick" }), TICK_MS);
+  }
+
+  acquire(request: AcquireRequest): Promise<Result<Grant, Refusal>> {
+    return new Promise((resolve) => {
+      if (this.#isClosed) {
+        resolve(Err(createRefusal("not-ready", "The pool is closing.")));
+        return;
+      }
+      request.signal.addEventListener("abort", () => {
+        this.#send({ kind: "cancel", id: request.requestId });
+      }, { once: true });
+      this.#send({ kind: "acquire", request, reply: resolve });
+    });
+  }
+
+  isUsable(grant: Grant): boolean {
+    const now = this.#options.clock();
+    if (now > grant.sendBy || now >= grant.request.deadlineAt) return false;
+    return this.#isInService(this.#upstreams.get(grant.upstream.name));
+  }
+
+  release(grant: Grant, end: AttemptEnd): void {
+    this.#send({ kind: "release", grant, end });
+  }
+
+  report(upstream: string, report: LoadReport, askedAt: number): void {
+    this.#send({ kind: "report", upstream, report, askedAt, isPoll: false });
+  }
+
+  configure(
+    service: Service,
+    { upstreams, replicas }: {
+      upstreams: readonly Upstream[];
+      replicas: readonly string[];
+    },
+  ): void {
+    this.#send({ kind: "configure", service, upstreams, replicas });
+  }
+
+  collectOffers(peers: readonly string[]): Promise<readonly Offer[]> {
+    if (this.#isClosed) return Promise.resolve(peers.map(() => NO_OFFER));
+    return new Promise((reply) => {
+      this.#send({ kind: "offers", peers, reply });
+    });
+  }
+
+  receive(peer: string, heartbeat: Heartbeat): void {
+    this.#send({ kind: "heartbeat", peer, heartbeat });
+  }
+
+  summarise(): PoolSummary {
+    const now = this.#options.clock();
+    const limits = this.#limits(now);
+    const states = [...this.#upstreams.values()].filter((each) =>
+      each.isListed
+    );
+    return {
+      id: this.id,
+      service: this.#service?.name ?? "",
+      replicas: this.#replicas,
+      owner: this.#owner(),
+      heldRanks: this.#loans.heldRanks(now).map(({ replica }) => replica),
+      queued: this.#queue.length,
+      chats: this.#directory.size,
+      upstreams: states.map((state) => {
+        const { name } = state.upstream;
+        const limit = limits.get(name) ?? 0;
+        return {
+          upstream: state.upstream,
+          isInService: this.#isInService(state),
+          isLeaving: state.isLeaving,
+          isCold: state.coldStart.isCold(now),
+          inFlight: this.#shares.inFlightEstimate(name, now),
+          limit,
+          room: this.#shares.roomFor(name, limit, now),
+          reportAgeMs: now - state.reportedAt,
+        };
+      }),
+    };
+  }
+
+  explain(request: AcquireRequest) {
+    const home = request.chat && this.#directory.get(request.chat);
+    return {
+      home: home && this.#byIndex[home.upstream]?.upstream.name,
+      order: this.#orderFor(request).map(({ upstream }) => upstream.name),
+    };
+  }
+
+  close(): void {
+    this.#isClosed = true;
+    clearInterval(this.#timer);
+    for (const { reply } of this.#waiting.values()) {
+      reply(Err(createRefusal("not-ready", "The router is stopping.")));
+    }
+    this.#waiting.clear();
+    this.#task.stop();
+  }
+
+  #send(message: Message): void {
+    if (!this.#isClosed) this.#task.send(message);
+  }
+
+  #handle(message: Message): void {
+    switch (message.kind) {
+      case "acquire":
+        this.#acquire(message.request, message.reply);
+        break;
+      case "cancel":
+        this.#cancel(message.id);
+        break;
+      case "release":
+        this.#release(message.grant, message.end);
+        break;
+      case "report":
+        this.#report(message);
+        break;
+      case "offers":
+        message.reply(this.#offersTo(message.peers));
+        break;
+      case "heartbeat":
+        this.#receive(message.peer, message.heartbeat);
+        break;
+      case "configure":
+        this.#configure(message.service, message);
+        break;
+      case "tick":
+        this.#tick();
+        break;
+    }
+  }
+
+  #acquire(
+    request: AcquireRequest,
+    reply: (result: Result<Grant, Refusal>) => void,
+  ): void {
+    const now = this.#options.clock();
+    if (request.signal.aborted) {
+      reply(Err(createRefusal("deadline-passed", "The caller has gone.")));
+      return;
+    }
+    const waiting = { request, reply, since: now };
+    // Who came earlier goes first.
+    if (this.#queue.length > 0) {
+      this.#enqueue(waiting, now);
+      this.#pump();
+      return;
+    }
+    const placement = this.#place(waiting, now);
+    if (placement.kind === "place") {
+      this.#admit(waiting, placement, now);
+    } else if (placement.kind === "refuse") {
+      reply(Err(this.#refuse(placement.code)));
+    } else {
+      this.#enqueue(waiting, now);
+    }
+  }
+
+  #refuse(code: DiagnosticCode): Refusal {
+    const detail = `No upstream of ${this.id} is in service.`;
+    if (code === "no-capacity") return createRefusal(code, detail);
+    return createRefusal(code, "The deadline has passed.");
+  }
+
+  #enqueue(waiting: Waiting, now: number): void {
+    const { request } = waiting;
+    const limit = this.#service?.queueLimit ?? 0;
+    if (this.#queue.length >= limit && limit === 0) {
+      waiting.reply(Err(createRefusal("queue-full", "There is no queue.")));
+      return;
+    }
+    const push = this.#queue.push({
+      id: request.requestId,
+      workspace: request.workspace,
+      weight: request.weight,
+      enqueuedAt: now,
+      deadline: request.deadlineAt,
+      promptTokens: request.promptTokens,
+    }, now);
+    if (push.kind === "refused") {
+      const { code, retryAfterMs } = push;
+      const detail = `${this.#queue.length} requests wait for ${this.id}.`;
+      waiting.reply(Err(createRefusal(code, detail, { retryAfterMs })));
+      return;
+    }
+    this.#waiting.set(request.requestId, waiting);
+    if (push.shed === undefined) return;
+    const { waiter, retryAfterMs } = push.shed;
+    const detail = "The workspace is above its share of the queue.";
+    const refusal = createRefusal("queue-full", detail, { retryAfterMs });
+    this.#refuseWaiting(waiter.id, refusal);
+  }
+
+  #refuseWaiting(id: string, refusal: Refusal): void {
+    const waiting = this.#waiting.get(id);
+    this.#waiting.delete(id);
+    waiting?.reply(Err(refusal));
+  }
+
+  #cancel(id: string): void {
+    if (!this.#waiting.has(id)) return;
+    this.#queue.remove(id);
+    const detail = "The caller has gone.";
+    this.#refuseWaiting(id, createRefusal("deadline-passed", detail));
+  }
+
+  /** Admits waiters in order for as long as there is room. */
+  #pump(): void {
+    const now = this.#options.clock();
+    this.#expire(now);
+    while (this.#queue.length > 0) {
+      let chosen: Placement | undefined;
+      const waiter = this.#queue.next(now, ({ id }) => {
+        const waiting = this.#waiting.get(id);
+        chosen = waiting && this.#place(waiting, now);
+        return chosen?.kind === "place";
+      });
+      if (waiter === undefined || chosen?.kind !== "place") return;
+      const waiting = this.#waiting.get(waiter.id)!;
+      this.#waiting.delete(waiter.id);
+      this.#admit(waiting, chosen, now);
+    }
+  }
+
+  #expire(now: number): void {
+    for (const { id } of this.#queue.expire(now)) {
+      const detail = "The request waited until its deadline.";
+      this.#refuseWaiting(id, createRefusal("deadline-passed", detail));
+    }
+  }
+
+  #place({ request, since }: Waiting, now: number): Placement {
+    const home = request.chat && this.#directory.get(request.chat);
+    return place(
+      {
+        chat: request.chat,
+        promptTokens: request.promptTokens,
+        home,
+        now,
+        deadline: request.deadlineAt,
+        waitedMs: now - since,
+      },
+      this.#candidatesFor(request, now),
+    );
+  }
+
+  #candidatesFor(request: AcquireRequest, now: number): Candidate[] {
+    const limits = this.#limits(now);
+    return this.#orderFor(request).map((state) => {
+      const { name, failureDomain } = state.upstream;
+      const limit = limits.get(name) ?? 0;
+      const inFlight = this.#shares.inFlightEstimate(name, now);
+      return {
+        upstream: state.index,
+        room: this.#shares.roomFor(name, limit, now),
+        inFlight,
+        limit,
+        cold: state.coldStart.isCold(now),
+        inService: this.#isInService(state) &&
+          !request.excluded.includes(name),
+        failureDomain,
+        msPerPromptToken: state.msPerPromptToken,
+        expectedWaitMs: state.serviceMs / Math.max(1, inFlight),
+      };
+    });
+  }
+
+  #orderFor({ chat }: AcquireRequest): UpstreamState[] {
+    const listed = [...this.#upstreams.values()].filter((each) =>
+      each.isListed
+    );
+    if (chat === undefined) return listed;
+    const names = listed.map(({ upstream }) => upstream.name);
+    const { hash } = this.#options;
+    const ranked = rankByRendezvous(`${chat.hi}:${chat.lo}`, names, { hash });
+    return ranked.map((name) => this.#upstreams.get(name)!);
+  }
+
+  #limits(now: number): Map<string, number> {
+    const inService = [...this.#upstreams.values()].filter((state) =>
+      this.#isInService(state)
+    );
+    const inFlight = inService.reduce(
+      (sum, { upstream }) =>
+        sum + this.#shares.inFlightEstimate(upstream.name, now),
+      1,
+    );
+    const upstreamCount = inService.length;
+    const meanInFlight = getMeanInFlight({ inFlight, upstreamCount });
+    return new Map(inService.map(({ upstream, coldStart, service }) => [
+      upstream.name,
+      limitOf({
+        hardLimit: coldStart.limit(now),
+        coldLimit: upstream.coldLimit,
+        cold: coldStart.isCold(now),
+        loadFactor: service.loadFactor,
+        meanInFlight,
+        upstreamCount,
+      }),
+    ]));
+  }
+
+  #isInService(state: UpstreamState | undefined): boolean {
+    if (state === undefined || !state.isListed || state.isLeaving) return false;
+    return this.#options.isInService(state.upstream);
+  }
+
+  #admit(
+    { request, reply, since }: Waiting,
+    placement: Placement & { kind: "place" },
+    now: number,
+  ): void {
+    const state = this.#byIndex[placement.upstream]!;
+    const { upstream, service } = state;
+    const limit = this.#limits(now).get(upstream.name) ?? 0;
+    const hasBegun = this.#shares.tryBegin(upstream.name, limit, now);
+    if (!hasBegun) {
+      this.#enqueue({ request, reply, since }, now);
+      return;
+    }
+    const { log, metrics, timing } = this.#options;
+    const grant: Grant = {
+      attemptId: randomUUID(),
+      pool: this.id,
+      service,
+      upstream,
+      beganAt: now,
+      sendBy: now + timing.transitMs / 2,
+      request,
+    };
+    log.info("Placed a request.", {
+      requestId: request.requestId,
+      attemptId: grant.attemptId,
+      upstream: upstream.name,
+      reason: placement.reason,
+      inFlight: this.#shares.inFlightEstimate(upstream.name, now),
+      limit,
+      waitedMs: Math.round(now - since),
+    });
+    metrics.placements.inc({ service: service.name, reason: placement.reason });
+    metrics.queueSeconds.observe(
+      { service: service.name },
+      (now - since) / 1_000,
+    );
+    reply(Ok(grant));
+  }
+
+  #release(grant: Grant, end: AttemptEnd): void {
+    const { clock, metrics } = this.#options;
+    const now = clock();
+    const { name } = grant.upstream;
+    metrics.attempts.inc({ service: grant.service.name, fate: end.fate });
+    if (end.fate === "unclear") {
+      const goneAt = grant.request.deadlineAt + this.#options.timing.transitMs;
+      this.#remainders.push({ grant, goneAt, brokenAt: now });
+    } else {
+      this.#shares.end(name, grant.beganAt);
+    }
+    const state = this.#upstreams.get(name);
+    if (state !== undefined) this.#learn(state, { grant, end, now });
+    this.#pump();
+  }
+
+  #learn(
+    state: UpstreamState,
+    { grant, end, now }: { grant: Grant; end: AttemptEnd; now: number },
+  ): void {
+    state.coldStart.onAnswer({
+      ok: end.isOk,
+      firstByteMs: end.firstByteMs,
+      incarnation: end.isOk ? state.incarnation : undefined,
+      inFlight: this.#shares.inFlightEstimate(state.upstream.name, now),
+    }, now);
+    if (end.fate !== "finished" || !end.isOk) return;
+    const promptTokens = end.promptTokens ?? 0;
+    const cachedTokens = end.cachedTokens ?? 0;
+    noteTimes(state, {
+      totalMs: now - grant.beganAt,
+      firstByteMs: end.firstByteMs,
+      computedTokens: promptTokens - cachedTokens,
+    });
+    const { metrics } = this.#options;
+    const service = grant.service.name;
+    metrics.promptTokens.inc({ service }, promptTokens);
+    metrics.cachedTokens.inc({ service }, cachedTokens);
+    const { chat } = grant.request;
+    if (chat === undefined || promptTokens === 0) return;
+    this.#directory.set(chat, {
+      upstream: state.index,
+      tokens: promptTokens,
+      usedAt: now / 1_000,
+    });
+  }
+
+  #report(message: Message & { kind: "report" }): void {
+    const state = this.#upstreams.get(message.upstream);
+    if (state === undefined) return;
+    if (message.isPoll) state.isPollOutstanding = false;
+    const { report, askedAt } = message;
+    if (report === undefined) return;
+    const now = this.#options.clock();
+    const wasLeaving = state.isLeaving;
+    const isNew = noteReport(state, report, { askedAt, now });
+    if (isNew) {
+      this.#directory.forgetUpstream(state.index);
+      this.#options.log.warn("An upstream has a new incarnation.", {
+        upstream: message.upstream,
+      });
+    }
+    if (state.isLeaving && !wasLeaving) {
+      this.#options.log.info("An upstream leaves.", {
+        upstream: message.upstream,
+      });
+    }
+    this.#shares.report(message.upstream, report, askedAt);
+    this.#endRemainders(message.upstream, { report, askedAt, isNew, now });
+    this.#pump();
+  }
+
+  /** Drops remainders that a report shows to be gone, or that must be by now. */
+  #endRemainders(
+    upstream: string,
+    { report, askedAt, isNew, now }: {
+      report: LoadReport;
+      askedAt: number;
+      isNew: boolean;
+      now: number;
+    },
+  ): void {
+    const { transitMs } = this.#options.timing;
+    const madeAt = askedAt - report.ageMs;
+    this.#remainders = this.#remainders.filter((remainder) => {
+      const { grant, goneAt, brokenAt } = remainder;
+      const isHere = grant.upstream.name === upstream;
+      const isSeen = madeAt >= brokenAt + transitMs;
+      const isIdle = isHere && isSeen && (report.inFlight === 0 || isNew);
+      if (!isIdle && now < goneAt) return true;
+      this.#shares.end(grant.upstream.name, grant.beganAt);
+      return false;
+    });
+  }
+
+  #owner(): string | undefined {
+    return this.#replicas.find((name) => this.#options.liveness.isLive(name));
+  }
+
+  #offersTo(peers: readonly string[]): readonly Offer[] {
+    const now = this.#options.clock();
+    this.#loans.setOwner(this.#owner());
+    return peers.map((peer) =>
+      this.#replicas.includes(peer) ? this.#loans.offerFor(peer, now) : NO_OFFER
+    );
+  }
+
+  #receive(peer: string, heartbeat: Heartbeat): void {
+    if (!this.#replicas.includes(peer)) return;
+    this.#loans.receive(peer, heartbeat, this.#options.clock());
+    this.#pump();
+  }
+
+  #configure(
+    service: Service,
+    { upstreams, replicas }: {
+      upstreams: readonly Upstream[];
+      replicas: readonly string[];
+    },
+  ): void {
+    const now = this.#options.clock();
+    this.#service = service;
+    this.#replicas = replicas;
+    this.#shares.setReplicas([...replicas].sort(), now);
+    for (const state of this.#upstreams.values()) state.isListed = false;
+    for (const upstream of upstreams) this.#list(service, upstream);
+    this.#pump();
+  }
+
+  #list(service: Service, upstream: Upstream): void {
+    const state = this.#upstreams.get(upstream.name);
+    if (state !== undefined) {
+      describe(state, { service, upstream });
+      return;
+    }
+    const index = this.#byIndex.length;
+    const created = createUpstreamState(service, upstream, { index });
+    this.#upstreams.set(upstream.name, created);
+    this.#byIndex.push(created);
+  }
+
+  #tick(): void {
+    const now = this.#options.clock();
+    this.#shares.confirm(this.#options.confirmedAt());
+    for (const state of this.#upstreams.values()) this.#pollIfDue(state, now);
+    this.#pump();
+  }
+
+  #pollIfDue(state: UpstreamState, now: number): void {
+    if (!state.isListed || state.isPollOutstanding) return;
+    const interval = this.#needsReport(state, now)
+      ? NEEDED_POLL_MS
+      : POLL_SILENCE_MS;
+    const lastWord = Math.max(state.reportedAt, state.polledAt);
+    if (now - lastWord < interval) return;
+    state.isPollOutstanding = true;
+    state.polledAt = now;
+    const { name } = state.upstream;
+    void this.#options.poll(state.upstream).then((report) => {
+      this.#send({
+        kind: "report",
+        upstream: name,
+        report,
+        askedAt: now,
+        isPoll: true,
+      });
+    });
+  }
+
+  /** Whether a rank can't be used for lack of a report made after its gain. */
+  #needsReport(state: UpstreamState, now: number): boolean {
+    const { transitMs, driftMs } = this.#options.timing;
+    const gains = this.#loans.heldRanks(now).map(({ gainedAt }) => gainedAt);
+    if (gains.length === 0) return false;
+    const since = Math.max(...gains) + transitMs + driftMs;
+    return state.reportedAt < since;
+  }
+}
+
+const NO_OFFER: Offer = { lends: false };
+
+/** Task names take no slash. */
+function toTaskName(id: string): string {
+  return id.replaceAll("/", "-");
+}
--- /dev/null
+++ b/src/control/pools_controller.ts
@@ -0,0 +1,179 @@
+/**
+ * Keeps the pools of the configuration: which there are, which routers are
+ * their replicas, and the controller of each pool that this router is one of.
+ *
+ * A service is split into a power of two of pools, so that each holds about
+ * `POOL_SIZE` upstreams at most.
+ */
+import type { Configuration } from "../config/configuration.ts";
+import type { Service, Upstream } from "../config/manifest.ts";
+import type { Hash } from "../policy/rendezvous.ts";
+import {
+  poolOf,
+  rankByRendezvous,
+  rankByWeightedRendezvous,
+} from "../policy/rendezvous.ts";
+import type { PoolDirectory, PoolLocation } from "./pool.ts";
+import type { PoolController } from "./pool_controller.ts";
+
+/** Most upstreams of a pool on average. */
+const POOL_SIZE = 32;
+/** Routers that may own a pool. */
+const REPLICA_COUNT = 3;
+
+/** A pool as the configuration describes it. */
+export interface PoolPlan {
+  readonly id: string;
+  readonly service: Service;
+  readonly upstreams: readonly Upstream[];
+  readonly replicas: readonly string[];
+}
+
+/** Counts the pools of a service: a power of two. */
+export function poolCountOf(service: Service): number {
+  let count = 1;
+  while (service.upstreams.length > count * POOL_SIZE) count *= 2;
+  return count;
+}
+
+function poolId(service: Service, index: number): string {
+  return `${service.name}/${index}`;
+}
+
+/** Plans the pools of a configuration. */
+export function planPools(
+  { manifest, routers }: Configuration,
+  hash: Hash,
+): PoolPlan[] {
+  const names = routers.map(({ name }) => name);
+  const plans: PoolPlan[] = [];
+  for (const service of manifest?.services ?? []) {
+    const count = poolCountOf(service);
+    for (let index = 0; index < count; index++) {
+      const id = poolId(service, index);
+      const upstreams = service.upstreams.filter(({ name }) =>
+        poolOf(name, count, { hash }) === index
+      );
+      const replicas = rankByRendezvous(id, names, { hash })
+        .slice(0, REPLICA_COUNT);
+      plans.push({ id, service, upstreams, replicas });
+    }
+  }
+  return plans;
+}
+
+/** Options of the pools controller. */
+export interface PoolsOptions {
+  readonly self: string;
+  readonly hash: Hash;
+  createPool(id: string): PoolController;
+}
+
+/** The pools of this router. */
+export interface PoolsController extends PoolDirectory {
+  configure(configuration: Configuration): void;
+  /** Controllers of the pools that this router is a replica of. */
+  list(): readonly PoolController[];
+  getController(pool: string): PoolController | undefined;
+  /** Every router that shares a pool with this one. */
+  neighbours(): readonly string[];
+  close(): void;
+}
+
+/** Creates the controller without any pool. */
+export function createPoolsController(options: PoolsOptions): PoolsController {
+  return new RendezvousPools(options);
+}
+
+class RendezvousPools implements PoolsController {
+  readonly #options: PoolsOptions;
+  readonly #controllers = new Map<string, PoolController>();
+  #plans = new Map<string, PoolPlan>();
+
+  constructor(options: PoolsOptions) {
+    this.#options = options;
+  }
+
+  configure(configuration: Configuration): void {
+    const { hash, self } = this.#options;
+    const plans = planPools(configuration, hash);
+    this.#plans = new Map(plans.map((plan) => [plan.id, plan]));
+    for (const plan of plans) {
+      const isReplica = plan.replicas.includes(self);
+      // A former replica keeps its controller: work may be in flight under it.
+      if (!isReplica && !this.#controllers.has(plan.id)) continue;
+      this.#controllerOf(plan.id).configure(plan.service, plan);
+    }
+    this.#retire();
+  }
+
+  locate(service: Service, chat: string | undefined): PoolLocation {
+    const pool = this.#poolFor(service, chat);
+    return { pool, replicas: this.#plans.get(pool)?.replicas ?? [] };
+  }
+
+  get(pool: string): PoolController | undefined {
+    const plan = this.#plans.get(pool);
+    if (!plan?.replicas.includes(this.#options.self)) return undefined;
+    return this.#controllers.get(pool);
+  }
+
+  getController(pool: string): PoolController | undefined {
+    return this.#controllers.get(pool);
+  }
+
+  list(): readonly PoolController[] {
+    return [...this.#controllers.values()];
+  }
+
+  neighbours(): readonly string[] {
+    const { self } = this.#options;
+    const names = new Set<string>();
+    for (const { replicas } of this.#plans.values()) {
+      if (!replicas.includes(self)) continue;
+      for (const name of replicas) names.add(name);
+    }
+    names.delete(self);
+    return [...names];
+  }
+
+  close(): void {
+    for (const controller of this.#controllers.values()) controller.close();
+    this.#controllers.clear();
+  }
+
+  #controllerOf(pool: string): PoolController {
+    let controller = this.#controllers.get(pool);
+    if (controller === undefined) {
+      controller = this.#options.createPool(pool);
+      this.#controllers.set(pool, controller);
+    }
+    return controller;
+  }
+
+  /** Closes the pools that the manifest no longer has. */
+  #retire(): void {
+    for (const [id, controller] of this.#controllers) {
+      if (this.#plans.has(id)) continue;
+      controller.close();
+      this.#controllers.delete(id);
+    }
+  }
+
+  #poolFor(service: Service, chat: string | undefined): string {
+    const count = poolCountOf(service);
+    if (count === 1) return poolId(service, 0);
+    const { hash } = this.#options;
+    const sizes = new Map<string, number>();
+    for (let index = 0; index < count; index++) {
+      const id = poolId(service, index);
+      sizes.set(id, this.#plans.get(id)?.upstreams.length ?? 0);
+    }
+    const [first] = rankByWeightedRendezvous(
+      chat ?? crypto.randomUUID(),
+      [...sizes.keys()],
+      { hash, weightOf: (id) => sizes.get(id) ?? 0 },
+    );
+    return first ?? poolId(service, 0);
+  }
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,470 @@
+/**
+ * Wires the parts of a router together and owns their start and their stop.
+ */
+import { randomBytes } from "node:crypto";
+import { performance } from "node:perf_hooks";
+import type { Server } from "node:http";
+import type { Manifest, Service, Upstream } from "../config/manifest.ts";
+import { createConfigurationStore } from "../config/configuration_store.ts";
+import type { Configuration } from "../config/configuration.ts";
+import type { Settings } from "../config/settings.ts";
+import {
+  type ConfigurationController,
+  createConfigurationController,
+} from "../control/configuration_controller.ts";
+import {
+  createHostsController,
+  type HostsController,
+} from "../control/hosts_controller.ts";
+import {
+  createPeersController,
+  type Heartbeat,
+  type PeersController,
+  type PoolOffer,
+} from "../control/peers_controller.ts";
+import { createPoolController } from "../control/pool_controller.ts";
+import {
+  createPoolsController,
+  type PoolsController,
+} from "../control/pools_controller.ts";
+import {
+  createRegistryController,
+  type RegistryController,
+} from "../control/registry_controller.ts";
+import { createTaskSystem, type TaskSystem } from "../control/task.ts";
+import type { Clock } from "../control/views.ts";
+import * as Debug from "../debug.ts";
+import { BodyFilter } from "../filters/body_filter.ts";
+import { DeadlineFilter } from "../filters/deadline_filter.ts";
+import { createFilterChain, type Exchange } from "../filters/exchange.ts";
+import { LocateFilter } from "../filters/locate_filter.ts";
+import { ServiceFilter } from "../filters/service_filter.ts";
+import { UpstreamFilter } from "../filters/upstream_filter.ts";
+import { WorkspaceFilter } from "../filters/workspace_filter.ts";
+import { createEtcdKeyValue } from "../platform/etcd_key_value.ts";
+import { createHttpHostList } from "../platform/host_list.ts";
+import type { KeyValue } from "../platform/key_value.ts";
+import type { ChatHash } from "../policy/chat_directory.ts";
+import { type Hash, loadHash } from "../policy/rendezvous.ts";
+import { createRetryBudget } from "../policy/retry_budget.ts";
+import {
+  createCallerHandler,
+  createInFlight,
+} from "../transport/caller_server.ts";
+import { createForwardHandler } from "../transport/forward_server.ts";
+import { forwardTokenOf } from "../transport/handshake.ts";
+import { createHttpClient, type HttpClient } from "../transport/http_client.ts";
+import { listenForHttp, type ServerLimits } from "../transport/http_server.ts";
+import type { Router } from "../types.ts";
+import { createLoadPoller } from "./load_poller.ts";
+import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
+import { createLogFactory, type LogFactory } from "./log.ts";
+import { createMetrics, type Metrics } from "./metrics.ts";
+import { createAdminHandler } from "./admin.ts";
+
+/** Options of a daemon. */
+export interface DaemonOptions {
+  readonly settings: Settings;
+  readonly fleetKey: string;
+  readonly logs?: LogFactory;
+}
+
+/** A running router. */
+export interface Daemon {
+  /** Stops gracefully: finishes what is in flight, then closes. */
+  stop(): Promise<void>;
+}
+
+const INCARNATION_BYTES = 4;
+const CONFIG_READ_TIMEOUT_MS = 2_000;
+/** Silence on a request that was answered in part, in milliseconds. */
+const REQUEST_TIMEOUT_FACTOR = 6;
+
+/** Starts a router; resolves once it listens. */
+export async function startDaemon(options: DaemonOptions): Promise<Daemon> {
+  const hash = await loadHash();
+  const daemon = new RouterDaemon({ ...options, hash });
+  await daemon.open();
+  return daemon;
+}
+
+class RouterDaemon implements Daemon {
+  readonly #settings: Settings;
+  readonly #fleetKey: string;
+  readonly #hash: Hash;
+  readonly #logs: LogFactory;
+  readonly #self: Router;
+  readonly #incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
+  readonly #clock: Clock = () => performance.now();
+  readonly #lifeCycle: LifeCycle = createLifeCycle();
+  readonly #tasks: TaskSystem = createTaskSystem();
+  readonly #metrics: Metrics = createMetrics();
+  readonly #inFlight = createInFlight();
+  readonly #retries = createRetryBudget();
+  readonly #client: HttpClient;
+  readonly #keyValue: KeyValue;
+  readonly #configuration: ConfigurationController;
+  readonly #peers: PeersController;
+  readonly #pools: PoolsController;
+  readonly #hosts: HostsController;
+  readonly #registry: RegistryController;
+  #index = createIndex(undefined);
+
+  constructor(options: DaemonOptions & { hash: Hash }) {
+    const { settings } = options;
+    this.#settings = settings;
+    this.#fleetKey = options.fleetKey;
+    this.#hash = options.hash;
+    this.#logs = options.logs ?? createLogFactory({
+      router: settings.router.name,
+      ...settings.log,
+    });
+    this.#self = {
+      name: settings.router.name,
+      failureDomain: settings.router.failureDomain,
+      controlAddress: settings.listen.control,
+      forwardAddress: settings.listen.forward,
+    };
+    this.#client = createHttpClient({
+      connectTimeoutMs: settings.timing.transitMs / 2,
+    });
+    this.#keyValue = this.#createKeyValue();
+    const store = createConfigurationStore({ keyValue: this.#keyValue });
+    this.#configuration = createConfigurationController({
+      keyValue: this.#keyValue,
+      store,
+      clock: this.#clock,
+      log: this.#logs("config"),
+      tasks: this.#tasks,
+      readFromPeer: (peer, after) => this.#readFromPeer(peer, after),
+      onChange: (configuration) => this.#configured(configuration),
+    });
+    this.#pools = createPoolsController({
+      self: this.#self.name,
+      hash: this.#hash,
+      createPool: (id) => this.#createPool(id),
+    });
+    this.#peers = this.#createPeers();
+    const hostList = createHttpHostList({
+      address: settings.platform.hostList,
+      onBytes: this.#counterOf("host-list"),
+    });
+    this.#lifeCycle.own("host list", () => hostList.close());
+    this.#hosts = createHostsController({
+      hostList,
+      log: this.#logs("hosts"),
+      tasks: this.#tasks,
+    });
+    this.#registry = createRegistryController({
+      self: this.#self,
+      keyValue: this.#keyValue,
+      store,
+      configuration: this.#configuration,
+      clock: this.#clock,
+      log: this.#logs("registry"),
+      tasks: this.#tasks,
+    });
+  }
+
+  async open(): Promise<void> {
+    const log = this.#logs("daemon");
+    this.#handleBreaches();
+    const { callers, forward } = this.#settings.listen;
+    const forwardServer = await listenForHttp(forward, {
+      limits: this.#limits(),
+      handle: this.#createForwardHandler(),
+    });
+    this.#ownServer("forward server", forwardServer);
+    await this.#peers.open();
+    this.#lifeCycle.own("peers", () => this.#peers.close());
+    this.#configuration.open();
+    this.#lifeCycle.own("configuration", () => this.#configuration.close());
+    this.#hosts.open();
+    this.#lifeCycle.own("hosts", () => this.#hosts.close());
+    this.#registry.open();
+    this.#lifeCycle.own("registry", () => this.#registry.close());
+    this.#lifeCycle.own("pools", () => this.#pools.close());
+    const callerServer = await listenForHttp(callers, {
+      limits: this.#limits(),
+      handle: this.#createCallerHandler(),
+    });
+    this.#ownServer("caller server", callerServer);
+    log.info("The router listens.", {
+      callers,
+      incarnation: this.#incarnation,
+    });
+  }
+
+  async stop(): Promise<void> {
+    const log = this.#logs("daemon");
+    log.info("A graceful stop begins.", { inFlight: this.#inFlight.count });
+    this.#peers.announceLeaving();
+    await this.#registry.withdraw();
+    await sleep(this.#settings.limits.drainMs);
+    await this.#inFlight.idle();
+    const failures = await this.#lifeCycle.close();
+    for (const { name, cause } of failures) {
+      log.error("A part did not close.", { name, cause: String(cause) });
+    }
+    await this.#keyValue.close();
+    await this.#client.close();
+    this.#tasks.close();
+    log.info("The router has stopped.");
+  }
+
+  #limits(): ServerLimits {
+    const { maxBodyBytes, maxConnections, headerTimeoutMs } =
+      this.#settings.limits;
+    return {
+      maxBodyBytes,
+      maxConnections,
+      headerTimeoutMs,
+      requestTimeoutMs: headerTimeoutMs * REQUEST_TIMEOUT_FACTOR,
+    };
+  }
+
+  #ownServer(name: string, server: Server): void {
+    this.#lifeCycle.own(name, () =>
+      new Promise<void>((resolve) => {
+        server.close(() => resolve());
+        server.closeIdleConnections();
+      }));
+  }
+
+  #handleBreaches(): void {
+    const log = this.#logs("invariant");
+    Debug.setBreachHandler(({ invariant, message }) => {
+      this.#metrics.invariantBreaches.inc({ invariant });
+      log.error("An invariant does not hold.", { invariant, detail: message });
+    });
+  }
+
+  #counterOf(kind: string) {
+    return (direction: "in" | "out", bytes: number): void => {
+      this.#metrics.controlBytes.inc({ kind, direction }, bytes);
+    };
+  }
+
+  #createKeyValue(): KeyValue {
+    const [address] = this.#settings.platform.keyValue;
+    return createEtcdKeyValue({
+      address: address!,
+      onBytes: this.#counterOf("key-value"),
+    });
+  }
+
+  #createPeers(): PeersController {
+    const { timing, fleet } = this.#settings;
+    return createPeersController({
+      self: this.#self,
+      incarnation: this.#incarnation,
+      key: this.#fleetKey,
+      seedPeers: fleet.seedPeers,
+      heartbeatMs: timing.heartbeatMs,
+      livenessMs: timing.livenessMs,
+      clock: this.#clock,
+      log: this.#logs("peers"),
+      tasks: this.#tasks,
+      hooks: {
+        collectOffers: (peers) => this.#collectOffers(peers),
+        onHeartbeat: (heartbeat) => this.#heard(heartbeat),
+        onRequest: (_method, params) => {
+          const { after } = params as { after: number };
+          const text = this.#configuration.renderFor(after);
+          return Promise.resolve({ text });
+        },
+        onBytes: this.#counterOf("peer"),
+        version: () => this.#configuration.current().version,
+      },
+    });
+  }
+
+  async #collectOffers(
+    peers: readonly string[],
+  ): Promise<readonly (readonly PoolOffer[])[]> {
+    const byPeer: PoolOffer[][] = peers.map(() => []);
+    for (const pool of this.#pools.list()) {
+      const offers = await pool.collectOffers(peers);
+      offers.forEach((offer, index) => {
+        if (offer.lends) byPeer[index]!.push({ pool: pool.id, offer });
+      });
+    }
+    return byPeer;
+  }
+
+  #heard({ peer, sentAt, version, offers }: Heartbeat): void {
+    this.#configuration.notePeer(peer, version);
+    for (const pool of this.#pools.list()) {
+      const own = offers.find((offer) => offer.pool === pool.id);
+      pool.receive(peer, { sentAt, lends: false, ...own?.offer });
+    }
+  }
+
+  async #readFromPeer(
+    peer: string,
+    after: number,
+  ): Promise<string | undefined> {
+    try {
+      const answer = await this.#peers.request(peer, {
+        method: "config.read",
+        params: { after },
+        timeoutMs: CONFIG_READ_TIMEOUT_MS,
+      }) as { text?: string } | undefined;
+      return answer?.text;
+    } catch {
+      return undefined;
+    }
+  }
+
+  #configured(configuration: Configuration): void {
+    this.#metrics.configurationVersion.set(configuration.version);
+    this.#index = createIndex(configuration.manifest);
+    this.#peers.setRouters(configuration.routers);
+    this.#pools.configure(configuration);
+  }
+
+  #createPool(id: string) {
+    const { timing } = this.#settings;
+    return createPoolController({
+      id,
+      self: this.#self.name,
+      incarnation: this.#incarnation,
+      timing,
+      clock: this.#clock,
+      hash: this.#hash,
+      random: Math.random,
+      log: this.#logs("place"),
+      metrics: this.#metrics,
+      tasks: this.#tasks,
+      liveness: this.#peers,
+      isInService: (upstream) => this.#isInService(upstream),
+      confirmedAt: () => this.#configuration.confirmedAt(),
+      poll: createLoadPoller({
+        client: this.#client,
+        onBytes: this.#counterOf("poll"),
+      }),
+    });
+  }
+
+  #isInService({ host, failureDomain }: Upstream): boolean {
+    const { failureDomainsOut, hostsOut } = this.#configuration.current();
+    if (failureDomainsOut.includes(failureDomain)) return false;
+    if (hostsOut.includes(host)) return false;
+    return !this.#hosts.isLeaving(host);
+  }
+
+  #createOwnerFilters() {
+    return [
+      new UpstreamFilter({
+        client: this.#client,
+        clock: this.#clock,
+        log: this.#logs("upstream"),
+        findPool: ({ service, chat }: Exchange) =>
+          this.#pools.get(this.#pools.locate(service!, chat).pool),
+        tryRetry: () => this.#tryRetry(),
+        onRequest: () => this.#retries.noteRequest(this.#clock()),
+        hashChat: (chat) => this.#hashChat(chat),
+      }),
+    ];
+  }
+
+  #createLocateFilter(): LocateFilter {
+    return new LocateFilter({
+      self: this.#self.name,
+      pools: this.#pools,
+      liveness: this.#peers,
+      client: this.#client,
+      clock: this.#clock,
+      log: this.#logs("route"),
+      forwardToken: forwardTokenOf(this.#fleetKey),
+      ownerChain: createFilterChain(this.#createOwnerFilters()),
+      findRouter: (name) =>
+        this.#configuration.current().routers.find((each) =>
+          each.name === name
+        ),
+      findUpstreamAddress: (name) => this.#index.upstreams.get(name)?.address,
+      tryRetry: () => this.#tryRetry(),
+    });
+  }
+
+  #tryRetry(): boolean {
+    const request = { idempotent: true, tried: [] };
+    return this.#retries.tryRetry(request, this.#clock()).kind === "retry";
+  }
+
+  #hashChat(chat: string): ChatHash {
+    return { hi: this.#hash(chat), lo: this.#hash(`${chat}\u0001`) };
+  }
+
+  #createForwardHandler() {
+    return createForwardHandler({
+      chain: createFilterChain([this.#createLocateFilter()]),
+      limits: this.#limits(),
+      clock: this.#clock,
+      log: this.#logs("route"),
+      token: forwardTokenOf(this.#fleetKey),
+      inFlight: this.#inFlight,
+      findService: (name) => this.#index.services.get(name),
+      findWorkspace: (name) =>
+        this.#configuration.current().manifest?.workspaces.find((each) =>
+          each.name === name
+        ),
+    });
+  }
+
+  #createCallerHandler() {
+    const chain = createFilterChain([
+      new WorkspaceFilter({ find: (key) => this.#index.workspaces.get(key) }),
+      new BodyFilter(),
+      new ServiceFilter({
+        getManifest: () => this.#configuration.current().manifest,
+      }),
+      new DeadlineFilter(),
+      this.#createLocateFilter(),
+    ]);
+    const handleRequest = createCallerHandler({
+      chain,
+      limits: this.#limits(),
+      clock: this.#clock,
+      log: this.#logs("route"),
+      metrics: this.#metrics,
+      inFlight: this.#inFlight,
+    });
+    return createAdminHandler({
+      next: handleRequest,
+      metrics: this.#metrics,
+      isReady: () => this.#isReady(),
+    });
+  }
+
+  #isReady(): boolean {
+    const { manifest, routers } = this.#configuration.current();
+    if (manifest === undefined || this.#peers.isLeaving()) return false;
+    return routers.length > 0;
+  }
+}
+
+/** Look-ups into a manifest that every request needs. */
+interface ManifestIndex {
+  readonly services: ReadonlyMap<string, Service>;
+  readonly upstreams: ReadonlyMap<string, Upstream>;
+  readonly workspaces: ReadonlyMap<string, Manifest["workspaces"][number]>;
+}
+
+function createIndex(manifest: Manifest | undefined): ManifestIndex {
+  const services = manifest?.services ?? [];
+  const workspaces = manifest?.workspaces ?? [];
+  return {
+    services: new Map(services.map((each) => [each.name, each])),
+    upstreams: new Map(
+      services.flatMap(({ upstreams }) =>
+        upstreams.map((each) => [each.name, each] as const)
+      ),
+    ),
+    workspaces: new Map(workspaces.map((each) => [each.key, each])),
+  };
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- a/src/filters/upstream_filter.ts
+++ b/src/filters/upstream_filter.ts
@@ -37,7 +37,7 @@
   tryRetry(): boolean;
   /** Notes a request, by which the budget grows. */
   onRequest(): void;
-  hashChat(workspace: string, chat: string): ChatHash;
+  hashChat(chat: string): ChatHash;
 }
 
 /** An attempt that was sent. */
@@ -110,7 +110,7 @@
       weight: workspace.weight,
       chat: chat === undefined
         ? undefined
-        : this.#options.hashChat(workspace.name, chat),
+        : this.#options.hashChat(scopeChat(workspace.name, chat)),
       promptTokens: exchange.promptTokens,
       deadlineAt: exchange.deadlineAt,
       excluded,
@@ -151,6 +151,9 @@
       ...copyEndToEndHeaders(exchange.headers),
       "x-request-id": exchange.requestId,
       "x-attempt-id": grant.attemptId,
+      ...(exchange.chat !== undefined && {
+        "x-chat-id": scopeChat(exchange.workspace!.name, exchange.chat),
+      }),
       "x-workspace": exchange.workspace!.name,
       "x-deadline-ms": String(Math.max(1, Math.round(remainingMs))),
     };
@@ -188,7 +191,9 @@
   ): Promise<AttemptResult> {
     const { grant, pool } = attempt;
     const report = parseLoadHeaders(answer.headers);
-    if (report !== undefined) pool.report(grant.upstream.name, report);
+    if (report !== undefined) {
+      pool.report(grant.upstream.name, report, attempt.sentAt);
+    }
     if (isNotRunAnswer(answer)) {
       await answer.body.dump();
       this.#release(attempt, { fate: "finished", isOk: false });
@@ -216,7 +221,8 @@
       fate: "finished",
       isOk: answer.status < 500,
       firstByteMs: this.#options.clock() - attempt.sentAt,
-      cachedTokens: Number(answer.headers["x-prompt-tokens"] ?? 0),
+      promptTokens: Number(answer.headers["x-prompt-tokens"] ?? 0),
+      cachedTokens: Number(answer.headers["x-cached-tokens"] ?? 0),
     };
     const isEvents = String(answer.headers["content-type"] ?? "")
       .startsWith("text/event-stream");
@@ -293,6 +299,11 @@
 
 const CANCEL_TIMEOUT_MS = 1_000;
 
+/** Keeps the chats of two workspaces apart at the upstreams. */
+function scopeChat(workspace: string, chat: string): string {
+  return `${workspace}/${chat}`;
+}
+
 function toResumable({ attemptId, upstream, service }: Grant) {
   return {
     attemptId,
--- /dev/null
+++ b/src/transport/caller_server.ts
@@ -0,0 +1,162 @@
+/**
+ * Serves callers: builds the exchange of each request, runs the filter chain
+ * and writes what came of it.
+ */
+import { Buffer } from "node:buffer";
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "../control/views.ts";
+import type { Log } from "../daemon/log.ts";
+import type { Metrics } from "../daemon/metrics.ts";
+import { createRefusal } from "../diagnostics.ts";
+import {
+  type Exchange,
+  type FilterChain,
+  type Outcome,
+  refused,
+} from "../filters/exchange.ts";
+import { readBody, type ServerLimits, writeOutcome } from "./http_server.ts";
+
+/** Options of the handler. */
+export interface CallerHandlerOptions {
+  readonly chain: FilterChain;
+  readonly limits: ServerLimits;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Counts requests in flight, for a graceful stop. */
+  readonly inFlight: InFlight;
+}
+
+/** Counts what is in flight and tells when it has reached zero. */
+export interface InFlight {
+  readonly count: number;
+  begin(): void;
+  end(): void;
+  /** Resolves once nothing is in flight. */
+  idle(): Promise<void>;
+}
+
+/** Creates a count of zero. */
+export function createInFlight(): InFlight {
+  let count = 0;
+  let waiting: (() => void)[] = [];
+  return {
+    get count() {
+      return count;
+    },
+    begin() {
+      count++;
+    },
+    end() {
+      count--;
+      if (count > 0) return;
+      for (const resolve of waiting) resolve();
+      waiting = [];
+    },
+    idle() {
+      if (count === 0) return Promise.resolve();
+      return new Promise((resolve) => waiting.push(resolve));
+    },
+  };
+}
+
+/** Creates an exchange around an HTTP request. */
+export function createExchange(
+  request: IncomingMessage,
+  options: {
+    requestId: string;
+    signal: AbortSignal;
+    clock: Clock;
+    limits: ServerLimits;
+  },
+): Exchange {
+  const target = request.url ?? "/";
+  const query = target.indexOf("?");
+  const arrivedAt = options.clock();
+  return {
+    requestId: options.requestId,
+    method: request.method ?? "GET",
+    target,
+    path: query < 0 ? target : target.slice(0, query),
+    headers: request.headers,
+    signal: options.signal,
+    arrivedAt,
+    readBody: () => readBody(request, options.limits),
+    body: Buffer.alloc(0),
+    isIdempotent: false,
+    isStreaming: false,
+    deadlineAt: arrivedAt,
+    promptTokens: 0,
+    hops: 0,
+  };
+}
+
+/** Aborts once the response's connection has closed before its end. */
+export function watchCaller(response: ServerResponse): AbortController {
+  const controller = new AbortController();
+  response.once("close", () => {
+    if (!response.writableFinished) controller.abort();
+  });
+  response.on("error", () => controller.abort());
+  return controller;
+}
+
+/** Creates the handler of callers' requests. */
+export function createCallerHandler(options: CallerHandlerOptions) {
+  const { clock, metrics, limits, inFlight, log } = options;
+
+  async function serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const requestId = randomUUID();
+    const { signal } = watchCaller(response);
+    const exchange = createExchange(request, {
+      requestId,
+      signal,
+      clock,
+      limits,
+    });
+    const outcome = await runChain(exchange);
+    const service = exchange.service?.name ?? "none";
+    metrics.requests.inc({ service, outcome: outcome.kind });
+    if (outcome.kind === "refused") {
+      const { code, ran, detail } = outcome.refusal;
+      metrics.refusals.inc({ code, ran });
+      log.info("Refused a request.", { requestId, service, code, ran, detail });
+      // What is left of the body would be taken for the next request.
+      if (!request.complete) response.setHeader("connection", "close");
+    } else {
+      const seconds = (clock() - exchange.arrivedAt) / 1_000;
+      metrics.firstByteSeconds.observe({ service }, seconds);
+    }
+    await writeOutcome(response, outcome, requestId);
+  }
+
+  async function runChain(exchange: Exchange): Promise<Outcome> {
+    try {
+      return await options.chain.handle(exchange);
+    } catch (cause) {
+      log.error("A filter failed.", {
+        requestId: exchange.requestId,
+        cause: String(cause),
+      });
+      const detail = "The router failed on this request.";
+      return refused(createRefusal("internal", detail, { ran: "unknown" }));
+    }
+  }
+
+  return function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    inFlight.begin();
+    serve(request, response)
+      .catch((cause) => {
+        log.error("An answer failed.", { cause: String(cause) });
+        response.destroy();
+      })
+      .finally(() => inFlight.end());
+  };
+}
--- /dev/null
+++ b/src/transport/forward_server.ts
@@ -0,0 +1,143 @@
+/**
+ * Serves requests that other routers forward to this one.
+ */
+import { timingSafeEqual } from "node:crypto";
+import { Buffer } from "node:buffer";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "../control/views.ts";
+import type { Service, Workspace } from "../config/manifest.ts";
+import type { Log } from "../daemon/log.ts";
+import { createRefusal } from "../diagnostics.ts";
+import {
+  type Exchange,
+  type FilterChain,
+  type Outcome,
+  refused,
+} from "../filters/exchange.ts";
+import {
+  FORWARD_KEEP_ALIVE_MS,
+  REFUSAL_HEADER,
+} from "../filters/locate_filter.ts";
+import { createExchange, type InFlight, watchCaller } from "./caller_server.ts";
+import {
+  FORWARD_TOKEN_HEADER,
+  parseForwardHeaders,
+} from "./forward_headers.ts";
+import { type ServerLimits, writeOutcome } from "./http_server.ts";
+import { withKeepAlive } from "./keep_alive.ts";
+
+/** Options of the handler. */
+export interface ForwardHandlerOptions {
+  readonly chain: FilterChain;
+  readonly limits: ServerLimits;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly token: string;
+  readonly inFlight: InFlight;
+  findService(name: string): Service | undefined;
+  findWorkspace(name: string): Workspace | undefined;
+}
+
+const CHAT_HEADER = "x-chat-id";
+const BYTES_PER_TOKEN = 4;
+
+function isToken(expected: string, actual: unknown): boolean {
+  if (typeof actual !== "string" || actual.length !== expected.length) {
+    return false;
+  }
+  return timingSafeEqual(Buffer.from(expected), Buffer.from(actual));
+}
+
+/** Creates the handler of forwarded requests. */
+export function createForwardHandler(options: ForwardHandlerOptions) {
+  const { clock, limits, log, inFlight } = options;
+
+  /** Fills in what the ingress found out; undefined if it can't be read. */
+  async function readExchange(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<Exchange | Outcome> {
+    const context = parseForwardHeaders(request.headers);
+    if (context === undefined) {
+      return refused(createRefusal("bad-request", "No forward headers."));
+    }
+    const { signal } = watchCaller(response);
+    const { requestId } = context;
+    const exchange = createExchange(request, {
+      requestId,
+      signal,
+      clock,
+      limits,
+    });
+    exchange.service = options.findService(context.service);
+    exchange.workspace = options.findWorkspace(context.workspace);
+    if (exchange.service === undefined || exchange.workspace === undefined) {
+      const detail = "This router does not know the service or workspace yet.";
+      return refused(createRefusal("not-ready", detail));
+    }
+    exchange.isIdempotent = context.isIdempotent;
+    exchange.isStreaming = context.isStreaming;
+    exchange.hops = context.hops;
+    exchange.deadlineAt = exchange.arrivedAt + context.remainingMs;
+    if (exchange.service.kind === "engine") {
+      exchange.chat = request.headers[CHAT_HEADER] as string | undefined;
+    }
+    const body = await exchange.readBody();
+    if (body.err) return refused(body.val);
+    exchange.body = body.val;
+    exchange.promptTokens = Math.ceil(body.val.length / BYTES_PER_TOKEN);
+    return exchange;
+  }
+
+  async function serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (!isToken(options.token, request.headers[FORWARD_TOKEN_HEADER])) {
+      log.warn("A forwarded request has no valid token.");
+      response.writeHead(403, { connection: "close" }).end();
+      return;
+    }
+    const exchange = await readExchange(request, response);
+    if ("kind" in exchange) {
+      await write(response, exchange, "unknown");
+      return;
+    }
+    const outcome = await options.chain.handle(exchange);
+    await write(response, outcome, exchange.requestId);
+  }
+
+  async function write(
+    response: ServerResponse,
+    outcome: Outcome,
+    requestId: string,
+  ): Promise<void> {
+    if (outcome.kind === "refused") {
+      response.setHeader(REFUSAL_HEADER, outcome.refusal.code);
+    }
+    if (outcome.kind !== "stream" || !isEvents(outcome)) {
+      await writeOutcome(response, outcome, requestId);
+      return;
+    }
+    const body = withKeepAlive(outcome.body, FORWARD_KEEP_ALIVE_MS);
+    await writeOutcome(response, { ...outcome, body }, requestId);
+  }
+
+  return function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    inFlight.begin();
+    serve(request, response)
+      .catch((cause) => {
+        log.error("A forwarded request failed.", { cause: String(cause) });
+        response.destroy();
+      })
+      .finally(() => inFlight.end());
+  };
+}
+
+function isEvents(outcome: Outcome & { kind: "stream" }): boolean {
+  return String(outcome.headers["content-type"] ?? "")
+    .startsWith("text/event-stream");
+}
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -19,6 +19,8 @@
 /** Bounds on what a client may send. */
 export interface ServerLimits {
   maxBodyBytes: number;
+  /** Time for the whole head, in milliseconds. */
+  headerTimeoutMs: number;
   /** Time for the whole head and body, in milliseconds. */
   requestTimeoutMs: number;
   maxConnections: number;
@@ -35,7 +37,7 @@
   const { limits } = options;
   const server = createServer({
     requestTimeout: limits.requestTimeoutMs,
-    headersTimeout: limits.requestTimeoutMs,
+    headersTimeout: limits.headerTimeoutMs,
     keepAliveTimeout: 10_000,
     connectionsCheckingInterval: 1_000,
   }, options.handle);
--- a/src/transport/peer_connection.ts
+++ b/src/transport/peer_connection.ts
@@ -59,8 +59,6 @@
 /** Methods of the protocol that expect no answer. */
 export const NOTIFICATION_METHODS = [
   "hb",
-  "config.entry",
-  "loans.returned",
 ] as const;
 
 interface Hello {
