Add the load tool and join what the stand-ins share

The load tool sends returning chats and bookings at an open-loop rate, compares each answer byte for byte and checks refusals. The HTTP side that both stand-ins had in common moved into one endpoint.

--- /dev/null
+++ b/bench/load/chat_load.ts
@@ -0,0 +1,129 @@
+/** Sends the turns of returning chats and records what comes back. */
+import { performance } from "node:perf_hooks";
+import {
+  expectedAnswer,
+  expectedEventStream,
+  expectedWholeBody,
+} from "../../testing/answer.ts";
+import type { Balancer } from "./balancer.ts";
+import type { Chats, Turn } from "./chats.ts";
+import { type Exchange, send } from "./exchange.ts";
+import { judge, type Outcome } from "./outcome.ts";
+import {
+  type CacheReuse,
+  increment,
+  KindCounts,
+  type Timeline,
+  Times,
+} from "./report.ts";
+
+/** Options of the chat load. */
+export interface ChatLoadOptions {
+  balancer: Balancer;
+  timeline: Timeline;
+  timeoutMs: number;
+}
+
+const RETRY_AFTER_MS = 1_000;
+
+/** Sends turns and holds their records. */
+export class ChatLoad {
+  readonly counts = new KindCounts();
+  readonly countsByKey = new Map<string, KindCounts>();
+  readonly firstToken = new Times();
+  readonly betweenTokens = new Times();
+  readonly wholeAnswer = new Times();
+  readonly perUpstream: Record<string, number> = {};
+  /** Arrivals that found no idle chat. */
+  skipped = 0;
+  readonly #options: ChatLoadOptions;
+  #reuse = { turns: 0, prefixTokens: 0, cachedTokens: 0, withoutHeaders: 0 };
+
+  constructor(options: ChatLoadOptions) {
+    this.#options = options;
+  }
+
+  /** Sends the next turn of an idle chat, if there is one. */
+  async sendNext(chats: Chats): Promise<void> {
+    const turn = chats.nextTurn(performance.now());
+    if (turn === undefined) {
+      this.skipped++;
+      return;
+    }
+    const { balancer, timeline, timeoutMs } = this.#options;
+    this.#noteSent(turn);
+    const exchange = await send(balancer, createRequest(turn), { timeoutMs });
+    const expected = turn.body.stream
+      ? expectedEventStream(turn.body)
+      : expectedWholeBody(turn.body);
+    const outcome = judge(exchange, expected);
+    const now = performance.now();
+    this.counts.record(outcome);
+    this.countsByKey.get(turn.key)?.record(outcome);
+    timeline.at(now)[outcome.kind]++;
+    if (outcome.kind === "whole") {
+      this.#recordWhole(turn, exchange);
+      const { text } = expectedAnswer(turn.body);
+      chats.completeTurn(turn, { text, now });
+    } else {
+      chats.returnTurn(turn, { notBefore: now + getPauseMs(outcome) });
+    }
+  }
+
+  /** Cache reuse so far. */
+  getCacheReuse(): CacheReuse {
+    const { prefixTokens, cachedTokens } = this.#reuse;
+    const ratio = prefixTokens === 0 ? 0 : cachedTokens / prefixTokens;
+    return { ...this.#reuse, ratio };
+  }
+
+  #noteSent(turn: Turn): void {
+    this.counts.sent++;
+    const counts = this.countsByKey.get(turn.key) ?? new KindCounts();
+    this.countsByKey.set(turn.key, counts);
+    counts.sent++;
+    this.#options.timeline.at(performance.now()).sent++;
+  }
+
+  #recordWhole(turn: Turn, exchange: Exchange): void {
+    increment(this.perUpstream, exchange.headers["x-upstream"] ?? "unnamed");
+    this.#recordReuse(turn, exchange);
+    if (!turn.body.stream) {
+      this.wholeAnswer.record(exchange.totalMs);
+      return;
+    }
+    this.firstToken.record(exchange.firstByteMs ?? exchange.totalMs);
+    for (const gap of exchange.gapsMs) this.betweenTokens.record(gap);
+  }
+
+  #recordReuse(turn: Turn, { headers }: Exchange): void {
+    if (turn.servedTokens === 0) return;
+    const header = headers["x-cached-tokens"];
+    if (header === undefined) this.#reuse.withoutHeaders++;
+    const cached = Math.min(Number(header ?? 0), turn.servedTokens);
+    this.#reuse.turns++;
+    this.#reuse.prefixTokens += turn.servedTokens;
+    this.#reuse.cachedTokens += cached;
+    const second = this.#options.timeline.at(performance.now());
+    second.prefixTokens += turn.servedTokens;
+    second.cachedTokens += cached;
+  }
+}
+
+function createRequest(turn: Turn) {
+  return {
+    method: "POST",
+    path: "/v1/chat/completions",
+    headers: {
+      "authorization": `Bearer ${turn.key}`,
+      "content-type": "application/json",
+      "x-chat-id": turn.chatId,
+    },
+    body: JSON.stringify(turn.body),
+  } as const;
+}
+
+function getPauseMs(outcome: Outcome): number {
+  const told = outcome.kind === "refused" ? outcome.retryAfterMs : undefined;
+  return told ?? RETRY_AFTER_MS;
+}
--- a/testing/engine.ts
+++ b/testing/engine.ts
@@ -15,25 +15,15 @@
 import { CacheEvents } from "./engine_cache_events.ts";
 import { type Order, Orders } from "./engine_orders.ts";
 import { PrefixCache } from "./engine_prefix_cache.ts";
-import { applyControl, type Control, Faults } from "./upstream_control.ts";
-import {
-  formatLoad,
-  getHeader,
-  type Headers,
-  readBody,
-  UpstreamServer,
-} from "./upstream_http.ts";
-import {
-  type Admission,
-  UpstreamState,
-  type UpstreamStateOptions,
-} from "./upstream_state.ts";
+import { UpstreamEndpoint } from "./upstream_endpoint.ts";
+import { getHeader, type Headers, readBody } from "./upstream_http.ts";
+import type { UpstreamStateOptions } from "./upstream_state.ts";
 
 /** Options of an engine. */
 export interface EngineOptions extends UpstreamStateOptions {
   /** Time of a step with one attempt, in milliseconds. */
   tokenMs?: number;
-  /** Attempts that run at once; the hard limit unless given. */
+  /** Attempts that run at once; 0 for the hard limit. */
   batchSize?: number;
   prefillPerStep?: number;
   /** Size of the prefix cache, in tokens. */
@@ -48,9 +38,7 @@
 
 /** One stand-in engine. */
 export class Engine {
-  readonly #server: UpstreamServer;
-  readonly #state: UpstreamState;
-  readonly #faults = new Faults();
+  readonly #endpoint: UpstreamEndpoint;
   readonly #attempts = new Attempts();
   readonly #events: CacheEvents;
   readonly #cache: PrefixCache;
@@ -63,12 +51,11 @@
     const { cacheTokens = DEFAULT_CACHE_TOKENS, hardLimit = 16 } = options;
     const { checksFencing = false, seed } = options;
     const clock = options.clock ?? (() => performance.now());
-    this.#server = new UpstreamServer((request, response) =>
-      this.#route(request, response)
-    );
-    this.#state = new UpstreamState({
-      ...options,
+    this.#endpoint = new UpstreamEndpoint({
+      handler: (request, response) => this.#route(request, response),
       onFall: () => this.#dropAll(),
+      state: options,
+      setSlowFactor: (factor) => this.#batch.slowFactor = factor,
     });
     this.#events = new CacheEvents({ seed, clock });
     this.#cache = new PrefixCache(cacheTokens, this.#events);
@@ -76,7 +63,7 @@
       cache: this.#cache,
       onDone: (attempt) => this.#finish(attempt),
       tokenMs: options.tokenMs,
-      batchSize: options.batchSize ?? hardLimit,
+      batchSize: options.batchSize || hardLimit,
       prefillPerStep: options.prefillPerStep,
     });
     this.#orders = new Orders(checksFencing);
@@ -84,13 +71,13 @@
 
   /** Listens on loopback; returns `ip:port`. */
   listen(port: number): Promise<string> {
-    return this.#server.listen(port);
+    return this.#endpoint.server.listen(port);
   }
 
   /** Aborts everything and closes. */
   close(): void {
     this.#batch.abortAll();
-    this.#server.close();
+    this.#endpoint.server.close();
   }
 
   #route(
@@ -101,21 +88,25 @@
     if (url.pathname.startsWith("/control")) {
       return this.#control(request, response);
     }
-    if (this.#state.isDown) return this.#refuse(response, "down");
+    if (this.#endpoint.state.isDown) {
+      return this.#endpoint.refuse(response, "down");
+    }
     const route = `${request.method} ${url.pathname}`;
     if (route === "POST /v1/chat/completions") {
       return this.#complete(request, response);
     }
     if (route === "GET /v1/load") {
-      return this.#send(response, 200, { ...this.#state.getReport() });
+      return this.#endpoint.send(response, 200, {
+        ...this.#endpoint.state.getReport(),
+      });
     }
     if (route === "GET /v1/cache-events") {
       const page = this.#events.getPage(Number(url.searchParams.get("after")));
-      const { incarnation } = this.#state;
-      return this.#send(response, 200, { incarnation, ...page });
+      const { incarnation } = this.#endpoint.state;
+      return this.#endpoint.send(response, 200, { incarnation, ...page });
     }
     if (route === "GET /v1/orders") {
-      return this.#send(response, 200, { orders: this.#orders.done });
+      return this.#endpoint.send(response, 200, { orders: this.#orders.done });
     }
     if (route === "POST /v1/orders") return this.#order(request, response);
     this.#routeAttempt(request, { response, url });
@@ -128,7 +119,7 @@
     const [, id = "", stream] = ATTEMPT_PATH.exec(url.pathname) ?? [];
     const attempt = this.#attempts.get(decodeURIComponent(id));
     if (attempt === undefined) {
-      return this.#send(response, 404, { error: "not-found" });
+      return this.#endpoint.send(response, 404, { error: "not-found" });
     }
     if (request.method === "GET" && stream) {
       const offset = Number(url.searchParams.get("offset"));
@@ -137,7 +128,7 @@
     if (request.method === "DELETE" && !stream) {
       return this.#cancel(attempt, response);
     }
-    this.#send(response, 405, { error: "method-not-allowed" });
+    this.#endpoint.send(response, 405, { error: "method-not-allowed" });
   }
 
   async #complete(
@@ -145,20 +136,22 @@
     response: ServerResponse,
   ): Promise<void> {
     const text = (await readBody(request)).toString();
-    if (this.#faults.tryTake("before")) return void response.destroy();
+    if (this.#endpoint.faults.tryTake("before")) return void response.destroy();
     const id = getHeader(request, "x-attempt-id") ?? randomUUID();
     const body = parseChatBody(text);
     if (body === undefined) {
-      return this.#send(response, 400, { error: "bad-request" });
+      return this.#endpoint.send(response, 400, { error: "bad-request" });
     }
     if (this.#attempts.checkDuplicate(id)) {
-      return this.#send(response, 409, { error: "duplicate-attempt" });
+      return this.#endpoint.send(response, 409, { error: "duplicate-attempt" });
+    }
+    const admission = this.#endpoint.state.tryStart();
+    if (admission !== "started") {
+      return this.#endpoint.refuse(response, admission);
     }
-    const admission = this.#state.tryStart();
-    if (admission !== "started") return this.#refuse(response, admission);
     const attempt = new Attempt({
       id,
-      incarnation: this.#state.incarnation,
+      incarnation: this.#endpoint.state.incarnation,
       answer: expectedAnswer(body),
       chat: getHeader(request, "x-chat-id"),
       priority: Number(getHeader(request, "x-priority") ?? 0),
@@ -177,12 +170,12 @@
     },
   ): void {
     new AnswerWriter({
-      server: this.#server,
+      server: this.#endpoint.server,
       response,
       attempt,
       stream,
       offset,
-      failsAmid: offset === undefined && this.#faults.tryTake("amid"),
+      failsAmid: offset === undefined && this.#endpoint.faults.tryTake("amid"),
       getHeaders: () => this.#getAnswerHeaders(attempt),
     }).start();
   }
@@ -190,16 +183,16 @@
   #cancel(attempt: Attempt, response: ServerResponse): void {
     if (!attempt.isEnded) {
       this.#batch.cancel(attempt);
-      this.#state.finish(attempt.incarnation);
+      this.#endpoint.state.finish(attempt.incarnation);
       this.#attempts.retire(attempt);
     }
-    this.#send(response, 200, { state: attempt.state });
+    this.#endpoint.send(response, 200, { state: attempt.state });
   }
 
   #finish(attempt: Attempt): void {
     this.#cachedTokens += attempt.cachedTokens;
     this.#promptTokens += attempt.answer.usage.prompt_tokens;
-    this.#state.finish(attempt.incarnation);
+    this.#endpoint.state.finish(attempt.incarnation);
     this.#attempts.retire(attempt);
   }
 
@@ -216,8 +209,8 @@
   ): Promise<void> {
     const order = JSON.parse((await readBody(request)).toString()) as Order;
     const done = this.#orders.tryCarryOut(order);
-    if (done) this.#send(response, 200, { id: order.id });
-    else this.#send(response, 409, { error: "old-fence" });
+    if (done) this.#endpoint.send(response, 200, { id: order.id });
+    else this.#endpoint.send(response, 409, { error: "old-fence" });
   }
 
   async #control(
@@ -226,41 +219,14 @@
   ): Promise<void> {
     const text = (await readBody(request)).toString();
     if (request.method !== "POST") {
-      return this.#send(response, 200, this.#getRecord());
+      return this.#endpoint.send(response, 200, this.#getRecord());
     }
-    // The answer goes first, since the order may silence its connection.
-    this.#send(response, 200, {});
-    applyControl(JSON.parse(text) as Control, {
-      state: this.#state,
-      server: this.#server,
-      faults: this.#faults,
-      setSlowFactor: (factor) => this.#batch.slowFactor = factor,
-    });
-  }
-
-  #refuse(response: ServerResponse, admission: Admission): void {
-    if (admission === "fell") return void response.destroy();
-    const headers = this.#getHeaders();
-    if (admission === "leaving") headers["x-not-run"] = "1";
-    const body = { error: admission };
-    this.#server.sendJson(response, 503, { headers, body });
-  }
-
-  #send(response: ServerResponse, status: number, body: unknown): void {
-    const headers = this.#getHeaders();
-    this.#server.sendJson(response, status, { headers, body });
-  }
-
-  #getHeaders(): Headers {
-    return {
-      "x-incarnation": this.#state.incarnation,
-      "x-load": formatLoad(this.#state.getReport()),
-    };
+    this.#endpoint.control(response, text);
   }
 
   #getAnswerHeaders(attempt: Attempt): Headers {
     return {
-      ...this.#getHeaders(),
+      ...this.#endpoint.getHeaders(),
       "x-attempt-id": attempt.id,
       "x-cached-tokens": String(attempt.cachedTokens),
       "x-prompt-tokens": String(attempt.answer.usage.prompt_tokens),
@@ -269,7 +235,7 @@
 
   #getRecord() {
     return {
-      ...this.#state.getRecord(),
+      ...this.#endpoint.state.getRecord(),
       attempts: this.#attempts.count,
       duplicateAttempts: this.#attempts.duplicates,
       cachedTokens: this.#cachedTokens,
--- a/testing/engine_main.ts
+++ b/testing/engine_main.ts
@@ -5,7 +5,7 @@
 const commandLine = new CommandLine({
   ...UPSTREAM_OPTIONS,
   "token-ms": { type: "string", default: "10" },
-  "batch-size": { type: "string", default: "16" },
+  "batch-size": { type: "string", default: "0" },
   "prefill-per-step": { type: "string", default: "512" },
   "cache-tokens": { type: "string", default: "200000" },
   "checks-fencing": { type: "boolean", default: false },
--- a/testing/engine_test.ts
+++ b/testing/engine_test.ts
@@ -95,6 +95,7 @@
   test("resumes on a new connection when the old one went silent", async () => {
     await start({ tokenMs: 5 });
     const silent = await send("a", { stream: true });
+    // The stream holds its connection, so the order takes another.
     await post("/control", { silent: true });
     const next = new Agent();
     const answer = await request(
--- a/testing/plain_service.ts
+++ b/testing/plain_service.ts
@@ -5,19 +5,9 @@
 import type { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { applyControl, type Control, Faults } from "./upstream_control.ts";
-import {
-  formatLoad,
-  getHeader,
-  type Headers,
-  readBody,
-  UpstreamServer,
-} from "./upstream_http.ts";
-import {
-  type Admission,
-  UpstreamState,
-  type UpstreamStateOptions,
-} from "./upstream_state.ts";
+import { UpstreamEndpoint } from "./upstream_endpoint.ts";
+import { getHeader, readBody } from "./upstream_http.ts";
+import type { UpstreamStateOptions } from "./upstream_state.ts";
 
 /** Options of a plain service. */
 export interface PlainServiceOptions extends UpstreamStateOptions {
@@ -49,9 +39,7 @@
 
 /** One stand-in plain service. */
 export class PlainService {
-  readonly #server: UpstreamServer;
-  readonly #state: UpstreamState;
-  readonly #faults = new Faults();
+  readonly #endpoint: UpstreamEndpoint;
   readonly #runs = new Map<string, number>();
   readonly #attempts = new Set<string>();
   readonly #open = new Set<ServerResponse>();
@@ -61,23 +49,22 @@
 
   constructor(options: PlainServiceOptions) {
     this.#serviceMs = options.serviceMs ?? 5;
-    this.#server = new UpstreamServer((request, response) =>
-      this.#route(request, response)
-    );
-    this.#state = new UpstreamState({
-      ...options,
+    this.#endpoint = new UpstreamEndpoint({
+      handler: (request, response) => this.#route(request, response),
       onFall: () => this.#dropAll(),
+      state: options,
+      setSlowFactor: (factor) => this.#slowFactor = factor,
     });
   }
 
   /** Listens on loopback; returns `ip:port`. */
   listen(port: number): Promise<string> {
-    return this.#server.listen(port);
+    return this.#endpoint.server.listen(port);
   }
 
   /** Drops everything and closes. */
   close(): void {
-    this.#server.close();
+    this.#endpoint.server.close();
   }
 
   async #route(
@@ -88,22 +75,28 @@
     const exchange = { request, response, body };
     const path = request.url ?? "/";
     if (path.startsWith("/control")) return this.#control(exchange);
-    if (this.#state.isDown) return this.#refuse(exchange, "down");
+    if (this.#endpoint.state.isDown) {
+      return this.#endpoint.refuse(response, "down");
+    }
     if (path === "/v1/load") {
-      return this.#send(response, 200, { ...this.#state.getReport() });
+      return this.#endpoint.send(response, 200, {
+        ...this.#endpoint.state.getReport(),
+      });
     }
     this.#run(exchange);
   }
 
   #run(exchange: Exchange): void {
     const { request, response, body } = exchange;
-    if (this.#faults.tryTake("before")) return void response.destroy();
+    if (this.#endpoint.faults.tryTake("before")) return void response.destroy();
     if (this.#isDuplicate(request)) {
-      return this.#send(response, 409, { error: "duplicate-attempt" });
+      return this.#endpoint.send(response, 409, { error: "duplicate-attempt" });
     }
-    const admission = this.#state.tryStart();
-    if (admission !== "started") return this.#refuse(exchange, admission);
-    const { incarnation } = this.#state;
+    const admission = this.#endpoint.state.tryStart();
+    if (admission !== "started") {
+      return this.#endpoint.refuse(response, admission);
+    }
+    const { incarnation } = this.#endpoint.state;
     const answer: PlainAnswer = {
       ...this.#countRun(request),
       path: request.url ?? "/",
@@ -112,7 +105,7 @@
     this.#open.add(response);
     setTimeout(() => {
       this.#open.delete(response);
-      this.#state.finish(incarnation);
+      this.#endpoint.state.finish(incarnation);
       this.#answer(exchange, answer);
     }, this.#serviceMs * this.#slowFactor);
   }
@@ -134,13 +127,13 @@
   }
 
   #answer({ request, response }: Exchange, body: PlainAnswer): void {
-    const fails = this.#faults.tryTake("after") ||
-      this.#faults.tryTake("amid");
+    const fails = this.#endpoint.faults.tryTake("after") ||
+      this.#endpoint.faults.tryTake("amid");
     if (fails) return void response.destroy();
-    const headers = this.#getHeaders();
+    const headers = this.#endpoint.getHeaders();
     const id = getHeader(request, "x-attempt-id");
     if (id !== undefined) headers["x-attempt-id"] = id;
-    this.#server.sendJson(response, 200, { headers, body });
+    this.#endpoint.server.sendJson(response, 200, { headers, body });
   }
 
   #dropAll(): void {
@@ -150,46 +143,19 @@
 
   #control({ request, response, body }: Exchange): void {
     if (request.url === "/control/runs") {
-      return this.#send(response, 200, Object.fromEntries(this.#runs));
+      return this.#endpoint.send(response, 200, Object.fromEntries(this.#runs));
     }
     if (request.method !== "POST") {
-      return this.#send(response, 200, this.#getRecord());
+      return this.#endpoint.send(response, 200, this.#getRecord());
     }
-    // The answer goes first, since the order may silence its connection.
-    this.#send(response, 200, {});
-    applyControl(JSON.parse(body.toString()) as Control, {
-      state: this.#state,
-      server: this.#server,
-      faults: this.#faults,
-      setSlowFactor: (factor) => this.#slowFactor = factor,
-    });
+    this.#endpoint.control(response, body.toString());
   }
 
   #getRecord() {
     return {
-      ...this.#state.getRecord(),
+      ...this.#endpoint.state.getRecord(),
       attempts: this.#attempts.size,
       duplicateAttempts: this.#duplicateAttempts,
     };
   }
-
-  #refuse({ response }: Exchange, admission: Admission): void {
-    if (admission === "fell") return void response.destroy();
-    const headers = this.#getHeaders();
-    if (admission === "leaving") headers["x-not-run"] = "1";
-    const body = { error: admission };
-    this.#server.sendJson(response, 503, { headers, body });
-  }
-
-  #send(response: ServerResponse, status: number, body: unknown): void {
-    const headers = this.#getHeaders();
-    this.#server.sendJson(response, status, { headers, body });
-  }
-
-  #getHeaders(): Headers {
-    return {
-      "x-incarnation": this.#state.incarnation,
-      "x-load": formatLoad(this.#state.getReport()),
-    };
-  }
 }
--- /dev/null
+++ b/testing/upstream_endpoint.ts
@@ -0,0 +1,78 @@
+/**
+ * What the HTTP interfaces of both stand-in upstreams have in common: answer
+ * headers, refusals, and orders from tests.
+ */
+import type { ServerResponse } from "node:http";
+import { applyControl, type Control, Faults } from "./upstream_control.ts";
+import {
+  formatLoad,
+  type Handler,
+  type Headers,
+  UpstreamServer,
+} from "./upstream_http.ts";
+import {
+  type Admission,
+  UpstreamState,
+  type UpstreamStateOptions,
+} from "./upstream_state.ts";
+
+/** Options of an endpoint. */
+export interface UpstreamEndpointOptions {
+  handler: Handler;
+  /** Drops all work when the upstream falls over. */
+  onFall: () => void;
+  state: UpstreamStateOptions;
+  setSlowFactor: (factor: number) => void;
+}
+
+/** Server, state and faults of one stand-in upstream. */
+export class UpstreamEndpoint {
+  readonly server: UpstreamServer;
+  readonly state: UpstreamState;
+  readonly faults = new Faults();
+  readonly #setSlowFactor: (factor: number) => void;
+
+  constructor(
+    { handler, onFall, state, setSlowFactor }: UpstreamEndpointOptions,
+  ) {
+    this.server = new UpstreamServer(handler);
+    this.state = new UpstreamState({ ...state, onFall });
+    this.#setSlowFactor = setSlowFactor;
+  }
+
+  /** Headers of every answer. */
+  getHeaders(): Headers {
+    return {
+      "x-incarnation": this.state.incarnation,
+      "x-load": formatLoad(this.state.getReport()),
+    };
+  }
+
+  /** Sends a JSON answer with the common headers. */
+  send(response: ServerResponse, status: number, body: unknown): void {
+    this.server.sendJson(response, status, {
+      headers: this.getHeaders(),
+      body,
+    });
+  }
+
+  /** Answers work that was not admitted. */
+  refuse(response: ServerResponse, admission: Admission): void {
+    if (admission === "fell") return void response.destroy();
+    const headers = this.getHeaders();
+    if (admission === "leaving") headers["x-not-run"] = "1";
+    const body = { error: admission };
+    this.server.sendJson(response, 503, { headers, body });
+  }
+
+  /** Carries out a control order and answers it. */
+  control(response: ServerResponse, text: string): void {
+    applyControl(JSON.parse(text) as Control, {
+      state: this.state,
+      server: this.server,
+      faults: this.faults,
+      setSlowFactor: this.#setSlowFactor,
+    });
+    this.send(response, 200, {});
+  }
+}
--- a/testing/upstream_http.ts
+++ b/testing/upstream_http.ts
@@ -7,6 +7,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import process from "node:process";
 import type { LoadReport } from "../src/types.ts";
 
 /** Answer headers by name. */
@@ -52,10 +53,15 @@
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   readonly #silent = new WeakSet<Socket>();
+  /** Connections that carried a control order; these never go silent. */
+  readonly #control = new WeakSet<Socket>();
 
   constructor(handler: Handler) {
     this.#server = createServer((request, response) => {
       if (this.#silent.has(request.socket)) return;
+      if (request.url?.startsWith("/control")) {
+        this.#control.add(request.socket);
+      }
       this.#run(handler, { request, response });
     });
     this.#server.keepAliveTimeout = KEEP_ALIVE_MS;
@@ -85,7 +91,9 @@
 
   /** Makes every connection that is open now go silent for good. */
   silenceOpenConnections(): void {
-    for (const socket of this.#sockets) this.#silent.add(socket);
+    for (const socket of this.#sockets) {
+      if (!this.#control.has(socket)) this.#silent.add(socket);
+    }
   }
 
   /** Writes the head of an answer, unless its connection is silent. */
@@ -139,7 +147,9 @@
     const { request, response } = exchange;
     try {
       await handler(request, response);
-    } catch {
+    } catch (error) {
+      const isAborted = request.destroyed && !request.complete;
+      if (!isAborted) process.stderr.write(`${String(error)}\n`);
       response.destroy();
     }
   }
