--- a/src/config/configuration_codec.ts
+++ b/src/config/configuration_codec.ts
@@ -4,6 +4,7 @@
 import { type Static, Type } from "@sinclair/typebox";
 import { Ajv, type ValidateFunction } from "ajv";
 import { Err, Ok, type Result } from "ts-results";
+import type { Router } from "../types.ts";
 import type { Change, Configuration, Entry } from "./configuration.ts";
 import type { Manifest } from "./manifest.ts";
 import { checkManifestShape } from "./manifest_check.ts";
@@ -112,14 +113,30 @@
   return Ok({ kind: "entry", entry: { ...rest, change: checked } });
 }
 
-/** Writes a configuration as JSON of ASCII only: a character is a byte. */
+/**
+ * Writes a configuration as JSON of ASCII only, so that a character is a byte.
+ * The order of the keys is fixed: equal configurations have equal text.
+ */
 export function encodeConfiguration(configuration: Configuration): string {
-  return JSON.stringify(configuration).replaceAll(
+  const ordered: Configuration = {
+    version: configuration.version,
+    failureDomainsOut: configuration.failureDomainsOut,
+    hostsOut: configuration.hostsOut,
+    routers: configuration.routers.map(orderRouter),
+    routersVersion: configuration.routersVersion,
+    manifest: configuration.manifest,
+  };
+  return JSON.stringify(ordered).replaceAll(
     /[\u0080-\uffff]/g,
     (unit) => "\\u" + unit.charCodeAt(0).toString(16).padStart(4, "0"),
   );
 }
 
+function orderRouter(router: Router): Router {
+  const { name, failureDomain, controlAddress, forwardAddress } = router;
+  return { name, failureDomain, controlAddress, forwardAddress };
+}
+
 /** Reads a configuration. */
 export function decodeConfiguration(
   text: string,
