--- a/src/config/configuration_codec.ts
+++ b/src/config/configuration_codec.ts
@@ -3,7 +3,7 @@
  */
 import { type Static, Type } from "@sinclair/typebox";
 import { Ajv, type ValidateFunction } from "ajv";
-import { Err, Ok, type Result } from "ts-results";
+import { Err, Ok, type Result } from "ts-results/result";
 import type { Router } from "../types.ts";
 import type { Change, Configuration, Entry } from "./configuration.ts";
 import type { Manifest } from "./manifest.ts";
--- a/src/config/configuration_compaction.ts
+++ b/src/config/configuration_compaction.ts
@@ -2,7 +2,7 @@
  * Compaction of the configuration log: writes a snapshot, then drops what only
  * older snapshots and old history need. Any process may do it at any time.
  */
-import { Ok, type Result } from "ts-results";
+import { Ok, type Result } from "ts-results/result";
 import type {
   ConditionalWrite,
   Item,
--- a/src/config/configuration_reader.ts
+++ b/src/config/configuration_reader.ts
@@ -2,7 +2,7 @@
  * Reads the configuration from the key-value service: a snapshot where that is
  * shorter, then the entries after it.
  */
-import { Err, Ok, type Result } from "ts-results";
+import { Err, Ok, type Result } from "ts-results/result";
 import type { Item, KeyValue, PlatformFailure } from "../platform/key_value.ts";
 import { decodeLogItem, type LogItem } from "./configuration_codec.ts";
 import type { Configuration, Entry } from "./configuration.ts";
--- a/src/config/configuration_snapshot.ts
+++ b/src/config/configuration_snapshot.ts
@@ -6,7 +6,7 @@
 import { createHash } from "node:crypto";
 import { type Static, Type } from "@sinclair/typebox";
 import { Ajv } from "ajv";
-import { Err, Ok, type Result } from "ts-results";
+import { Err, Ok, type Result } from "ts-results/result";
 import type { Configuration } from "./configuration.ts";
 import {
   decodeConfiguration,
--- a/src/config/ini_sections.ts
+++ b/src/config/ini_sections.ts
@@ -5,7 +5,7 @@
 import { type Static, type TObject, Type } from "@sinclair/typebox";
 import { Ajv, type ErrorObject } from "ajv";
 import { parse } from "ini";
-import { Err, Ok, type Result } from "ts-results";
+import { Err, Ok, type Result } from "ts-results/result";
 
 /** One thing that is wrong with a settings file. */
 export interface SettingFault {
--- a/src/config/manifest_check.ts
+++ b/src/config/manifest_check.ts
@@ -3,7 +3,7 @@
  * say. Every fault is listed with the JSON pointer of the place it is at.
  */
 import { Ajv, type ErrorObject } from "ajv";
-import { Err, Ok, type Result } from "ts-results";
+import { Err, Ok, type Result } from "ts-results/result";
 import { type Manifest, ManifestSchema, type Service } from "./manifest.ts";
 
 /** One thing that is wrong with a manifest. */
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -3,7 +3,7 @@
  * failure domain here and nowhere else.
  */
 import { type Static, Type } from "@sinclair/typebox";
-import type { Result } from "ts-results";
+import type { Result } from "ts-results/result";
 import {
   AddressSchema,
   type Clash,
--- a/src/platform/testing/memory_key_value.ts
+++ b/src/platform/testing/memory_key_value.ts
@@ -2,7 +2,7 @@
  * A key-value service in memory for tests, with hooks that fail a call before
  * it takes effect or lose its answer after.
  */
-import { Err, Ok, type Result } from "ts-results";
+import { Err, Ok, type Result } from "ts-results/result";
 import type {
   ConditionalWrite,
   Item,
