--- a/src/platform/http_json.ts
+++ b/src/platform/http_json.ts
@@ -46,7 +46,7 @@
 const DEFAULT_TIMEOUT_MS = 2_000;
 const MAX_ANSWER_BYTES = 67_108_864;
 /** Request line, host, connection, content type and content length. */
-const REQUEST_OVERHEAD_BYTES = 140;
+const REQUEST_OVERHEAD_BYTES = 118;
 const STATUS_LINE_BYTES = 17;
 const HEADER_SEPARATOR_BYTES = 4;
 
--- a/testing/kv_server.ts
+++ b/testing/kv_server.ts
@@ -18,6 +18,7 @@
 import { RateLimit } from "./kv_rate_limit.ts";
 import { MemoryStore } from "./kv_store.ts";
 import { OpenWatch } from "./kv_watch.ts";
+import * as Calls from "./kv_calls.ts";
 import * as Wire from "./kv_wire.ts";
 
 /** Faults of the stand-in. */
@@ -75,13 +76,13 @@
 const always = { isWrite: () => true };
 const never = { isWrite: () => false };
 const ENDPOINTS: { readonly [path: string]: Endpoint } = {
-  "/v3/kv/range": { call: Wire.range, ...never },
-  "/v3/kv/put": { call: Wire.put, ...always },
-  "/v3/kv/deleterange": { call: Wire.deleteRange, ...always },
-  "/v3/kv/txn": { call: Wire.txn, isWrite: Wire.isWritingTxn },
-  "/v3/lease/grant": { call: Wire.grantLease, ...always },
-  "/v3/lease/revoke": { call: Wire.revokeLease, ...always },
-  "/v3/lease/keepalive": { call: Wire.renewLease, ...always },
+  "/v3/kv/range": { call: Calls.range, ...never },
+  "/v3/kv/put": { call: Calls.put, ...always },
+  "/v3/kv/deleterange": { call: Calls.deleteRange, ...always },
+  "/v3/kv/txn": { call: Calls.txn, isWrite: Calls.isWritingTxn },
+  "/v3/lease/grant": { call: Calls.grantLease, ...always },
+  "/v3/lease/revoke": { call: Calls.revokeLease, ...always },
+  "/v3/lease/keepalive": { call: Calls.renewLease, ...always },
 };
 
 class Gateway implements KeyValueServer {
--- /dev/null
+++ b/testing/weight_store_server.ts
@@ -0,0 +1,83 @@
+/**
+ * Stand-in for the platform's weight store: answers what a version weighs,
+ * counts fetches and refuses those past its rate.
+ *
+ * Every model and version exists. `GET /stats` gives `{fetches, refused}`.
+ */
+import { createHash } from "node:crypto";
+import { createServer } from "node:http";
+import { closeServer, listen, sendJson } from "./kv_http.ts";
+import { RateLimit } from "./kv_rate_limit.ts";
+
+/** Options of the stand-in. */
+export interface WeightStoreServerOptions {
+  port?: number;
+  fetchesPerMinute?: number;
+  sizeBytes?: number;
+  bytesPerSecond?: number;
+  /** Monotonic clock, in milliseconds. */
+  now?: () => number;
+}
+
+/** Fetches since the start. */
+export interface WeightStoreStats {
+  fetches: number;
+  refused: number;
+}
+
+/** A running stand-in. */
+export interface WeightStoreServer {
+  /** `ip:port`. */
+  readonly address: string;
+  getStats(): WeightStoreStats;
+  close(): Promise<void>;
+}
+
+const DEFAULT_FETCHES_PER_MINUTE = 60;
+const DEFAULT_SIZE_BYTES = 1_000_000;
+const DEFAULT_BYTES_PER_SECOND = 10_000_000;
+const SECONDS_PER_MINUTE = 60;
+const WEIGHTS_PATH = /^\/v1\/weights\/[^/]+\/[^/]+$/;
+
+function getDigest(path: string): string {
+  return `sha256:${createHash("sha256").update(path).digest("hex")}`;
+}
+
+/** Starts a stand-in on loopback. */
+export async function createWeightStoreServer(
+  {
+    port = 0,
+    fetchesPerMinute = DEFAULT_FETCHES_PER_MINUTE,
+    sizeBytes = DEFAULT_SIZE_BYTES,
+    bytesPerSecond = DEFAULT_BYTES_PER_SECOND,
+    now,
+  }: WeightStoreServerOptions = {},
+): Promise<WeightStoreServer> {
+  const stats = { fetches: 0, refused: 0 };
+  const limit = new RateLimit({
+    perSecond: fetchesPerMinute / SECONDS_PER_MINUTE,
+    burst: fetchesPerMinute,
+    now,
+  });
+  const server = createServer((request, response) => {
+    const path = request.url ?? "";
+    if (path === "/stats") return sendJson(response, 200, stats);
+    if (path === "/v1/rate") {
+      return sendJson(response, 200, { fetchesPerMinute });
+    }
+    if (!WEIGHTS_PATH.test(path)) return sendJson(response, 404, {});
+    if (!limit.tryTake()) {
+      stats.refused++;
+      return sendJson(response, 429, { error: "too many fetches" });
+    }
+    stats.fetches++;
+    const digest = getDigest(path);
+    sendJson(response, 200, { digest, sizeBytes, bytesPerSecond });
+  });
+  const address = await listen(server, port);
+  return {
+    address,
+    getStats: () => ({ ...stats }),
+    close: () => closeServer(server),
+  };
+}
