Run a non-idempotent call at most once

The transitions of one attempt: its record is created as `sent` right before the send, another attempt's record is never taken over, and only its writer removes it, if nothing was sent.

Ruled out: a claim that another router may take over and that becomes `sent` by CAS. Three writes a call in place of two, and the last write before the send has the same gap: a lost answer or a kill leaves `sent` behind although nothing ran.

--- /dev/null
+++ b/src/policy/idempotency_claim.ts
@@ -0,0 +1,148 @@
+/**
+ * First half of an attempt at a non-idempotent call: getting hold of its
+ * record, or answering from the record of another attempt.
+ */
+import * as Debug from "../debug.ts";
+import type { Item } from "../platform/key_value.ts";
+import {
+  type Attempt,
+  conclude,
+  go,
+  type Input,
+  refuse,
+  stay,
+  type Step,
+  type Surroundings,
+} from "./idempotency_attempt.ts";
+import {
+  type Answer,
+  type Call,
+  encodeCall,
+  tryDecodeCall,
+} from "./idempotency_record.ts";
+
+const MAX_CREATES = 3;
+
+/** Creates the record, or refuses after too many tries. */
+export function create(attempt: Attempt): Step {
+  if (attempt.creates >= MAX_CREATES) return giveUp(attempt);
+  const change = { phase: "creating", creates: attempt.creates + 1 } as const;
+  const value = encodeCall(attempt.call);
+  return go(attempt, change, { kind: "create", value });
+}
+
+function giveUp(attempt: Attempt): Step {
+  const { ranIfUnavailable } = attempt.options;
+  const detail = "The call was not sent since its record can't be confirmed";
+  return conclude(
+    attempt,
+    refuse("key-value-unavailable", detail, ranIfUnavailable),
+  );
+}
+
+function run(attempt: Attempt, revision: number): Step {
+  return go(attempt, { phase: "sending", revision }, { kind: "run" });
+}
+
+/** Waits for the attempt that holds the record, within bounds. */
+function observe(
+  attempt: Attempt,
+  call: Call,
+  { wallNow, isAlive }: Surroundings,
+): Step {
+  const { options, waitedMs } = attempt;
+  const isStale = wallNow - call.at > options.staleAfterMs;
+  if (isStale || !isAlive(call.router)) {
+    const detail = "An earlier request with this key was not seen to end";
+    return conclude(attempt, refuse("outcome-unknown", detail, "unknown"));
+  }
+  if (waitedMs >= options.maxWaitMs) {
+    const detail = "An earlier request with this key is still running";
+    return conclude(attempt, refuse("in-progress", detail, "unknown"));
+  }
+  const change = {
+    phase: "observing",
+    waitedMs: waitedMs + options.pollMs,
+  } as const;
+  return go(attempt, change, { kind: "wait", ms: options.pollMs });
+}
+
+function replay(attempt: Attempt, answer: Answer): Step {
+  if (answer.body !== undefined) {
+    return conclude(attempt, { kind: "replay", answer });
+  }
+  const detail = "The request has run; its answer was too large to keep";
+  return conclude(attempt, refuse("outcome-unknown", detail, "unknown"));
+}
+
+/** Judges the record that stands under the key. */
+function inspect(
+  attempt: Attempt,
+  item: Item,
+  surroundings: Surroundings,
+): Step {
+  const call = tryDecodeCall(item.value);
+  if (call === undefined) {
+    const detail = "The record of this key can't be read";
+    return conclude(attempt, refuse("outcome-unknown", detail, "unknown"));
+  }
+  if (call.id === attempt.call.id) {
+    Debug.assert(call.state === "sent", "unsent-call", () => call.state);
+    return run(attempt, item.revision);
+  }
+  if (call.digest !== attempt.call.digest) {
+    const detail = "The key stands for a request with other content";
+    return conclude(attempt, refuse("idempotency-mismatch", detail, "no"));
+  }
+  if (call.state === "sent") return observe(attempt, call, surroundings);
+  if (call.state === "done") return replay(attempt, call.answer);
+  const detail = "It is not known whether the request ran";
+  return conclude(attempt, refuse("outcome-unknown", detail, "unknown"));
+}
+
+/** The create was answered, or its answer was lost. */
+export function stepCreating(
+  attempt: Attempt,
+  input: Input,
+  surroundings: Surroundings,
+): Step {
+  if (input.kind === "written") return run(attempt, input.revision);
+  if (input.kind === "conflict") {
+    if (input.current === undefined) return create(attempt);
+    return inspect(attempt, input.current, surroundings);
+  }
+  if (input.kind !== "failed") return stay(attempt);
+  if (input.failure !== "unknown") return giveUp(attempt);
+  const lostCreates = attempt.lostCreates + 1;
+  return go(attempt, { phase: "resolving", lostCreates }, { kind: "read" });
+}
+
+/** The record was read after a lost create. */
+export function stepResolving(
+  attempt: Attempt,
+  input: Input,
+  surroundings: Surroundings,
+): Step {
+  if (input.kind === "failed") return giveUp(attempt);
+  if (input.kind !== "read") return stay(attempt);
+  if (input.item === undefined) return create(attempt);
+  return inspect(attempt, input.item, surroundings);
+}
+
+/** Another attempt's record was read, or is to be read. */
+export function stepObserving(
+  attempt: Attempt,
+  input: Input,
+  surroundings: Surroundings,
+): Step {
+  if (input.kind === "elapsed") return stay(attempt, { kind: "read" });
+  if (input.kind === "failed") {
+    const detail = "An earlier request with this key may have run";
+    return conclude(
+      attempt,
+      refuse("key-value-unavailable", detail, "unknown"),
+    );
+  }
+  // Released: the other attempt has sent nothing.
+  return stepResolving(attempt, input, surroundings);
+}
