--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -31,12 +31,15 @@
   createRegistryController,
   type RegistryController,
 } from "../control/registry_controller.ts";
+import { createRetentionLease } from "../control/retention_lease.ts";
 import { createTaskSystem, type TaskSystem } from "../control/task.ts";
 import type { Clock } from "../control/views.ts";
 import * as Debug from "../debug.ts";
 import { BodyFilter } from "../filters/body_filter.ts";
 import { DeadlineFilter } from "../filters/deadline_filter.ts";
 import { createFilterChain, type Exchange } from "../filters/exchange.ts";
+import { IdempotencyFilter } from "../filters/idempotency_filter.ts";
+import { LimitsFilter } from "../filters/limits_filter.ts";
 import { LocateFilter } from "../filters/locate_filter.ts";
 import { ServiceFilter } from "../filters/service_filter.ts";
 import { UpstreamFilter } from "../filters/upstream_filter.ts";
@@ -101,6 +104,7 @@
   readonly #metrics: Metrics = createMetrics();
   readonly #inFlight = createInFlight();
   readonly #retries = createRetryBudget();
+  readonly #workspaceLimits = createWorkspaceLimits();
   readonly #client: HttpClient;
   readonly #keyValue: KeyValue;
   readonly #configuration: ConfigurationController;
@@ -319,6 +323,7 @@
   #configured(configuration: Configuration): void {
     this.#metrics.configurationVersion.set(configuration.version);
     this.#index = createIndex(configuration.manifest);
+    this.#workspaceLimits.setRouters(configuration.routers.length);
     this.#peers.setRouters(configuration.routers);
     this.#pools.configure(configuration);
   }
@@ -355,6 +360,17 @@
 
   #createOwnerFilters() {
     return [
+      new IdempotencyFilter({
+        keyValue: this.#keyValue,
+        retention: createRetentionLease({
+          keyValue: this.#keyValue,
+          clock: this.#clock,
+        }),
+        router: `${this.#self.name}#${this.#incarnation}`,
+        clock: this.#clock,
+        log: this.#logs("idempotency"),
+        isAlive: (router) => this.#isAlive(router),
+      }),
       new UpstreamFilter({
         client: this.#client,
         clock: this.#clock,
@@ -368,6 +384,13 @@
     ];
   }
 
+  /** Whether the process that a record names may still be at work. */
+  #isAlive(router: string): boolean {
+    const [name, incarnation] = router.split("#");
+    if (name === this.#self.name) return incarnation === this.#incarnation;
+    return this.#peers.isLive(name!);
+  }
+
   #createLocateFilter(): LocateFilter {
     return new LocateFilter({
       self: this.#self.name,
@@ -415,6 +438,7 @@
   #createCallerHandler() {
     const chain = createFilterChain([
       new WorkspaceFilter({ find: (key) => this.#index.workspaces.get(key) }),
+      new LimitsFilter({ limits: this.#workspaceLimits, clock: this.#clock }),
       new BodyFilter(),
       new ServiceFilter({
         getManifest: () => this.#configuration.current().manifest,
--- a/src/filters/exchange.ts
+++ b/src/filters/exchange.ts
@@ -36,7 +36,7 @@
   readonly path: string;
   readonly headers: IncomingHttpHeaders;
   /** Aborted once the caller has gone or the deadline is long past. */
-  readonly signal: AbortSignal;
+  signal: AbortSignal;
   /** Monotonic time of arrival, milliseconds. */
   readonly arrivedAt: number;
   /** Reads the body within the server's bounds; called once. */
--- a/src/transport/forward_headers.ts
+++ b/src/transport/forward_headers.ts
@@ -70,6 +70,14 @@
   return typeof value === "string" ? value : "";
 }
 
+/** Reads the idempotency key of a forwarded request. */
+export function parseIdempotencyKey(
+  headers: IncomingHttpHeaders,
+): string | undefined {
+  const key = text(headers, "idempotency-key");
+  return key === "" ? undefined : key;
+}
+
 /** Reads the headers of a forwarded request; undefined where malformed. */
 export function parseForwardHeaders(
   headers: IncomingHttpHeaders,
--- a/src/transport/forward_server.ts
+++ b/src/transport/forward_server.ts
@@ -22,6 +22,7 @@
 import {
   FORWARD_TOKEN_HEADER,
   parseForwardHeaders,
+  parseIdempotencyKey,
 } from "./forward_headers.ts";
 import { type ServerLimits, writeOutcome } from "./http_server.ts";
 import { withKeepAlive } from "./keep_alive.ts";
@@ -76,12 +77,16 @@
       return refused(createRefusal("not-ready", detail));
     }
     exchange.isIdempotent = context.isIdempotent;
+    exchange.idempotencyKey = parseIdempotencyKey(request.headers);
     exchange.isStreaming = context.isStreaming;
     exchange.hops = context.hops;
     exchange.deadlineAt = exchange.arrivedAt + context.remainingMs;
     if (exchange.service.kind === "engine") {
       exchange.chat = request.headers[CHAT_HEADER] as string | undefined;
     }
+    if (!exchange.isIdempotent && exchange.idempotencyKey === undefined) {
+      return refused(createRefusal("missing-idempotency-key", "No key."));
+    }
     const body = await exchange.readBody();
     if (body.err) return refused(body.val);
     exchange.body = body.val;
