Add cflow, the operators' command line

The commands are listed in a table rather than found by file name, since their words carry hyphens and the files' names don't.

--- /dev/null
+++ b/src/cli/command_table.ts
@@ -0,0 +1,34 @@
+/**
+ * The commands of `cflow` by their ids; a colon parts the words of an id.
+ */
+import type { Command } from "@oclif/core";
+import { Explain, History, Status } from "./commands/inspection.ts";
+import {
+  ManifestApply,
+  ManifestCheck,
+  ManifestDiff,
+  ManifestSchema,
+  ManifestShow,
+} from "./commands/manifest.ts";
+import {
+  FailureDomainBringBack,
+  FailureDomainTakeOut,
+  HostBringBack,
+  HostTakeOut,
+} from "./commands/service_state.ts";
+
+/** Every command. */
+export const COMMANDS: Readonly<Record<string, Command.Class>> = {
+  "manifest:check": ManifestCheck,
+  "manifest:diff": ManifestDiff,
+  "manifest:apply": ManifestApply,
+  "manifest:show": ManifestShow,
+  "manifest:schema": ManifestSchema,
+  "failure-domain:take-out": FailureDomainTakeOut,
+  "failure-domain:bring-back": FailureDomainBringBack,
+  "host:take-out": HostTakeOut,
+  "host:bring-back": HostBringBack,
+  "status": Status,
+  "explain": Explain,
+  "history": History,
+};
--- /dev/null
+++ b/src/cli/commands/inspection.ts
@@ -0,0 +1,120 @@
+/**
+ * The commands that only look: `status`, `explain` and `history`.
+ */
+import { Args, Flags } from "@oclif/core";
+import type { Explanation, RouterStatus } from "../../types_status.ts";
+import { BaseCommand } from "../base_command.ts";
+import { summarizeEntry } from "../change_command.ts";
+import {
+  CommandFailure,
+  formatEntry,
+  toReadFailure,
+} from "../command_failure.ts";
+import type { RouterClient, RouterFailure } from "../router_client.ts";
+import { formatExplanation, formatStatuses } from "../status_format.ts";
+
+const HISTORY_DEFAULT = 20;
+const HISTORY_MAX = 1_000;
+
+/** `cflow status`. */
+export class Status extends BaseCommand {
+  static override summary = "Show what each router sees.";
+
+  async run() {
+    const { flags } = await this.parse(Status);
+    const settings = await this.readSettings(flags);
+    const answers = await this.withRouters(
+      settings,
+      (client) =>
+        Promise.all(settings.routers.map((router) => client.getStatus(router))),
+    );
+    const routers: RouterStatus[] = [];
+    const unreachable: RouterFailure[] = [];
+    for (const answer of answers) {
+      if (answer.ok) routers.push(answer.val);
+      else unreachable.push(answer.val);
+    }
+    if (routers.length === 0) throw toUnreachable(unreachable);
+    this.log(formatStatuses(routers, unreachable));
+    return { routers, unreachable };
+  }
+}
+
+/** `cflow explain CHAT --service S`. */
+export class Explain extends BaseCommand {
+  static override summary = "Show where a chat would be placed, and why.";
+  static override args = {
+    chat: Args.string({ required: true, description: "chat id" }),
+  };
+  static override flags = {
+    service: Flags.string({ required: true, description: "name of a service" }),
+  };
+
+  async run(): Promise<Explanation> {
+    const { args: { chat }, flags } = await this.parse(Explain);
+    const settings = await this.readSettings(flags);
+    const explanation = await this.withRouters(
+      settings,
+      (client) =>
+        askInTurn(client, settings.routers, { service: flags.service, chat }),
+    );
+    this.log(formatExplanation(explanation));
+    return explanation;
+  }
+}
+
+/** `cflow history`. */
+export class History extends BaseCommand {
+  static override summary = "List the newest changes, newest first.";
+  static override flags = {
+    limit: Flags.integer({
+      description: "number of changes",
+      default: HISTORY_DEFAULT,
+      min: 1,
+      max: HISTORY_MAX,
+    }),
+  };
+
+  async run() {
+    const { flags } = await this.parse(History);
+    const settings = await this.readSettings(flags);
+    const entries = await this.withStore(
+      settings,
+      (store) => store.history(flags.limit),
+    );
+    if (entries.err) throw toReadFailure(entries.val);
+    for (const entry of entries.val) this.log(formatEntry(entry));
+    return { entries: entries.val.map(summarizeEntry) };
+  }
+}
+
+/** Returns the answer of the first router that gives one. */
+async function askInTurn(
+  client: RouterClient,
+  routers: readonly string[],
+  chat: { service: string; chat: string },
+): Promise<Explanation> {
+  const failures: RouterFailure[] = [];
+  for (const router of routers) {
+    const explanation = await client.explain(router, chat);
+    if (explanation.ok) return explanation.val;
+    if (explanation.val.kind === "refused") {
+      const message = `The router refused the question: ` +
+        `${explanation.val.detail}. See the services with: cflow status`;
+      throw new CommandFailure("bad-input", message);
+    }
+    failures.push(explanation.val);
+  }
+  throw toUnreachable(failures);
+}
+
+function toUnreachable(failures: readonly RouterFailure[]): CommandFailure {
+  const message = "No router gave an answer. Check the addresses of --routers.";
+  const details = failures.map(({ address, detail }) =>
+    `${address}: ${detail}`
+  );
+  return new CommandFailure("platform-unreachable", message, {
+    details,
+    data: { unreachable: failures },
+  });
+}
