--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -22,6 +22,7 @@
 } from "../policy/capacity_shares.ts";
 import {
   type ChatDirectory,
+  type ChatHash,
   createChatDirectory,
 } from "../policy/chat_directory.ts";
 import { getMeanInFlight, limitOf } from "../policy/load_bound.ts";
@@ -109,7 +110,7 @@
   receive(peer: string, heartbeat: Heartbeat): void;
   summarise(): PoolSummary;
   /** Order in which a chat would try the upstreams. */
-  explain(request: AcquireRequest): {
+  explain(chat: ChatHash): {
     home: string | undefined;
     order: readonly string[];
   };
@@ -309,11 +310,11 @@
     };
   }
 
-  explain(request: AcquireRequest) {
-    const home = request.chat && this.#directory.get(request.chat);
+  explain(chat: ChatHash) {
+    const home = this.#directory.get(chat);
     return {
       home: home && this.#byIndex[home.upstream]?.upstream.name,
-      order: this.#orderFor(request).map(({ upstream }) => upstream.name),
+      order: this.#orderFor(chat).map(({ upstream }) => upstream.name),
     };
   }
 
@@ -476,7 +477,7 @@
 
   #candidatesFor(request: AcquireRequest, now: number): Candidate[] {
     const limits = this.#limits(now);
-    return this.#orderFor(request).map((state) => {
+    return this.#orderFor(request.chat).map((state) => {
       const { name, failureDomain } = state.upstream;
       const limit = limits.get(name) ?? 0;
       const inFlight = this.#shares.inFlightEstimate(name, now);
@@ -495,7 +496,7 @@
     });
   }
 
-  #orderFor({ chat }: AcquireRequest): UpstreamState[] {
+  #orderFor(chat: ChatHash | undefined): UpstreamState[] {
     const listed = [...this.#upstreams.values()].filter((each) =>
       each.isListed
     );
--- a/src/daemon/admin.ts
+++ b/src/daemon/admin.ts
@@ -2,6 +2,7 @@
  * Paths of the caller port that are for the balancer and for operators.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Explanation, RouterStatus } from "../types_status.ts";
 import type { Metrics } from "./metrics.ts";
 
 /** Handles an HTTP request. */
@@ -16,6 +17,20 @@
   readonly next: Handler;
   readonly metrics: Metrics;
   isReady(): boolean;
+  getStatus(): Promise<RouterStatus>;
+  /** Undefined for an unknown service. */
+  explain(service: string, chat: string): Explanation | undefined;
+}
+
+const BASE = "http://router";
+
+function writeJson(
+  response: ServerResponse,
+  document: unknown,
+  status = 200,
+): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(document));
 }
 
 /** Creates the handler. */
@@ -28,18 +43,42 @@
     response.end(body);
   }
 
+  function writeReadiness(response: ServerResponse): void {
+    const isUp = isReady();
+    response.writeHead(isUp ? 200 : 503).end(isUp ? "ready\n" : "not ready\n");
+  }
+
+  function writeExplanation(url: URL, response: ServerResponse): void {
+    const service = url.searchParams.get("service") ?? "";
+    const chat = url.searchParams.get("chat") ?? "";
+    const explanation = options.explain(service, chat);
+    if (explanation !== undefined) {
+      writeJson(response, explanation);
+      return;
+    }
+    const title = `There is no service ${service}.`;
+    writeJson(response, { title, status: 404 }, 404);
+  }
+
   return function handle(request, response) {
-    switch (request.url) {
+    const target = request.url ?? "/";
+    const [path] = target.split("?", 1);
+    switch (path) {
       case "/healthz":
         response.writeHead(200).end("ok\n");
         break;
       case "/readyz":
-        response.writeHead(isReady() ? 200 : 503)
-          .end(isReady() ? "ready\n" : "not ready\n");
+        writeReadiness(response);
         break;
       case "/metrics":
         void writeMetrics(response);
         break;
+      case "/admin/status":
+        void options.getStatus().then((status) => writeJson(response, status));
+        break;
+      case "/admin/explain":
+        writeExplanation(new URL(target, BASE), response);
+        break;
       default:
         next(request, response);
     }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -50,6 +50,7 @@
 import type { ChatHash } from "../policy/chat_directory.ts";
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import { createRetryBudget } from "../policy/retry_budget.ts";
+import { createWorkspaceLimits } from "../policy/workspace_limits.ts";
 import {
   createCallerHandler,
   createInFlight,
@@ -59,6 +60,8 @@
 import { createHttpClient, type HttpClient } from "../transport/http_client.ts";
 import { listenForHttp, type ServerLimits } from "../transport/http_server.ts";
 import type { Router } from "../types.ts";
+import type { Explanation, RouterStatus } from "../types_status.ts";
+import { renderStatus } from "./status.ts";
 import { createLoadPoller } from "./load_poller.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
 import { createLogFactory, type LogFactory } from "./log.ts";
@@ -458,9 +461,40 @@
       next: handleRequest,
       metrics: this.#metrics,
       isReady: () => this.#isReady(),
+      getStatus: () => this.#getStatus(),
+      explain: (service, chat) => this.#explain(service, chat),
     });
   }
 
+  async #getStatus(): Promise<RouterStatus> {
+    const { values } = await this.#metrics.invariantBreaches.get();
+    return renderStatus({
+      name: this.#self.name,
+      ready: this.#isReady(),
+      leaving: this.#peers.isLeaving(),
+      configuration: this.#configuration.current(),
+      pools: this.#pools.list().map((pool) => pool.summarise()),
+      peers: this.#peers.status(),
+      breaches: values.reduce((sum, { value }) => sum + value, 0),
+    });
+  }
+
+  #explain(name: string, chat: string): Explanation | undefined {
+    const service = this.#index.services.get(name);
+    if (service === undefined) return undefined;
+    const { pool, replicas } = this.#pools.locate(service, chat);
+    const owner = replicas.find((each) => this.#peers.isLive(each)) ?? null;
+    const explained = this.#pools.getController(pool)?.explain(
+      this.#hashChat(chat),
+    );
+    const order = (explained?.order ?? []).map((upstream, rank) => ({
+      upstream,
+      reason: `number ${rank + 1} in rendezvous order`,
+    }));
+    const home = explained?.home;
+    return { pool, owner, order, ...(home !== undefined && { home }) };
+  }
+
   #isReady(): boolean {
     const { manifest, routers } = this.#configuration.current();
     if (manifest === undefined || this.#peers.isLeaving()) return false;
