Take an upstream for cold only when it is slower than its pool

Ruled out: the engines (no fall, batches under 16) and the capacity shares (the owner held every rank).

An answer is slow only against the pool's own time for such a prompt, and only a run of three makes the upstream cold.

--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -38,8 +38,11 @@
 import type { AcquireRequest, AttemptEnd, Grant, Pool } from "./pool.ts";
 import type { Task, TaskSystem } from "./task.ts";
 import {
+  createFirstByteModel,
   createUpstreamState,
   describe,
+  estimateFirstByteMs,
+  noteFirstByte,
   noteReport,
   noteTimes,
   type UpstreamState,
@@ -191,6 +194,7 @@
   readonly #waiting = new Map<string, Waiting>();
   readonly #upstreams = new Map<string, UpstreamState>();
   readonly #byIndex: UpstreamState[] = [];
+  readonly #firstByte = createFirstByteModel();
   readonly #timer: NodeJS.Timeout;
   #remainders: Remainder[] = [];
   #service: Service | undefined;
@@ -596,19 +600,25 @@
     state: UpstreamState,
     { grant, end, now }: { grant: Grant; end: AttemptEnd; now: number },
   ): void {
+    const promptTokens = end.promptTokens ?? 0;
+    const cachedTokens = end.cachedTokens ?? 0;
+    const computedTokens = promptTokens - cachedTokens;
+    const { firstByteMs } = end;
     state.coldStart.onAnswer({
       ok: end.isOk,
-      firstByteMs: end.firstByteMs,
+      firstByteMs,
+      poolFirstByteMs: estimateFirstByteMs(this.#firstByte, computedTokens),
       incarnation: end.isOk ? state.incarnation : undefined,
       inFlight: this.#shares.inFlightEstimate(state.upstream.name, now),
     }, now);
     if (end.fate !== "finished" || !end.isOk) return;
-    const promptTokens = end.promptTokens ?? 0;
-    const cachedTokens = end.cachedTokens ?? 0;
+    if (firstByteMs !== undefined) {
+      noteFirstByte(this.#firstByte, { firstByteMs, computedTokens });
+    }
     noteTimes(state, {
       totalMs: now - grant.beganAt,
-      firstByteMs: end.firstByteMs,
-      computedTokens: promptTokens - cachedTokens,
+      firstByteMs,
+      computedTokens,
     });
     const { metrics } = this.#options;
     const service = grant.service.name;
--- a/src/control/upstream_state.ts
+++ b/src/control/upstream_state.ts
@@ -8,6 +8,8 @@
 const SMOOTHING = 0.1;
 const INITIAL_SERVICE_MS = 500;
 const INITIAL_MS_PER_TOKEN = 0.2;
+/** Fewer computed tokens tell little of the time that one takes. */
+const MIN_SAMPLE_TOKENS = 64;
 
 /** State of one upstream in a pool. */
 export interface UpstreamState {
@@ -85,6 +87,42 @@
   return isNew;
 }
 
+/** Time to first byte of a pool's answers, apart from their prompts. */
+export interface FirstByteModel {
+  /** Smoothed time that is left after the prompt's share, milliseconds. */
+  baseMs: number;
+  /** Smoothed time to compute one prompt token, milliseconds. */
+  msPerPromptToken: number;
+}
+
+/** Creates the model of a pool that has seen no answer. */
+export function createFirstByteModel(): FirstByteModel {
+  return { baseMs: 0, msPerPromptToken: INITIAL_MS_PER_TOKEN };
+}
+
+/** Estimates the time to first byte of a prompt. */
+export function estimateFirstByteMs(
+  { baseMs, msPerPromptToken }: FirstByteModel,
+  computedTokens: number,
+): number {
+  return baseMs + computedTokens * msPerPromptToken;
+}
+
+/** Adds an answer to the model. */
+export function noteFirstByte(
+  model: FirstByteModel,
+  { firstByteMs, computedTokens }: {
+    firstByteMs: number;
+    computedTokens: number;
+  },
+): void {
+  const promptMs = computedTokens * model.msPerPromptToken;
+  model.baseMs = smooth(model.baseMs, Math.max(0, firstByteMs - promptMs));
+  if (computedTokens < MIN_SAMPLE_TOKENS) return;
+  const sample = Math.max(0, firstByteMs - model.baseMs) / computedTokens;
+  model.msPerPromptToken = smooth(model.msPerPromptToken, sample);
+}
+
 function smooth(mean: number, sample: number): number {
   return mean + SMOOTHING * (sample - mean);
 }
--- a/src/filters/idempotency_filter.ts
+++ b/src/filters/idempotency_filter.ts
@@ -78,7 +78,9 @@
     if (exchange.isIdempotent) return next();
     // A caller that goes away must not break off what may not be repeated.
     const leftMs = exchange.deadlineAt - this.#options.clock();
-    exchange.signal = AbortSignal.timeout(Math.max(1, leftMs + GRACE_MS));
+    exchange.signal = AbortSignal.timeout(
+      Math.max(1, Math.ceil(leftMs + GRACE_MS)),
+    );
     const service = exchange.service!.name;
     const workspace = exchange.workspace!.name;
     const key = getCallKey(exchange.idempotencyKey!, { workspace, service });
--- a/src/policy/cold_start.ts
+++ b/src/policy/cold_start.ts
@@ -20,6 +20,8 @@
   readonly slowFloorMs?: number;
   /** Answers before the mean time to first byte is relied on. */
   readonly historyCount?: number;
+  /** Slow answers in a row that make the upstream cold. */
+  readonly slowCount?: number;
 }
 
 /** How an attempt on the upstream went. */
@@ -28,6 +30,11 @@
   readonly ok: boolean;
   /** Time to first byte; absent where none came. */
   readonly firstByteMs?: number;
+  /**
+   * Time to first byte that the pool's upstreams take at present for such a
+   * prompt. A load that slows all of them says nothing of one being cold.
+   */
+  readonly poolFirstByteMs?: number;
   /** Incarnation that answered; absent where none did. */
   readonly incarnation?: string;
   /**
@@ -54,6 +61,7 @@
   slowFactor: 8,
   slowFloorMs: 200,
   historyCount: 8,
+  slowCount: 3,
 } as const;
 const HISTORY_WEIGHT = 0.1;
 const FAILURE_FACTOR = 0.5;
@@ -76,6 +84,7 @@
   #reportMadeAt = -Infinity;
   #meanFirstByteMs = 0;
   #answerCount = 0;
+  #slowRun = 0;
 
   constructor(options: Required<ColdStartOptions>) {
     this.#options = options;
@@ -117,10 +126,10 @@
       this.#fallBack();
       return;
     }
-    if (this.#noteFirstByte(answer.firstByteMs)) {
-      this.#reset();
-      return;
-    }
+    const isSlow = this.#noteFirstByte(answer);
+    this.#slowRun = isSlow ? this.#slowRun + 1 : 0;
+    if (this.#slowRun >= this.#options.slowCount) this.#reset();
+    if (isSlow) return;
     if (!this.#flaggedCold) this.#grow(answer, now);
   }
 
@@ -153,10 +162,11 @@
    * A slow one counts as just slow, so that the mean follows a lasting change
    * without following a single outlier.
    */
-  #noteFirstByte(firstByteMs: number | undefined): boolean {
+  #noteFirstByte({ firstByteMs, poolFirstByteMs = 0 }: Answer): boolean {
     if (firstByteMs === undefined) return false;
     const { slowFactor, slowFloorMs, historyCount } = this.#options;
-    const bound = Math.max(slowFloorMs, slowFactor * this.#meanFirstByteMs);
+    const usual = Math.max(this.#meanFirstByteMs, poolFirstByteMs);
+    const bound = Math.max(slowFloorMs, slowFactor * usual);
     const isSlow = this.#answerCount >= historyCount && firstByteMs > bound;
     const sample = isSlow ? bound : firstByteMs;
     this.#answerCount++;
