--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -31,12 +31,15 @@
   createRegistryController,
   type RegistryController,
 } from "../control/registry_controller.ts";
+import { createRetentionLease } from "../control/retention_lease.ts";
 import { createTaskSystem, type TaskSystem } from "../control/task.ts";
 import type { Clock } from "../control/views.ts";
 import * as Debug from "../debug.ts";
 import { BodyFilter } from "../filters/body_filter.ts";
 import { DeadlineFilter } from "../filters/deadline_filter.ts";
 import { createFilterChain, type Exchange } from "../filters/exchange.ts";
+import { IdempotencyFilter } from "../filters/idempotency_filter.ts";
+import { LimitsFilter } from "../filters/limits_filter.ts";
 import { LocateFilter } from "../filters/locate_filter.ts";
 import { ServiceFilter } from "../filters/service_filter.ts";
 import { UpstreamFilter } from "../filters/upstream_filter.ts";
@@ -47,6 +50,7 @@
 import type { ChatHash } from "../policy/chat_directory.ts";
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import { createRetryBudget } from "../policy/retry_budget.ts";
+import { createWorkspaceLimits } from "../policy/workspace_limits.ts";
 import {
   createCallerHandler,
   createInFlight,
@@ -56,6 +60,8 @@
 import { createHttpClient, type HttpClient } from "../transport/http_client.ts";
 import { listenForHttp, type ServerLimits } from "../transport/http_server.ts";
 import type { Router } from "../types.ts";
+import type { Explanation, RouterStatus } from "../types_status.ts";
+import { renderStatus } from "./status.ts";
 import { createLoadPoller } from "./load_poller.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
 import { createLogFactory, type LogFactory } from "./log.ts";
@@ -101,6 +107,7 @@
   readonly #metrics: Metrics = createMetrics();
   readonly #inFlight = createInFlight();
   readonly #retries = createRetryBudget();
+  readonly #workspaceLimits = createWorkspaceLimits();
   readonly #client: HttpClient;
   readonly #keyValue: KeyValue;
   readonly #configuration: ConfigurationController;
@@ -319,6 +326,7 @@
   #configured(configuration: Configuration): void {
     this.#metrics.configurationVersion.set(configuration.version);
     this.#index = createIndex(configuration.manifest);
+    this.#workspaceLimits.setRouters(configuration.routers.length);
     this.#peers.setRouters(configuration.routers);
     this.#pools.configure(configuration);
   }
@@ -355,6 +363,17 @@
 
   #createOwnerFilters() {
     return [
+      new IdempotencyFilter({
+        keyValue: this.#keyValue,
+        retention: createRetentionLease({
+          keyValue: this.#keyValue,
+          clock: this.#clock,
+        }),
+        router: `${this.#self.name}#${this.#incarnation}`,
+        clock: this.#clock,
+        log: this.#logs("idempotency"),
+        isAlive: (router) => this.#isAlive(router),
+      }),
       new UpstreamFilter({
         client: this.#client,
         clock: this.#clock,
@@ -368,6 +387,13 @@
     ];
   }
 
+  /** Whether the process that a record names may still be at work. */
+  #isAlive(router: string): boolean {
+    const [name, incarnation] = router.split("#");
+    if (name === this.#self.name) return incarnation === this.#incarnation;
+    return this.#peers.isLive(name!);
+  }
+
   #createLocateFilter(): LocateFilter {
     return new LocateFilter({
       self: this.#self.name,
@@ -415,6 +441,7 @@
   #createCallerHandler() {
     const chain = createFilterChain([
       new WorkspaceFilter({ find: (key) => this.#index.workspaces.get(key) }),
+      new LimitsFilter({ limits: this.#workspaceLimits, clock: this.#clock }),
       new BodyFilter(),
       new ServiceFilter({
         getManifest: () => this.#configuration.current().manifest,
@@ -434,9 +461,40 @@
       next: handleRequest,
       metrics: this.#metrics,
       isReady: () => this.#isReady(),
+      getStatus: () => this.#getStatus(),
+      explain: (service, chat) => this.#explain(service, chat),
     });
   }
 
+  async #getStatus(): Promise<RouterStatus> {
+    const { values } = await this.#metrics.invariantBreaches.get();
+    return renderStatus({
+      name: this.#self.name,
+      ready: this.#isReady(),
+      leaving: this.#peers.isLeaving(),
+      configuration: this.#configuration.current(),
+      pools: this.#pools.list().map((pool) => pool.summarise()),
+      peers: this.#peers.status(),
+      breaches: values.reduce((sum, { value }) => sum + value, 0),
+    });
+  }
+
+  #explain(name: string, chat: string): Explanation | undefined {
+    const service = this.#index.services.get(name);
+    if (service === undefined) return undefined;
+    const { pool, replicas } = this.#pools.locate(service, chat);
+    const owner = replicas.find((each) => this.#peers.isLive(each)) ?? null;
+    const explained = this.#pools.getController(pool)?.explain(
+      this.#hashChat(chat),
+    );
+    const order = (explained?.order ?? []).map((upstream, rank) => ({
+      upstream,
+      reason: `number ${rank + 1} in rendezvous order`,
+    }));
+    const home = explained?.home;
+    return { pool, owner, order, ...(home !== undefined && { home }) };
+  }
+
   #isReady(): boolean {
     const { manifest, routers } = this.#configuration.current();
     if (manifest === undefined || this.#peers.isLeaving()) return false;
