Hold a set of routers down only as long as no peer has had it

A start of the whole fleet waited 15 s before its first admission, and a router that came back as an owner would have as well. A heartbeat names the version of the set of routers and for how long it has been in force; the first set of all needs no hold-down, since nobody can have admitted under an earlier one.

--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -47,6 +47,8 @@
   readonly routers: readonly Router[];
   /** Version of the entry that set `routers`; 0 before the first. */
   readonly routersVersion: number;
+  /** Version of the entry that `routers` replaced; 0 where there was none. */
+  readonly routersReplaced: number;
 }
 
 /** The configuration before the first entry. */
@@ -57,4 +59,5 @@
   hostsOut: [],
   routers: [],
   routersVersion: 0,
+  routersReplaced: 0,
 };
--- a/src/config/configuration_codec.ts
+++ b/src/config/configuration_codec.ts
@@ -63,6 +63,7 @@
   hostsOut: NamesSchema,
   routers: RoutersSchema,
   routersVersion: Type.Integer({ minimum: 0 }),
+  routersReplaced: Type.Integer({ minimum: 0 }),
 });
 
 const ajv = new Ajv();
@@ -124,6 +125,7 @@
     hostsOut: configuration.hostsOut,
     routers: configuration.routers.map(orderRouter),
     routersVersion: configuration.routersVersion,
+    routersReplaced: configuration.routersReplaced,
     manifest: configuration.manifest,
   };
   return JSON.stringify(ordered).replaceAll(
--- a/src/config/configuration_log.ts
+++ b/src/config/configuration_log.ts
@@ -67,6 +67,7 @@
         ...configuration,
         routers: change.routers,
         routersVersion: version,
+        routersReplaced: configuration.routersVersion,
       };
   }
 }
--- a/src/config/configuration_log_test.ts
+++ b/src/config/configuration_log_test.ts
@@ -78,6 +78,7 @@
     hostsOut: ["host-a", "host-b"],
     routers: [router],
     routersVersion: 8,
+    routersReplaced: 0,
   });
   expect(fold(changes)).toMatchObject({
     failureDomainsOut: ["b"],
--- a/src/control/configuration_controller.ts
+++ b/src/control/configuration_controller.ts
@@ -40,14 +40,24 @@
   readonly pollMs?: number;
   /** Interval of the attempts to open a lost watch, in milliseconds. */
   readonly retryMs?: number;
-  onChange(configuration: Configuration): void;
+  /** `previous` is the configuration that was in force until now. */
+  onChange(configuration: Configuration, previous: Configuration): void;
+}
+
+/** What a peer says of its configuration in a heartbeat. */
+export interface PeerWord {
+  readonly version: number;
+  /** Version of the entry that set its routers. */
+  readonly routersVersion: number;
+  /** For how long that set has been in force, milliseconds. */
+  readonly routersInForceMs: number;
 }
 
 /** Follows the configuration. */
 export interface ConfigurationController extends ConfigurationView {
   open(): void;
   /** Notes the version that a peer named in a heartbeat. */
-  notePeer(peer: string, version: number): void;
+  notePeer(peer: string, word: PeerWord): void;
   /** Renders the configuration for a peer at version `after`. */
   renderFor(after: number): string | undefined;
   close(): void;
@@ -66,6 +76,17 @@
 const POLL_MS = 10_000;
 const RETRY_MS = 1_000;
 
+/** Whether sets of routers between two configurations were not seen. */
+export function hasRoutersGap(
+  configuration: Configuration,
+  previous: Configuration,
+): boolean {
+  const { routersVersion, routersReplaced } = configuration;
+  if (previous.routersVersion === 0) return false;
+  if (routersVersion === previous.routersVersion) return false;
+  return routersReplaced !== previous.routersVersion;
+}
+
 /** Creates the controller; `open` starts it. */
 export function createConfigurationController(
   options: ConfigurationOptions,
@@ -78,6 +99,8 @@
   readonly #task: Task<Message>;
   #configuration: Configuration = EMPTY_CONFIGURATION;
   #confirmedAt = -Infinity;
+  /** Since when the set of routers has been in force at some router. */
+  #routersSince = Infinity;
   #readAt = -Infinity;
   #watch: Watch | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -111,7 +134,13 @@
     );
   }
 
-  notePeer(peer: string, version: number): void {
+  routersInForceMs(): number {
+    return this.#options.clock() - this.#routersSince;
+  }
+
+  notePeer(peer: string, word: PeerWord): void {
+    const { version } = word;
+    this.#noteRouters(word);
     if (version > this.#configuration.version) {
       this.#task.send({ kind: "peer", peer, version });
       return;
@@ -220,19 +249,34 @@
     this.#adopt(configuration.val, peer);
   }
 
+  #noteOwnRouters({ routersVersion, routersReplaced }: Configuration): void {
+    if (routersVersion === this.#configuration.routersVersion) return;
+    // Nobody can have admitted anything under a set before the first.
+    const isFirst = routersReplaced === 0;
+    this.#routersSince = isFirst ? -Infinity : this.#options.clock();
+  }
+
+  /** A set that a peer has had for long needs no new hold-down here. */
+  #noteRouters({ routersVersion, routersInForceMs }: PeerWord): void {
+    if (routersVersion !== this.#configuration.routersVersion) return;
+    const since = this.#options.clock() - routersInForceMs;
+    this.#routersSince = Math.min(this.#routersSince, since);
+  }
+
   #adopt(configuration: Configuration, source: string): void {
-    const previous = this.#configuration.version;
-    if (configuration.version <= previous) return;
+    const previous = this.#configuration;
+    if (configuration.version <= previous.version) return;
+    this.#noteOwnRouters(configuration);
     this.#configuration = configuration;
     Debug.assert(
-      this.#configuration.version > previous,
+      this.#configuration.version > previous.version,
       "configuration-rises",
-      () => `${this.#configuration.version} after ${previous}`,
+      () => `${this.#configuration.version} after ${previous.version}`,
     );
     this.#options.log.info("A configuration is in force.", {
       version: configuration.version,
       source,
     });
-    this.#options.onChange(configuration);
+    this.#options.onChange(configuration, previous);
   }
 }
--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -3,7 +3,8 @@
  * keeps the membership.
  *
  * A heartbeat is the notification `hb` with the parameters
- * `[incarnation, sentAt, version, isLeaving, loans]`, where `loans` lists
+ * `[incarnation, sentAt, version, routersVersion, routersInForceMs, isLeaving,
+ * loans]`, where `loans` lists
  * the pools whose rank the sender lends to the receiver.
  */
 import type { Server } from "node:net";
@@ -19,6 +20,7 @@
   type PeerDial,
 } from "../transport/peer_connection.ts";
 import type { Task, TaskSystem } from "./task.ts";
+import type { PeerWord } from "./configuration_controller.ts";
 import type { Clock, LivenessView } from "./views.ts";
 
 /** A loan that the sender of a heartbeat makes in one pool. */
@@ -32,7 +34,7 @@
   readonly peer: string;
   /** Process of the peer, and its monotonic time when it was sent. */
   readonly sentAt: Stamp;
-  readonly version: number;
+  readonly word: PeerWord;
   readonly isLeaving: boolean;
   readonly offers: readonly PoolOffer[];
 }
@@ -46,8 +48,8 @@
   onHeartbeat(heartbeat: Heartbeat): void;
   onRequest(method: string, params: unknown): Promise<unknown>;
   onBytes(direction: Direction, bytes: number): void;
-  /** Version of the configuration in force here. */
-  version(): number;
+  /** What to say of the configuration in force here. */
+  getWord(): PeerWord;
 }
 
 /** Options of the peers controller. */
@@ -112,6 +114,8 @@
   incarnation: string,
   sentAt: number,
   version: number,
+  routersVersion: number,
+  routersInForceMs: number,
   isLeaving: 0 | 1,
   loans: readonly WireLoan[],
 ];
@@ -119,18 +123,27 @@
 /** A loan with the stamp of the heartbeat that it answers. */
 type WireLoan = readonly [pool: string, incarnation: string, at: number];
 
+/** Longest time in force that a heartbeat names. */
+const MAX_IN_FORCE_MS = 1_000_000_000;
+
+/** Rounds down, so that a loan never ends later than its stamp allows. */
+function roundStamp(at: number): number {
+  return Math.floor(at);
+}
+
 function parseHeartbeat(peer: string, params: unknown): Heartbeat | undefined {
-  if (!Array.isArray(params) || params.length < 5) return undefined;
-  const [incarnation, at, version, leaving, loans] =
+  if (!Array.isArray(params) || params.length < 7) return undefined;
+  const [incarnation, at, version, routersVersion, inForceMs, leaving, loans] =
     params as unknown as WireHeartbeat;
-  if (typeof at !== "number" || typeof version !== "number") return undefined;
+  const numbers = [at, version, routersVersion, inForceMs];
+  if (!numbers.every(Number.isFinite)) return undefined;
   if (typeof incarnation !== "string" || !Array.isArray(loans)) {
     return undefined;
   }
   return {
     peer,
     sentAt: { incarnation, at },
-    version,
+    word: { version, routersVersion, routersInForceMs: inForceMs },
     isLeaving: leaving === 1,
     offers: loans.map(toOffer),
   };
@@ -394,10 +407,13 @@
     offers: readonly PoolOffer[],
   ): void {
     const { hooks, incarnation, clock } = this.#options;
+    const word = hooks.getWord();
     const params: WireHeartbeat = [
       incarnation,
-      clock(),
-      hooks.version(),
+      roundStamp(clock()),
+      word.version,
+      word.routersVersion,
+      Math.min(MAX_IN_FORCE_MS, Math.floor(word.routersInForceMs)),
       this.#isLeaving ? 1 : 0,
       toWireLoans(offers),
     ];
@@ -411,7 +427,7 @@
     const now = this.#options.clock();
     const { incarnation } = heartbeat.sentAt;
     peer.heardAt = now;
-    peer.version = heartbeat.version;
+    peer.version = heartbeat.word.version;
     this.#membership.heard(connection.peer, now, { incarnation });
     if (heartbeat.isLeaving) {
       this.#membership.leaving(connection.peer, { incarnation });
--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -47,7 +47,7 @@
   noteTimes,
   type UpstreamState,
 } from "./upstream_state.ts";
-import type { Clock, LivenessView } from "./views.ts";
+import type { Clock, ConfigurationView, LivenessView } from "./views.ts";
 
 /** Times that a pool goes by, in milliseconds. */
 export interface PoolTiming {
@@ -72,8 +72,7 @@
   readonly liveness: LivenessView;
   /** The last word on whether work may be sent to an upstream. */
   isInService(upstream: Upstream): boolean;
-  /** Monotonic time at which the configuration was last confirmed. */
-  confirmedAt(): number;
+  readonly configuration: ConfigurationView;
   /** Asks an upstream for its load; undefined if it does not answer. */
   poll(upstream: Upstream): Promise<LoadReport | undefined>;
 }
@@ -102,12 +101,17 @@
   readonly upstreams: readonly UpstreamSummary[];
 }
 
+/** What the configuration says of a pool beside its service. */
+export interface PoolConfiguration {
+  readonly upstreams: readonly Upstream[];
+  readonly replicas: readonly string[];
+  /** Whether sets of routers before this one were not seen. */
+  readonly hasGap: boolean;
+}
+
 /** The controller of a pool. */
 export interface PoolController extends Pool {
-  configure(service: Service, options: {
-    upstreams: readonly Upstream[];
-    replicas: readonly string[];
-  }): void;
+  configure(service: Service, options: PoolConfiguration): void;
   /** Makes the offers of this pool to `peers`, in the same order. */
   collectOffers(peers: readonly string[]): Promise<readonly Offer[]>;
   receive(peer: string, heartbeat: Heartbeat): void;
@@ -152,8 +156,7 @@
   | {
     readonly kind: "configure";
     readonly service: Service;
-    readonly upstreams: readonly Upstream[];
-    readonly replicas: readonly string[];
+    readonly options: PoolConfiguration;
   }
   | { readonly kind: "tick" };
 
@@ -262,14 +265,8 @@
     this.#send({ kind: "report", upstream, report, askedAt, isPoll: false });
   }
 
-  configure(
-    service: Service,
-    { upstreams, replicas }: {
-      upstreams: readonly Upstream[];
-      replicas: readonly string[];
-    },
-  ): void {
-    this.#send({ kind: "configure", service, upstreams, replicas });
+  configure(service: Service, options: PoolConfiguration): void {
+    this.#send({ kind: "configure", service, options });
   }
 
   collectOffers(peers: readonly string[]): Promise<readonly Offer[]> {
@@ -357,7 +354,7 @@
         this.#receive(message.peer, message.heartbeat);
         break;
       case "configure":
-        this.#configure(message.service, message);
+        this.#configure(message.service, message.options);
         break;
       case "tick":
         this.#tick();
@@ -701,20 +698,24 @@
 
   #configure(
     service: Service,
-    { upstreams, replicas }: {
-      upstreams: readonly Upstream[];
-      replicas: readonly string[];
-    },
+    { upstreams, replicas, hasGap }: PoolConfiguration,
   ): void {
     const now = this.#options.clock();
     this.#service = service;
     this.#replicas = replicas;
-    this.#shares.setReplicas([...replicas].sort(), now);
+    this.#setReplicas(now, hasGap);
     for (const state of this.#upstreams.values()) state.isListed = false;
     for (const upstream of upstreams) this.#list(service, upstream);
     this.#pump();
   }
 
+  /** Sets the replicas, or notes that the set has been in force elsewhere. */
+  #setReplicas(now: number, afterGap = false): void {
+    const inForceMs = this.#options.configuration.routersInForceMs();
+    const replicas = [...this.#replicas].sort();
+    this.#shares.setReplicas(replicas, now, { inForceMs, afterGap });
+  }
+
   #list(service: Service, upstream: Upstream): void {
     const state = this.#upstreams.get(upstream.name);
     if (state !== undefined) {
@@ -729,7 +730,8 @@
 
   #tick(): void {
     const now = this.#options.clock();
-    this.#shares.confirm(this.#options.confirmedAt());
+    this.#shares.confirm(this.#options.configuration.confirmedAt());
+    this.#setReplicas(now, hasGap);
     for (const state of this.#upstreams.values()) this.#pollIfDue(state, now);
     this.#pump();
   }
--- a/src/control/pools_controller.ts
+++ b/src/control/pools_controller.ts
@@ -71,7 +71,8 @@
 
 /** The pools of this router. */
 export interface PoolsController extends PoolDirectory {
-  configure(configuration: Configuration): void;
+  /** `hasGap`: sets of routers before this one were not seen. */
+  configure(configuration: Configuration, options: { hasGap: boolean }): void;
   /** Controllers of the pools that this router is a replica of. */
   list(): readonly PoolController[];
   getController(pool: string): PoolController | undefined;
@@ -94,7 +95,10 @@
     this.#options = options;
   }
 
-  configure(configuration: Configuration): void {
+  configure(
+    configuration: Configuration,
+    { hasGap }: { hasGap: boolean },
+  ): void {
     const { hash, self } = this.#options;
     const plans = planPools(configuration, hash);
     this.#plans = new Map(plans.map((plan) => [plan.id, plan]));
@@ -102,7 +106,7 @@
       const isReplica = plan.replicas.includes(self);
       // A former replica keeps its controller: work may be in flight under it.
       if (!isReplica && !this.#controllers.has(plan.id)) continue;
-      this.#controllerOf(plan.id).configure(plan.service, plan);
+      this.#controllerOf(plan.id).configure(plan.service, { ...plan, hasGap });
     }
     this.#retire();
   }
--- a/src/control/views.ts
+++ b/src/control/views.ts
@@ -12,6 +12,8 @@
   current(): Configuration;
   /** Monotonic time at which the version was last confirmed as the newest. */
   confirmedAt(): number;
+  /** For how long the set of routers has been in force at some router, ms. */
+  routersInForceMs(): number;
 }
 
 /** Which routers this one takes for live. */
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -11,6 +11,8 @@
 import {
   type ConfigurationController,
   createConfigurationController,
+  hasRoutersGap,
+  type PeerWord,
 } from "../control/configuration_controller.ts";
 import {
   createHostsController,
@@ -144,7 +146,8 @@
       log: this.#logs("config"),
       tasks: this.#tasks,
       readFromPeer: (peer, after) => this.#readFromPeer(peer, after),
-      onChange: (configuration) => this.#configured(configuration),
+      onChange: (configuration, previous) =>
+        this.#configured(configuration, previous),
     });
     this.#pools = createPoolsController({
       self: this.#self.name,
@@ -281,7 +284,7 @@
           return Promise.resolve({ text });
         },
         onBytes: this.#counterOf("peer"),
-        version: () => this.#configuration.current().version,
+        getWord: () => this.#getWord(),
       },
     });
   }
@@ -299,8 +302,14 @@
     return byPeer;
   }
 
-  #heard({ peer, sentAt, version, offers }: Heartbeat): void {
-    this.#configuration.notePeer(peer, version);
+  #getWord(): PeerWord {
+    const { version, routersVersion } = this.#configuration.current();
+    const routersInForceMs = this.#configuration.routersInForceMs();
+    return { version, routersVersion, routersInForceMs };
+  }
+
+  #heard({ peer, sentAt, word, offers }: Heartbeat): void {
+    this.#configuration.notePeer(peer, word);
     for (const pool of this.#pools.list()) {
       const own = offers.find((offer) => offer.pool === pool.id);
       pool.receive(peer, { sentAt, lends: false, ...own?.offer });
@@ -323,12 +332,13 @@
     }
   }
 
-  #configured(configuration: Configuration): void {
+  #configured(configuration: Configuration, previous: Configuration): void {
     this.#metrics.configurationVersion.set(configuration.version);
     this.#index = createIndex(configuration.manifest);
     this.#workspaceLimits.setRouters(configuration.routers.length);
     this.#peers.setRouters(configuration.routers);
-    this.#pools.configure(configuration);
+    const hasGap = hasRoutersGap(configuration, previous);
+    this.#pools.configure(configuration, { hasGap });
   }
 
   #createPool(id: string) {
@@ -346,7 +356,7 @@
       tasks: this.#tasks,
       liveness: this.#peers,
       isInService: (upstream) => this.#isInService(upstream),
-      confirmedAt: () => this.#configuration.confirmedAt(),
+      configuration: this.#configuration,
       poll: createLoadPoller({
         client: this.#client,
         onBytes: this.#counterOf("poll"),
