Bound the foreign work on an upstream from its reports

A report is dated by the request that it answers, less its age. The time of receipt was ruled out: a router that was paused reads old reports late and takes them for new ones. Own work is taken off a report's count request by request. The least own count over the lag was ruled out too: a request that begins before another ends leaves that count unchanged, though only one of them was counted. Work given up on without word of its end stays own until a report replaces it.

--- /dev/null
+++ b/src/policy/upstream_ledger_test.ts
@@ -0,0 +1,66 @@
+import type { LoadReport } from "../types.ts";
+import { createUpstreamLedger } from "./upstream_ledger.ts";
+
+const TRANSIT_MS = 100;
+
+function create() {
+  return createUpstreamLedger({ transitMs: TRANSIT_MS, driftMs: 0 });
+}
+
+function report(inFlight: number, ageMs = 0): LoadReport {
+  return { incarnation: "1", inFlight, cold: false, leaving: false, ageMs };
+}
+
+test("a report counts only once it must have seen everything before", () => {
+  const ledger = create();
+  ledger.report(report(2, 50), 149);
+  expect(ledger.foreign(0)).toBe(Infinity);
+  ledger.report(report(2, 50), 150);
+  expect(ledger.foreign(0)).toBe(2);
+  expect(ledger.foreign(1)).toBe(Infinity);
+});
+
+test("own work that the report must have seen is no foreign work", () => {
+  const ledger = create();
+  ledger.begin(0);
+  ledger.begin(101);
+  ledger.report(report(3), 200);
+  expect(ledger.foreign(0)).toBe(2);
+  ledger.end(0);
+  expect(ledger.foreign(0)).toBe(3);
+  expect(ledger.own).toBe(1);
+});
+
+test("the least of the reports counts, in whatever order they come", () => {
+  const ledger = create();
+  ledger.report(report(5), 900);
+  ledger.report(report(1), 300);
+  ledger.report(report(3), 600);
+  expect([0, 250, 600].map((since) => ledger.foreign(since)))
+    .toEqual([1, 3, 5]);
+});
+
+test("abandoned work is own until a report has taken its place", () => {
+  const ledger = create();
+  ledger.report(report(0), 100);
+  ledger.begin(200);
+  ledger.abandon(200);
+  expect([ledger.own, ledger.foreign(0)]).toEqual([1, 0]);
+  ledger.report(report(0), 299);
+  expect(ledger.own).toBe(1);
+  ledger.report(report(1), 300);
+  expect([ledger.own, ledger.foreign(0)]).toEqual([0, 1]);
+});
+
+test("a report from before the abandoned work is no longer of use", () => {
+  const ledger = create();
+  ledger.begin(200);
+  ledger.report(report(1), 300);
+  ledger.abandon(200);
+  ledger.report(report(0), 250);
+  expect([ledger.own, ledger.foreign(0)]).toEqual([0, 1]);
+});
+
+test("the end of unknown work is a breach", () => {
+  expect(() => create().end(0)).toThrow("unknown-request");
+});
