--- a/src/policy/capacity_shares.ts
+++ b/src/policy/capacity_shares.ts
@@ -23,7 +23,13 @@
 import * as Debug from "../debug.ts";
 import type { LoadReport } from "../types.ts";
 import { DRIFT_MS, type HeldRank, type Loans } from "./loans.ts";
-import { type Hash, rankByRendezvous } from "./rendezvous.ts";
+import {
+  createReplicaSets,
+  type ReplicaSet,
+  type ReplicaSets,
+  type ReplicasOptions,
+} from "./capacity_shares_replica_sets.ts";
+import type { Hash } from "./rendezvous.ts";
 import {
   createUpstreamLedger,
   type UpstreamLedger,
@@ -78,24 +84,9 @@
 /** Default of `CapacitySharesOptions.confirmMs`. */
 export const CONFIRM_MS = 10_000;
 
-/** Options of `CapacityShares.setReplicas`. */
-export interface ReplicasOptions {
-  /** For how long the entry is known to have been in force at a peer. */
-  readonly inForceMs?: number;
-  /**
-   * True where entries before this one were not seen, as after a start from a
-   * snapshot: the router then waits the whole hold-down before it admits.
-   */
-  readonly afterGap?: boolean;
-}
-
 /** The capacity shares of one pool on this router. */
 export interface CapacityShares {
-  /**
-   * Sets the pool's replica set from a configuration entry. Each entry is
-   * given in its turn, also where a later one is known already: two routers
-   * need one entry in common to keep apart.
-   */
+  /** Adopts the pool's replica set, see `ReplicaSets.adopt`. */
   setReplicas(
     replicas: readonly string[],
     now: number,
@@ -116,7 +107,13 @@
   abandon(upstream: string, beganAt: number): void;
   /** Notes a report; `askedAt` is when the request it answers was sent. */
   report(upstream: string, report: LoadReport, askedAt: number): void;
-  /** Own in-flight work and the bound on the foreign part. */
+  /**
+   * Bound on the foreign work that takes room from this router; infinite
+   * before the first report since the newest rank was gained. While it is not
+   * 0, frequent polls of the upstream bring room.
+   */
+  foreign(upstream: string, now: number): number;
+  /** Own in-flight work and the bound on the foreign part, where known. */
   inFlightEstimate(upstream: string, now: number): number;
 }
 
@@ -133,37 +130,23 @@
   });
 }
 
-/** One replica set, in force until a while after its successor. */
-interface ReplicaSet {
-  readonly replicas: readonly string[];
-  /** When every router that admits has adopted it. */
-  readonly settledAt: number;
-  /** Rank positions of the replicas by upstream. */
-  readonly positions: Map<string, ReadonlyMap<string, number>>;
-}
-
 class RankedShares implements CapacityShares {
   readonly #options: Required<CapacitySharesOptions>;
   readonly #ledgers = new Map<string, UpstreamLedger>();
-  /** Oldest first; all but the newest are there for the hold-down. */
-  #sets: ReplicaSet[] = [];
+  readonly #sets: ReplicaSets;
   #confirmedAt = -Infinity;
 
   constructor(options: Required<CapacitySharesOptions>) {
     this.#options = options;
+    this.#sets = createReplicaSets(options);
   }
 
   setReplicas(
     replicas: readonly string[],
     now: number,
-    { inForceMs = 0, afterGap = false }: ReplicasOptions = {},
+    options?: ReplicasOptions,
   ): void {
-    if (afterGap) this.#sets = [];
-    const newest = this.#sets.at(-1);
-    if (newest !== undefined && isSameSet(newest.replicas, replicas)) return;
-    const held = Math.max(0, this.#options.holdDownMs - inForceMs);
-    const settledAt = Math.max(now + held, newest?.settledAt ?? -Infinity);
-    this.#sets.push({ replicas, settledAt, positions: new Map() });
+    this.#sets.adopt(replicas, now, options);
   }
 
   confirm(askedAt: number): void {
@@ -200,12 +183,16 @@
     this.#ledgerOf(upstream).report(report, askedAt);
   }
 
-  inFlightEstimate(upstream: string, now: number): number {
-    const ledger = this.#ledgerOf(upstream);
+  foreign(upstream: string, now: number): number {
     const gains = this.#options.loans.heldRanks(now)
       .map(({ gainedAt }) => gainedAt);
-    const foreign = ledger.foreign(Math.max(-Infinity, ...gains));
-    return ledger.own + (Number.isFinite(foreign) ? foreign : 0);
+    return this.#ledgerOf(upstream).foreign(Math.max(-Infinity, ...gains));
+  }
+
+  inFlightEstimate(upstream: string, now: number): number {
+    const foreign = this.foreign(upstream, now);
+    const { own } = this.#ledgerOf(upstream);
+    return Number.isFinite(foreign) ? own + foreign : own;
   }
 
   #ledgerOf(upstream: string): UpstreamLedger {
@@ -217,43 +204,30 @@
     return ledger;
   }
 
-  /**
-   * A router obeys every replica set that some router may still admit under.
-   * Once an older set is out of force everywhere it may be dropped, but only
-   * with a report that saw the work begun under it. Until there is one, to go
-   * on obeying it is the better of the two.
-   */
   #allowanceOf(upstream: string, limit: number, now: number): number {
-    this.#dropOldSets(now);
     const held = this.#options.loans.heldRanks(now)
       .sort((left, right) => left.gainedAt - right.gainedAt);
     let best = 0;
-    for (const [index, { settledAt: since }] of this.#sets.entries()) {
-      if (now < since) break;
+    for (const { sets, since } of this.#sets.choicesAt(now)) {
       const request = { upstream, limit, held, since };
-      const allowed = this.#allowanceFrom(index, request);
+      const allowed = this.#allowanceUnderAll(sets, request);
       if (allowed > best) best = allowed;
     }
     return best;
   }
 
-  /** The least of what the sets from `index` on allow. */
-  #allowanceFrom(index: number, request: ShareRequest): number {
+  #allowanceUnderAll(
+    sets: readonly ReplicaSet[],
+    request: ShareRequest,
+  ): number {
     let least = request.limit;
-    for (const set of this.#sets.slice(index)) {
+    for (const set of sets) {
       const allowed = this.#allowanceUnder(set, request);
       if (allowed < least) least = allowed;
     }
     return least;
   }
 
-  /** Keeps an older set for another hold-down after it may be dropped. */
-  #dropOldSets(now: number): void {
-    const next = this.#sets[1];
-    if (next === undefined) return;
-    if (now >= next.settledAt + this.#options.holdDownMs) this.#sets.shift();
-  }
-
   /**
    * The best of the held ranks up to each time of gain: a newly gained rank
    * counts only once it brings more than the foreign work that it may hide.
@@ -263,8 +237,8 @@
     { upstream, limit, held, since }: ShareRequest,
   ): number {
     const ledger = this.#ledgerOf(upstream);
-    const positions = this.#positionsOf(set, upstream);
-    const replicaCount = set.replicas.length;
+    const positions = set.positionsOf(upstream);
+    const { replicaCount } = set;
     const ranks: number[] = [];
     let best = 0;
     for (const { replica, gainedAt } of held) {
@@ -277,20 +251,6 @@
     }
     return best;
   }
-
-  #positionsOf(
-    set: ReplicaSet,
-    upstream: string,
-  ): ReadonlyMap<string, number> {
-    let positions = set.positions.get(upstream);
-    if (positions === undefined) {
-      const { hash } = this.#options;
-      const ranked = rankByRendezvous(upstream, set.replicas, { hash });
-      positions = new Map(ranked.map((name, position) => [name, position]));
-      set.positions.set(upstream, positions);
-    }
-    return positions;
-  }
 }
 
 interface ShareRequest {
@@ -301,11 +261,3 @@
   /** Foreign work begun before this time is not covered by the set. */
   readonly since: number;
 }
-
-function isSameSet(
-  left: readonly string[],
-  right: readonly string[],
-): boolean {
-  return left.length === right.length &&
-    left.every((name) => right.includes(name));
-}
--- a/src/policy/capacity_shares_test.ts
+++ b/src/policy/capacity_shares_test.ts
@@ -113,6 +113,7 @@
   reportTo(owner, 0, 0);
   lend(lender, owner, 100);
   expect(owner.shares.roomFor(UPSTREAM, LIMIT, 100)).toBe(4);
+  expect(owner.shares.foreign(UPSTREAM, 100)).toBe(Infinity);
   reportTo(owner, 2, 1_000);
   expect(owner.shares.roomFor(UPSTREAM, LIMIT, 1_000)).toBe(6);
   expect(owner.shares.inFlightEstimate(UPSTREAM, 1_000)).toBe(2);
--- a/src/policy/testing/shares_model.ts
+++ b/src/policy/testing/shares_model.ts
@@ -14,6 +14,7 @@
 } from "../capacity_shares.ts";
 import { createLoans, type Loans } from "../loans.ts";
 import type { Hash } from "../rendezvous.ts";
+import { EventQueue } from "./event_queue.ts";
 
 /** Kinds of trouble that a run may bring. */
 export const TROUBLES = [
@@ -128,12 +129,6 @@
   }
 }
 
-interface Event {
-  readonly at: number;
-  readonly order: number;
-  run(): void;
-}
-
 /** Runs a scenario to its end. */
 export function runScenario(scenario: Scenario, hash: Hash): Outcome {
   return new World(scenario, hash).run();
@@ -151,9 +146,8 @@
   readonly #violations: string[] = [];
   #arrived = new Set<Work>();
   #reading = { inFlight: 0, at: START_MS };
-  #queue: Event[] = [];
+  readonly #queue = new EventQueue();
   #now = START_MS;
-  #order = 0;
   #started = 0;
   #owner: string;
   #admissions = 0;
@@ -177,9 +171,9 @@
       this.#at(trouble.at, () => this.#bring(trouble));
     }
     this.#at(TROUBLE_END_MS, () => this.#heal());
-    while (this.#queue.length > 0) {
-      const event = pop(this.#queue);
-      if (event.at > RUN_END_MS) break;
+    for (;;) {
+      const event = this.#queue.pop();
+      if (event === undefined || event.at > RUN_END_MS) break;
       this.#now = event.at;
       event.run();
     }
@@ -204,7 +198,7 @@
   }
 
   #at(at: number, run: () => void): void {
-    push(this.#queue, { at, order: this.#order++, run });
+    this.#queue.push(at, run);
   }
 
   #after(delayMs: number, run: () => void): void {
@@ -541,42 +535,3 @@
     }
   }
 }
-
-/** Adds to a binary heap that is ordered by time. */
-function push(heap: Event[], event: Event): void {
-  let index = heap.length;
-  heap.push(event);
-  while (index > 0) {
-    const parent = (index - 1) >> 1;
-    if (!isBefore(event, heap[parent]!)) break;
-    heap[index] = heap[parent]!;
-    index = parent;
-  }
-  heap[index] = event;
-}
-
-/** Takes the first event off a heap that is not empty. */
-function pop(heap: Event[]): Event {
-  const first = heap[0]!;
-  const last = heap.pop()!;
-  if (heap.length === 0) return first;
-  let index = 0;
-  for (;;) {
-    let child = 2 * index + 1;
-    if (child >= heap.length) break;
-    const right = child + 1;
-    if (right < heap.length && isBefore(heap[right]!, heap[child]!)) {
-      child = right;
-    }
-    if (!isBefore(heap[child]!, last)) break;
-    heap[index] = heap[child]!;
-    index = child;
-  }
-  heap[index] = last;
-  return first;
-}
-
-function isBefore(left: Event, right: Event): boolean {
-  return left.at < right.at ||
-    (left.at === right.at && left.order < right.order);
-}
