--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -13,7 +13,7 @@
  *    entry can't be told from a new one; rendezvous order leads it back to its
  *    cache. Power of two choices among the first candidates levels load better
  *    but misses the cache of about every second such chat. The room of a
- *    candidate already bounds its load by the mean, so 1 choice is the
+ *    candidate already bounds its load by the mean, so one choice is the
  *    default; `choices` allows more.
  * 4. A request without a chat goes to the least utilised candidate. The owner
  *    counts exactly, and with at most 32 candidates a full scan is cheap.
