--- /dev/null
+++ b/bench/demo_main.ts
@@ -0,0 +1,174 @@
+/**
+ * The demo: Rokuro Hour's stand-ins and six routers on loopback, returning
+ * chats and bookings through all of them, and a table of what came back.
+ *
+ * Exits with 0 only if every answer was whole. With `KEEP=1` in the environment
+ * the fleet stays up until interrupted.
+ */
+import { once } from "node:events";
+import { writeFileSync } from "node:fs";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { stringify } from "ini";
+import { type Fleet, startFleet } from "../testing/fleet.ts";
+import {
+  type ControlTraffic,
+  type DemoResult,
+  findDemoFaults,
+  renderDemo,
+} from "./demo_report.ts";
+import { runLoad } from "./load/run_load.ts";
+import type { LoadReport } from "./load/report.ts";
+
+const DIRECTORY = "out/demo";
+const OPERATOR_FILE = `${DIRECTORY}/operator.ini`;
+const SEED = 1;
+const SECONDS = 15;
+const CHATS_PER_SECOND = 40;
+const CHATS = 60;
+const BOOKINGS_PER_SECOND = 6;
+const MS_PER_SECOND = 1_000;
+/** Lets the upstreams come out of their cold start. */
+const WARM_UP_MS = 3_000;
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+async function readControlBytes(fleet: Fleet): Promise<number[]> {
+  const scrapes = await Promise.all(
+    fleet.routers.map((router) => router.scrape()),
+  );
+  return scrapes.map((scrape) =>
+    scrape.sum("corianderflow_control_bytes_total")
+  );
+}
+
+async function measureControl(
+  fleet: Fleet,
+  run: () => Promise<LoadReport>,
+): Promise<{ load: LoadReport; control: ControlTraffic[] }> {
+  const before = await readControlBytes(fleet);
+  const startedAt = performance.now();
+  const load = await run();
+  const seconds = (performance.now() - startedAt) / MS_PER_SECOND;
+  const after = await readControlBytes(fleet);
+  const control = fleet.routers.map(({ name }, index) => ({
+    router: name,
+    bytesPerSecond: (after[index]! - before[index]!) / seconds,
+  }));
+  return { load, control };
+}
+
+async function countBreaches(fleet: Fleet): Promise<number> {
+  const scrapes = await Promise.all(
+    fleet.routers.map((router) => router.scrape()),
+  );
+  return scrapes.reduce(
+    (sum, scrape) => sum + scrape.sum("corianderflow_invariant_breaches_total"),
+    0,
+  );
+}
+
+async function countFalls(fleet: Fleet): Promise<number> {
+  const records = await Promise.all(
+    fleet.upstreams.map((upstream) => upstream.getRecord()),
+  );
+  return records.reduce((sum, { falls }) => sum + falls, 0);
+}
+
+async function runDemo(fleet: Fleet): Promise<DemoResult> {
+  const { workspaces } = fleet.plan.manifest;
+  const { load, control } = await measureControl(fleet, () =>
+    runLoad({
+      routers: fleet.addresses,
+      keys: workspaces.map(({ key }) => key),
+      model: fleet.plan.manifest.models[0]!.name,
+      seed: SEED,
+      seconds: SECONDS,
+      rate: CHATS_PER_SECOND,
+      chats: CHATS,
+      bookingRate: BOOKINGS_PER_SECOND,
+      plainServices: fleet.plainServices.map(({ address }) => address),
+    }));
+  const breaches = await countBreaches(fleet);
+  return { load, control, breaches, falls: await countFalls(fleet) };
+}
+
+function printUse(fleet: Fleet): void {
+  const [router] = fleet.addresses;
+  const { key } = fleet.plan.manifest.workspaces[0]!;
+  const model = fleet.plan.manifest.models[0]!.name;
+  const service = fleet.plan.manifest.services[0]!.name;
+  const failureDomain = fleet.plan.manifest.failureDomains[0]!.name;
+  const body = JSON.stringify({
+    model,
+    messages: [{ role: "user", content: "How long should the kiln cool?" }],
+    "max_tokens": 16,
+    stream: true,
+  });
+  print(`
+The fleet stays up; interrupt this command to end it. Logs are in ${DIRECTORY}.
+
+A chat:
+  curl -N http://${router}/v1/chat/completions \\
+    -H 'authorization: Bearer ${key}' -H 'x-chat-id: demo' \\
+    -H 'content-type: application/json' -d '${body}'
+
+A booking:
+  curl http://${router}/bookings -H 'authorization: Bearer ${key}' \\
+    -H 'idempotency-key: demo-1' -d '{"class":"wheel","seats":2}'
+
+The operators' commands:
+  export CFLOW_SETTINGS=${OPERATOR_FILE}
+  node dist/src/cli/main.js status
+  node dist/src/cli/main.js explain demo --service ${service}
+  node dist/src/cli/main.js failure-domain take-out ${failureDomain}
+  node dist/src/cli/main.js failure-domain bring-back ${failureDomain}
+  node dist/src/cli/main.js history
+`);
+}
+
+function writeOperatorFile({ plan, addresses }: Fleet): void {
+  const settings = {
+    platform: { "key_value": plan.platform.keyValue },
+    operator: { name: "demo", routers: addresses.join(", ") },
+  };
+  writeFileSync(OPERATOR_FILE, stringify(settings));
+}
+
+async function keepUp(fleet: Fleet): Promise<void> {
+  writeOperatorFile(fleet);
+  printUse(fleet);
+  await Promise.race([once(process, "SIGINT"), once(process, "SIGTERM")]);
+}
+
+async function main(): Promise<void> {
+  print("Starting Rokuro Hour's stand-ins and six routers.");
+  const fleet = await startFleet({ directory: DIRECTORY });
+  let isWhole = false;
+  try {
+    print("Applying the manifest.");
+    const version = await fleet.apply();
+    print(`Version ${version} is in force on every router.`);
+    await fleet.waitUntilServing();
+    await sleep(WARM_UP_MS);
+    print(`Sending chats and bookings for ${SECONDS} seconds.`);
+    const result = await runDemo(fleet);
+    print(`\n${renderDemo(result)}`);
+    const faults = findDemoFaults(result);
+    for (const fault of faults) print(`Fault: ${fault}`);
+    isWhole = faults.length === 0;
+    if (process.env["KEEP"] === "1") await keepUp(fleet);
+  } finally {
+    const { failed } = await fleet.stopAll();
+    for (const [name, code] of Object.entries(failed)) {
+      print(`Fault: ${name} ended with ${code}.`);
+      isWhole = false;
+    }
+  }
+  print(isWhole ? "Every answer was whole." : "The demo found faults.");
+  process.exitCode = isWhole ? 0 : 1;
+}
+
+void main();
--- a/testing/fleet.ts
+++ b/testing/fleet.ts
@@ -7,9 +7,9 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { stringify } from "ini";
+import type { Service } from "../src/config/manifest.ts";
 import { type FleetLinks, openLinks } from "./fleet_links.ts";
-import { RouterMember, UpstreamMember } from "./fleet_member.ts";
-import { Member } from "./fleet_member.ts";
+import { Member, RouterMember, UpstreamMember } from "./fleet_member.ts";
 import { waitFor, type WaitOptions } from "./fleet_http.ts";
 import { Operator } from "./fleet_operator.ts";
 import {
@@ -46,6 +46,7 @@
 }
 
 const GRACE_MS = 30_000;
+const PROBE_TIMEOUT_MS = 30_000;
 
 /** Starts a fleet; nothing is applied yet. */
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
@@ -158,6 +159,24 @@
     }, options);
   }
 
+  /** Waits until every service of the plan answers one request. */
+  async waitUntilServing(options: WaitOptions = {}): Promise<void> {
+    const { services, workspaces } = this.plan.manifest;
+    const headers = {
+      "authorization": `Bearer ${workspaces[0]!.key}`,
+      "content-type": "application/json",
+    };
+    const probes = services.map((service) => createProbe(service, headers));
+    await Promise.all(
+      probes.map(({ path, ...request }) =>
+        waitFor(`an answer of ${path}`, async () => {
+          const answer = await this.routers[0]!.call(path, request);
+          return answer.status === 200;
+        }, options)
+      ),
+    );
+  }
+
   /** Reads readiness and version of every router. */
   getViews() {
     return Promise.all(this.routers.map((router) => router.getView()));
@@ -258,6 +277,30 @@
   }
 }
 
+/** A request that may run more than once. */
+function createProbe(
+  { model, routes }: Service,
+  headers: Readonly<Record<string, string>>,
+) {
+  const timeoutMs = PROBE_TIMEOUT_MS;
+  const route = routes.find(({ idempotent }) => idempotent);
+  if (model === undefined) {
+    const path = route?.path ?? "/";
+    return { path, method: "GET" as const, headers, timeoutMs };
+  }
+  return {
+    path: "/v1/chat/completions",
+    headers: { ...headers, "x-chat-id": "probe" },
+    body: {
+      model,
+      messages: [{ role: "user", content: "ready" }],
+      "max_tokens": 1,
+      stream: false,
+    },
+    timeoutMs,
+  };
+}
+
 function listHosts({ manifest, routers }: FleetPlan): string[] {
   const upstreams = manifest.services.flatMap(({ upstreams }) => upstreams);
   const hosts = [...upstreams, ...routers].map(({ host }) => host);
--- a/testing/fleet_http.ts
+++ b/testing/fleet_http.ts
@@ -32,8 +32,9 @@
 /** Sends one call; `body` makes it a POST of JSON unless `method` is given. */
 export async function call(
   url: string,
-  { body, method, timeoutMs = CALL_TIMEOUT_MS }: {
+  { body, method, headers, timeoutMs = CALL_TIMEOUT_MS }: {
     body?: unknown;
+    headers?: Readonly<Record<string, string>>;
     method?: "GET" | "POST" | "PUT" | "DELETE";
     timeoutMs?: number;
   } = {},
@@ -41,6 +42,7 @@
   const answer = await request(url, {
     method: method ?? (body === undefined ? "GET" : "POST"),
     body: body === undefined ? undefined : JSON.stringify(body),
+    headers,
     reset: true,
     signal: AbortSignal.timeout(timeoutMs),
   });
