Hand waiting requests over to the pool's owner

A router that had just started took itself for the owner before it heard its peers, queued a request, and then lent its rank to the real owner: the request waited in a queue without a rank until its deadline. A router that isn't the owner and holds no rank now refuses its waiters as no-owner, not run, and the locate filter goes on to the owner.

--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -732,6 +732,22 @@
     this.#shares.confirm(this.#options.confirmedAt());
     for (const state of this.#upstreams.values()) this.#pollIfDue(state, now);
     this.#pump();
+    this.#handOver(now);
+  }
+
+  /**
+   * Sends waiting requests on to the owner. A router that lends its rank and
+   * has borrowed none will have no room for them.
+   */
+  #handOver(now: number): void {
+    const owner = this.#owner();
+    if (owner === undefined || owner === this.#options.self) return;
+    if (this.#loans.heldRanks(now).length > 0) return;
+    for (const id of [...this.#waiting.keys()]) {
+      this.#queue.remove(id);
+      const detail = `${owner} owns ${this.id} now.`;
+      this.#refuseWaiting(id, createRefusal("no-owner", detail));
+    }
   }
 
   #pollIfDue(state: UpstreamState, now: number): void {
--- a/src/filters/locate_filter.ts
+++ b/src/filters/locate_filter.ts
@@ -81,13 +81,21 @@
   }
 
   async handle(exchange: Exchange): Promise<Outcome> {
-    const targets = this.#targetsOf(exchange);
+    const tried = new Set<string>();
     let failure: Refusal | undefined;
     let ran: Refusal["ran"] = "no";
-    for (const target of targets.slice(0, MAX_TRIES)) {
+    while (tried.size < MAX_TRIES) {
+      // The owner may have changed while the request waited.
+      const targets = this.#targetsOf(exchange);
+      const target = targets.find((name) => !tried.has(name));
+      if (target === undefined) break;
+      tried.add(target);
       this.#logRoute(exchange, target);
       if (target === this.#options.self) {
-        return await this.#serveHere(exchange, ran);
+        const outcome = await this.#serveHere(exchange, ran);
+        if (!isOwnedElsewhere(outcome)) return outcome;
+        failure = outcome.refusal;
+        continue;
       }
       const result = await this.#forward(exchange, target);
       if (result.kind === "outcome") return withRan(result.outcome, ran);
@@ -245,6 +253,14 @@
   return { kind: "failed", refusal, isNotRun: true };
 }
 
+/** Whether the request did not run because another router owns the pool. */
+function isOwnedElsewhere(
+  outcome: Outcome,
+): outcome is Outcome & { kind: "refused" } {
+  return outcome.kind === "refused" &&
+    outcome.refusal.code === "no-owner" && outcome.refusal.ran === "no";
+}
+
 /** A refusal after an earlier try that may have run is never "not run". */
 function withRan(outcome: Outcome, ran: Refusal["ran"]): Outcome {
   if (outcome.kind !== "refused" || ran === "no") return outcome;
