Run a loaded fleet under faults drawn by seed

A seeded schedule draws the faults; a run carries them out at real processes under load, gathers what callers, upstreams, logs and operators saw, and judges it by what must always hold.

--- /dev/null
+++ b/bench/chaos_faults.ts
@@ -0,0 +1,278 @@
+/** Carries out the faults of a schedule on a fleet. */
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Change, ServiceState } from "../src/config/configuration.ts";
+import type { ChaosEvent, ChaosKind } from "../testing/chaos_schedule.ts";
+import type { Fleet } from "../testing/fleet.ts";
+import { waitFor } from "../testing/fleet_http.ts";
+import type { RouterMember, UpstreamMember } from "../testing/fleet_member.ts";
+import { Operator } from "../testing/fleet_operator.ts";
+import type { KeyValueFaults } from "../testing/kv_server.ts";
+import type { Relay, RelayFaults } from "../testing/relay.ts";
+import type {
+  AcceptedChange,
+  ChaosWindow,
+  GracefulStop,
+  UpstreamEvidence,
+} from "./chaos_evidence.ts";
+
+const SLOW_KEY_VALUE_MS = 800;
+const LOST_ANSWER_SHARE = 0.3;
+const COMMIT_TIMEOUT_MS = 60_000;
+const COMMIT_POLL_MS = 500;
+
+/** A fault of a kind that has an end. */
+interface Action {
+  begin(): Promise<void>;
+  end?(): Promise<void>;
+}
+
+/** Carries out faults and keeps what the verdict needs of them. */
+export class ChaosFaults {
+  readonly windows: ChaosWindow[] = [];
+  readonly stops: GracefulStop[] = [];
+  readonly accepted: AcceptedChange[] = [];
+  readonly doubleWins: string[] = [];
+  /** Records of upstreams before they were killed. */
+  readonly records: UpstreamEvidence[] = [];
+  readonly #fleet: Fleet;
+  readonly #operators: readonly Operator[];
+
+  constructor(fleet: Fleet) {
+    this.#fleet = fleet;
+    const { address } = fleet.keyValue;
+    this.#operators = ["first", "second"].map((author) =>
+      new Operator({ author, address })
+    );
+  }
+
+  /** Runs a schedule to its end; calls `onEvent` as each fault begins. */
+  async run(
+    schedule: readonly ChaosEvent[],
+    onEvent: (event: ChaosEvent) => void = () => {},
+  ): Promise<void> {
+    await Promise.all(schedule.map(async (event) => {
+      await sleep(event.atMs);
+      onEvent(event);
+      await this.#perform(event);
+    }));
+  }
+
+  /** Notes what an upstream has seen so far. */
+  async noteRecord(member: UpstreamMember): Promise<void> {
+    const record = await member.getRecord();
+    const { coldLimit } = member.upstream;
+    this.records.push({ upstream: member.name, coldLimit, record });
+  }
+
+  /** Closes the operators' connections. */
+  async close(): Promise<void> {
+    await Promise.all(this.#operators.map((operator) => operator.close()));
+  }
+
+  async #perform({ kind, target, forMs }: ChaosEvent): Promise<void> {
+    const { begin, end } = this.#createAction(kind, target);
+    const startedAt = Date.now();
+    await begin();
+    const begunAt = Date.now();
+    await sleep(forMs);
+    const endingAt = Date.now();
+    await end?.();
+    // What is taken out is out from the commit to the start of the return;
+    // any other fault may have an effect from its first to its last moment.
+    const isOut = kind === "failure-domain-out" || kind === "host-leaving";
+    this.windows.push({
+      kind,
+      target,
+      fromMs: isOut ? begunAt : startedAt,
+      toMs: isOut ? endingAt : Date.now(),
+    });
+  }
+
+  #createAction(kind: ChaosKind, target: string): Action {
+    switch (kind) {
+      case "router-killed":
+      case "router-stopped":
+      case "router-paused":
+        return this.#createRouterAction(kind, this.#findRouter(target));
+      case "engine-killed":
+      case "engine-cold":
+      case "engine-leaving":
+      case "upstream-silent":
+        return this.#createUpstreamAction(kind, this.#findUpstream(target));
+      case "link-silent":
+        return createLinkAction(this.#findLink(target), { silence: true });
+      case "link-cut":
+        return createLinkAction(this.#findLink(target), { cut: true });
+      case "link-cut-to-upstream":
+        return createLinkAction(this.#findLink(target), {
+          cutOneWay: "to-target",
+        });
+      case "link-cut-to-router":
+        return createLinkAction(this.#findLink(target), {
+          cutOneWay: "to-client",
+        });
+      case "key-value-link-cut":
+        return createLinkAction(this.#findKeyValueLink(target), { cut: true });
+      case "key-value-link-silent":
+        return createLinkAction(this.#findKeyValueLink(target), {
+          silence: true,
+        });
+      case "key-value-down":
+        return this.#createKeyValueAction({ down: true }, { down: false });
+      case "key-value-slow":
+        return this.#createKeyValueAction(
+          { delayMs: SLOW_KEY_VALUE_MS },
+          { delayMs: 0 },
+        );
+      case "key-value-loses-answers":
+        return this.#createKeyValueAction(
+          { loseAnswerRate: LOST_ANSWER_SHARE },
+          { loseAnswerRate: 0 },
+        );
+      case "watches-silent":
+        return this.#createKeyValueAction({ silentWatches: true }, undefined);
+      case "operators-race":
+        return {
+          begin: () => this.#race(target),
+          end: () => this.#setFailureDomain(target, "in"),
+        };
+      case "failure-domain-out":
+        return {
+          begin: () => this.#setFailureDomain(target, "out"),
+          end: () => this.#setFailureDomain(target, "in"),
+        };
+      case "host-leaving":
+        return {
+          begin: () => this.#fleet.setHostState(target, "leaving"),
+          end: () => this.#fleet.setHostState(target, "live"),
+        };
+    }
+  }
+
+  #createRouterAction(
+    kind: "router-killed" | "router-stopped" | "router-paused",
+    router: RouterMember,
+  ): Action {
+    if (kind === "router-paused") {
+      return {
+        begin: () => Promise.resolve(router.pause()),
+        end: () => Promise.resolve(router.resume()),
+      };
+    }
+    const end = () => router.start();
+    if (kind === "router-killed") return { begin: () => router.kill(), end };
+    return { begin: () => this.#stop(router), end };
+  }
+
+  async #stop(router: RouterMember): Promise<void> {
+    const exitCode = await router.stop();
+    this.stops.push({ router: router.name, exitCode });
+  }
+
+  #createUpstreamAction(
+    kind:
+      | "engine-killed"
+      | "engine-cold"
+      | "engine-leaving"
+      | "upstream-silent",
+    member: UpstreamMember,
+  ): Action {
+    switch (kind) {
+      case "engine-killed":
+        return {
+          begin: async () => {
+            await this.noteRecord(member);
+            await member.kill();
+          },
+          end: () => member.start(),
+        };
+      case "engine-cold":
+        return { begin: () => member.control({ cold: true }) };
+      case "upstream-silent":
+        return { begin: () => member.control({ silent: true }) };
+      case "engine-leaving":
+        return {
+          begin: () => this.#setLeaving(member, true),
+          end: () => this.#setLeaving(member, false),
+        };
+    }
+  }
+
+  /** An engine that was killed meanwhile is not leaving any more. */
+  async #setLeaving(member: UpstreamMember, leaving: boolean): Promise<void> {
+    await member.control({ leaving }).catch(() => {});
+  }
+
+  #createKeyValueAction(
+    begin: Partial<KeyValueFaults>,
+    end: Partial<KeyValueFaults> | undefined,
+  ): Action {
+    return {
+      begin: () => this.#fleet.setKeyValueFaults(begin),
+      end: () => this.#fleet.setKeyValueFaults(end ?? {}),
+    };
+  }
+
+  async #setFailureDomain(name: string, state: ServiceState): Promise<void> {
+    const change: Change = { kind: "failure-domain", name, state };
+    await waitFor(`${name} ${state}`, async () => {
+      await this.#commit(this.#operators[0]!, { author: "first", change });
+      return true;
+    }, { timeoutMs: COMMIT_TIMEOUT_MS, pollMs: COMMIT_POLL_MS });
+  }
+
+  async #commit(
+    operator: Operator,
+    { author, change, basedOn }: {
+      author: string;
+      change: Change;
+      basedOn?: number;
+    },
+  ): Promise<void> {
+    const version = await operator.commit(change, basedOn);
+    this.accepted.push({ version, author, change });
+  }
+
+  /** Two operators who saw the same version want opposite things. */
+  async #race(name: string): Promise<void> {
+    const [first, second] = this.#operators;
+    let basedOn: number;
+    try {
+      basedOn = await first!.getVersion();
+    } catch {
+      return;
+    }
+    const out: Change = { kind: "failure-domain", name, state: "out" };
+    const back: Change = { kind: "failure-domain", name, state: "in" };
+    const results = await Promise.allSettled([
+      this.#commit(first!, { author: "first", change: out, basedOn }),
+      this.#commit(second!, { author: "second", change: back, basedOn }),
+    ]);
+    const won = results.filter(({ status }) => status === "fulfilled");
+    if (won.length > 1) this.doubleWins.push(`${name} after ${basedOn}`);
+  }
+
+  #findRouter(name: string): RouterMember {
+    return this.#fleet.routers.find((router) => router.name === name)!;
+  }
+
+  #findUpstream(name: string): UpstreamMember {
+    return this.#fleet.upstreams.find((upstream) => upstream.name === name)!;
+  }
+
+  #findLink(upstream: string): Relay {
+    return this.#fleet.links!.upstreams.get(upstream)!;
+  }
+
+  #findKeyValueLink(router: string): Relay {
+    return this.#fleet.links!.keyValue.get(router)!;
+  }
+}
+
+function createLinkAction(relay: Relay, faults: Partial<RelayFaults>): Action {
+  return {
+    begin: async () => void await relay.setFaults(faults),
+    end: async () =>
+      void await relay.setFaults({ cut: false, cutOneWay: "none" }),
+  };
+}
--- /dev/null
+++ b/bench/chaos_run.ts
@@ -0,0 +1,147 @@
+/** A run of a fleet under load and faults. */
+import { setTimeout as sleep } from "node:timers/promises";
+import type { ChaosEvent, ChaosTargets } from "../testing/chaos_schedule.ts";
+import type { Fleet } from "../testing/fleet.ts";
+import type { ChaosAnswer, ChaosEvidence } from "./chaos_evidence.ts";
+import { ChaosFaults } from "./chaos_faults.ts";
+import { readRouterLogs } from "./chaos_logs.ts";
+import type { Exchange } from "./load/exchange.ts";
+import type { Outcome } from "./load/outcome.ts";
+import type { LoadReport } from "./load/report.ts";
+import { type LoadOptions, runLoad } from "./load/run_load.ts";
+
+/** Options of a run. */
+export interface ChaosRunOptions {
+  readonly fleet: Fleet;
+  /** Directory of the fleet's logs. */
+  readonly directory: string;
+  readonly schedule: readonly ChaosEvent[];
+  readonly seed: number;
+  readonly durationMs: number;
+  /** Chats a second. */
+  readonly rate?: number;
+  readonly bookingRate?: number;
+  readonly recoverySeconds?: number;
+  onEvent?(event: ChaosEvent): void;
+}
+
+const CHAT_COUNT = 60;
+const MS_PER_SECOND = 1_000;
+/** Lets upstreams that the last faults hit come out of their cold start. */
+const SETTLE_MS = 8_000;
+const HISTORY_LIMIT = 1_000;
+
+/** Names what can fail in a fleet. */
+export function getChaosTargets(fleet: Fleet): ChaosTargets {
+  const { engines, upstreams, routers } = fleet;
+  const { failureDomains } = fleet.plan.manifest;
+  return {
+    routers: routers.map(({ name }) => name),
+    engines: engines.map(({ name }) => name),
+    upstreams: upstreams.map(({ name }) => name),
+    failureDomains: failureDomains.map(({ name }) => name),
+    hosts: engines.map(({ upstream }) => upstream.host),
+  };
+}
+
+/** Runs load and faults, then load alone, and stops the fleet. */
+export async function runChaos(
+  options: ChaosRunOptions,
+): Promise<ChaosEvidence> {
+  const { fleet, schedule, durationMs, seed, onEvent } = options;
+  const answers: ChaosAnswer[] = [];
+  const faults = new ChaosFaults(fleet);
+  const common = createLoadOptions(options, answers);
+  const [load] = await Promise.all([
+    runLoad({ ...common, seed, seconds: durationMs / MS_PER_SECOND }),
+    faults.run(schedule, onEvent),
+  ]);
+  const recovery = await recover(options, { ...common, seed: seed + 1 });
+  for (const member of fleet.upstreams) await faults.noteRecord(member);
+  const views = await fleet.getViews();
+  const history = await fleet.operator.getHistory(HISTORY_LIMIT);
+  await faults.close();
+  const { failed } = await fleet.stopAll();
+  const lastStops = Object.entries(failed)
+    .map(([router, exitCode]) => ({ router, exitCode }));
+  const names = fleet.routers.map(({ name }) => name);
+  return {
+    load,
+    recovery,
+    answers,
+    windows: faults.windows,
+    upstreams: faults.records,
+    upstreamsOf: groupUpstreams(fleet),
+    logs: readRouterLogs(options.directory, names),
+    accepted: faults.accepted,
+    history,
+    doubleWins: faults.doubleWins,
+    versions: new Map(
+      names.map((name, index) => [name, views[index]!.version]),
+    ),
+    stops: [...faults.stops, ...lastStops],
+  };
+}
+
+function createLoadOptions(
+  { fleet, rate = 30, bookingRate = 5 }: ChaosRunOptions,
+  answers: ChaosAnswer[],
+): LoadOptions {
+  const { workspaces, models } = fleet.plan.manifest;
+  const routers = new Map(
+    fleet.routers.map(({ name, address }) => [address, name]),
+  );
+  return {
+    routers: fleet.addresses,
+    keys: workspaces.map(({ key }) => key),
+    model: models[0]!.name,
+    rate,
+    chats: CHAT_COUNT,
+    bookingRate,
+    plainServices: fleet.plainServices.map(({ address }) => address),
+    onOutcome(exchange, outcome) {
+      if (outcome.kind === "whole") return;
+      const router = routers.get(exchange.router.address) ?? "";
+      answers.push(toChaosAnswer(exchange, { outcome, router }));
+    },
+  };
+}
+
+function toChaosAnswer(
+  { headers, totalMs }: Exchange,
+  { outcome, router }: {
+    outcome: Exclude<Outcome, { kind: "whole" }>;
+    router: string;
+  },
+): ChaosAnswer {
+  const toMs = Date.now();
+  return {
+    router,
+    upstream: headers["x-upstream"],
+    requestId: headers["x-request-id"],
+    outcome,
+    fromMs: toMs - totalMs,
+    toMs,
+  };
+}
+
+async function recover(
+  { fleet, recoverySeconds = 5 }: ChaosRunOptions,
+  options: LoadOptions,
+): Promise<LoadReport> {
+  await fleet.waitForVersion(await fleet.operator.getVersion());
+  await sleep(SETTLE_MS);
+  await fleet.waitUntilServing();
+  return await runLoad({ ...options, seconds: recoverySeconds });
+}
+
+/** Names of upstreams by failure domain and by host. */
+function groupUpstreams({ upstreams }: Fleet): Map<string, string[]> {
+  const groups = new Map<string, string[]>();
+  for (const { name, upstream } of upstreams) {
+    for (const group of [upstream.failureDomain, upstream.host]) {
+      groups.set(group, [...groups.get(group) ?? [], name]);
+    }
+  }
+  return groups;
+}
--- a/bench/load/booking_load.ts
+++ b/bench/load/booking_load.ts
@@ -10,7 +10,7 @@
 } from "../../testing/plain_service.ts";
 import type { Balancer, RouterTarget } from "./balancer.ts";
 import { type Exchange, type OutgoingRequest, send } from "./exchange.ts";
-import { broken, judge, type Outcome } from "./outcome.ts";
+import { broken, judge, type Outcome, type OutcomeHandler } from "./outcome.ts";
 import type { Random } from "./random.ts";
 import { type BookingRuns, KindCounts } from "./report.ts";
 
@@ -26,6 +26,7 @@
   /** Share of the bookings that are tapped again after their answer. */
   lateTapShare: number;
   timeoutMs: number;
+  onOutcome?: OutcomeHandler;
 }
 
 interface Booking {
@@ -115,6 +116,7 @@
       const options = { ...choice, timeoutMs };
       const exchange = await send(balancer, booking.request, options);
       const outcome = judgeBooking(exchange, booking.expected);
+      this.#options.onOutcome?.(exchange, outcome);
       booking.outcomes.push(outcome);
       this.counts.record(outcome);
       const retryAfterMs = getRetryAfterMs(outcome);
--- a/bench/load/chat_load.ts
+++ b/bench/load/chat_load.ts
@@ -8,7 +8,7 @@
 import type { Balancer } from "./balancer.ts";
 import type { Chats, Turn } from "./chats.ts";
 import { type Exchange, send } from "./exchange.ts";
-import { judge, type Outcome } from "./outcome.ts";
+import { judge, type Outcome, type OutcomeHandler } from "./outcome.ts";
 import {
   type CacheReuse,
   increment,
@@ -22,6 +22,7 @@
   balancer: Balancer;
   timeline: Timeline;
   timeoutMs: number;
+  onOutcome?: OutcomeHandler;
 }
 
 const RETRY_AFTER_MS = 1_000;
@@ -57,6 +58,7 @@
       ? expectedEventStream(turn.body)
       : expectedWholeBody(turn.body);
     const outcome = judge(exchange, expected);
+    this.#options.onOutcome?.(exchange, outcome);
     const now = performance.now();
     this.counts.record(outcome);
     this.countsByKey.get(turn.key)?.record(outcome);
--- a/bench/load/outcome.ts
+++ b/bench/load/outcome.ts
@@ -32,6 +32,9 @@
     readonly detail: string;
   };
 
+/** Takes an answer and its verdict. */
+export type OutcomeHandler = (exchange: Exchange, outcome: Outcome) => void;
+
 interface Problem {
   readonly type?: unknown;
   readonly status?: unknown;
--- a/bench/load/run_load.ts
+++ b/bench/load/run_load.ts
@@ -2,6 +2,7 @@
 import { performance } from "node:perf_hooks";
 import { runArrivals } from "./arrivals.ts";
 import { Balancer, type BalancerChoice } from "./balancer.ts";
+import type { OutcomeHandler } from "./outcome.ts";
 import { BookingLoad } from "./booking_load.ts";
 import { ChatLoad } from "./chat_load.ts";
 import { Chats, type ChatsOptions } from "./chats.ts";
@@ -51,6 +52,8 @@
   timeoutMs?: number;
   /** Ends the arrivals early. */
   signal?: AbortSignal;
+  /** Called with each answer and its verdict. */
+  onOutcome?: OutcomeHandler;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -93,7 +96,8 @@
   const { seconds = 10, timeoutMs = DEFAULT_TIMEOUT_MS } = options;
   const started = performance.now();
   const timeline = new Timeline(started);
-  const chatLoad = new ChatLoad({ balancer, timeline, timeoutMs });
+  const { onOutcome } = options;
+  const chatLoad = new ChatLoad({ balancer, timeline, timeoutMs, onOutcome });
   const bookingLoad = createBookingLoad(balancer, options);
   const open = new OpenRequests();
   await Promise.all([
@@ -163,6 +167,7 @@
     secondTapShare: options.secondTapShare ?? 0.2,
     lateTapShare: options.lateTapShare ?? 0.1,
     timeoutMs: options.timeoutMs ?? DEFAULT_TIMEOUT_MS,
+    onOutcome: options.onOutcome,
   });
 }
 
--- /dev/null
+++ b/testing/chaos_schedule_test.ts
@@ -0,0 +1,57 @@
+import { createChaosSchedule } from "./chaos_schedule.ts";
+
+const targets = {
+  routers: ["router-1", "router-2", "router-3"],
+  engines: ["engine-1", "engine-2", "engine-3"],
+  upstreams: ["engine-1", "engine-2", "engine-3", "plain-1"],
+  failureDomains: ["a", "b"],
+  hosts: ["host-1", "host-2", "host-3"],
+};
+
+describe("createChaosSchedule", () => {
+  test("draws the same schedule from the same seed", () => {
+    const options = { seed: 7, targets, durationMs: 40_000 };
+    const schedule = createChaosSchedule(options);
+    expect(createChaosSchedule(options)).toEqual(schedule);
+    const lines = schedule.map(({ atMs, kind, target, forMs }) =>
+      `${atMs} ${kind} ${target} for ${forMs}`
+    );
+    expect(lines).toMatchSnapshot();
+  });
+
+  test("ends every fault in time and leaves a router in order", () => {
+    for (let seed = 1; seed <= 50; seed++) {
+      const durationMs = 60_000;
+      const schedule = createChaosSchedule({ seed, targets, durationMs });
+      const isLate = schedule.some(({ atMs, forMs }) =>
+        atMs + forMs > durationMs
+      );
+      expect(isLate).toBe(false);
+      for (const { atMs } of schedule) {
+        const down = schedule.filter((event) =>
+          event.kind.startsWith("router-") && event.atMs <= atMs &&
+          event.atMs + event.forMs >= atMs
+        );
+        const names = new Set(down.map(({ target }) => target));
+        expect(names.size).toBeLessThan(targets.routers.length);
+      }
+    }
+  });
+
+  test("has faults at the same time and faults that come twice", () => {
+    const schedule = createChaosSchedule({
+      seed: 3,
+      targets,
+      durationMs: 300_000,
+    });
+    const times = schedule.map(({ atMs }) => atMs);
+    expect(new Set(times).size).toBeLessThan(times.length);
+    const isTwice = schedule.some((one) =>
+      schedule.some((other) =>
+        other.kind === one.kind && other.target === one.target &&
+        other.atMs === one.atMs + one.forMs + 300
+      )
+    );
+    expect(isTwice).toBe(true);
+  });
+});
--- a/testing/fleet_operator.ts
+++ b/testing/fleet_operator.ts
@@ -2,6 +2,7 @@
 import {
   type Change,
   EMPTY_CONFIGURATION,
+  type Entry,
   type ServiceState,
 } from "../src/config/configuration.ts";
 import type { CommitFailure } from "../src/config/configuration_commit.ts";
@@ -56,6 +57,13 @@
     return entry.val.version;
   }
 
+  /** Lists the newest entries, newest first. */
+  async getHistory(limit: number): Promise<readonly Entry[]> {
+    const entries = await this.#store.history(limit);
+    if (entries.err) throw new OperatorError("the history is not readable");
+    return entries.val;
+  }
+
   /** Commits a whole manifest. */
   apply(manifest: Manifest): Promise<number> {
     return this.commit({ kind: "manifest", manifest });
