Let a router announce other addresses than it listens on

A router behind an address translation, or a test with a relay in front of it, is reached at another address than its own. The addresses of the registration may now be set apart from those to listen on; without them nothing changes.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -47,6 +47,9 @@
     callers: AddressSchema,
     control: AddressSchema,
     forward: AddressSchema,
+    /** Addresses that peers use, where they differ from those above. */
+    announceControl: Type.Optional(AddressSchema),
+    announceForward: Type.Optional(AddressSchema),
   }, strict),
   platform: Type.Object({
     keyValue: Type.Array(AddressSchema, {
--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -53,6 +53,8 @@
 /** Options of the peers controller. */
 export interface PeersOptions {
   readonly self: Router;
+  /** `ip:port` to listen on; peers may know another one. */
+  readonly listenAddress: string;
   readonly incarnation: string;
   readonly key: string;
   /** Control addresses to dial before a configuration names the routers. */
@@ -178,9 +180,9 @@
   }
 
   async open(): Promise<void> {
-    const { self, heartbeatMs } = this.#options;
+    const { listenAddress, heartbeatMs } = this.#options;
     this.#server = await listenForPeers(
-      self.controlAddress,
+      listenAddress,
       this.#peerOptions(),
     );
     this.#timer = setInterval(
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -119,6 +119,7 @@
 
   constructor(options: DaemonOptions & { hash: Hash }) {
     const { settings } = options;
+    const { listen } = settings;
     this.#settings = settings;
     this.#fleetKey = options.fleetKey;
     this.#hash = options.hash;
@@ -129,8 +130,8 @@
     this.#self = {
       name: settings.router.name,
       failureDomain: settings.router.failureDomain,
-      controlAddress: settings.listen.control,
-      forwardAddress: settings.listen.forward,
+      controlAddress: listen.announceControl ?? listen.control,
+      forwardAddress: listen.announceForward ?? listen.forward,
     };
     this.#client = createHttpClient({
       connectTimeoutMs: settings.timing.transitMs / 2,
@@ -261,9 +262,10 @@
   }
 
   #createPeers(): PeersController {
-    const { timing, fleet } = this.#settings;
+    const { timing, fleet, listen } = this.#settings;
     return createPeersController({
       self: this.#self,
+      listenAddress: listen.control,
       incarnation: this.#incarnation,
       key: this.#fleetKey,
       seedPeers: fleet.seedPeers,
