--- a/bench/chaos_faults.ts
+++ b/bench/chaos_faults.ts
@@ -3,11 +3,12 @@
 import type { Change, ServiceState } from "../src/config/configuration.ts";
 import type { ChaosEvent, ChaosKind } from "../testing/chaos_schedule.ts";
 import type { Fleet } from "../testing/fleet.ts";
+import type { FleetLinks } from "../testing/fleet_links.ts";
 import { waitFor } from "../testing/fleet_http.ts";
 import type { RouterMember, UpstreamMember } from "../testing/fleet_member.ts";
 import { Operator } from "../testing/fleet_operator.ts";
 import type { KeyValueFaults } from "../testing/kv_server.ts";
-import type { Relay, RelayFaults } from "../testing/relay.ts";
+import type { RelayFaults } from "../testing/relay.ts";
 import type {
   AcceptedChange,
   ChaosWindow,
@@ -20,6 +21,33 @@
 const COMMIT_TIMEOUT_MS = 60_000;
 const COMMIT_POLL_MS = 500;
 
+type LinkKind = Extract<ChaosKind, `${string}link-${string}`>;
+
+interface LinkFault {
+  readonly links: Exclude<keyof FleetLinks, "plan" | "close">;
+  readonly faults: Partial<RelayFaults>;
+}
+
+const CUT = { cut: true };
+const SILENCE = { silence: true };
+const TO_TARGET = { cutOneWay: "to-target" } as const;
+const TO_CLIENT = { cutOneWay: "to-client" } as const;
+
+const LINK_FAULTS: Readonly<Record<LinkKind, LinkFault>> = {
+  "link-silent": { links: "upstreams", faults: SILENCE },
+  "link-cut": { links: "upstreams", faults: CUT },
+  "link-cut-to-upstream": { links: "upstreams", faults: TO_TARGET },
+  "link-cut-to-router": { links: "upstreams", faults: TO_CLIENT },
+  "control-link-cut": { links: "control", faults: CUT },
+  "control-link-cut-to-router": { links: "control", faults: TO_TARGET },
+  "control-link-silent": { links: "control", faults: SILENCE },
+  "forward-link-cut": { links: "forward", faults: CUT },
+  "forward-link-cut-to-router": { links: "forward", faults: TO_TARGET },
+  "forward-link-silent": { links: "forward", faults: SILENCE },
+  "key-value-link-cut": { links: "keyValue", faults: CUT },
+  "key-value-link-silent": { links: "keyValue", faults: SILENCE },
+};
+
 /** A fault of a kind that has an end. */
 interface Action {
   begin(): Promise<void>;
@@ -100,23 +128,18 @@
       case "upstream-silent":
         return this.#createUpstreamAction(kind, this.#findUpstream(target));
       case "link-silent":
-        return createLinkAction(this.#findLink(target), { silence: true });
       case "link-cut":
-        return createLinkAction(this.#findLink(target), { cut: true });
       case "link-cut-to-upstream":
-        return createLinkAction(this.#findLink(target), {
-          cutOneWay: "to-target",
-        });
       case "link-cut-to-router":
-        return createLinkAction(this.#findLink(target), {
-          cutOneWay: "to-client",
-        });
+      case "control-link-cut":
+      case "control-link-cut-to-router":
+      case "control-link-silent":
+      case "forward-link-cut":
+      case "forward-link-cut-to-router":
+      case "forward-link-silent":
       case "key-value-link-cut":
-        return createLinkAction(this.#findKeyValueLink(target), { cut: true });
       case "key-value-link-silent":
-        return createLinkAction(this.#findKeyValueLink(target), {
-          silence: true,
-        });
+        return this.#createLinkAction(kind, target);
       case "key-value-down":
         return this.#createKeyValueAction({ down: true }, { down: false });
       case "key-value-slow":
@@ -260,19 +283,13 @@
     return this.#fleet.upstreams.find((upstream) => upstream.name === name)!;
   }
 
-  #findLink(upstream: string): Relay {
-    return this.#fleet.links!.upstreams.get(upstream)!;
-  }
-
-  #findKeyValueLink(router: string): Relay {
-    return this.#fleet.links!.keyValue.get(router)!;
+  #createLinkAction(kind: LinkKind, target: string): Action {
+    const { links: name, faults } = LINK_FAULTS[kind];
+    const relay = this.#fleet.links![name].get(target)!;
+    const none = { cut: false, cutOneWay: "none" } as const;
+    return {
+      begin: async () => void await relay.setFaults(faults),
+      end: async () => void await relay.setFaults(none),
+    };
   }
 }
-
-function createLinkAction(relay: Relay, faults: Partial<RelayFaults>): Action {
-  return {
-    begin: async () => void await relay.setFaults(faults),
-    end: async () =>
-      void await relay.setFaults({ cut: false, cutOneWay: "none" }),
-  };
-}
--- a/testing/chaos_schedule.ts
+++ b/testing/chaos_schedule.ts
@@ -21,6 +21,14 @@
   | "link-cut"
   | "link-cut-to-upstream"
   | "link-cut-to-router"
+  /** Control connections to a router. */
+  | "control-link-cut"
+  | "control-link-cut-to-router"
+  | "control-link-silent"
+  /** Connections on which requests are forwarded to a router. */
+  | "forward-link-cut"
+  | "forward-link-cut-to-router"
+  | "forward-link-silent"
   | "key-value-link-cut"
   | "key-value-link-silent"
   | "key-value-down"
@@ -116,6 +124,18 @@
     targets: "upstreams",
     forMs: { min: 500, max: 5_000 },
   },
+  "control-link-cut": { targets: "routers", forMs: { min: 500, max: 8_000 } },
+  "control-link-cut-to-router": {
+    targets: "routers",
+    forMs: { min: 500, max: 8_000 },
+  },
+  "control-link-silent": { targets: "routers", forMs: ONCE },
+  "forward-link-cut": { targets: "routers", forMs: { min: 500, max: 5_000 } },
+  "forward-link-cut-to-router": {
+    targets: "routers",
+    forMs: { min: 500, max: 5_000 },
+  },
+  "forward-link-silent": { targets: "routers", forMs: ONCE },
   "key-value-link-cut": { targets: "routers", forMs: { min: 500, max: 8_000 } },
   "key-value-link-silent": { targets: "routers", forMs: ONCE },
   "key-value-down": { targets: "platform", forMs: { min: 2_000, max: 12_000 } },
--- a/testing/fleet_links.ts
+++ b/testing/fleet_links.ts
@@ -1,7 +1,8 @@
 /**
  * Relays on the links of a fleet, so that a link can be cut, cut one way or
- * silenced: one from each router to the key-value service, and one to each
- * upstream, which all routers share.
+ * silenced: one from each router to the key-value service, one to each upstream,
+ * and one to each of the two addresses at which a router is reached by its
+ * peers. The relays to an upstream or a router are shared by all who connect.
  */
 import type { Upstream } from "../src/config/manifest.ts";
 import { type FleetPlan, mergeSettings } from "./fleet_plan.ts";
@@ -15,6 +16,10 @@
   readonly keyValue: ReadonlyMap<string, Relay>;
   /** By the upstream's name. */
   readonly upstreams: ReadonlyMap<string, Relay>;
+  /** To the control addresses, by the router's name. */
+  readonly control: ReadonlyMap<string, Relay>;
+  /** To the addresses for forwarded requests, by the router's name. */
+  readonly forward: ReadonlyMap<string, Relay>;
   close(): Promise<void>;
 }
 
@@ -27,11 +32,26 @@
   const upstreams = await openRelays(
     all.map(({ name, address }) => [name, address]),
   );
-  const relays = [...keyValue.values(), ...upstreams.values()];
-  return {
-    plan: relinkPlan(plan, { keyValue, upstreams }),
+  const [control, forward] = await Promise.all(
+    ["control", "forward"].map((key) =>
+      openRelays(
+        plan.routers.map(({ name, settings }) => [
+          name,
+          settings["listen"]![key]!,
+        ]),
+      )
+    ),
+  );
+  const maps = {
     keyValue,
     upstreams,
+    control: control!,
+    forward: forward!,
+  };
+  const relays = Object.values(maps).flatMap((map) => [...map.values()]);
+  return {
+    plan: relinkPlan(plan, maps),
+    ...maps,
     async close() {
       await Promise.all(relays.map((relay) => relay.close()));
     },
@@ -50,11 +70,11 @@
 
 function relinkPlan(
   plan: FleetPlan,
-  { keyValue, upstreams }: {
-    keyValue: ReadonlyMap<string, Relay>;
-    upstreams: ReadonlyMap<string, Relay>;
-  },
+  { keyValue, upstreams, control, forward }: Omit<FleetLinks, "plan" | "close">,
 ): FleetPlan {
+  const controls = new Map(
+    plan.routers.map(({ name }) => [name, control.get(name)!.address]),
+  );
   const relink = (upstream: Upstream) => ({
     ...upstream,
     address: upstreams.get(upstream.name)!.address,
@@ -72,7 +92,17 @@
     routers: plan.routers.map((router) => ({
       ...router,
       settings: mergeSettings(router.settings, {
+        listen: {
+          "announce_control": controls.get(router.name)!,
+          "announce_forward": forward.get(router.name)!.address,
+        },
         platform: { "key_value": keyValue.get(router.name)!.address },
+        fleet: {
+          "seed_peers": [...controls]
+            .filter(([name]) => name !== router.name)
+            .map(([, address]) => address)
+            .join(", "),
+        },
       }),
     })),
   };
