Dial a peer again whose connection was the last to be lost

The dial of a lost connection was forgotten before the connection was, so it stayed in the table until another connection closed.

--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -333,13 +333,14 @@
   }
 
   #closed(connection: PeerConnection): void {
-    this.#forgetDials();
     const peer = this.#peers.get(connection.peer);
-    if (peer === undefined || peer.connection !== connection) return;
-    peer.connection = undefined;
-    this.#options.log.warn("Lost the connection to a peer.", {
-      peer: connection.peer,
-    });
+    if (peer?.connection === connection) {
+      peer.connection = undefined;
+      this.#options.log.warn("Lost the connection to a peer.", {
+        peer: connection.peer,
+      });
+    }
+    this.#forgetDials();
   }
 
   #forgetDials(): void {
