--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -26,6 +26,12 @@
   maxConnections: number;
 }
 
+/**
+ * Longer than a process is paused: on its return the timer of an idle
+ * connection runs before the request is read that came meanwhile.
+ */
+const KEEP_ALIVE_MS = 600_000;
+
 /** Listens at `address`; resolves once it is bound. */
 export function listenForHttp(
   address: string,
@@ -38,7 +44,7 @@
   const server = createServer({
     requestTimeout: limits.requestTimeoutMs,
     headersTimeout: limits.headerTimeoutMs,
-    keepAliveTimeout: 10_000,
+    keepAliveTimeout: KEEP_ALIVE_MS,
     connectionsCheckingInterval: 1_000,
   }, options.handle);
   server.maxConnections = limits.maxConnections;
