--- a/bench/chaos_main.ts
+++ b/bench/chaos_main.ts
@@ -47,6 +47,7 @@
     hasLinks: true,
     settings: { limits: { "drain_ms": DRAIN_MS } },
   });
+  fleet.stopOnSignals();
   try {
     await fleet.apply();
     await fleet.waitUntilServing();
--- a/testing/fleet.ts
+++ b/testing/fleet.ts
@@ -6,6 +6,7 @@
  */
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
+import process from "node:process";
 import { stringify } from "ini";
 import type { Service } from "../src/config/manifest.ts";
 import { type FleetLinks, openLinks } from "./fleet_links.ts";
@@ -209,6 +210,15 @@
     return { failed: Object.fromEntries(failed) };
   }
 
+  /** Ends every process and this one when it is told to end. */
+  stopOnSignals(): void {
+    for (const signal of ["SIGINT", "SIGTERM"] as const) {
+      process.once(signal, () => {
+        void this.stopAll().finally(() => process.exit(1));
+      });
+    }
+  }
+
   #createMember(name: string, address: string, script: string) {
     return {
       processes: this.#processes,
