--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -55,6 +55,8 @@
 /** Options of the peers controller. */
 export interface PeersOptions {
   readonly self: Router;
+  /** `ip:port` to listen on; peers may know another one. */
+  readonly listenAddress: string;
   readonly incarnation: string;
   readonly key: string;
   /** Control addresses to dial before a configuration names the routers. */
@@ -191,9 +193,9 @@
   }
 
   async open(): Promise<void> {
-    const { self, heartbeatMs } = this.#options;
+    const { listenAddress, heartbeatMs } = this.#options;
     this.#server = await listenForPeers(
-      self.controlAddress,
+      listenAddress,
       this.#peerOptions(),
     );
     this.#timer = setInterval(
@@ -331,13 +333,14 @@
   }
 
   #closed(connection: PeerConnection): void {
-    this.#forgetDials();
     const peer = this.#peers.get(connection.peer);
-    if (peer === undefined || peer.connection !== connection) return;
-    peer.connection = undefined;
-    this.#options.log.warn("Lost the connection to a peer.", {
-      peer: connection.peer,
-    });
+    if (peer?.connection === connection) {
+      peer.connection = undefined;
+      this.#options.log.warn("Lost the connection to a peer.", {
+        peer: connection.peer,
+      });
+    }
+    this.#forgetDials();
   }
 
   #forgetDials(): void {
