--- /dev/null
+++ b/bench/measure_baselines.ts
@@ -0,0 +1,127 @@
+/** Runs one baseline through fresh engines. */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { UpstreamMember } from "../testing/fleet_member.ts";
+import { call } from "../testing/fleet_http.ts";
+import { createFleetPlan, type FleetPlan } from "../testing/fleet_plan.ts";
+import { findPortBase } from "../testing/fleet_ports.ts";
+import { Processes } from "../testing/processes.ts";
+import type { BaselineName } from "./baselines_policy.ts";
+import { type DomainSwitch, drive } from "./measure_drive.ts";
+import type { Schedule } from "./measure_phases.ts";
+import type { RunFigures } from "./measure_run.ts";
+import type { Deployment } from "./measure_workload.ts";
+
+/** Options of a baseline's run. */
+export interface BaselineRunOptions {
+  readonly name: BaselineName;
+  readonly deployment: Deployment;
+  readonly schedule: Schedule;
+  readonly seed: number;
+  readonly directory: string;
+}
+
+const SCRIPTS = "dist";
+const COLD_MS = 2_500;
+const GRACE_MS = 2_000;
+const PORTS = 64;
+
+/** Starts engines and baseline routers, runs the load and stops them. */
+export async function measureBaseline(
+  options: BaselineRunOptions,
+): Promise<RunFigures> {
+  const { deployment, name } = options;
+  const directory = join(options.directory, `${deployment}-${name}`);
+  mkdirSync(directory, { recursive: true });
+  const portBase = await findPortBase(PORTS);
+  const plan = createFleetPlan({ deployment, portBase });
+  const processes = new Processes({
+    logDirectory: directory,
+    graceMs: GRACE_MS,
+  });
+  try {
+    const upstreams = createUpstreams(plan, processes);
+    await Promise.all(upstreams.map((upstream) => upstream.start()));
+    const routers = await startRouters(options, {
+      plan,
+      processes,
+      directory,
+    });
+    // The baselines know nothing of cold starts; they get warm engines.
+    await sleep(COLD_MS);
+    return await drive({
+      ...options,
+      router: name,
+      manifest: plan.manifest,
+      routers,
+      upstreams,
+      setFailureDomain: name === "bound" ? createSwitch(routers) : undefined,
+    });
+  } finally {
+    await processes.stopAll();
+  }
+}
+
+/** Creates the upstreams of a plan. */
+export function createUpstreams(
+  { manifest }: FleetPlan,
+  processes: Processes,
+): UpstreamMember[] {
+  return manifest.services.flatMap(({ name: service, kind, upstreams }) =>
+    upstreams.map((upstream) => {
+      const script = kind === "engine" ? "engine" : "plain_service";
+      const { name, address, hardLimit, coldLimit } = upstream;
+      const port = address.slice(address.lastIndexOf(":") + 1);
+      return new UpstreamMember({
+        processes,
+        name,
+        address,
+        script: join(SCRIPTS, `testing/${script}_main.js`),
+        args: [
+          ...["--name", name, "--port", port],
+          ...["--hard-limit", String(hardLimit)],
+          ...["--cold-limit", String(coldLimit)],
+        ],
+        service,
+        kind,
+        upstream,
+      });
+    })
+  );
+}
+
+async function startRouters(
+  { name }: BaselineRunOptions,
+  { plan, processes, directory }: {
+    plan: FleetPlan;
+    processes: Processes;
+    directory: string;
+  },
+): Promise<string[]> {
+  const manifest = join(directory, "manifest.json");
+  writeFileSync(manifest, JSON.stringify(plan.manifest));
+  // The bound is one router that sees every request.
+  const count = name === "bound" ? 1 : plan.routers.length;
+  const script = join(SCRIPTS, "bench/baseline_router_main.js");
+  const args = ["--policy", name, "--manifest", manifest];
+  const started = await Promise.all(
+    Array.from(
+      { length: count },
+      (_, index) =>
+        processes.start(script, args, { name: `router-${index + 1}` }),
+    ),
+  );
+  return started.map(({ address }) => address);
+}
+
+function createSwitch(routers: readonly string[]): DomainSwitch {
+  return async function setFailureDomain(name, state) {
+    const failureDomainsOut = state === "out" ? [name] : [];
+    await Promise.all(
+      routers.map((router) =>
+        call(`http://${router}/control`, { body: { failureDomainsOut } })
+      ),
+    );
+  };
+}
--- /dev/null
+++ b/bench/measure_drive.ts
@@ -0,0 +1,141 @@
+/** Drives one run: the load, the churn, the failure domain and the samples. */
+import { performance } from "node:perf_hooks";
+import type { UpstreamMember } from "../testing/fleet_member.ts";
+import type { Manifest } from "../src/config/manifest.ts";
+import { runLoad } from "./load/run_load.ts";
+import { runChurn, sleepUntil } from "./measure_churn.ts";
+import type { Schedule } from "./measure_phases.ts";
+import { RecordingBalancer } from "./measure_recorder.ts";
+import {
+  type FallFigures,
+  type RunFigures,
+  summarisePhase,
+} from "./measure_run.ts";
+import { sampleSkew, summariseSkew } from "./measure_skew.ts";
+import { createLoadOptions, type Deployment } from "./measure_workload.ts";
+
+/** Takes a failure domain out and brings it back. */
+export type DomainSwitch = (
+  name: string,
+  state: "in" | "out",
+) => Promise<unknown>;
+
+/** Options of a run. */
+export interface DriveOptions {
+  readonly router: string;
+  readonly deployment: Deployment;
+  readonly manifest: Manifest;
+  readonly routers: readonly string[];
+  readonly upstreams: readonly UpstreamMember[];
+  readonly schedule: Schedule;
+  readonly seed: number;
+  /** Absent for a router that is not told of failure domains. */
+  readonly setFailureDomain?: DomainSwitch;
+  /** Called at the start and the end of the steady phase. */
+  onSteady?(edge: "start" | "end"): Promise<void>;
+}
+
+const OUT_AFTER_S = 1;
+const BACK_BEFORE_S = 3;
+
+/** Runs the load through `routers` and reports by phase. */
+export async function drive(options: DriveOptions): Promise<RunFigures> {
+  const { schedule, upstreams, routers, manifest, deployment } = options;
+  const engines = upstreams.filter(({ kind }) => kind === "engine");
+  const plain = upstreams.filter(({ kind }) => kind === "plain");
+  const last = options.setFailureDomain ? schedule.domain : schedule.churn;
+  const balancer = new RecordingBalancer({ routers });
+  const started = performance.now();
+  const sampling = new AbortController();
+  const samples = sampleSkew(engines.map(({ address }) => address), {
+    started,
+    signal: sampling.signal,
+  });
+  const [load] = await Promise.all([
+    runLoad({
+      ...createLoadOptions(deployment, {
+        manifest,
+        schedule,
+        seconds: last.to,
+        seed: options.seed,
+      }),
+      routers,
+      balancer,
+      plainServices: plain.map(({ address }) => address),
+    }),
+    runChurn(engines, { schedule, started }),
+    switchDomain(options, started),
+    watchSteady(options, started),
+  ]);
+  sampling.abort();
+  const skewSamples = await samples;
+  await balancer.close();
+  const { exchanges } = balancer;
+  const phase = { timeline: load.timeline, exchanges, started };
+  const steadySamples = skewSamples.filter(({ atMs }) =>
+    atMs >= schedule.steady.from * 1_000 && atMs < schedule.steady.to * 1_000
+  );
+  return {
+    router: options.router,
+    warm: summarisePhase(schedule.warm, phase),
+    steady: summarisePhase(schedule.steady, phase),
+    churn: summarisePhase(schedule.churn, phase),
+    domain: options.setFailureDomain
+      ? summarisePhase(schedule.domain, phase)
+      : undefined,
+    skew: summariseSkew(steadySamples, {
+      loadFactor: getLoadFactor(manifest),
+    }),
+    skewSamples,
+    falls: await countFalls(engines),
+    load,
+  };
+}
+
+/** Load factor of the engines' service. */
+export function getLoadFactor({ services }: Manifest): number {
+  return services.find(({ kind }) => kind === "engine")!.loadFactor;
+}
+
+/** Failure domain that is taken out: the last one of the manifest. */
+export function getDomainOut({ failureDomains }: Manifest): string {
+  return failureDomains.at(-1)!.name;
+}
+
+async function switchDomain(
+  { setFailureDomain, schedule, manifest }: DriveOptions,
+  started: number,
+): Promise<void> {
+  if (setFailureDomain === undefined) return;
+  const { from, to } = schedule.domain;
+  await sleepUntil(from + OUT_AFTER_S, started);
+  await setFailureDomain(getDomainOut(manifest), "out");
+  await sleepUntil(to - BACK_BEFORE_S, started);
+  await setFailureDomain(getDomainOut(manifest), "in");
+}
+
+async function watchSteady(
+  { onSteady, schedule }: DriveOptions,
+  started: number,
+): Promise<void> {
+  if (onSteady === undefined) return;
+  await sleepUntil(schedule.steady.from, started);
+  await onSteady("start");
+  await sleepUntil(schedule.steady.to, started);
+  await onSteady("end");
+}
+
+async function countFalls(
+  engines: readonly UpstreamMember[],
+): Promise<FallFigures> {
+  const reasons: Record<string, number> = {};
+  let falls = 0;
+  for (const engine of engines) {
+    const { fallLog } = await engine.getRecord();
+    falls += fallLog.length;
+    for (const { reason } of fallLog) {
+      reasons[reason] = (reasons[reason] ?? 0) + 1;
+    }
+  }
+  return { falls, reasons };
+}
--- /dev/null
+++ b/bench/measure_main.ts
@@ -0,0 +1,146 @@
+/**
+ * Measures both deployments through real processes, with the baselines in the
+ * same run: `measure_main [--quick] [--seed N] [--deployment NAME]`.
+ */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { loadavg } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { parseArgs } from "node:util";
+import { Processes } from "../testing/processes.ts";
+import { BASELINE_NAMES } from "./baselines_policy.ts";
+import { measureBaseline } from "./measure_baselines.ts";
+import { measureFleet } from "./measure_fleet.ts";
+import {
+  FULL_SCHEDULE,
+  QUICK_SCHEDULE,
+  type Schedule,
+} from "./measure_phases.ts";
+import { readUse } from "./measure_processes.ts";
+import type { DeploymentResult, MeasureResult } from "./measure_result.ts";
+import type { RunFigures } from "./measure_run.ts";
+import { judgeTargets } from "./measure_targets.ts";
+import type { Deployment } from "./measure_workload.ts";
+import { renderReport } from "./report_html.ts";
+import {
+  createVerdictRows,
+  formatNumber,
+  renderTable,
+} from "./report_table.ts";
+
+interface Options {
+  readonly seed: number;
+  readonly schedule: Schedule;
+  readonly deployments: readonly Deployment[];
+}
+
+const OUT = "out";
+const BARE_SETTLE_MS = 500;
+const NOTE = "Figures of one shared machine: processor seconds and counts " +
+  "hold better than wall times.";
+
+function readOptions(): Options {
+  const { values } = parseArgs({
+    options: {
+      quick: { type: "boolean", default: false },
+      seed: { type: "string", default: "1" },
+      deployment: { type: "string" },
+    },
+  });
+  const { deployment } = values;
+  const all = values.quick ? ["rokuro"] : ["rokuro", "tuul"];
+  return {
+    seed: Number(values.seed),
+    schedule: values.quick ? QUICK_SCHEDULE : FULL_SCHEDULE,
+    deployments: (deployment ? [deployment] : all) as Deployment[],
+  };
+}
+
+async function measureDeployment(
+  deployment: Deployment,
+  { seed, schedule, bareBytes }: Options & { bareBytes: number },
+): Promise<DeploymentResult> {
+  const directory = join(OUT, "measure");
+  const options = { deployment, seed, schedule, directory };
+  const fleet = await measureFleet(options);
+  const baselines: RunFigures[] = [];
+  for (const name of BASELINE_NAMES) {
+    baselines.push(await measureBaseline({ ...options, name }));
+  }
+  const bound = baselines.find(({ router }) => router === "bound")!;
+  const verdicts = judgeTargets({ fleet, bound, bareBytes });
+  return { deployment, fleet, baselines, verdicts };
+}
+
+/** Resident memory of a process that does nothing. */
+async function measureBare(): Promise<number> {
+  const processes = new Processes({ logDirectory: join(OUT, "measure") });
+  try {
+    const bare = await processes.start("dist/bench/measure_bare_main.js", []);
+    await sleep(BARE_SETTLE_MS);
+    return readUse(bare.pid).residentBytes;
+  } finally {
+    await processes.stopAll();
+  }
+}
+
+function createRunRows(runs: readonly RunFigures[]): string[][] {
+  const head = [
+    ...["router", "reuse steady", "reuse churn", "skew p50", "skew p99"],
+    ...["first token p50", "p99 ms", "refused", "broken", "falls"],
+  ];
+  const rows = runs.map(({ router, steady, churn, skew, falls, load }) => [
+    router,
+    formatNumber(steady.reuse),
+    formatNumber(churn.reuse),
+    formatNumber(skew.p50),
+    formatNumber(skew.p99),
+    formatNumber(steady.firstTokenMs.p50),
+    formatNumber(steady.firstTokenMs.p99),
+    String(
+      Object.values(load.chats.refused).reduce((sum, each) => sum + each, 0),
+    ),
+    String(load.chats.broken),
+    String(falls.falls),
+  ]);
+  return [head, ...rows];
+}
+
+function print({ deployment, fleet, baselines, verdicts }: DeploymentResult) {
+  const runs = renderTable(createRunRows([fleet, ...baselines]));
+  const targets = renderTable(createVerdictRows(verdicts));
+  process.stdout.write(`\n${deployment}\n\n${runs}\n\n${targets}\n`);
+}
+
+async function main(): Promise<void> {
+  const options = readOptions();
+  const [before] = loadavg();
+  const bareBytes = await measureBare();
+  const deployments: DeploymentResult[] = [];
+  for (const deployment of options.deployments) {
+    const result = await measureDeployment(deployment, {
+      ...options,
+      bareBytes,
+    });
+    print(result);
+    deployments.push(result);
+  }
+  const result: MeasureResult = {
+    seed: options.seed,
+    note: NOTE,
+    schedule: options.schedule,
+    bareBytes,
+    loadAverage: [before!, loadavg()[0]!],
+    deployments,
+  };
+  mkdirSync(OUT, { recursive: true });
+  writeFileSync(join(OUT, "measure.json"), JSON.stringify(result, null, 1));
+  writeFileSync(join(OUT, "measure.html"), renderReport(result));
+  process.stdout.write(
+    `\nLoad average ${formatNumber(before!)} before and ` +
+      `${formatNumber(result.loadAverage[1])} after. ${NOTE}\n`,
+  );
+}
+
+void main();
