--- /dev/null
+++ b/bench/baselines_policy_test.ts
@@ -0,0 +1,60 @@
+import {
+  BASELINE_NAMES,
+  type BaselineName,
+  loadBaselinePolicy,
+  type UpstreamView,
+} from "./baselines_policy.ts";
+
+function createView(
+  name: string,
+  fields: Partial<UpstreamView> = {},
+): UpstreamView {
+  const limits = { hardLimit: 16, coldLimit: 2 };
+  const state = { inFlight: 0, isUsable: true, isCold: false };
+  return { name, ...state, ...limits, ...fields };
+}
+
+const upstreams = [
+  createView("a", { inFlight: 6 }),
+  createView("b", { inFlight: 1 }),
+  createView("c", { isUsable: false }),
+];
+const request = { chat: "chat-1", tried: [], waitedMs: 0 };
+
+function create(name: BaselineName) {
+  return loadBaselinePolicy(name, { loadFactor: 1.25 });
+}
+
+describe("createBaselinePolicy", () => {
+  test.each(BASELINE_NAMES)(
+    "%s takes only usable, untried ones",
+    async (name) => {
+      const policy = await create(name);
+      for (let turn = 0; turn < 4; turn++) {
+        const tried = { ...request, tried: ["a"] };
+        expect(policy.choose(tried, upstreams)).toBe(upstreams[1]);
+      }
+      const none = { ...request, tried: ["a", "b"] };
+      expect(policy.choose(none, upstreams)).toBeUndefined();
+    },
+  );
+
+  test("the bound waits for a full home, then overflows", async () => {
+    const policy = await create("bound");
+    policy.noteServed("chat-1", "a");
+    expect(policy.choose(request, upstreams)).toBe("wait");
+    const late = { ...request, waitedMs: 5_000 };
+    expect(policy.choose(late, upstreams)).toBe(upstreams[1]);
+    policy.noteRestart("a");
+    expect(policy.choose(request, upstreams)).toBe(upstreams[1]);
+  });
+
+  test("the bound gives a cold upstream its cold limit", async () => {
+    const policy = await create("bound");
+    const cold = [
+      createView("a", { isCold: true, inFlight: 2 }),
+      createView("b", { inFlight: 5 }),
+    ];
+    expect(policy.choose(request, cold)).toBe("wait");
+  });
+});
--- a/bench/measure_baselines.ts
+++ b/bench/measure_baselines.ts
@@ -20,21 +20,24 @@
   readonly schedule: Schedule;
   readonly seed: number;
   readonly directory: string;
+  /** Number among runs at the same time, which keeps their ports apart. */
+  readonly slot?: number;
 }
 
 const SCRIPTS = "dist";
 const COLD_MS = 2_500;
 const GRACE_MS = 2_000;
 const PORTS = 64;
+const MAX_SLOTS = 2;
 
 /** Starts engines and baseline routers, runs the load and stops them. */
 export async function measureBaseline(
   options: BaselineRunOptions,
 ): Promise<RunFigures> {
-  const { deployment, name } = options;
+  const { deployment, name, slot = 0 } = options;
   const directory = join(options.directory, `${deployment}-${name}`);
   mkdirSync(directory, { recursive: true });
-  const portBase = await findPortBase(PORTS);
+  const portBase = await findPortBase(PORTS * MAX_SLOTS) + slot * PORTS;
   const plan = createFleetPlan({ deployment, portBase });
   const processes = new Processes({
     logDirectory: directory,
--- /dev/null
+++ b/bench/slopes_fit_test.ts
@@ -0,0 +1,21 @@
+import { fitLine } from "./slopes_fit.ts";
+
+describe("fitLine", () => {
+  test("finds the line that the points lie on", () => {
+    const points = [1, 2, 4].map((size) => ({ size, cost: 3 + 2 * size }));
+    const { intercept, slope, r2 } = fitLine(points);
+    expect(intercept).toBeCloseTo(3);
+    expect(slope).toBeCloseTo(2);
+    expect(r2).toBeCloseTo(1);
+  });
+
+  test("takes a flat cost for explained", () => {
+    const points = [1, 2].map((size) => ({ size, cost: 5 }));
+    expect(fitLine(points)).toEqual({ intercept: 5, slope: 0, r2: 1 });
+  });
+
+  test("refuses points of one size", () => {
+    const points = [{ size: 1, cost: 1 }, { size: 1, cost: 2 }];
+    expect(() => fitLine(points)).toThrow(RangeError);
+  });
+});
