--- a/bench/slopes_manifest.ts
+++ b/bench/slopes_manifest.ts
@@ -65,6 +65,11 @@
   };
 }
 
+/** Host of an upstream of a service. */
+export function getHost(service: number, upstream: number): string {
+  return `service-${service}-host-${upstream}`;
+}
+
 function createService(
   model: Service,
   { index, addresses }: { index: number; addresses: readonly string[] },
@@ -77,7 +82,7 @@
     upstreams: addresses.map((address, number) => ({
       ...model.upstreams[number % model.upstreams.length]!,
       name: `${name}-${number}`,
-      host: `${name}-host-${number}`,
+      host: getHost(index, number),
       address,
     })),
   };
