Answer requests that never become whole with a problem

Cause: a head or body that came too slowly or was no HTTP ended in Node's bare 400, 408 or 431 without a body, so that the caller learned neither the type nor whether the request ran; the diagnostic request-timeout was never used. After: a problem with type, ran and, for 408, Retry-After. It is written only where it can't be taken for the answer to an earlier request on the same connection.

Tests table bad input at the caller port of a router in process, while other requests go on whole.

--- /dev/null
+++ b/src/daemon/testing/local_fleet.ts
@@ -0,0 +1,460 @@
+/**
+ * Routers in this process, with stand-ins for the platform and the upstreams.
+ *
+ * The configuration is committed before the first router starts, so that no
+ * proposal and no hold-down stand between a test and its first request.
+ */
+import { Buffer } from "node:buffer";
+import { connect, createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { Readable } from "node:stream";
+import { text } from "node:stream/consumers";
+import { stringify } from "ini";
+import { Agent, request } from "undici";
+import { Engine, type EngineOptions } from "../../../testing/engine.ts";
+import { Operator } from "../../../testing/fleet_operator.ts";
+import { createHostListServer } from "../../../testing/host_list_server.ts";
+import {
+  createKeyValueServer,
+  type KeyValueServer,
+} from "../../../testing/kv_server.ts";
+import {
+  PlainService,
+  type PlainServiceOptions,
+} from "../../../testing/plain_service.ts";
+import { createRelay, type Relay } from "../../../testing/relay.ts";
+import type { Manifest, Service, Upstream } from "../../config/manifest.ts";
+import { checkManifest } from "../../config/manifest_check.ts";
+import { readSettings } from "../../config/settings.ts";
+import type { RouterStatus } from "../../types_status.ts";
+import { type Daemon, startDaemon } from "../daemon.ts";
+import { type LogFields, SILENT_LOG } from "../log.ts";
+
+/** Options of a fleet. */
+export interface LocalFleetOptions {
+  routers?: number;
+  engines?: number;
+  plainServices?: number;
+  engine?: Partial<EngineOptions>;
+  plain?: Partial<PlainServiceOptions>;
+  /** Changes to every service of the manifest. */
+  service?: Partial<Service>;
+  upstream?: Partial<Upstream>;
+  limits?: Readonly<Record<string, number>>;
+  timing?: Readonly<Record<string, number>>;
+}
+
+/** A router and the relays on its links. */
+export interface LocalRouter {
+  readonly name: string;
+  /** `ip:port` for callers. */
+  readonly callers: string;
+  readonly control: Relay;
+  readonly forward: Relay;
+  readonly keyValue: Relay;
+  readonly lines: readonly LogLine[];
+  daemon: Daemon;
+}
+
+interface RouterPlan {
+  readonly name: string;
+  readonly listen: Readonly<Record<"callers" | "control" | "forward", string>>;
+  readonly control: Relay;
+  readonly forward: Relay;
+  readonly keyValue: Relay;
+}
+
+/** A line of a router's log. */
+export interface LogLine {
+  readonly sentence: string;
+  readonly fields: LogFields;
+}
+
+/** An upstream and the relay on its link. */
+export interface LocalUpstream {
+  readonly name: string;
+  /** `ip:port` past the relay. */
+  readonly address: string;
+  readonly relay: Relay;
+}
+
+/** A whole answer. */
+export interface LocalAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly text: string;
+}
+
+/** What a test sends. */
+export interface LocalRequest {
+  method?: string;
+  headers?: Record<string, string | string[]>;
+  body?: string | Buffer | AsyncIterable<Uint8Array> | null;
+  router?: number;
+  signal?: AbortSignal;
+}
+
+/** Key of the first workspace. */
+export const WORKSPACE_KEY = "hakata-workspace-key";
+/** Model of the engines. */
+export const MODEL = "kiln";
+
+const MAX_POLLS = 600;
+const POLL_MS = 25;
+const TIMING = {
+  "heartbeat_ms": 200,
+  "loan_ms": 1_500,
+  "liveness_ms": 1_200,
+  "drift_ms": 20,
+  "transit_ms": 400,
+  "report_lag_ms": 200,
+  "hold_down_ms": 15_000,
+};
+
+async function findFreeAddress(): Promise<string> {
+  const server = createServer();
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as AddressInfo;
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  return `127.0.0.1:${port}`;
+}
+
+/** Waits until `check` holds. */
+export async function until(
+  check: () => boolean | Promise<boolean>,
+): Promise<void> {
+  for (let poll = 0; poll < MAX_POLLS; poll++) {
+    if (await check()) return;
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+  throw new Error("did not come true");
+}
+
+/** A fleet that runs in this process. */
+export class LocalFleet {
+  readonly agent = new Agent({ connections: 256, pipelining: 1 });
+  readonly routers: LocalRouter[] = [];
+  engines: readonly LocalUpstream[] = [];
+  plainServices: readonly LocalUpstream[] = [];
+  keyValue!: KeyValueServer;
+  operator!: Operator;
+  readonly #closers: (() => unknown)[] = [];
+
+  /** Starts everything; resolves once every router serves. */
+  async start(options: LocalFleetOptions = {}): Promise<this> {
+    const { routers = 1 } = options;
+    await this.#openPlatform(options);
+    const hostList = await createHostListServer();
+    this.#closers.push(() => hostList.close());
+    const plans = [];
+    for (let index = 0; index < routers; index++) {
+      plans.push(await this.#plan(index));
+    }
+    await this.operator.commit({
+      kind: "routers",
+      routers: plans.map(({ name, control, forward }) => ({
+        name,
+        failureDomain: "a",
+        controlAddress: control.address,
+        forwardAddress: forward.address,
+      })),
+    });
+    const started = plans.map((plan) =>
+      this.#startRouter(plan, { options, hostList: hostList.address })
+    );
+    this.routers.push(...await Promise.all(started));
+    await this.untilServing();
+    return this;
+  }
+
+  /** Waits until each service answers at each router. */
+  async untilServing(): Promise<void> {
+    for (const router of this.routers.keys()) {
+      await until(async () =>
+        (await this.get("/readyz", router)).status === 200
+      );
+      await until(async () => (await this.chat("probe", { router })).isOk);
+      await until(async () =>
+        (await this.send("/sheets", { method: "GET", router })).status === 200
+      );
+    }
+  }
+
+  /** Sends one request with the key of the workspace. */
+  async send(path: string, options: LocalRequest = {}): Promise<LocalAnswer> {
+    const { router = 0, method = "POST", headers, ...rest } = options;
+    const answer = await request(
+      `http://${this.routers[router]!.callers}${path}`,
+      {
+        dispatcher: this.agent,
+        method: method as "POST",
+        headers: { authorization: `Bearer ${WORKSPACE_KEY}`, ...headers },
+        body: toBody(rest.body),
+        signal: rest.signal,
+      },
+    );
+    return {
+      status: answer.statusCode,
+      headers: answer.headers,
+      text: await answer.body.text(),
+    };
+  }
+
+  /** Reads a path of the router itself. */
+  get(path: string, router = 0): Promise<LocalAnswer> {
+    return this.send(path, { method: "GET", router });
+  }
+
+  /** Asks for a chat completion. */
+  async chat(
+    content: string,
+    { stream = false, tokens, ...rest }:
+      & LocalRequest
+      & { stream?: boolean; tokens?: number } = {},
+  ): Promise<LocalAnswer & { isOk: boolean }> {
+    const body = JSON.stringify(createChat(content, { stream, tokens }));
+    const headers = { "x-chat-id": `chat-${content}`, ...rest.headers };
+    const answer = await this.send("/v1/chat/completions", {
+      ...rest,
+      headers,
+      body,
+    });
+    return { ...answer, isOk: answer.status === 200 };
+  }
+
+  /** Reads what a router says of itself. */
+  async getStatus(router = 0): Promise<RouterStatus> {
+    return JSON.parse((await this.get("/admin/status", router)).text);
+  }
+
+  /** Sum of the router's own work on the upstreams. */
+  async getInFlight(router = 0): Promise<number> {
+    const { pools } = await this.getStatus(router);
+    return pools.flatMap(({ upstreams }) => upstreams)
+      .reduce((sum, { inFlight }) => sum + inFlight, 0);
+  }
+
+  /** Gives an order to an upstream, past its relay. */
+  async control(upstream: LocalUpstream, order: unknown): Promise<void> {
+    await this.#callUpstream(upstream, JSON.stringify(order));
+  }
+
+  /** Reads what an upstream has seen. */
+  // deno-lint-ignore no-explicit-any
+  async getRecord(upstream: LocalUpstream): Promise<any> {
+    return JSON.parse(await this.#callUpstream(upstream));
+  }
+
+  /** Stops the routers and then everything else. */
+  async close(): Promise<void> {
+    await this.agent.destroy();
+    await Promise.all(this.routers.map(({ daemon }) => daemon.stop()));
+    for (const close of this.#closers.reverse()) await close();
+  }
+
+  async #callUpstream(
+    { address }: LocalUpstream,
+    body?: string,
+  ): Promise<string> {
+    const answer = await request(`http://${address}/control`, {
+      method: body === undefined ? "GET" : "POST",
+      body,
+      reset: true,
+    });
+    return await answer.body.text();
+  }
+
+  async #openPlatform(options: LocalFleetOptions): Promise<void> {
+    this.keyValue = await createKeyValueServer();
+    this.#closers.push(() => this.keyValue.close());
+    const { address } = this.keyValue;
+    this.operator = new Operator({ author: "test", address });
+    this.#closers.push(() => this.operator.close());
+    this.engines = await this.#openEngines(options);
+    this.plainServices = await this.#openPlainServices(options);
+    const manifest = createManifest(this, options);
+    await this.operator.commit({ kind: "manifest", manifest });
+  }
+
+  #openEngines({ engines = 2, engine }: LocalFleetOptions) {
+    return this.#openUpstreams(
+      engines,
+      (name) =>
+        new Engine({ name, tokenMs: 1, coldMs: 0, hardLimit: 64, ...engine }),
+    );
+  }
+
+  #openPlainServices({ plainServices = 2, plain }: LocalFleetOptions) {
+    return this.#openUpstreams(
+      plainServices,
+      (name) => new PlainService({ name, coldMs: 0, hardLimit: 64, ...plain }),
+    );
+  }
+
+  async #openUpstreams(
+    count: number,
+    create: (name: string) => Engine | PlainService,
+  ): Promise<LocalUpstream[]> {
+    const upstreams: LocalUpstream[] = [];
+    for (let index = 0; index < count; index++) {
+      const name = `u${index + 1}`;
+      const server = create(name);
+      const address = await server.listen(0);
+      const relay = await this.#relay(address);
+      this.#closers.push(() => server.close());
+      upstreams.push({ name, address, relay });
+    }
+    return upstreams;
+  }
+
+  async #relay(target: string): Promise<Relay> {
+    const relay = await createRelay({ target });
+    this.#closers.push(() => relay.close());
+    return relay;
+  }
+
+  async #plan(index: number): Promise<RouterPlan> {
+    const listen = {
+      callers: await findFreeAddress(),
+      control: await findFreeAddress(),
+      forward: await findFreeAddress(),
+    };
+    return {
+      name: `r${index + 1}`,
+      listen,
+      control: await this.#relay(listen.control),
+      forward: await this.#relay(listen.forward),
+      keyValue: await this.#relay(this.keyValue.address),
+    };
+  }
+
+  async #startRouter(
+    plan: RouterPlan,
+    { options, hostList }: { options: LocalFleetOptions; hostList: string },
+  ): Promise<LocalRouter> {
+    const { name, listen, control, forward, keyValue } = plan;
+    const ini = stringify({
+      router: { name, "failure_domain": "a", host: `host-${name}` },
+      listen: {
+        ...listen,
+        "announce_control": control.address,
+        "announce_forward": forward.address,
+      },
+      platform: { "key_value": keyValue.address, "host_list": hostList },
+      fleet: { key: FLEET_KEY },
+      limits: { "drain_ms": 0, ...options.limits },
+      timing: { ...TIMING, ...options.timing },
+    });
+    const settings = readSettings(ini, "test.ini").unwrap();
+    const lines: LogLine[] = [];
+    const keep = (sentence: string, fields: LogFields = {}) => {
+      lines.push({ sentence, fields });
+    };
+    const daemon = await startDaemon({
+      settings,
+      fleetKey: FLEET_KEY,
+      logs: () => ({ ...SILENT_LOG, info: keep, warn: keep, error: keep }),
+    });
+    const { callers } = listen;
+    return { name, callers, control, forward, keyValue, lines, daemon };
+  }
+}
+
+function toBody(body: LocalRequest["body"] = null) {
+  const isWhole = body === null || typeof body === "string" ||
+    Buffer.isBuffer(body);
+  return isWhole ? body : Readable.from(body, { objectMode: false });
+}
+
+const FLEET_KEY = "a-fleet-key-of-the-tests";
+
+/** Body of a chat completion. */
+export function createChat(
+  content: string,
+  { stream = false, tokens = 8 }: { stream?: boolean; tokens?: number } = {},
+) {
+  return {
+    model: MODEL,
+    messages: [{ role: "user", content }],
+    "max_tokens": tokens,
+    stream,
+  };
+}
+
+function createManifest(
+  { engines, plainServices }: LocalFleet,
+  { service, upstream }: LocalFleetOptions,
+): Manifest {
+  const describe = (prefix: string) => ({ name, relay }: LocalUpstream) => ({
+    name: `${prefix}-${name}`,
+    host: `host-${prefix}-${name}`,
+    failureDomain: "a",
+    address: relay.address,
+    hardLimit: 64,
+    coldLimit: 16,
+    ...upstream,
+  });
+  const manifest = checkManifest({
+    failureDomains: [{ name: "a" }, { name: "b" }],
+    services: [
+      {
+        name: "assistant",
+        kind: "engine",
+        model: MODEL,
+        loadFactor: 4,
+        firstByteTimeoutMs: 5_000,
+        betweenBytesTimeoutMs: 1_000,
+        deadlineMs: 20_000,
+        ...service,
+        upstreams: engines.map(describe("engine")),
+      },
+      {
+        name: "registry",
+        kind: "plain",
+        loadFactor: 4,
+        firstByteTimeoutMs: 5_000,
+        betweenBytesTimeoutMs: 1_000,
+        deadlineMs: 20_000,
+        ...service,
+        routes: [
+          { method: "GET", path: "/sheets", idempotent: true },
+          { method: "POST", path: "/sheets", idempotent: false },
+        ],
+        upstreams: plainServices.map(describe("plain")),
+      },
+    ],
+    workspaces: [
+      {
+        name: "hakata",
+        key: WORKSPACE_KEY,
+        requestsPerSecond: 100_000,
+        burst: 100_000,
+      },
+      {
+        name: "small",
+        key: "small-workspace-key",
+        requestsPerSecond: 1,
+        burst: 1,
+      },
+    ],
+  });
+  return manifest.unwrap();
+}
+
+/** What came back on a raw connection until its end. */
+export async function exchangeRaw(
+  address: string,
+  parts: readonly (string | number)[],
+): Promise<string> {
+  const [host, port] = address.split(":");
+  const socket = connect({ host: host!, port: Number(port) });
+  socket.on("error", () => {});
+  const answer = text(socket).catch(() => "");
+  for (const part of parts) {
+    if (typeof part === "string") socket.write(Buffer.from(part, "latin1"));
+    else await new Promise((resolve) => setTimeout(resolve, part));
+  }
+  return await answer;
+}
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -13,6 +13,7 @@
 import { Err, Ok, type Result } from "ts-results";
 import { createRefusal, type Refusal } from "../diagnostics.ts";
 import type { Outcome } from "../filters/exchange.ts";
+import { answerClientErrors } from "./client_error.ts";
 import { parseAddress } from "./peer_connection.ts";
 import { renderProblem } from "./problem.ts";
 
@@ -48,6 +49,7 @@
     connectionsCheckingInterval: 1_000,
   }, options.handle);
   server.maxConnections = limits.maxConnections;
+  answerClientErrors(server);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(parseAddress(address), () => resolve(server));
