Repeat a request once at most over all routers

Cause: the ingress repeated an idempotent request after each forward that broke off, up to twice, and the owner that got the repeat could repeat it once more, so that one request could run up to six times. A caller that had gone away also took a retry from the budget. Now an exchange carries that its repeat has been made, also to the next router (x-cf-retried).

An ingress still can't name the upstream of a forward that broke off before its head, so that the repeat may meet the same one.

--- a/src/filters/exchange.ts
+++ b/src/filters/exchange.ts
@@ -54,6 +54,8 @@
   promptTokens: number;
   /** Routers that have passed the request on so far. */
   hops: number;
+  /** Whether this is the one repeat after a try that may have run. */
+  hasRetried: boolean;
 }
 
 /** Runs the rest of the chain. */
--- a/src/filters/locate_filter.ts
+++ b/src/filters/locate_filter.ts
@@ -101,14 +101,20 @@
       if (result.kind === "outcome") return withRan(result.outcome, ran);
       failure = result.refusal;
       if (!result.isNotRun) ran = "unknown";
-      const mayRepeat = result.isNotRun ||
-        (exchange.isIdempotent && this.#options.tryRetry());
-      if (!mayRepeat) break;
+      if (!result.isNotRun && !this.#tryRetry(exchange)) break;
     }
     const detail = "No router that owns the pool can be reached.";
     return refused({ ...(failure ?? createRefusal("no-owner", detail)), ran });
   }
 
+  /** Takes the one retry that a request may have, here or at an owner. */
+  #tryRetry(exchange: Exchange): boolean {
+    const { isIdempotent, hasRetried, signal } = exchange;
+    if (!isIdempotent || hasRetried || signal.aborted) return false;
+    exchange.hasRetried = this.#options.tryRetry();
+    return exchange.hasRetried;
+  }
+
   async #serveHere(
     exchange: Exchange,
     ran: Refusal["ran"],
--- a/src/filters/upstream_filter.ts
+++ b/src/filters/upstream_filter.ts
@@ -95,12 +95,17 @@
       failure = result.refusal;
       if (!result.isNotRun) ran = "unknown";
       excluded.push(grant.val.upstream.name);
-      const mayRepeat = result.isNotRun || exchange.isIdempotent;
-      if (!mayRepeat || !this.#options.tryRetry()) break;
+      if (!this.#tryRetry(exchange, result)) break;
     }
     return refused({ ...failure!, ran });
   }
 
+  #tryRetry(exchange: Exchange, { isNotRun }: { isNotRun: boolean }): boolean {
+    const { isIdempotent, hasRetried, signal } = exchange;
+    const mayRepeat = isNotRun || (isIdempotent && !hasRetried);
+    return mayRepeat && !signal.aborted && this.#options.tryRetry();
+  }
+
   #toAcquire(exchange: Exchange, excluded: readonly string[]) {
     const workspace = exchange.workspace!;
     const { chat } = exchange;
--- /dev/null
+++ b/src/filters/upstream_filter_test.ts
@@ -0,0 +1,198 @@
+import { SILENT_LOG } from "../daemon/log.ts";
+import type { Exchange, Outcome } from "./exchange.ts";
+import {
+  answerWith,
+  collect,
+  createService,
+  createTestExchange,
+  failSend,
+  RecordingPool,
+  ScriptedClient,
+  type Sent,
+} from "./testing/fakes.ts";
+import { UpstreamFilter } from "./upstream_filter.ts";
+
+const BODY = "the answer";
+const load = {
+  "x-incarnation": "i",
+  "x-load": "in-flight=1;cold=0;leaving=0;age-ms=5",
+};
+
+/** What an upstream may do with an attempt. */
+const replies = {
+  "answers": (id) =>
+    answerWith(200, {
+      ...load,
+      "x-attempt-id": id,
+      "content-length": String(BODY.length),
+    }, [BODY]),
+  "refuses the connection": () => failSend("not-sent"),
+  "breaks off before the head": () => failSend("unclear"),
+  "breaks off in the body": (id) =>
+    answerWith(200, {
+      ...load,
+      "x-attempt-id": id,
+      "content-length": String(BODY.length),
+    }, ["the", new Error("reset")]),
+  "answers another attempt": () =>
+    answerWith(200, {
+      ...load,
+      "x-attempt-id": "another",
+      "content-length": "5",
+    }, ["wrong"]),
+  "answers no attempt": () =>
+    answerWith(503, { ...load, "content-length": "4" }, ["down"]),
+  "did not run it": () =>
+    answerWith(503, { ...load, "x-not-run": "1", "content-length": "0" }),
+} satisfies Record<string, (attemptId: string) => Sent>;
+
+type Reply = keyof typeof replies;
+const names = Object.keys(replies) as Reply[];
+const NOT_RUN: readonly Reply[] = ["refuses the connection", "did not run it"];
+
+interface RunOptions extends Partial<Exchange> {
+  budget?: number;
+  /** Answers every attempt in place of the script. */
+  reply?(attemptId: string): Sent;
+  prepare?(pool: RecordingPool): void;
+}
+
+interface Run {
+  readonly outcome: Outcome;
+  readonly pool: RecordingPool;
+  readonly sent: readonly { method: string; address: string }[];
+  readonly retries: number;
+  readonly text: string;
+}
+
+/** Sends one request through the filter; attempts meet `script` in order. */
+async function run(
+  script: readonly Reply[],
+  { budget = Infinity, prepare = () => {}, reply, ...changes }: RunOptions = {},
+): Promise<Run> {
+  const pool = new RecordingPool(createService(["u1", "u2", "u3"]));
+  prepare(pool);
+  let attempts = 0;
+  const client = new ScriptedClient(({ method, headers }) => {
+    if (method === "DELETE") return answerWith(200, {});
+    const next = reply ?? replies[script[attempts++] ?? "answers"];
+    return next(headers["x-attempt-id"]!);
+  });
+  let retries = 0;
+  const filter = new UpstreamFilter({
+    client,
+    clock: () => 0,
+    log: SILENT_LOG,
+    findPool: () => pool,
+    tryRetry: () => retries < budget && ++retries > 0,
+    onRequest: () => {},
+    hashChat: () => ({ hi: 1, lo: 2 }),
+  });
+  const outcome = await filter.handle(createTestExchange(changes));
+  const text = await collect(outcome);
+  const { sent } = client;
+  return { outcome, pool, sent, retries, text };
+}
+
+const pairs = names.flatMap((first) =>
+  names.flatMap((second) =>
+    [true, false].map((isIdempotent) => ({ first, second, isIdempotent }))
+  )
+);
+
+test("whatever two upstreams do, work is repeated only where it may be", async () => {
+  const seen: Record<string, string> = {};
+  for (const { first, second, isIdempotent } of pairs) {
+    const { outcome, pool, sent, text } = await run(
+      [first, second, "answers"],
+      {
+        isIdempotent,
+      },
+    );
+    const posts = sent.filter(({ method }) => method === "POST");
+    const tried = [first, second].slice(0, posts.length);
+    const unclear = tried.filter((reply) =>
+      reply !== "answers" && !NOT_RUN.includes(reply)
+    );
+    expect(posts.length).toBeLessThanOrEqual(2);
+    expect(new Set(posts.map(({ address }) => address)).size)
+      .toBe(posts.length);
+    if (!isIdempotent) expect(unclear.length).toBeLessThanOrEqual(1);
+    if (!isIdempotent && unclear.includes(first)) expect(posts.length).toBe(1);
+    if (outcome.kind === "refused") {
+      expect(outcome.refusal.ran).toBe(unclear.length > 0 ? "unknown" : "no");
+    } else {
+      expect(text).toBe(BODY);
+    }
+    const fates = tried.map((reply) => {
+      if (reply === "refuses the connection") return "not-sent";
+      return unclear.includes(reply) ? "unclear" : "finished";
+    });
+    expect(pool.ends.map(({ fate }) => fate)).toEqual(fates);
+    const kind = isIdempotent ? "idempotent" : "not idempotent";
+    seen[`${kind}: ${tried.join(", then ")}`] = text;
+  }
+  expect(seen).toMatchSnapshot();
+});
+
+test("without a budget nothing is repeated", async () => {
+  for (const first of names) {
+    const { sent } = await run([first], { budget: 0 });
+    expect(sent.filter(({ method }) => method === "POST")).toHaveLength(1);
+  }
+});
+
+test("a grant that is no longer usable is given back unsent", async () => {
+  const { pool, sent, retries, text } = await run([], {
+    prepare: (pool) => pool.isGrantUsable = (index) => index > 1,
+  });
+  expect(pool.ends.map(({ fate }) => fate))
+    .toEqual(["not-sent", "not-sent", "finished"]);
+  expect(sent).toHaveLength(1);
+  expect([text, retries]).toEqual([BODY, 0]);
+});
+
+test("a caller that goes away takes nothing from the retry budget", async () => {
+  const controller = new AbortController();
+  const { retries, sent } = await run(["breaks off before the head"], {
+    signal: controller.signal,
+    prepare: (pool) => {
+      pool.isGrantUsable = () => {
+        controller.abort();
+        return true;
+      };
+    },
+  });
+  expect(sent.filter(({ method }) => method === "POST")).toHaveLength(1);
+  expect(retries).toBe(0);
+});
+
+test("a repeat that another router has made counts as the one retry", async () => {
+  const { sent, outcome } = await run(["breaks off before the head"], {
+    hasRetried: true,
+  });
+  expect(sent.filter(({ method }) => method === "POST")).toHaveLength(1);
+  expect(outcome).toMatchObject({ refusal: { ran: "unknown" } });
+});
+
+test("a plain service's event stream is passed on as it comes", async () => {
+  const chunks = ["id: 7\ndata: a\n", "\nid: 3\ndata: b\n\n:c\n\n"];
+  const service = createService(["u1"], { kind: "plain" });
+  const { text, sent, pool } = await run([], {
+    service,
+    prepare: (pool) => pool.service = service,
+    reply: (id) =>
+      answerWith(200, {
+        "x-attempt-id": id,
+        "content-type": "text/event-stream",
+      }, chunks),
+  });
+  expect(text).toBe(chunks.join(""));
+  expect(sent).toHaveLength(1);
+  expect(pool.ends).toMatchObject([{ fate: "finished", isOk: true }]);
+});
+
+test("every answer's load is reported, also that of a refusal", async () => {
+  const { pool } = await run(["did not run it", "answers"]);
+  expect(pool.reports).toEqual(["u1", "u2"]);
+});
--- a/src/transport/caller_server.ts
+++ b/src/transport/caller_server.ts
@@ -89,6 +89,7 @@
     deadlineAt: arrivedAt,
     promptTokens: 0,
     hops: 0,
+    hasRetried: false,
   };
 }
 
--- a/src/transport/forward_headers.ts
+++ b/src/transport/forward_headers.ts
@@ -32,6 +32,7 @@
   /** Milliseconds that are left until the deadline. */
   readonly remainingMs: number;
   readonly hops: number;
+  readonly hasRetried: boolean;
 }
 
 /** Copies the headers that go on to the next hop. */
@@ -62,6 +63,7 @@
     "x-cf-streaming": exchange.isStreaming ? "1" : "0",
     "x-cf-remaining-ms": String(Math.round(exchange.deadlineAt - options.now)),
     "x-cf-hops": String(exchange.hops + 1),
+    "x-cf-retried": exchange.hasRetried ? "1" : "0",
   };
 }
 
@@ -97,6 +99,7 @@
     isStreaming: headers["x-cf-streaming"] === "1",
     remainingMs,
     hops,
+    hasRetried: headers["x-cf-retried"] === "1",
   };
 }
 
--- a/src/transport/forward_server.ts
+++ b/src/transport/forward_server.ts
@@ -81,6 +81,7 @@
     exchange.isStreaming = context.isStreaming;
     exchange.hops = context.hops;
     exchange.deadlineAt = exchange.arrivedAt + context.remainingMs;
+    exchange.hasRetried = context.hasRetried;
     if (exchange.service.kind === "engine") {
       exchange.chat = request.headers[CHAT_HEADER] as string | undefined;
     }
