Resume a stream past its last chunk without a repeat

The position of a stream now counts the events since the last token. A stream that skips a token is resumed before it; it was passed on with the gap.

Event streams of plain services have neither ids of this kind nor an end marker: they were ended by an error event, and the plain service was sent a request to resume. They pass as bytes now, without keep-alive comments in between.

--- a/src/filters/locate_filter.ts
+++ b/src/filters/locate_filter.ts
@@ -30,7 +30,7 @@
   type Outcome,
   refused,
 } from "./exchange.ts";
-import { streamAnswer } from "./stream_answer.ts";
+import { isTokenStream, streamAnswer } from "./stream_answer.ts";
 
 /** Header by which the owner marks a refusal of its own. */
 export const REFUSAL_HEADER = "x-cf-refusal";
@@ -186,8 +186,7 @@
       return await this.#refusedByOwner(exchange, answer);
     }
     const headers = copyAnswerHeaders(answer.headers);
-    const isEvents = String(headers["content-type"] ?? "")
-      .startsWith("text/event-stream");
+    const isEvents = isTokenStream(exchange.service!, answer.headers);
     const length = headers["content-length"];
     if (length !== undefined && Number(length) <= MAX_WHOLE_BYTES) {
       return await this.#whole(exchange, { answer, headers });
--- a/src/filters/stream_answer.ts
+++ b/src/filters/stream_answer.ts
@@ -3,6 +3,8 @@
  * with an error event where it can't be resumed.
  */
 import type { Buffer } from "node:buffer";
+import type { IncomingHttpHeaders } from "node:http";
+import type { Service } from "../config/manifest.ts";
 import { createRefusal } from "../diagnostics.ts";
 import {
   renderErrorEvent,
@@ -26,7 +28,7 @@
   readonly answer: IncomingAnswer;
   /** Absent where the stream can't be resumed. */
   readonly attempt: ResumableAttempt | undefined;
-  /** Whether the answer is a stream of server-sent events. */
+  /** Whether the answer is a stream of tokens, see `isTokenStream`. */
   readonly isEvents: boolean;
   readonly client: HttpClient;
   /** Called once, when the stream is whole or has been given up. */
@@ -34,6 +36,19 @@
 }
 
 const MAX_RESUMES = 2;
+const EVENT_STREAM = "text/event-stream";
+
+/**
+ * Whether an answer is an engine's stream of tokens. The event streams of plain
+ * services have no end marker and can't be resumed; they pass as bytes.
+ */
+export function isTokenStream(
+  service: Service,
+  headers: IncomingHttpHeaders,
+): boolean {
+  const type = headers["content-type"] ?? "";
+  return service.kind === "engine" && type.startsWith(EVENT_STREAM);
+}
 
 /** Passes the body on; never ends an event stream without a last event. */
 export async function* streamAnswer(
@@ -59,12 +74,12 @@
   options: StreamOptions,
 ): AsyncGenerator<Uint8Array, boolean> {
   let body: AsyncIterable<Uint8Array> | undefined = options.answer.body;
-  let nextId = 0;
+  const position = new StreamPosition();
   for (let resumes = 0; body !== undefined; resumes++) {
     try {
       for await (const event of splitEvents(body)) {
-        if (event.isComment || isRepeated(event, nextId)) continue;
-        if (event.id !== undefined) nextId = event.id + 1;
+        if (position.isGap(event)) break;
+        if (event.isComment || !position.tryPass(event)) continue;
         yield event.bytes;
         if (event.isFinal) return true;
         // The hop before has given the stream up and said so.
@@ -74,14 +89,49 @@
       // A broken body is resumed like one that ended early.
     }
     if (resumes === MAX_RESUMES || exchange.signal.aborted) break;
-    body = await resume(exchange, { ...options, offset: nextId });
+    position.restart();
+    body = await resume(exchange, { ...options, offset: position.nextId });
   }
   yield renderErrorEvent(createProblem(brokenRefusal(), exchange.requestId));
   return false;
 }
 
-function isRepeated(event: StreamEvent, nextId: number): boolean {
-  return event.id !== undefined && event.id < nextId;
+/** How far a stream has been passed on, over all its resumptions. */
+class StreamPosition {
+  /** Index of the token that comes next. */
+  nextId = 0;
+  /** Events without an index that were passed on since the last token. */
+  #tail = 0;
+  /** Such events that the present connection has brought. */
+  #tailSeen = 0;
+
+  /** Notes that another connection begins at `nextId`. */
+  restart(): void {
+    this.#tailSeen = 0;
+  }
+
+  /** Whether tokens before this event are missing. */
+  isGap({ id }: StreamEvent): boolean {
+    return id !== undefined && id > this.nextId;
+  }
+
+  /** Notes an event; false where it has been passed on before. */
+  tryPass({ id, isFinal, isError }: StreamEvent): boolean {
+    if (isFinal || isError) return true;
+    if (id === undefined) return this.#tryPassTail();
+    if (id < this.nextId) return false;
+    this.nextId = id + 1;
+    this.#tail = 0;
+    this.#tailSeen = 0;
+    return true;
+  }
+
+  #tryPassTail(): boolean {
+    this.#tailSeen++;
+    if (this.#tailSeen <= this.#tail) return false;
+    this.#tail = this.#tailSeen;
+    return true;
+  }
 }
 
 async function resume(
--- a/src/filters/upstream_filter.ts
+++ b/src/filters/upstream_filter.ts
@@ -24,7 +24,7 @@
   type Outcome,
   refused,
 } from "./exchange.ts";
-import { streamAnswer } from "./stream_answer.ts";
+import { isTokenStream, streamAnswer } from "./stream_answer.ts";
 
 /** Options of the filter. */
 export interface UpstreamFilterOptions {
@@ -229,8 +229,7 @@
       promptTokens: Number(answer.headers["x-prompt-tokens"] ?? 0),
       cachedTokens: Number(answer.headers["x-cached-tokens"] ?? 0),
     };
-    const isEvents = String(answer.headers["content-type"] ?? "")
-      .startsWith("text/event-stream");
+    const isEvents = isTokenStream(grant.service, answer.headers);
     if (!isEvents && isSmall(answer)) {
       return await this.#passWhole(exchange, { attempt, answer, headers, end });
     }
--- a/src/transport/forward_server.ts
+++ b/src/transport/forward_server.ts
@@ -18,6 +18,7 @@
   FORWARD_KEEP_ALIVE_MS,
   REFUSAL_HEADER,
 } from "../filters/locate_filter.ts";
+import { isTokenStream } from "../filters/stream_answer.ts";
 import { createExchange, type InFlight, watchCaller } from "./caller_server.ts";
 import {
   FORWARD_TOKEN_HEADER,
@@ -80,8 +81,8 @@
     exchange.idempotencyKey = parseIdempotencyKey(request.headers);
     exchange.isStreaming = context.isStreaming;
     exchange.hops = context.hops;
-    exchange.deadlineAt = exchange.arrivedAt + context.remainingMs;
     exchange.hasRetried = context.hasRetried;
+    exchange.deadlineAt = exchange.arrivedAt + context.remainingMs;
     if (exchange.service.kind === "engine") {
       exchange.chat = request.headers[CHAT_HEADER] as string | undefined;
     }
@@ -106,27 +107,30 @@
     }
     const exchange = await readExchange(request, response);
     if ("kind" in exchange) {
-      await write(response, exchange, "unknown");
+      await write(response, exchange);
       return;
     }
     const outcome = await options.chain.handle(exchange);
-    await write(response, outcome, exchange.requestId);
+    await write(response, outcome, exchange);
   }
 
   async function write(
     response: ServerResponse,
     outcome: Outcome,
-    requestId: string,
+    { requestId, service }: Partial<Exchange> = {},
   ): Promise<void> {
+    const id = requestId ?? "unknown";
     if (outcome.kind === "refused") {
       response.setHeader(REFUSAL_HEADER, outcome.refusal.code);
     }
-    if (outcome.kind !== "stream" || !isEvents(outcome)) {
-      await writeOutcome(response, outcome, requestId);
+    const isPaced = outcome.kind === "stream" && service !== undefined &&
+      isTokenStream(service, outcome.headers);
+    if (!isPaced) {
+      await writeOutcome(response, outcome, id);
       return;
     }
     const body = withKeepAlive(outcome.body, FORWARD_KEEP_ALIVE_MS);
-    await writeOutcome(response, { ...outcome, body }, requestId);
+    await writeOutcome(response, { ...outcome, body }, id);
   }
 
   return function handle(
@@ -142,8 +146,3 @@
       .finally(() => inFlight.end());
   };
 }
-
-function isEvents(outcome: Outcome & { kind: "stream" }): boolean {
-  return String(outcome.headers["content-type"] ?? "")
-    .startsWith("text/event-stream");
-}
