Repeat a request over a connection of its own

Cause: kept connections to several upstreams can go silent at once. The first try fails at its first-byte timeout; the repeat could pick another silent one and fail the same way. Seen with relays that silence every connection to two engines: up to 8 of 12 chats refused, partly for want of retry budget; which connection a repeat picks is chance, so that the test is at the filter.

--- a/src/filters/upstream_filter.ts
+++ b/src/filters/upstream_filter.ts
@@ -144,7 +144,8 @@
       firstByteTimeoutMs: grant.service.firstByteTimeoutMs,
       betweenBytesTimeoutMs: grant.service.betweenBytesTimeoutMs,
       signal: exchange.signal,
-      isFresh: !exchange.isIdempotent,
+      // The first try may have met a connection that has gone silent.
+      isFresh: !exchange.isIdempotent || grant.request.excluded.length > 0,
     });
     if (sent.err) return this.#failed(exchange, { attempt, failure: sent.val });
     return await this.#answered(exchange, { attempt, answer: sent.val });
--- a/src/filters/upstream_filter_test.ts
+++ b/src/filters/upstream_filter_test.ts
@@ -1,4 +1,5 @@
 import { SILENT_LOG } from "../daemon/log.ts";
+import type { OutgoingRequest } from "../transport/http_client.ts";
 import type { Exchange, Outcome } from "./exchange.ts";
 import {
   answerWith,
@@ -60,7 +61,7 @@
 interface Run {
   readonly outcome: Outcome;
   readonly pool: RecordingPool;
-  readonly sent: readonly { method: string; address: string }[];
+  readonly sent: readonly OutgoingRequest[];
   readonly retries: number;
   readonly text: string;
 }
@@ -142,6 +143,12 @@
   }
 });
 
+test("a repeat goes over a connection of its own", async () => {
+  const { sent } = await run(["breaks off before the head"]);
+  const posts = sent.filter(({ method }) => method === "POST");
+  expect(posts.map(({ isFresh }) => isFresh)).toEqual([false, true]);
+});
+
 test("a grant that is no longer usable is given back unsent", async () => {
   const { pool, sent, retries, text } = await run([], {
     prepare: (pool) => pool.isGrantUsable = (index) => index > 1,
