--- a/src/daemon/testing/local_fleet.ts
+++ b/src/daemon/testing/local_fleet.ts
@@ -224,6 +224,35 @@
     return { ...answer, isOk: answer.status === 200 };
   }
 
+  /** Opens a stream; resolves with its first bytes. */
+  async openStream(
+    content: string,
+    { tokens = 8, router = 0 }: { tokens?: number; router?: number } = {},
+  ): Promise<{ text: Promise<string> }> {
+    const answer = await request(
+      `http://${this.routers[router]!.callers}/v1/chat/completions`,
+      {
+        dispatcher: this.agent,
+        method: "POST",
+        headers: {
+          authorization: `Bearer ${WORKSPACE_KEY}`,
+          "x-chat-id": `chat-${content}`,
+        },
+        body: JSON.stringify(createChat(content, { stream: true, tokens })),
+      },
+    );
+    const { body } = answer;
+    await new Promise((resolve) => body.once("readable", resolve));
+    return { text: body.text().catch(() => "reset") };
+  }
+
+  /** Index of the router that owns the first pool of a service. */
+  async getOwner(service: string): Promise<number> {
+    const { pools } = await this.getStatus();
+    const { owner } = pools.find((pool) => pool.service === service)!;
+    return this.routers.findIndex(({ name }) => name === owner);
+  }
+
   /** Reads what a router says of itself. */
   async getStatus(router = 0): Promise<RouterStatus> {
     return JSON.parse((await this.get("/admin/status", router)).text);
