--- /dev/null
+++ b/src/policy/peer_selection_test.ts
@@ -0,0 +1,41 @@
+import type { Router } from "../types.ts";
+import { selectPeers } from "./peer_selection.ts";
+
+function createRouters(count: number): Router[] {
+  return Array.from({ length: count }, (_, index) => ({
+    name: `router-${String(index).padStart(3, "0")}`,
+    failureDomain: "a",
+    controlAddress: "127.0.0.1:1",
+    forwardAddress: "127.0.0.1:2",
+  }));
+}
+
+function select(routers: readonly Router[], self: string): string[] {
+  return selectPeers(routers, { self, neighbours: [] })
+    .map(({ name }) => name);
+}
+
+test("in a small fleet every router keeps a connection with every other", () => {
+  expect(select(createRouters(6), "router-002")).toHaveLength(5);
+});
+
+test("in a large fleet the choice is small, symmetric and connected", () => {
+  const routers = createRouters(330);
+  const reached = new Set(["router-000"]);
+  for (const name of reached) {
+    for (const peer of select(routers, name)) {
+      expect(select(routers, peer)).toContain(name);
+      reached.add(peer);
+    }
+    expect(select(routers, name)).toHaveLength(4);
+  }
+  expect(reached.size).toBe(330);
+});
+
+test("routers that share a pool are among the peers", () => {
+  const peers = selectPeers(createRouters(330), {
+    self: "router-010",
+    neighbours: ["router-200"],
+  });
+  expect(peers.map(({ name }) => name)).toContain("router-200");
+});
