Tell a lost forward early, repeat it safely and return loans on a stop

- A forwarded request shows progress (102) each second; 3.5 s of silence count as a lost connection.
Before, the ingress waited until the deadline.
- A non-idempotent forward that got no answer is sent again: the record of the call, made before anything is sent, guards the repetition.
Before, it ended as outcome-unknown at once.
- A router that failed a forward goes last for 3 s, since a large fleet's routers hear no heartbeats of most others.
- A refusal that did not look at the record of a non-idempotent call no longer says "not run": an earlier request with the same key may have.
- A router that stops returns its loans in its heartbeats, so that the next owner need not wait for them to lapse.

--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -4,7 +4,7 @@
  *
  * A heartbeat is the notification `hb` with the parameters
  * `[incarnation, sentAt, version, routersVersion, routersInForceMs, isLeaving,
- * loans]`, where `loans` lists
+ * loans, returns]`, where `loans` lists
  * the pools whose rank the sender lends to the receiver.
  */
 import type { Server } from "node:net";
@@ -29,6 +29,12 @@
   readonly offer: Offer;
 }
 
+/** Loans of one pool that the sender of a heartbeat has given up. */
+export interface PoolReturn {
+  readonly pool: string;
+  readonly stamp: Stamp;
+}
+
 /** A heartbeat as it arrived. */
 export interface Heartbeat {
   readonly peer: string;
@@ -37,6 +43,7 @@
   readonly word: PeerWord;
   readonly isLeaving: boolean;
   readonly offers: readonly PoolOffer[];
+  readonly returns: readonly PoolReturn[];
 }
 
 /** What the peers controller needs of the rest of the daemon. */
@@ -82,8 +89,8 @@
   open(): Promise<void>;
   /** Sets the routers to keep connections with. */
   setRouters(routers: readonly Router[]): void;
-  /** Tells every peer that this router stops. */
-  announceLeaving(): void;
+  /** Tells every peer that this router stops and which loans it gives up. */
+  announceLeaving(returns: readonly PoolReturn[]): void;
   broadcast(method: string, params: unknown): void;
   request(
     peer: string,
@@ -120,8 +127,12 @@
   routersInForceMs: number,
   isLeaving: 0 | 1,
   loans: readonly WireLoan[],
+  returns: readonly WireReturn[],
 ];
 
+/** A pool whose loans the sender gave up, and when on its clock. */
+type WireReturn = readonly [pool: string, at: number];
+
 /** A loan with the stamp of the heartbeat that it answers. */
 type WireLoan = readonly [pool: string, incarnation: string, at: number];
 
@@ -134,12 +145,23 @@
 }
 
 function parseHeartbeat(peer: string, params: unknown): Heartbeat | undefined {
-  if (!Array.isArray(params) || params.length < 7) return undefined;
-  const [incarnation, at, version, routersVersion, inForceMs, leaving, loans] =
-    params as unknown as WireHeartbeat;
+  if (!Array.isArray(params) || params.length < 8) return undefined;
+  const [
+    incarnation,
+    at,
+    version,
+    routersVersion,
+    inForceMs,
+    leaving,
+    loans,
+    returns,
+  ] = params as unknown as WireHeartbeat;
   const numbers = [at, version, routersVersion, inForceMs];
   if (!numbers.every(Number.isFinite)) return undefined;
-  if (typeof incarnation !== "string" || !Array.isArray(loans)) {
+  if (
+    typeof incarnation !== "string" || !Array.isArray(loans) ||
+    !Array.isArray(returns)
+  ) {
     return undefined;
   }
   return {
@@ -148,6 +170,10 @@
     word: { version, routersVersion, routersInForceMs: inForceMs },
     isLeaving: leaving === 1,
     offers: loans.map(toOffer),
+    returns: returns.map(([pool, at]) => ({
+      pool,
+      stamp: { incarnation, at },
+    })),
   };
 }
 
@@ -176,6 +202,7 @@
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   #isLeaving = false;
+  #returns: readonly PoolReturn[] = [];
   #isClosed = false;
 
   constructor(options: PeersOptions) {
@@ -217,7 +244,8 @@
     return this.#isLeaving;
   }
 
-  announceLeaving(): void {
+  announceLeaving(returns: readonly PoolReturn[]): void {
+    this.#returns = returns;
     this.#isLeaving = true;
     this.#membership.leaving(this.#options.self.name);
     this.#task.send({ kind: "tick" });
@@ -419,6 +447,7 @@
       Math.min(MAX_IN_FORCE_MS, Math.floor(word.routersInForceMs)),
       this.#isLeaving ? 1 : 0,
       toWireLoans(offers),
+      this.#returns.map(({ pool, stamp }) => [pool, stamp.at] as const),
     ];
     connection.notify("hb", params);
   }
--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -31,6 +31,7 @@
   type Heartbeat,
   type Loans,
   type Offer,
+  type Stamp,
 } from "../policy/loans.ts";
 import { type Candidate, place, type Placement } from "../policy/placement.ts";
 import { type Hash, rankByRendezvous } from "../policy/rendezvous.ts";
@@ -115,6 +116,10 @@
   /** Makes the offers of this pool to `peers`, in the same order. */
   collectOffers(peers: readonly string[]): Promise<readonly Offer[]>;
   receive(peer: string, heartbeat: Heartbeat): void;
+  /** Gives up every borrowed rank ahead of a planned stop. */
+  returnLoans(): Promise<Stamp>;
+  /** Notes that `peer` gave up its loans. */
+  noteReturned(peer: string, stamp: Stamp): void;
   summarise(): PoolSummary;
   /** Order in which a chat would try the upstreams. */
   explain(chat: ChatHash): {
@@ -158,6 +163,8 @@
     readonly service: Service;
     readonly options: PoolConfiguration;
   }
+  | { readonly kind: "return"; reply(stamp: Stamp): void }
+  | { readonly kind: "returned"; readonly peer: string; readonly stamp: Stamp }
   | { readonly kind: "tick" };
 
 interface Waiting {
@@ -274,6 +281,14 @@
     this.#send({ kind: "heartbeat", peer, heartbeat });
   }
 
+  returnLoans(): Promise<Stamp> {
+    return new Promise((reply) => this.#send({ kind: "return", reply }));
+  }
+
+  noteReturned(peer: string, stamp: Stamp): void {
+    this.#send({ kind: "returned", peer, stamp });
+  }
+
   summarise(): PoolSummary {
     const now = this.#options.clock();
     const view = this.#view(now);
@@ -350,6 +365,16 @@
       case "configure":
         this.#configure(message.service, message.options);
         break;
+      case "return":
+        message.reply(this.#loans.returnAll(this.#options.clock()));
+        break;
+      case "returned":
+        this.#loans.returned(
+          message.peer,
+          message.stamp,
+          this.#options.clock(),
+        );
+        break;
       case "tick":
         this.#tick();
         break;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -23,6 +23,7 @@
   type Heartbeat,
   type PeersController,
   type PoolOffer,
+  type PoolReturn,
 } from "../control/peers_controller.ts";
 import { createPoolController } from "../control/pool_controller.ts";
 import {
@@ -50,6 +51,7 @@
 import { createHttpHostList } from "../platform/host_list.ts";
 import type { KeyValue } from "../platform/key_value.ts";
 import type { ChatHash } from "../policy/chat_directory.ts";
+import { selectPeers } from "../policy/peer_selection.ts";
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import { createRetryBudget } from "../policy/retry_budget.ts";
 import { createWorkspaceLimits } from "../policy/workspace_limits.ts";
@@ -209,7 +211,7 @@
   async stop(): Promise<void> {
     const log = this.#logs("daemon");
     log.info("A graceful stop begins.", { inFlight: this.#inFlight.count });
-    this.#peers.announceLeaving();
+    this.#peers.announceLeaving(await this.#returnLoans());
     await this.#registry.withdraw();
     await sleep(this.#settings.limits.drainMs);
     await this.#inFlight.idle();
@@ -310,10 +312,21 @@
     return { version, routersVersion, routersInForceMs };
   }
 
-  #heard({ peer, sentAt, word, offers }: Heartbeat): void {
+  #returnLoans(): Promise<PoolReturn[]> {
+    return Promise.all(
+      this.#pools.list().map(async (pool) => ({
+        pool: pool.id,
+        stamp: await pool.returnLoans(),
+      })),
+    );
+  }
+
+  #heard({ peer, sentAt, word, offers, returns }: Heartbeat): void {
     this.#configuration.notePeer(peer, word);
     for (const pool of this.#pools.list()) {
       const own = offers.find((offer) => offer.pool === pool.id);
+      const returned = returns.find((each) => each.pool === pool.id);
+      if (returned !== undefined) pool.noteReturned(peer, returned.stamp);
       pool.receive(peer, { sentAt, lends: false, ...own?.offer });
     }
   }
@@ -338,9 +351,13 @@
     this.#metrics.configurationVersion.set(configuration.version);
     this.#index = createIndex(configuration.manifest);
     this.#workspaceLimits.setRouters(configuration.routers.length);
-    this.#peers.setRouters(configuration.routers);
     const hasGap = hasRoutersGap(configuration, previous);
     this.#pools.configure(configuration, { hasGap });
+    const peers = selectPeers(configuration.routers, {
+      self: this.#self.name,
+      neighbours: this.#pools.neighbours(),
+    });
+    this.#peers.setRouters(peers);
   }
 
   #createPool(id: string) {
--- a/src/filters/exchange.ts
+++ b/src/filters/exchange.ts
@@ -48,6 +48,8 @@
   isStreaming: boolean;
   chat?: string;
   idempotencyKey?: string;
+  /** Whether the record of a non-idempotent call was looked at. */
+  isCallChecked: boolean;
   /** Monotonic time of the deadline, milliseconds. */
   deadlineAt: number;
   /** Prompt length estimated from the body, in tokens. */
--- a/src/filters/idempotency_filter.ts
+++ b/src/filters/idempotency_filter.ts
@@ -84,6 +84,7 @@
     const service = exchange.service!.name;
     const workspace = exchange.workspace!.name;
     const key = getCallKey(exchange.idempotencyKey!, { workspace, service });
+    exchange.isCallChecked = true;
     const first = startAttempt({
       id: randomUUID(),
       digest: getRequestDigest({
@@ -93,7 +94,7 @@
       }),
       router: this.#options.router,
       wallNow: Date.now(),
-    });
+    }, { ranIfUnavailable: "unknown" });
     return new Promise((resolve) => {
       const run = { exchange, key, next, reply: resolve };
       void this.#drive(run, first).catch((cause) => {
--- a/src/filters/locate_filter.ts
+++ b/src/filters/locate_filter.ts
@@ -34,6 +34,8 @@
 
 /** Header by which the owner marks a refusal of its own. */
 export const REFUSAL_HEADER = "x-cf-refusal";
+/** Header by which the owner says that it looked at the call's record. */
+export const CALL_CHECKED_HEADER = "x-cf-call-checked";
 
 /** Options of the filter. */
 export interface LocateFilterOptions {
@@ -65,8 +67,10 @@
 const MAX_TRIES = 3;
 /** How long the ingress waits past the deadline for the owner's refusal. */
 const DEADLINE_GRACE_MS = 500;
-/** Silence after which a forwarded stream counts as broken. */
+/** Silence after which a forward counts as broken. */
 const FORWARD_SILENCE_MS = 3_500;
+/** How long a router that failed a forward goes last. */
+const SUSPECT_MS = 3_000;
 /** Interval of the keep-alive comments on forwarded streams. */
 export const FORWARD_KEEP_ALIVE_MS = 1_000;
 const MAX_WHOLE_BYTES = 1_048_576;
@@ -75,6 +79,8 @@
 export class LocateFilter implements Filter {
   readonly name = "locate";
   readonly #options: LocateFilterOptions;
+  /** Until when each router that failed a forward goes last. */
+  readonly #suspects = new Map<string, number>();
 
   constructor(options: LocateFilterOptions) {
     this.#options = options;
@@ -100,9 +106,12 @@
       const result = await this.#forward(exchange, target);
       if (result.kind === "outcome") return withRan(result.outcome, ran);
       failure = result.refusal;
+      this.#suspect(target);
       if (!result.isNotRun) ran = "unknown";
-      const mayRepeat = result.isNotRun ||
-        (exchange.isIdempotent && this.#options.tryRetry());
+      if (exchange.signal.aborted) break;
+      // The record of a non-idempotent call guards its repetition.
+      const mayRepeat = result.isNotRun || !exchange.isIdempotent ||
+        this.#options.tryRetry();
       if (!mayRepeat) break;
     }
     const detail = "No router that owns the pool can be reached.";
@@ -117,7 +126,16 @@
     return withRan(outcome, ran);
   }
 
-  /** Routers to try, the believed owner first. */
+  #suspect(router: string): void {
+    this.#suspects.set(router, this.#options.clock() + SUSPECT_MS);
+  }
+
+  #isSuspect(router: string): boolean {
+    const until = this.#suspects.get(router);
+    return until !== undefined && this.#options.clock() < until;
+  }
+
+  /** Routers to try, the believed owner first and suspects last. */
   #targetsOf(exchange: Exchange): readonly string[] {
     const { pools, liveness, self } = this.#options;
     const { service, chat } = exchange;
@@ -126,7 +144,11 @@
     const others = replicas.filter((name) => !liveness.isLive(name));
     // A request that has used up its hops is served here or not at all.
     if (exchange.hops >= MAX_HOPS) return [self];
-    return [...live, ...others];
+    const ordered = [...live, ...others];
+    return [
+      ...ordered.filter((name) => !this.#isSuspect(name)),
+      ...ordered.filter((name) => this.#isSuspect(name)),
+    ];
   }
 
   #logRoute(exchange: Exchange, target: string): void {
@@ -152,6 +174,7 @@
       headers: renderForwardHeaders(exchange, { token, now }),
       body: exchange.body.length > 0 ? exchange.body : undefined,
       firstByteTimeoutMs: remainingMs + DEADLINE_GRACE_MS,
+      silenceMs: FORWARD_SILENCE_MS,
       betweenBytesTimeoutMs: exchange.isStreaming
         ? FORWARD_SILENCE_MS
         : exchange.service!.betweenBytesTimeoutMs,
@@ -235,6 +258,7 @@
     exchange: Exchange,
     answer: IncomingAnswer,
   ): Promise<ForwardResult> {
+    exchange.isCallChecked ||= answer.headers[CALL_CHECKED_HEADER] === "1";
     const refusal = await readRefusal(answer);
     if (refusal === undefined) {
       return { kind: "failed", refusal: brokenOff(exchange), isNotRun: false };
--- a/src/transport/caller_server.ts
+++ b/src/transport/caller_server.ts
@@ -86,6 +86,7 @@
     body: Buffer.alloc(0),
     isIdempotent: false,
     isStreaming: false,
+    isCallChecked: false,
     deadlineAt: arrivedAt,
     promptTokens: 0,
     hops: 0,
@@ -102,6 +103,17 @@
   return controller;
 }
 
+/**
+ * An earlier request with the same idempotency key may have run, so that only
+ * the call's record can tell that it did not.
+ */
+function withUncheckedCall(exchange: Exchange, outcome: Outcome): Outcome {
+  if (outcome.kind !== "refused" || exchange.isCallChecked) return outcome;
+  const hasKey = exchange.headers["idempotency-key"] !== undefined;
+  if (!hasKey || exchange.isIdempotent) return outcome;
+  return refused({ ...outcome.refusal, ran: "unknown" });
+}
+
 /** Creates the handler of callers' requests. */
 export function createCallerHandler(options: CallerHandlerOptions) {
   const { clock, metrics, limits, inFlight, log } = options;
@@ -136,7 +148,8 @@
 
   async function runChain(exchange: Exchange): Promise<Outcome> {
     try {
-      return await options.chain.handle(exchange);
+      const outcome = await options.chain.handle(exchange);
+      return withUncheckedCall(exchange, outcome);
     } catch (cause) {
       log.error("A filter failed.", {
         requestId: exchange.requestId,
--- a/src/transport/forward_server.ts
+++ b/src/transport/forward_server.ts
@@ -15,6 +15,7 @@
   refused,
 } from "../filters/exchange.ts";
 import {
+  CALL_CHECKED_HEADER,
   FORWARD_KEEP_ALIVE_MS,
   REFUSAL_HEADER,
 } from "../filters/locate_filter.ts";
@@ -103,22 +104,28 @@
       response.writeHead(403, { connection: "close" }).end();
       return;
     }
+    showProgress(response);
     const exchange = await readExchange(request, response);
     if ("kind" in exchange) {
-      await write(response, exchange, "unknown");
+      const requestId = "unknown";
+      await write(response, exchange, { requestId, isCallChecked: false });
       return;
     }
     const outcome = await options.chain.handle(exchange);
-    await write(response, outcome, exchange.requestId);
+    await write(response, outcome, exchange);
   }
 
   async function write(
     response: ServerResponse,
     outcome: Outcome,
-    requestId: string,
+    { requestId, isCallChecked }: Pick<
+      Exchange,
+      "requestId" | "isCallChecked"
+    >,
   ): Promise<void> {
     if (outcome.kind === "refused") {
       response.setHeader(REFUSAL_HEADER, outcome.refusal.code);
+      if (isCallChecked) response.setHeader(CALL_CHECKED_HEADER, "1");
     }
     if (outcome.kind !== "stream" || !isEvents(outcome)) {
       await writeOutcome(response, outcome, requestId);
@@ -142,6 +149,15 @@
   };
 }
 
+/** Shows the ingress that the request is in hand until the answer begins. */
+function showProgress(response: ServerResponse): void {
+  const timer = setInterval(() => {
+    if (response.headersSent) clearInterval(timer);
+    else response.writeProcessing();
+  }, FORWARD_KEEP_ALIVE_MS);
+  response.once("close", () => clearInterval(timer));
+}
+
 function isEvents(outcome: Outcome & { kind: "stream" }): boolean {
   return String(outcome.headers["content-type"] ?? "")
     .startsWith("text/event-stream");
--- a/src/transport/http_client.ts
+++ b/src/transport/http_client.ts
@@ -41,6 +41,11 @@
   /** Silence between two parts of the body, in milliseconds. */
   readonly betweenBytesTimeoutMs: number;
   readonly signal: AbortSignal;
+  /**
+   * Silence until the head of the answer after which the connection counts as
+   * lost, in milliseconds; an informational answer (1xx) ends the silence.
+   */
+  readonly silenceMs?: number;
   /** Opens a connection of its own, so that no stale one can be picked. */
   readonly isFresh?: boolean;
 }
@@ -84,6 +89,28 @@
   return new SendFailure("unclear", detail);
 }
 
+/** Ends a request whose other end has shown no sign of life for too long. */
+interface SilenceTimer {
+  readonly signal: AbortSignal;
+  restart(): void;
+  stop(): void;
+}
+
+function createSilenceTimer(
+  { signal, silenceMs }: OutgoingRequest,
+): SilenceTimer {
+  if (silenceMs === undefined) {
+    return { signal, restart() {}, stop() {} };
+  }
+  const controller = new AbortController();
+  const timer = setTimeout(() => controller.abort(), silenceMs);
+  return {
+    signal: AbortSignal.any([signal, controller.signal]),
+    restart: () => void timer.refresh(),
+    stop: () => clearTimeout(timer),
+  };
+}
+
 /** Creates a client. */
 export function createHttpClient(
   {
@@ -109,6 +136,7 @@
       return Err(new SendFailure("cancelled", "given up before it was sent"));
     }
     const dispatcher = request.isFresh ? createFreshAgent() : agent;
+    const silence = createSilenceTimer(request);
     try {
       const answer = await dispatcher.request({
         origin: `http://${request.address}`,
@@ -118,8 +146,10 @@
         body: request.body ?? null,
         headersTimeout: request.firstByteTimeoutMs,
         bodyTimeout: request.betweenBytesTimeoutMs,
-        signal: request.signal,
+        signal: silence.signal,
+        onInfo: silence.restart,
       });
+      silence.stop();
       if (request.isFresh) {
         answer.body.once("close", () => void dispatcher.destroy());
       }
@@ -129,6 +159,7 @@
         body: answer.body,
       });
     } catch (cause) {
+      silence.stop();
       if (request.isFresh) void dispatcher.destroy();
       return Err(toSendFailure(cause, request.signal));
     }
