Carry on at full load after the owner of a pool is killed

Causes, each found in the owner's log of placements: - The load factor's limit was divided by capacity shares as well. With a rank of three lost, 2/3 of 1.25 times the mean is below the mean, so that the load fell to one request an upstream and stayed. The shares now divide what an upstream can bear; the load factor is held by each router against its own view. What is given up: while two routers admit, the load may pass the factor by one more request of rounding. - The ramp compared the load after an attempt with the whole limit, which a router that holds a part of it never reaches. It compares with the router's share. - Replicas took the dead owner for live until its silence ran out and refused what came to them. A lost connection is now probed; a refused one says that the process is gone. - The ingress had no retry budget, since only owners noted requests. Ruled out: the loans (they lapsed when they should, 3.1 s), the engines.

--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -15,6 +15,7 @@
 import {
   dialPeer,
   type Direction,
+  isRefused,
   listenForPeers,
   type PeerConnection,
   type PeerDial,
@@ -106,6 +107,7 @@
   | { readonly kind: "open"; readonly connection: PeerConnection }
   | { readonly kind: "close"; readonly connection: PeerConnection }
   | { readonly kind: "dial-failed"; readonly address: string }
+  | { readonly kind: "gone"; readonly peer: string }
   | { readonly kind: "routers"; readonly routers: readonly Router[] }
   | {
     readonly kind: "heartbeat";
@@ -332,6 +334,12 @@
       case "dial-failed":
         this.#dials.delete(message.address);
         break;
+      case "gone":
+        this.#options.log.warn("A peer's process is gone.", {
+          peer: message.peer,
+        });
+        this.#membership.lost(message.peer);
+        break;
       case "routers":
         this.#routers = message.routers;
         this.#dialMissing();
@@ -367,10 +375,21 @@
       this.#options.log.warn("Lost the connection to a peer.", {
         peer: connection.peer,
       });
+      this.#probe(connection.peer);
     }
     this.#forgetDials();
   }
 
+  /** A refused connection tells a process that is gone from a cut one. */
+  #probe(peer: string): void {
+    const address = this.#routers.find(({ name }) => name === peer)
+      ?.controlAddress;
+    if (address === undefined) return;
+    void isRefused(address).then((isGone) => {
+      if (isGone && !this.#isClosed) this.#task.send({ kind: "gone", peer });
+    });
+  }
+
   #forgetDials(): void {
     for (const [address, router] of this.#dialTargets()) {
       const peer = router === undefined ? undefined : this.#peers.get(router);
--- a/src/control/pool.ts
+++ b/src/control/pool.ts
@@ -35,6 +35,8 @@
   /** Monotonic time past which the grant must not be used. */
   readonly sendBy: number;
   readonly request: AcquireRequest;
+  /** Part of this router's share of the upstream in use with the attempt. */
+  readonly utilisation: number;
 }
 
 /** How an attempt ended. */
--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -25,7 +25,11 @@
   type ChatHash,
   createChatDirectory,
 } from "../policy/chat_directory.ts";
-import { getMeanInFlight, limitOf } from "../policy/load_bound.ts";
+import {
+  capacityLimitOf,
+  getMeanInFlight,
+  loadLimitOf,
+} from "../policy/load_bound.ts";
 import {
   createLoans,
   type Heartbeat,
@@ -530,19 +534,26 @@
     states.forEach((state, index) => {
       const { upstream, coldStart, service } = state;
       const cold = coldStart.isCold(now);
-      const limit = limitOf({
+      const capacityLimit = capacityLimitOf({
         hardLimit: coldStart.limit(now),
         coldLimit: upstream.coldLimit,
         cold,
-        loadFactor: service.loadFactor,
+      });
+      const { loadFactor } = service;
+      const loadLimit = loadLimitOf({
+        loadFactor,
         meanInFlight,
         upstreamCount,
       });
+      const inFlight = inFlights[index]!;
+      const share = this.#shares.roomFor(upstream.name, capacityLimit, now);
       upstreams.set(upstream.name, {
-        limit,
+        capacityLimit,
+        limit: Math.min(capacityLimit, loadLimit),
         cold,
-        inFlight: inFlights[index]!,
-        room: this.#shares.roomFor(upstream.name, limit, now),
+        inFlight,
+        share,
+        room: Math.min(share, loadLimit - inFlight),
       });
     });
     const hasRoom = [...upstreams.values()].some(({ room }) => room > 0);
@@ -562,8 +573,9 @@
     const { request, reply, since } = waiting;
     const state = this.#byIndex[placement.upstream]!;
     const { upstream, service } = state;
-    const limit = upstreams.get(upstream.name)?.limit ?? 0;
-    const hasBegun = this.#shares.tryBegin(upstream.name, limit, now);
+    const known = upstreams.get(upstream.name);
+    const hasBegun = known !== undefined &&
+      this.#shares.tryBegin(upstream.name, known.capacityLimit, now);
     if (!hasBegun) {
       this.#enqueue(waiting, now);
       return;
@@ -577,6 +589,7 @@
       beganAt: now,
       sendBy: now + timing.transitMs / 2,
       request,
+      utilisation: (known.inFlight + 1) / (known.inFlight + known.share),
     };
     log.info("Placed a request.", {
       requestId: request.requestId,
@@ -584,7 +597,7 @@
       upstream: upstream.name,
       reason: placement.reason,
       inFlight: this.#shares.inFlightEstimate(upstream.name, now),
-      limit,
+      limit: known.limit,
       waitedMs: Math.round(now - since),
     });
     metrics.placements.inc({ service: service.name, reason: placement.reason });
@@ -620,7 +633,7 @@
       firstByteMs,
       poolFirstByteMs: estimateFirstByteMs(this.#firstByte, computedTokens),
       incarnation: end.isOk ? state.incarnation : undefined,
-      inFlight: this.#shares.inFlightEstimate(state.upstream.name, now),
+      utilisation: grant.utilisation,
     }, now);
     if (end.fate !== "finished" || !end.isOk) return;
     if (firstByteMs !== undefined) {
@@ -787,9 +800,14 @@
 
 /** An upstream that is in service, as the decisions of a moment see it. */
 interface UpstreamView {
+  /** What the upstream can bear. */
+  readonly capacityLimit: number;
+  /** The same, and no more than the load factor allows. */
   readonly limit: number;
   readonly cold: boolean;
   readonly inFlight: number;
+  /** Requests that this router's capacity share has left. */
+  readonly share: number;
   readonly room: number;
 }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -86,6 +86,8 @@
 }
 
 const INCARNATION_BYTES = 4;
+/** Retries a minute of a router that serves few requests. */
+const RETRY_FLOOR = 10;
 const CONFIG_READ_TIMEOUT_MS = 2_000;
 /** Silence on a request that was answered in part, in milliseconds. */
 const REQUEST_TIMEOUT_FACTOR = 6;
@@ -110,7 +112,7 @@
   readonly #tasks: TaskSystem = createTaskSystem();
   readonly #metrics: Metrics = createMetrics();
   readonly #inFlight = createInFlight();
-  readonly #retries = createRetryBudget();
+  readonly #retries = createRetryBudget({ floor: RETRY_FLOOR });
   readonly #workspaceLimits = createWorkspaceLimits();
   readonly #client: HttpClient;
   readonly #keyValue: KeyValue;
@@ -410,7 +412,6 @@
         findPool: ({ service, chat }: Exchange) =>
           this.#pools.get(this.#pools.locate(service!, chat).pool),
         tryRetry: () => this.#tryRetry(),
-        onRequest: () => this.#retries.noteRequest(this.#clock()),
         hashChat: (chat) => this.#hashChat(chat),
       }),
     ];
@@ -439,6 +440,7 @@
         ),
       findUpstreamAddress: (name) => this.#index.upstreams.get(name)?.address,
       tryRetry: () => this.#tryRetry(),
+      onRequest: () => this.#retries.noteRequest(this.#clock()),
     });
   }
 
--- a/src/filters/locate_filter.ts
+++ b/src/filters/locate_filter.ts
@@ -53,6 +53,8 @@
   /** Address of an upstream, for the resumption of its streams. */
   findUpstreamAddress(name: string): string | undefined;
   tryRetry(): boolean;
+  /** Notes a request, by which the budget of retries grows. */
+  onRequest(): void;
 }
 
 type ForwardResult =
@@ -87,6 +89,7 @@
   }
 
   async handle(exchange: Exchange): Promise<Outcome> {
+    this.#options.onRequest();
     const tried = new Set<string>();
     let failure: Refusal | undefined;
     let ran: Refusal["ran"] = "no";
--- a/src/filters/upstream_filter.ts
+++ b/src/filters/upstream_filter.ts
@@ -35,8 +35,6 @@
   findPool(exchange: Exchange): Pool | undefined;
   /** Takes one retry from the budget, if there is one. */
   tryRetry(): boolean;
-  /** Notes a request, by which the budget grows. */
-  onRequest(): void;
   hashChat(chat: string): ChatHash;
 }
 
@@ -77,7 +75,6 @@
       const detail = "This router is no replica of the pool.";
       return refused(createRefusal("no-owner", detail));
     }
-    this.#options.onRequest();
     return await this.#serve(exchange, pool);
   }
 
--- a/src/policy/cold_start.ts
+++ b/src/policy/cold_start.ts
@@ -38,11 +38,12 @@
   /** Incarnation that answered; absent where none did. */
   readonly incarnation?: string;
   /**
-   * In-flight work on the upstream when the attempt was admitted, with the
-   * attempt. The limit grows only by attempts that used at least half of it;
-   * an answer without the figure counts as one that did.
+   * Part of what this router might have in flight on the upstream that was in
+   * use when the attempt was admitted, with the attempt. The limit grows only
+   * by attempts that found at least half in use; an answer without the figure
+   * counts as one that did.
    */
-  readonly inFlight?: number;
+  readonly utilisation?: number;
 }
 
 /** Tracks whether an upstream is cold and how much it may carry. */
@@ -65,6 +66,7 @@
 } as const;
 const HISTORY_WEIGHT = 0.1;
 const FAILURE_FACTOR = 0.5;
+const GROWTH_UTILISATION = 0.5;
 
 /** Creates the state of an upstream that nothing is known of. */
 export function createColdStart(options: ColdStartOptions): ColdStart {
@@ -176,8 +178,8 @@
   }
 
   /** Adds one, up to twice the limit at the start of the interval. */
-  #grow({ inFlight = Infinity }: Answer, now: number): void {
-    if (2 * inFlight < this.#limit) return;
+  #grow({ utilisation = 1 }: Answer, now: number): void {
+    if (utilisation < GROWTH_UTILISATION) return;
     if (now - this.#intervalStart >= this.#options.doublingMs) {
       this.#intervalStart = now;
       this.#intervalLimit = this.#limit;
--- a/src/policy/cold_start_test.ts
+++ b/src/policy/cold_start_test.ts
@@ -36,9 +36,9 @@
 
 test("work that leaves the limit unused does not grow it", () => {
   const upstream = createColdStart({ ...OPTIONS, coldLimit: 4 });
-  upstream.onAnswer({ ...GOOD, inFlight: 1 }, 0);
+  upstream.onAnswer({ ...GOOD, utilisation: 0.25 }, 0);
   expect(upstream.limit(0)).toBe(4);
-  upstream.onAnswer({ ...GOOD, inFlight: 2 }, 0);
+  upstream.onAnswer({ ...GOOD, utilisation: 0.5 }, 0);
   expect(upstream.limit(0)).toBe(5);
 });
 
--- a/src/policy/membership.ts
+++ b/src/policy/membership.ts
@@ -41,6 +41,8 @@
    * a new incarnation or a silence past the liveness limit undoes it.
    */
   leaving(peer: string, options?: SenderOptions): void;
+  /** Notes that the process of `peer` is gone; it is live once heard again. */
+  lost(peer: string): void;
   /** Whether `peer` is heard, stable and not leaving. */
   isLive(peer: string, now: number): boolean;
   /** The first live router of `replicas`, if any. */
@@ -101,6 +103,11 @@
     peer.leaving = true;
   }
 
+  lost(name: string): void {
+    const peer = this.#peers.get(name);
+    if (peer !== undefined) peer.heardAt = -Infinity;
+  }
+
   isLive(name: string, now: number): boolean {
     if (name === this.#self) return !this.#selfLeaving;
     const peer = this.#peers.get(name);
--- a/src/policy/membership_test.ts
+++ b/src/policy/membership_test.ts
@@ -38,3 +38,16 @@
   }
   expect(membership.isLive("a", 7_000)).toBe(true);
 });
+
+test("a peer whose process is gone is not live until it is heard and stable", () => {
+  const membership = createMembership({ self: "a", stableMs: 5_000 });
+  membership.heard("b", 0);
+  membership.lost("b");
+  expect(membership.isLive("b", 1)).toBe(false);
+  for (let now = 100; now < 5_100; now += 1_000) {
+    membership.heard("b", now);
+    expect(membership.isLive("b", now)).toBe(false);
+  }
+  membership.heard("b", 5_100);
+  expect(membership.isLive("b", 5_100)).toBe(true);
+});
--- a/src/policy/retry_budget.ts
+++ b/src/policy/retry_budget.ts
@@ -30,6 +30,8 @@
 export interface RetryBudgetOptions {
   /** Retries per request. */
   ratio?: number;
+  /** Retries of a window that are allowed however few requests there are. */
+  floor?: number;
   /** Time over which requests and retries are counted, in milliseconds. */
   windowMs?: number;
 }
@@ -48,11 +50,13 @@
 /** Counts requests and retries over a sliding window; see the module. */
 export class RetryBudget {
   readonly #ratio: number;
+  readonly #floor: number;
   readonly #slotMs: number;
   readonly #slots: Slot[];
 
-  constructor({ ratio, windowMs }: Required<RetryBudgetOptions>) {
+  constructor({ ratio, floor, windowMs }: Required<RetryBudgetOptions>) {
     this.#ratio = ratio;
+    this.#floor = floor;
     this.#slotMs = windowMs / SLOTS;
     this.#slots = Array.from(
       { length: SLOTS },
@@ -72,7 +76,8 @@
       return { kind: "give-up", reason: "already-retried" };
     }
     const { requests, retries } = this.#sum(now);
-    if (retries + 1 > requests * this.#ratio) {
+    const allowed = Math.max(this.#floor, requests * this.#ratio);
+    if (retries + 1 > allowed) {
       return { kind: "give-up", reason: "budget-spent" };
     }
     this.#getSlot(now).retries++;
@@ -103,8 +108,11 @@
 
 /** Creates a budget that has seen no request. */
 export function createRetryBudget(
-  { ratio = DEFAULT_RATIO, windowMs = DEFAULT_WINDOW_MS }: RetryBudgetOptions =
-    {},
+  {
+    ratio = DEFAULT_RATIO,
+    floor = 0,
+    windowMs = DEFAULT_WINDOW_MS,
+  }: RetryBudgetOptions = {},
 ): RetryBudget {
-  return new RetryBudget({ ratio, windowMs });
+  return new RetryBudget({ ratio, floor, windowMs });
 }
--- a/src/transport/peer_connection.ts
+++ b/src/transport/peer_connection.ts
@@ -211,6 +211,22 @@
   close(): void;
 }
 
+/** Tells whether nothing listens at `address` any more. */
+export function isRefused(address: string): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = connect({
+      ...parseAddress(address),
+      timeout: HANDSHAKE_TIMEOUT_MS,
+    });
+    socket.once("connect", () => socket.destroy());
+    socket.once("timeout", () => socket.destroy());
+    socket.once("error", (error: NodeJS.ErrnoException) => {
+      resolve(error.code === "ECONNREFUSED");
+    });
+    socket.once("close", () => resolve(false));
+  });
+}
+
 /** Connects to a peer; the handlers learn of the outcome. */
 export function dialPeer(
   address: string,
