Hold the queue of a pool to the manifest's limit

queueLimit had no effect but for 0: the queue of a pool was created without a limit, since the service is known only once it is configured. The queue now takes its limit with each configuration, and sheds as it is meant to. Refusing in the pool above the limit was ruled out: it would refuse who comes last, not who is above the fair share. A queue of limit 0 refuses by the same rule.

--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -225,7 +225,6 @@
       confirmMs: timing.holdDownMs - timing.driftMs,
     });
     this.#queue = createAdmissionQueue({
-      limit: Number.MAX_SAFE_INTEGER,
       initialUnitMs: QUEUE_UNIT_MS,
       random: options.random,
     });
@@ -421,11 +420,6 @@
 
   #enqueue(waiting: Waiting, now: number): void {
     const { request } = waiting;
-    const limit = this.#service?.queueLimit ?? 0;
-    if (this.#queue.length >= limit && limit === 0) {
-      waiting.reply(Err(createRefusal("queue-full", "There is no queue.")));
-      return;
-    }
     const push = this.#queue.push({
       id: request.requestId,
       workspace: request.workspace,
@@ -692,6 +686,7 @@
   ): void {
     const now = this.#options.clock();
     this.#service = service;
+    this.#queue.setLimit(service.queueLimit);
     this.#replicas = replicas;
     this.#setReplicas(now, hasGap);
     for (const state of this.#upstreams.values()) state.isListed = false;
--- a/src/policy/admission_queue.ts
+++ b/src/policy/admission_queue.ts
@@ -49,7 +49,7 @@
 
 /** A bounded queue that is fair between workspaces; see the module. */
 export class AdmissionQueue {
-  readonly #limit: number;
+  #limit: number;
   readonly #random: () => number;
   readonly #order = new FairOrder();
   readonly #rate: DepartureRate;
@@ -67,6 +67,11 @@
     return this.#order.length;
   }
 
+  /** Sets the most waiters; those above a lower limit keep their places. */
+  setLimit(limit: number): void {
+    this.#limit = limit;
+  }
+
   /** Queues a request, or refuses it if it has no fair chance. */
   push(waiter: Waiter, now: number): Push {
     const waitMs = this.estimatedWaitMs(waiter.workspace, now);
--- a/src/policy/admission_queue_test.ts
+++ b/src/policy/admission_queue_test.ts
@@ -77,6 +77,17 @@
   expect(queue.length).toBe(4);
 });
 
+test("a new limit holds from the next waiter on", () => {
+  const queue = createQueue(2);
+  queue.push(waiter("a"), 0);
+  queue.push(waiter("a"), 0);
+  queue.setLimit(0);
+  expect(queue.push(waiter("a"), 0)).toMatchObject({ code: "queue-full" });
+  expect(queue.length).toBe(2);
+  queue.setLimit(3);
+  expect(queue.push(waiter("a"), 0)).toEqual({ kind: "queued" });
+});
+
 test("a removed or refused waiter costs its workspace nothing", () => {
   const queue = createQueue();
   const gone = [0, 1, 2, 3].map(() => waiter("a"));
