Set the gauges of the upstreams when they are read

corianderflow_upstream_in_flight and _limit were registered and never set. They are now set as the metrics are scraped, for the pools that the router owns, so that the routers' values add up. Setting them on each tick was ruled out: ten times a second for what is read every few.

--- a/src/daemon/admin.ts
+++ b/src/daemon/admin.ts
@@ -16,6 +16,8 @@
   /** Handles every other path. */
   readonly next: Handler;
   readonly metrics: Metrics;
+  /** Called before the metrics are read. */
+  refreshMetrics(): void;
   isReady(): boolean;
   getStatus(): Promise<RouterStatus>;
   /** Undefined for an unknown service. */
@@ -38,6 +40,7 @@
   const { next, metrics, isReady } = options;
 
   async function writeMetrics(response: ServerResponse): Promise<void> {
+    options.refreshMetrics();
     const body = await metrics.registry.metrics();
     response.writeHead(200, { "content-type": metrics.registry.contentType });
     response.end(body);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -69,7 +69,7 @@
 import { createLoadPoller } from "./load_poller.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
 import { createLogFactory, type LogFactory } from "./log.ts";
-import { createMetrics, type Metrics } from "./metrics.ts";
+import { createMetrics, type Metrics, setUpstreamGauges } from "./metrics.ts";
 import { createAdminHandler } from "./admin.ts";
 
 /** Options of a daemon. */
@@ -489,12 +489,18 @@
     return createAdminHandler({
       next: handleRequest,
       metrics: this.#metrics,
+      refreshMetrics: () => this.#refreshMetrics(),
       isReady: () => this.#isReady(),
       getStatus: () => this.#getStatus(),
       explain: (service, chat) => this.#explain(service, chat),
     });
   }
 
+  #refreshMetrics(): void {
+    const pools = this.#pools.list().map((pool) => pool.summarise());
+    setUpstreamGauges(this.#metrics, pools, { owner: this.#self.name });
+  }
+
   async #getStatus(): Promise<RouterStatus> {
     const { values } = await this.#metrics.invariantBreaches.get();
     return renderStatus({
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -2,6 +2,7 @@
  * Metrics of the daemon, by prom-client.
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { PoolSummary } from "../control/pool_controller.ts";
 
 /** Every metric of the daemon. */
 export interface Metrics {
@@ -96,13 +97,14 @@
     }),
     upstreamInFlight: new Gauge({
       name: "corianderflow_upstream_in_flight",
-      help: "Requests in flight on an upstream as this router estimates them.",
+      help:
+        "Requests in flight on an upstream, as its pool's owner counts them.",
       labelNames: ["service", "upstream"],
       registers,
     }),
     upstreamLimit: new Gauge({
       name: "corianderflow_upstream_limit",
-      help: "Limit of an upstream's requests in flight.",
+      help: "Limit of an upstream's requests in flight, at its pool's owner.",
       labelNames: ["service", "upstream"],
       registers,
     }),
@@ -125,3 +127,22 @@
     }),
   };
 }
+
+/** Sets the gauges of the upstreams whose pools `owner` owns. */
+export function setUpstreamGauges(
+  { upstreamInFlight, upstreamLimit }: Metrics,
+  pools: readonly PoolSummary[],
+  { owner }: { owner: string },
+): void {
+  // A former owner must not go on showing what it saw last.
+  upstreamInFlight.reset();
+  upstreamLimit.reset();
+  for (const pool of pools) {
+    if (pool.owner !== owner) continue;
+    for (const { upstream, inFlight, limit } of pool.upstreams) {
+      const labels = { service: pool.service, upstream: upstream.name };
+      upstreamInFlight.set(labels, inFlight);
+      upstreamLimit.set(labels, limit);
+    }
+  }
+}
