--- a/src/daemon/log.ts
+++ b/src/daemon/log.ts
@@ -67,8 +67,13 @@
   if (format === "json") {
     root.attachTransport((record) => {
       const { _meta: meta, ...rest } = record;
-      const date = (meta as { date: Date }).date;
-      write(JSON.stringify({ at: date.toISOString(), router, ...rest }));
+      const { date, logLevelName } = meta as {
+        date: Date;
+        logLevelName: string;
+      };
+      const at = date.toISOString();
+      const level = logLevelName.toLowerCase();
+      write(JSON.stringify({ at, level, router, ...rest }));
     });
   }
   return (part) => createLog(root, part);
