--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -67,6 +67,9 @@
   readonly clock: Clock;
   readonly hash: Hash;
   readonly random: () => number;
+  /** Takes a line for each placement. */
+  readonly placementLog: Log;
+  /** Takes what happens to the pool and its upstreams. */
   readonly log: Log;
   readonly metrics: Metrics;
   readonly tasks: TaskSystem;
@@ -562,7 +565,7 @@
       this.#enqueue(waiting, now);
       return;
     }
-    const { log, metrics, timing } = this.#options;
+    const { placementLog, metrics, timing } = this.#options;
     const grant: Grant = {
       attemptId: randomUUID(),
       pool: this.id,
@@ -572,7 +575,7 @@
       sendBy: now + timing.transitMs / 2,
       request,
     };
-    log.info("Placed a request.", {
+    placementLog.info("Placed a request.", {
       requestId: request.requestId,
       attemptId: grant.attemptId,
       upstream: upstream.name,
