Check the length of a fleet key that a file holds

A key under [fleet] key needs 16 characters; one in a file could be empty, and the routers then authenticate anyone. Tried by hand: a file with a key of 5 characters now ends the start with exit 2 and the file's name.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -12,7 +12,8 @@
   type SettingFault,
 } from "./ini_sections.ts";
 
-const MIN_FLEET_KEY_LENGTH = 16;
+/** Least length of the secret in characters, in the settings or in a file. */
+export const MIN_FLEET_KEY_LENGTH = 16;
 const MAX_TIME_MS = 3_600_000;
 const MAX_BODY_BYTES = 1_073_741_824;
 const MAX_CONNECTIONS = 1_048_576;
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -9,7 +9,11 @@
 import process from "node:process";
 import { parseArgs } from "node:util";
 import { formatSettingFault } from "../config/ini_sections.ts";
-import { readSettings, type Settings } from "../config/settings.ts";
+import {
+  MIN_FLEET_KEY_LENGTH,
+  readSettings,
+  type Settings,
+} from "../config/settings.ts";
 import { type Daemon, startDaemon } from "./daemon.ts";
 
 const EXIT_FAILED = 1;
@@ -47,7 +51,11 @@
 
 function getFleetKey({ fleet }: Settings): string {
   if (fleet.key !== undefined) return fleet.key;
-  return readFile(fleet.keyFile!).trim();
+  const file = fleet.keyFile!;
+  const key = readFile(file).trim();
+  if (key.length >= MIN_FLEET_KEY_LENGTH) return key;
+  const least = `at least ${MIN_FLEET_KEY_LENGTH} characters`;
+  return fail(`the fleet key in ${file} must have ${least}`, EXIT_USAGE);
 }
 
 function stopOnSignals(daemon: Daemon): void {
