Tell an ingress with another fleet key that its request did not run

A forward without a valid token got a bare 403, which the ingress passed on to the caller as if it were the upstream's answer. It is now marked as a refusal with no-owner and ran no, so that the ingress tries the next replica. The test fails on the handler before.

--- a/src/transport/forward_server.ts
+++ b/src/transport/forward_server.ts
@@ -27,6 +27,7 @@
 } from "./forward_headers.ts";
 import { type ServerLimits, writeOutcome } from "./http_server.ts";
 import { withKeepAlive } from "./keep_alive.ts";
+import { renderProblem } from "./problem.ts";
 
 /** Options of the handler. */
 export interface ForwardHandlerOptions {
@@ -42,6 +43,7 @@
 
 const CHAT_HEADER = "x-chat-id";
 const BYTES_PER_TOKEN = 4;
+const FORBIDDEN_STATUS = 403;
 
 function isToken(expected: string, actual: unknown): boolean {
   if (typeof actual !== "string" || actual.length !== expected.length) {
@@ -101,7 +103,7 @@
   ): Promise<void> {
     if (!isToken(options.token, request.headers[FORWARD_TOKEN_HEADER])) {
       log.warn("A forwarded request has no valid token.");
-      response.writeHead(403, { connection: "close" }).end();
+      writeStranger(response);
       return;
     }
     showProgress(response);
@@ -149,6 +151,19 @@
   };
 }
 
+/**
+ * Refuses a request without the fleet's token. An ingress that holds another
+ * fleet key is told that nothing ran, so that it tries the next replica.
+ */
+function writeStranger(response: ServerResponse): void {
+  const detail = "The request carries no token of this fleet.";
+  const refusal = createRefusal("no-owner", detail);
+  const { headers, body } = renderProblem(refusal, "unknown");
+  headers[REFUSAL_HEADER] = refusal.code;
+  headers["connection"] = "close";
+  response.writeHead(FORBIDDEN_STATUS, headers).end(body);
+}
+
 /** Shows the ingress that the request is in hand until the answer begins. */
 function showProgress(response: ServerResponse): void {
   const timer = setInterval(() => {
--- /dev/null
+++ b/src/transport/forward_server_test.ts
@@ -0,0 +1,35 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { request } from "undici";
+import { SILENT_LOG } from "../daemon/log.ts";
+import { createInFlight } from "./caller_server.ts";
+import { createForwardHandler } from "./forward_server.ts";
+
+test("a request without the fleet's token is refused as not run", async () => {
+  const handle = jest.fn();
+  const server = createServer(createForwardHandler({
+    chain: { handle },
+    limits: {
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1_000,
+      requestTimeoutMs: 1_000,
+      maxConnections: 1,
+    },
+    clock: () => 0,
+    log: SILENT_LOG,
+    token: "token-of-this-fleet",
+    inFlight: createInFlight(),
+    findService: () => undefined,
+    findWorkspace: () => undefined,
+  }));
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as AddressInfo;
+  const answer = await request(`http://127.0.0.1:${port}/bookings`, {
+    headers: { "x-cf-token": "token-of-another" },
+  });
+  expect(answer.statusCode).toBe(403);
+  expect(answer.headers["x-cf-refusal"]).toBe("no-owner");
+  expect(await answer.body.json()).toMatchObject({ ran: "no" });
+  expect(handle).not.toHaveBeenCalled();
+  await new Promise((done) => server.close(done));
+});
