Drop the setting report_lag_ms

Nothing read it: a report without an age is not taken at all, so there is no lag to assume. A settings file that names it is now refused by its line, in place of being taken for in effect.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -99,8 +99,6 @@
     driftMs: WaitSchema,
     /** Time in which a request that was sent reaches its upstream. */
     transitMs: WaitSchema,
-    /** Largest age of an upstream's load report. */
-    reportLagMs: WaitSchema,
     /** Wait before a larger share under a new configuration is used. */
     holdDownMs: WaitSchema,
   }, strict),
@@ -138,7 +136,6 @@
     livenessMs: 2_500,
     driftMs: 100,
     transitMs: 500,
-    reportLagMs: 1_000,
     holdDownMs: 15_000,
   },
   log: { level: "info", format: "json" },
