--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -12,7 +12,8 @@
   type SettingFault,
 } from "./ini_sections.ts";
 
-const MIN_FLEET_KEY_LENGTH = 16;
+/** Least length of the secret in characters, in the settings or in a file. */
+export const MIN_FLEET_KEY_LENGTH = 16;
 const MAX_TIME_MS = 3_600_000;
 const MAX_BODY_BYTES = 1_073_741_824;
 const MAX_CONNECTIONS = 1_048_576;
@@ -98,8 +99,6 @@
     driftMs: WaitSchema,
     /** Time in which a request that was sent reaches its upstream. */
     transitMs: WaitSchema,
-    /** Largest age of an upstream's load report. */
-    reportLagMs: WaitSchema,
     /** Wait before a larger share under a new configuration is used. */
     holdDownMs: WaitSchema,
   }, strict),
@@ -137,7 +136,6 @@
     livenessMs: 2_500,
     driftMs: 100,
     transitMs: 500,
-    reportLagMs: 1_000,
     holdDownMs: 15_000,
   },
   log: { level: "info", format: "json" },
--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -71,6 +71,9 @@
   readonly clock: Clock;
   readonly hash: Hash;
   readonly random: () => number;
+  /** Takes a line for each placement. */
+  readonly placementLog: Log;
+  /** Takes what happens to the pool and its upstreams. */
   readonly log: Log;
   readonly metrics: Metrics;
   readonly tasks: TaskSystem;
@@ -229,7 +232,6 @@
       confirmMs: timing.holdDownMs - timing.driftMs,
     });
     this.#queue = createAdmissionQueue({
-      limit: Number.MAX_SAFE_INTEGER,
       initialUnitMs: QUEUE_UNIT_MS,
       random: options.random,
     });
@@ -425,11 +427,6 @@
 
   #enqueue(waiting: Waiting, now: number): void {
     const { request } = waiting;
-    const limit = this.#service?.queueLimit ?? 0;
-    if (this.#queue.length >= limit && limit === 0) {
-      waiting.reply(Err(createRefusal("queue-full", "There is no queue.")));
-      return;
-    }
     const push = this.#queue.push({
       id: request.requestId,
       workspace: request.workspace,
@@ -580,7 +577,7 @@
       this.#enqueue(waiting, now);
       return;
     }
-    const { log, metrics, timing } = this.#options;
+    const { placementLog, metrics, timing } = this.#options;
     const grant: Grant = {
       attemptId: randomUUID(),
       pool: this.id,
@@ -591,7 +588,7 @@
       request,
       utilisation: (known.inFlight + 1) / (known.inFlight + known.share),
     };
-    log.info("Placed a request.", {
+    placementLog.info("Placed a request.", {
       requestId: request.requestId,
       attemptId: grant.attemptId,
       upstream: upstream.name,
@@ -705,6 +702,7 @@
   ): void {
     const now = this.#options.clock();
     this.#service = service;
+    this.#queue.setLimit(service.queueLimit);
     this.#replicas = replicas;
     this.#setReplicas(now, hasGap);
     for (const state of this.#upstreams.values()) state.isListed = false;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -69,7 +69,7 @@
 import { createLoadPoller } from "./load_poller.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
 import { createLogFactory, type LogFactory } from "./log.ts";
-import { createMetrics, type Metrics } from "./metrics.ts";
+import { createMetrics, type Metrics, setUpstreamGauges } from "./metrics.ts";
 import { createAdminHandler } from "./admin.ts";
 
 /** Options of a daemon. */
@@ -372,7 +372,8 @@
       clock: this.#clock,
       hash: this.#hash,
       random: Math.random,
-      log: this.#logs("place"),
+      placementLog: this.#logs("place"),
+      log: this.#logs("pool"),
       metrics: this.#metrics,
       tasks: this.#tasks,
       liveness: this.#peers,
@@ -491,12 +492,18 @@
     return createAdminHandler({
       next: handleRequest,
       metrics: this.#metrics,
+      refreshMetrics: () => this.#refreshMetrics(),
       isReady: () => this.#isReady(),
       getStatus: () => this.#getStatus(),
       explain: (service, chat) => this.#explain(service, chat),
     });
   }
 
+  #refreshMetrics(): void {
+    const pools = this.#pools.list().map((pool) => pool.summarise());
+    setUpstreamGauges(this.#metrics, pools, { owner: this.#self.name });
+  }
+
   async #getStatus(): Promise<RouterStatus> {
     const { values } = await this.#metrics.invariantBreaches.get();
     return renderStatus({
