--- /dev/null
+++ b/src/control/cache_events_controller_source.ts
@@ -0,0 +1,98 @@
+/**
+ * Reads cache events of engines over HTTP, and counts what that costs.
+ */
+import { Buffer } from "node:buffer";
+import { Value } from "@sinclair/typebox/value";
+import type { Upstream } from "../config/manifest.ts";
+import type { HttpClient } from "../transport/http_client.ts";
+import {
+  type CacheEventPage,
+  CacheEventPageSchema,
+} from "./cache_events_controller_cursor.ts";
+
+/** What a read brought and cost. */
+export interface EventReading {
+  /** Undefined if the engine gave no answer, or one that is too long. */
+  readonly page: CacheEventPage | undefined;
+  /** Estimated bytes of headers and bodies, both ways. */
+  readonly bytes: number;
+}
+
+/** Cache events of engines. */
+export interface CacheEventSource {
+  read(
+    upstream: Upstream,
+    after: number,
+    options: { maxBytes: number },
+  ): Promise<EventReading>;
+}
+
+/** Options of the source over HTTP. */
+export interface CacheEventSourceOptions {
+  readonly client: HttpClient;
+  readonly timeoutMs?: number;
+  /** Counts the estimated bytes of headers and bodies. */
+  onBytes(direction: "in" | "out", bytes: number): void;
+}
+
+const TIMEOUT_MS = 2_000;
+/** Request line, headers and blank line of a read, and of its answer. */
+const REQUEST_BYTES = 110;
+const ANSWER_HEAD_BYTES = 190;
+
+/** Bytes of a read without its events, both ways. */
+export const READ_OVERHEAD_BYTES = 370;
+
+/** Creates the source. */
+export function createCacheEventSource(
+  { client, timeoutMs = TIMEOUT_MS, onBytes }: CacheEventSourceOptions,
+): CacheEventSource {
+  return {
+    async read({ address }, after, { maxBytes }) {
+      onBytes("out", REQUEST_BYTES);
+      const sent = await client.send({
+        address,
+        method: "GET",
+        path: `/v1/cache-events?after=${after}`,
+        headers: {},
+        body: undefined,
+        firstByteTimeoutMs: timeoutMs,
+        betweenBytesTimeoutMs: timeoutMs,
+        signal: AbortSignal.timeout(timeoutMs),
+      });
+      if (sent.err) return { page: undefined, bytes: REQUEST_BYTES };
+      const { text, size } = await readText(sent.val.body, maxBytes);
+      onBytes("in", ANSWER_HEAD_BYTES + size);
+      const page = sent.val.status === 200 ? parsePage(text) : undefined;
+      return { page, bytes: REQUEST_BYTES + ANSWER_HEAD_BYTES + size };
+    },
+  };
+}
+
+/** Reads a body up to a bound; leaving the loop closes the connection. */
+async function readText(
+  body: AsyncIterable<Buffer>,
+  maxBytes: number,
+): Promise<{ text: string; size: number }> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of body) {
+      chunks.push(chunk);
+      size += chunk.length;
+      if (size > maxBytes) return { text: "", size };
+    }
+  } catch {
+    return { text: "", size };
+  }
+  return { text: Buffer.concat(chunks).toString("utf8"), size };
+}
+
+function parsePage(text: string): CacheEventPage | undefined {
+  try {
+    const page: unknown = JSON.parse(text);
+    return Value.Check(CacheEventPageSchema, page) ? page : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/control/orders_controller_run.ts
@@ -0,0 +1,180 @@
+/**
+ * Carries one order out: joins the decisions of `policy/order_fencing.ts` to
+ * the key-value service, the engine and the weight store's rate.
+ */
+import { setTimeout as delay } from "node:timers/promises";
+import type { Result } from "ts-results/result";
+import type { Upstream } from "../config/manifest.ts";
+import type {
+  ConditionalWrite,
+  KeyValue,
+  PlatformFailure,
+} from "../platform/key_value.ts";
+import { startOrder, stepOrder } from "../policy/order_fencing.ts";
+import type {
+  OrderAttempt,
+  OrderEffect,
+  OrderInput,
+  OrderOptions,
+  Outcome,
+} from "../policy/order_fencing_attempt.ts";
+import type { Order } from "../policy/order_fencing_record.ts";
+import { type Claim, isClaimUsable } from "../policy/weight_rate.ts";
+import type { WeightSlots } from "./orders_controller_slots.ts";
+import type { CarriedOut, UpstreamOrders } from "./upstream_orders.ts";
+import type { Clock } from "./views.ts";
+
+/** How an order ended: as its policy says, or before it came to a send. */
+export type OrderEnd =
+  | Outcome
+  /** The weight store's rate leaves no fetch for now. */
+  | "no-slot"
+  /** The engine's list no longer asks for it, or the pool has another owner. */
+  | "outdated"
+  /** This router stops. */
+  | "stopped";
+
+/** What orders need of the router. */
+export interface OrderRunOptions {
+  readonly keyValue: KeyValue;
+  readonly slots: WeightSlots;
+  readonly orders: UpstreamOrders;
+  readonly clock: Clock;
+  readonly times: Omit<OrderOptions, "checksFencing">;
+  createId(): string;
+}
+
+/** One order. */
+export interface OrderRequest {
+  readonly order: Order;
+  readonly upstream: Upstream;
+  /** Key of the record of who may give orders to the engine. */
+  readonly key: string;
+  /** Whether the engine's list still asks for the order. */
+  isDue(done: readonly CarriedOut[]): boolean;
+  /** The last word, right before the send. */
+  mayBeSent(): boolean;
+  onSend(fence: number): void;
+  readonly signal: AbortSignal;
+}
+
+/** Runs an order to its end; never rejects. */
+export function runOrder(
+  request: OrderRequest,
+  options: OrderRunOptions,
+): Promise<OrderEnd> {
+  return new OrderRun(request, options).run();
+}
+
+class OrderRun {
+  readonly #request: OrderRequest;
+  readonly #options: OrderRunOptions;
+  #claim: Claim | undefined;
+  /** Why nothing was sent, where the policy can't know. */
+  #refusal: "no-slot" | "outdated" | undefined;
+
+  constructor(request: OrderRequest, options: OrderRunOptions) {
+    this.#request = request;
+    this.#options = options;
+  }
+
+  async run(): Promise<OrderEnd> {
+    const { order, upstream: { checksFencing }, signal } = this.#request;
+    const { times, clock, createId } = this.#options;
+    let step = startOrder(order, createId(), { ...times, checksFencing });
+    while (step.effect !== undefined) {
+      if (signal.aborted) return "stopped";
+      // No await may come between a step and the send that it asks for.
+      const input = await this.#carryOut(step.effect, step.attempt);
+      if (signal.aborted) return "stopped";
+      step = stepOrder(step.attempt, input, clock());
+    }
+    const { outcome, sends } = step.attempt;
+    const wasRefused = outcome === "unreachable" && sends <= 1;
+    return wasRefused ? this.#refusal ?? outcome : outcome!;
+  }
+
+  #carryOut(
+    effect: OrderEffect,
+    attempt: OrderAttempt,
+  ): Promise<OrderInput> {
+    const { keyValue } = this.#options;
+    const { key } = this.#request;
+    switch (effect.kind) {
+      case "read":
+        return this.#read();
+      case "create":
+        return keyValue.create(key, effect.value).then(toInput);
+      case "replace": {
+        const { value, revision } = effect;
+        return keyValue.replace(key, value, { revision }).then(toInput);
+      }
+      case "wait":
+        return this.#wait(effect.until);
+      case "list-orders":
+        return this.#list(attempt);
+      case "send":
+        return this.#send(effect);
+    }
+  }
+
+  async #read(): Promise<OrderInput> {
+    const read = await this.#options.keyValue.get(this.#request.key);
+    if (read.ok) return { kind: "read", item: read.val };
+    return { kind: "failed", failure: read.val.kind };
+  }
+
+  async #wait(until: number): Promise<OrderInput> {
+    const waitMs = Math.max(0, Math.ceil(until - this.#options.clock()));
+    // The end of the signal is looked at by the loop.
+    const { signal } = this.#request;
+    await delay(waitMs, undefined, { signal }).catch(() => undefined);
+    return { kind: "elapsed" };
+  }
+
+  /** Reads the engine's list; a fetch is claimed only for what is missing. */
+  async #list({ phase }: OrderAttempt): Promise<OrderInput> {
+    const { upstream, order, isDue } = this.#request;
+    const done = await this.#options.orders.list(upstream);
+    if (done === undefined) return { kind: "list-failed" };
+    const ids = done.map(({ id }) => id);
+    const isMissing = !ids.includes(order.id);
+    if (phase !== "listing" || !isMissing) return { kind: "listed", ids };
+    if (!isDue(done)) return this.#refuse("outdated");
+    this.#claim = await this.#options.slots.claim();
+    if (this.#claim?.outcome !== "claimed") return this.#refuse("no-slot");
+    return { kind: "listed", ids };
+  }
+
+  #refuse(refusal: "no-slot" | "outdated"): OrderInput {
+    this.#refusal = refusal;
+    return { kind: "list-failed" };
+  }
+
+  async #send(
+    { order, fence }: OrderEffect & { kind: "send" },
+  ): Promise<OrderInput> {
+    const { upstream, mayBeSent, onSend } = this.#request;
+    const claim = this.#claim;
+    // A claim is good for one send: a repeat starts over as a new order.
+    this.#claim = undefined;
+    if (!mayBeSent()) {
+      this.#refusal = "outdated";
+      return { kind: "not-sent" };
+    }
+    if (claim === undefined || !isClaimUsable(claim, this.#options.clock())) {
+      this.#refusal = "no-slot";
+      return { kind: "not-sent" };
+    }
+    const sending = this.#options.orders.send(upstream, order, { fence });
+    onSend(fence);
+    return { kind: await sending };
+  }
+}
+
+function toInput(
+  result: Result<ConditionalWrite, PlatformFailure>,
+): OrderInput {
+  if (result.ok) return result.val;
+  return { kind: "failed", failure: result.val.kind };
+}
--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -83,6 +83,9 @@
   readonly isInService: boolean;
   readonly isLeaving: boolean;
   readonly isCold: boolean;
+  readonly incarnation: string | undefined;
+  /** Attempts that ended well under this controller. */
+  readonly answers: number;
   readonly inFlight: number;
   readonly limit: number;
   readonly room: number;
@@ -101,6 +104,13 @@
   readonly upstreams: readonly UpstreamSummary[];
 }
 
+/** Chats that an upstream has evicted from its cache. */
+export interface Evictions {
+  readonly chats: readonly ChatHash[];
+  /** Monotonic time; a chat that was used since may be cached again. */
+  readonly usedBefore: number;
+}
+
 /** What the configuration says of a pool beside its service. */
 export interface PoolConfiguration {
   readonly upstreams: readonly Upstream[];
@@ -115,6 +125,8 @@
   /** Makes the offers of this pool to `peers`, in the same order. */
   collectOffers(peers: readonly string[]): Promise<readonly Offer[]>;
   receive(peer: string, heartbeat: Heartbeat): void;
+  /** Corrects the directory by the word of an upstream. */
+  noteEvictions(upstream: string, evictions: Evictions): void;
   summarise(): PoolSummary;
   /** Order in which a chat would try the upstreams. */
   explain(chat: ChatHash): {
@@ -153,6 +165,11 @@
     readonly peer: string;
     readonly heartbeat: Heartbeat;
   }
+  | {
+    readonly kind: "evictions";
+    readonly upstream: string;
+    readonly evictions: Evictions;
+  }
   | {
     readonly kind: "configure";
     readonly service: Service;
@@ -274,6 +291,10 @@
     this.#send({ kind: "heartbeat", peer, heartbeat });
   }
 
+  noteEvictions(upstream: string, evictions: Evictions): void {
+    this.#send({ kind: "evictions", upstream, evictions });
+  }
+
   summarise(): PoolSummary {
     const now = this.#options.clock();
     const view = this.#view(now);
@@ -296,6 +317,8 @@
           isInService: this.#isInService(state),
           isLeaving: state.isLeaving,
           isCold: state.coldStart.isCold(now),
+          incarnation: state.incarnation,
+          answers: state.answers,
           inFlight: this.#shares.inFlightEstimate(name, now),
           limit: known?.limit ?? 0,
           room: known?.room ?? 0,
@@ -347,6 +370,9 @@
       case "heartbeat":
         this.#receive(message.peer, message.heartbeat);
         break;
+      case "evictions":
+        this.#forget(message.upstream, message.evictions);
+        break;
       case "configure":
         this.#configure(message.service, message.options);
         break;
@@ -598,6 +624,7 @@
       inFlight: this.#shares.inFlightEstimate(state.upstream.name, now),
     }, now);
     if (end.fate !== "finished" || !end.isOk) return;
+    state.answers++;
     if (firstByteMs !== undefined) {
       noteFirstByte(this.#firstByte, { firstByteMs, computedTokens });
     }
@@ -643,6 +670,17 @@
     this.#pump();
   }
 
+  /** Drops chats only where the directory still names the upstream. */
+  #forget(upstream: string, { chats, usedBefore }: Evictions): void {
+    const index = this.#upstreams.get(upstream)?.index;
+    for (const chat of chats) {
+      const home = this.#directory.get(chat);
+      if (home === undefined || home.upstream !== index) continue;
+      // The time of the last use is rounded down to whole seconds.
+      if ((home.usedAt + 1) * 1_000 <= usedBefore) this.#directory.forget(chat);
+    }
+  }
+
   #owner(): string | undefined {
     return this.#replicas.find((name) => this.#options.liveness.isLive(name));
   }
--- a/src/control/pools_controller.ts
+++ b/src/control/pools_controller.ts
@@ -14,7 +14,7 @@
   rankByWeightedRendezvous,
 } from "../policy/rendezvous.ts";
 import type { PoolDirectory, PoolLocation } from "./pool.ts";
-import type { PoolController } from "./pool_controller.ts";
+import type { PoolController, PoolSummary } from "./pool_controller.ts";
 
 /** Most upstreams of a pool on average. */
 const POOL_SIZE = 32;
@@ -62,6 +62,15 @@
   return plans;
 }
 
+/** Whether `self` believes to own a pool, and holds each of its ranks. */
+export function isSoleOwner(
+  { owner, heldRanks, replicas }: PoolSummary,
+  self: string,
+): boolean {
+  if (owner !== self || replicas.length === 0) return false;
+  return replicas.every((replica) => heldRanks.includes(replica));
+}
+
 /** Options of the pools controller. */
 export interface PoolsOptions {
   readonly self: string;
--- a/src/control/upstream_state.ts
+++ b/src/control/upstream_state.ts
@@ -27,6 +27,8 @@
   reportedAt: number;
   isPollOutstanding: boolean;
   polledAt: number;
+  /** Attempts that ended well. */
+  answers: number;
   /** Smoothed duration of a finished attempt, milliseconds. */
   serviceMs: number;
   /** Smoothed time to compute one prompt token, milliseconds. */
@@ -50,6 +52,7 @@
     reportedAt: -Infinity,
     isPollOutstanding: false,
     polledAt: -Infinity,
+    answers: 0,
     serviceMs: INITIAL_SERVICE_MS,
     msPerPromptToken: INITIAL_MS_PER_TOKEN,
   };
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,13 +1,18 @@
 /**
  * Wires the parts of a router together and owns their start and their stop.
  */
-import { randomBytes } from "node:crypto";
+import { randomBytes, randomUUID } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import type { Server } from "node:http";
 import type { Manifest, Service, Upstream } from "../config/manifest.ts";
 import { createConfigurationStore } from "../config/configuration_store.ts";
 import type { Configuration } from "../config/configuration.ts";
 import type { Settings } from "../config/settings.ts";
+import {
+  type CacheEventsController,
+  createCacheEventsController,
+} from "../control/cache_events_controller.ts";
+import { createCacheEventSource } from "../control/cache_events_controller_source.ts";
 import {
   type ConfigurationController,
   createConfigurationController,
@@ -18,6 +23,11 @@
   createHostsController,
   type HostsController,
 } from "../control/hosts_controller.ts";
+import {
+  createOrdersController,
+  type OrdersController,
+} from "../control/orders_controller.ts";
+import { createWeightSlots } from "../control/orders_controller_slots.ts";
 import {
   createPeersController,
   type Heartbeat,
@@ -35,6 +45,7 @@
 } from "../control/registry_controller.ts";
 import { createRetentionLease } from "../control/retention_lease.ts";
 import { createTaskSystem, type TaskSystem } from "../control/task.ts";
+import { createUpstreamOrders } from "../control/upstream_orders.ts";
 import type { Clock } from "../control/views.ts";
 import * as Debug from "../debug.ts";
 import { BodyFilter } from "../filters/body_filter.ts";
@@ -49,6 +60,7 @@
 import { createEtcdKeyValue } from "../platform/etcd_key_value.ts";
 import { createHttpHostList } from "../platform/host_list.ts";
 import type { KeyValue } from "../platform/key_value.ts";
+import { createHttpWeightStore } from "../platform/weight_store.ts";
 import type { ChatHash } from "../policy/chat_directory.ts";
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import { createRetryBudget } from "../policy/retry_budget.ts";
@@ -117,6 +129,8 @@
   readonly #pools: PoolsController;
   readonly #hosts: HostsController;
   readonly #registry: RegistryController;
+  readonly #orders: OrdersController;
+  readonly #cacheEvents: CacheEventsController;
   #index = createIndex(undefined);
 
   constructor(options: DaemonOptions & { hash: Hash }) {
@@ -175,6 +189,8 @@
       log: this.#logs("registry"),
       tasks: this.#tasks,
     });
+    this.#orders = this.#createOrders();
+    this.#cacheEvents = this.#createCacheEvents();
   }
 
   async open(): Promise<void> {
@@ -195,6 +211,10 @@
     this.#registry.open();
     this.#lifeCycle.own("registry", () => this.#registry.close());
     this.#lifeCycle.own("pools", () => this.#pools.close());
+    this.#orders.open();
+    this.#lifeCycle.own("orders", () => this.#orders.close());
+    this.#cacheEvents.open();
+    this.#lifeCycle.own("cache events", () => this.#cacheEvents.close());
     const callerServer = await listenForHttp(callers, {
       limits: this.#limits(),
       handle: this.#createCallerHandler(),
@@ -264,6 +284,52 @@
     });
   }
 
+  #createOrders(): OrdersController {
+    const { platform: { weightStore: address }, timing } = this.#settings;
+    const onBytes = this.#counterOf("weights");
+    const weightStore = address === undefined
+      ? undefined
+      : createHttpWeightStore({ address, onBytes });
+    this.#lifeCycle.own("weight store", () => weightStore?.close());
+    const shared = {
+      keyValue: this.#keyValue,
+      clock: this.#clock,
+      random: Math.random,
+      createId: randomUUID,
+    };
+    return createOrdersController({
+      ...shared,
+      self: this.#self.name,
+      slots: createWeightSlots({ ...shared, weightStore }),
+      orders: createUpstreamOrders({
+        client: this.#client,
+        onBytes: this.#counterOf("orders"),
+      }),
+      times: { transitMs: timing.transitMs },
+      log: this.#logs("upstream"),
+      tasks: this.#tasks,
+      listPools: () => this.#pools.list().map((pool) => pool.summarise()),
+      getManifest: () => this.#configuration.current().manifest,
+      isLeaving: () => this.#peers.isLeaving(),
+    });
+  }
+
+  #createCacheEvents(): CacheEventsController {
+    return createCacheEventsController({
+      self: this.#self.name,
+      source: createCacheEventSource({
+        client: this.#client,
+        onBytes: this.#counterOf("cache-events"),
+      }),
+      clock: this.#clock,
+      log: this.#logs("upstream"),
+      tasks: this.#tasks,
+      listPools: () => this.#pools.list(),
+      isEngine: (name) => this.#index.services.get(name)?.kind === "engine",
+      hashChat: (chat) => this.#hashChat(chat),
+    });
+  }
+
   #createPeers(): PeersController {
     const { timing, fleet, listen } = this.#settings;
     return createPeersController({
@@ -366,7 +432,8 @@
     });
   }
 
-  #isInService({ host, failureDomain }: Upstream): boolean {
+  #isInService({ name, host, failureDomain }: Upstream): boolean {
+    if (this.#orders.isLoading(name)) return false;
     const { failureDomainsOut, hostsOut } = this.#configuration.current();
     if (failureDomainsOut.includes(failureDomain)) return false;
     if (hostsOut.includes(host)) return false;
