--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -91,6 +91,9 @@
   readonly isInService: boolean;
   readonly isLeaving: boolean;
   readonly isCold: boolean;
+  readonly incarnation: string | undefined;
+  /** Attempts that ended well under this controller. */
+  readonly answers: number;
   readonly inFlight: number;
   readonly limit: number;
   readonly room: number;
@@ -109,6 +112,13 @@
   readonly upstreams: readonly UpstreamSummary[];
 }
 
+/** Chats that an upstream has evicted from its cache. */
+export interface Evictions {
+  readonly chats: readonly ChatHash[];
+  /** Monotonic time; a chat that was used since may be cached again. */
+  readonly usedBefore: number;
+}
+
 /** What the configuration says of a pool beside its service. */
 export interface PoolConfiguration {
   readonly upstreams: readonly Upstream[];
@@ -127,6 +137,8 @@
   returnLoans(): Promise<Stamp>;
   /** Notes that `peer` gave up its loans. */
   noteReturned(peer: string, stamp: Stamp): void;
+  /** Corrects the directory by the word of an upstream. */
+  noteEvictions(upstream: string, evictions: Evictions): void;
   summarise(): PoolSummary;
   /** Order in which a chat would try the upstreams. */
   explain(chat: ChatHash): {
@@ -165,6 +177,11 @@
     readonly peer: string;
     readonly heartbeat: Heartbeat;
   }
+  | {
+    readonly kind: "evictions";
+    readonly upstream: string;
+    readonly evictions: Evictions;
+  }
   | {
     readonly kind: "configure";
     readonly service: Service;
@@ -295,6 +312,10 @@
     this.#send({ kind: "returned", peer, stamp });
   }
 
+  noteEvictions(upstream: string, evictions: Evictions): void {
+    this.#send({ kind: "evictions", upstream, evictions });
+  }
+
   summarise(): PoolSummary {
     const now = this.#options.clock();
     const view = this.#view(now);
@@ -317,6 +338,8 @@
           isInService: this.#isInService(state),
           isLeaving: state.isLeaving,
           isCold: state.coldStart.isCold(now),
+          incarnation: state.incarnation,
+          answers: state.answers,
           inFlight: this.#shares.inFlightEstimate(name, now),
           limit: known?.limit ?? 0,
           room: known?.room ?? 0,
@@ -368,6 +391,9 @@
       case "heartbeat":
         this.#receive(message.peer, message.heartbeat);
         break;
+      case "evictions":
+        this.#forget(message.upstream, message.evictions);
+        break;
       case "configure":
         this.#configure(message.service, message.options);
         break;
@@ -633,6 +659,7 @@
       utilisation: grant.utilisation,
     }, now);
     if (end.fate !== "finished" || !end.isOk) return;
+    state.answers++;
     if (firstByteMs !== undefined) {
       noteFirstByte(this.#firstByte, { firstByteMs, computedTokens });
     }
@@ -678,6 +705,17 @@
     this.#pump();
   }
 
+  /** Drops chats only where the directory still names the upstream. */
+  #forget(upstream: string, { chats, usedBefore }: Evictions): void {
+    const index = this.#upstreams.get(upstream)?.index;
+    for (const chat of chats) {
+      const home = this.#directory.get(chat);
+      if (home === undefined || home.upstream !== index) continue;
+      // The time of the last use is rounded down to whole seconds.
+      if ((home.usedAt + 1) * 1_000 <= usedBefore) this.#directory.forget(chat);
+    }
+  }
+
   #owner(): string | undefined {
     return this.#replicas.find((name) => this.#options.liveness.isLive(name));
   }
