Leave the cancel of a forwarded stream to the router that the caller reached

When the connection between two routers broke, the owner took its caller for gone and cancelled the attempt, while the other router was about to resume the stream at the upstream: it got an error event though the engine was well. The owner now lets the attempt run on, and the router that the caller reached cancels it when it gives the stream up.

--- a/src/filters/locate_filter.ts
+++ b/src/filters/locate_filter.ts
@@ -30,6 +30,7 @@
   type Outcome,
   refused,
 } from "./exchange.ts";
+import { cancelAttempt } from "./cancel_attempt.ts";
 import { streamAnswer } from "./stream_answer.ts";
 
 /** Header by which the owner marks a refusal of its own. */
@@ -209,12 +210,19 @@
     if (length !== undefined && Number(length) <= MAX_WHOLE_BYTES) {
       return await this.#whole(exchange, { answer, headers });
     }
+    const { client } = this.#options;
+    const attempt = this.#toResumable(exchange, answer);
     const body = streamAnswer(exchange, {
       answer,
-      attempt: this.#toResumable(exchange, answer),
+      attempt,
       isEvents,
-      client: this.#options.client,
-      onEnd: () => {},
+      client,
+      onEnd: (isWhole) => {
+        // A router in between leaves it to the one that the caller reached.
+        const isIngress = exchange.hops === 0;
+        if (isWhole || !isEvents || !isIngress || !attempt) return;
+        cancelAttempt(client, attempt);
+      },
     });
     const { status } = answer;
     return {
--- a/src/filters/upstream_filter.ts
+++ b/src/filters/upstream_filter.ts
@@ -24,6 +24,7 @@
   type Outcome,
   refused,
 } from "./exchange.ts";
+import { cancelAttempt } from "./cancel_attempt.ts";
 import { streamAnswer } from "./stream_answer.ts";
 
 /** Options of the filter. */
@@ -236,7 +237,7 @@
       isEvents,
       client: this.#options.client,
       onEnd: (isWhole) =>
-        this.#ended(attempt, isWhole ? end : { fate: "unclear", isOk: false }),
+        this.#streamEnded(exchange, { attempt, end, isWhole }),
     });
     return {
       kind: "outcome",
@@ -244,6 +245,24 @@
     };
   }
 
+  #streamEnded(
+    exchange: Exchange,
+    { attempt, end, isWhole }: {
+      attempt: Attempt;
+      end: AttemptEnd;
+      isWhole: boolean;
+    },
+  ): void {
+    if (isWhole) {
+      this.#release(attempt, end);
+      return;
+    }
+    this.#release(attempt, { fate: "unclear", isOk: false });
+    // The router that forwarded the request may go on with the stream at the
+    // upstream. It cancels the attempt if it gives it up.
+    if (exchange.hops === 0) this.#cancel(attempt);
+  }
+
   #ended(attempt: Attempt, end: AttemptEnd): void {
     this.#release(attempt, end);
     if (end.fate === "unclear") this.#cancel(attempt);
@@ -278,27 +297,13 @@
     pool.release(grant, end);
   }
 
-  /** Tells the upstream to stop; it may not get to know of it. */
   #cancel({ grant }: Attempt): void {
     if (grant.service.kind !== "engine") return;
-    const { client } = this.#options;
-    void client.send({
-      address: grant.upstream.address,
-      method: "DELETE",
-      path: `/v1/attempts/${grant.attemptId}`,
-      headers: {},
-      body: undefined,
-      firstByteTimeoutMs: CANCEL_TIMEOUT_MS,
-      betweenBytesTimeoutMs: CANCEL_TIMEOUT_MS,
-      signal: AbortSignal.timeout(CANCEL_TIMEOUT_MS),
-      isFresh: true,
-    }).then((sent) => sent.ok ? sent.val.body.dump() : undefined)
-      .catch(() => undefined);
+    const { attemptId, upstream: { address } } = grant;
+    cancelAttempt(this.#options.client, { attemptId, address });
   }
 }
 
-const CANCEL_TIMEOUT_MS = 1_000;
-
 /** Keeps the chats of two workspaces apart at the upstreams. */
 function scopeChat(workspace: string, chat: string): string {
   return `${workspace}/${chat}`;
