--- a/bench/chaos_faults.ts
+++ b/bench/chaos_faults.ts
@@ -64,6 +64,8 @@
   readonly records: UpstreamEvidence[] = [];
   readonly #fleet: Fleet;
   readonly #operators: readonly Operator[];
+  /** The last fault at each target. */
+  readonly #lastAt = new Map<string, Promise<void>>();
 
   constructor(fleet: Fleet) {
     this.#fleet = fleet;
@@ -81,10 +83,18 @@
     await Promise.all(schedule.map(async (event) => {
       await sleep(event.atMs);
       onEvent(event);
-      await this.#perform(event);
+      await this.#performInTurn(event);
     }));
   }
 
+  /** A fault waits until the one before at its target has ended. */
+  #performInTurn(event: ChaosEvent): Promise<void> {
+    const before = this.#lastAt.get(event.target) ?? Promise.resolve();
+    const performed = before.then(() => this.#perform(event));
+    this.#lastAt.set(event.target, performed);
+    return performed;
+  }
+
   /** Notes what an upstream has seen so far. */
   async noteRecord(member: UpstreamMember): Promise<void> {
     const record = await member.getRecord();
