--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -4,7 +4,7 @@
  *
  * A heartbeat is the notification `hb` with the parameters
  * `[incarnation, sentAt, version, routersVersion, routersInForceMs, isLeaving,
- * loans]`, where `loans` lists
+ * isReply, loans, returns]`, where `loans` lists
  * the pools whose rank the sender lends to the receiver.
  */
 import type { Server } from "node:net";
@@ -15,6 +15,7 @@
 import {
   dialPeer,
   type Direction,
+  isRefused,
   listenForPeers,
   type PeerConnection,
   type PeerDial,
@@ -29,6 +30,12 @@
   readonly offer: Offer;
 }
 
+/** Loans of one pool that the sender of a heartbeat has given up. */
+export interface PoolReturn {
+  readonly pool: string;
+  readonly stamp: Stamp;
+}
+
 /** A heartbeat as it arrived. */
 export interface Heartbeat {
   readonly peer: string;
@@ -36,7 +43,10 @@
   readonly sentAt: Stamp;
   readonly word: PeerWord;
   readonly isLeaving: boolean;
+  /** Whether it answers a heartbeat; a reply is not answered. */
+  readonly isReply: boolean;
   readonly offers: readonly PoolOffer[];
+  readonly returns: readonly PoolReturn[];
 }
 
 /** What the peers controller needs of the rest of the daemon. */
@@ -82,8 +92,8 @@
   open(): Promise<void>;
   /** Sets the routers to keep connections with. */
   setRouters(routers: readonly Router[]): void;
-  /** Tells every peer that this router stops. */
-  announceLeaving(): void;
+  /** Tells every peer that this router stops and which loans it gives up. */
+  announceLeaving(returns: readonly PoolReturn[]): void;
   broadcast(method: string, params: unknown): void;
   request(
     peer: string,
@@ -99,6 +109,7 @@
   | { readonly kind: "open"; readonly connection: PeerConnection }
   | { readonly kind: "close"; readonly connection: PeerConnection }
   | { readonly kind: "dial-failed"; readonly address: string }
+  | { readonly kind: "gone"; readonly peer: string }
   | { readonly kind: "routers"; readonly routers: readonly Router[] }
   | {
     readonly kind: "heartbeat";
@@ -119,9 +130,14 @@
   routersVersion: number,
   routersInForceMs: number,
   isLeaving: 0 | 1,
+  isReply: 0 | 1,
   loans: readonly WireLoan[],
+  returns: readonly WireReturn[],
 ];
 
+/** A pool whose loans the sender gave up, and when on its clock. */
+type WireReturn = readonly [pool: string, at: number];
+
 /** A loan with the stamp of the heartbeat that it answers. */
 type WireLoan = readonly [pool: string, incarnation: string, at: number];
 
@@ -134,12 +150,24 @@
 }
 
 function parseHeartbeat(peer: string, params: unknown): Heartbeat | undefined {
-  if (!Array.isArray(params) || params.length < 7) return undefined;
-  const [incarnation, at, version, routersVersion, inForceMs, leaving, loans] =
-    params as unknown as WireHeartbeat;
+  if (!Array.isArray(params) || params.length < 9) return undefined;
+  const [
+    incarnation,
+    at,
+    version,
+    routersVersion,
+    inForceMs,
+    leaving,
+    reply,
+    loans,
+    returns,
+  ] = params as unknown as WireHeartbeat;
   const numbers = [at, version, routersVersion, inForceMs];
   if (!numbers.every(Number.isFinite)) return undefined;
-  if (typeof incarnation !== "string" || !Array.isArray(loans)) {
+  if (
+    typeof incarnation !== "string" || !Array.isArray(loans) ||
+    !Array.isArray(returns)
+  ) {
     return undefined;
   }
   return {
@@ -147,7 +175,12 @@
     sentAt: { incarnation, at },
     word: { version, routersVersion, routersInForceMs: inForceMs },
     isLeaving: leaving === 1,
+    isReply: reply === 1,
     offers: loans.map(toOffer),
+    returns: returns.map(([pool, at]) => ({
+      pool,
+      stamp: { incarnation, at },
+    })),
   };
 }
 
@@ -176,6 +209,7 @@
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   #isLeaving = false;
+  #returns: readonly PoolReturn[] = [];
   #isClosed = false;
 
   constructor(options: PeersOptions) {
@@ -217,7 +251,8 @@
     return this.#isLeaving;
   }
 
-  announceLeaving(): void {
+  announceLeaving(returns: readonly PoolReturn[]): void {
+    this.#returns = returns;
     this.#isLeaving = true;
     this.#membership.leaving(this.#options.self.name);
     this.#task.send({ kind: "tick" });
@@ -304,12 +339,18 @@
       case "dial-failed":
         this.#dials.delete(message.address);
         break;
+      case "gone":
+        this.#options.log.warn("A peer's process is gone.", {
+          peer: message.peer,
+        });
+        this.#membership.lost(message.peer);
+        break;
       case "routers":
         this.#routers = message.routers;
         this.#dialMissing();
         break;
       case "heartbeat":
-        this.#heard(message.connection, message.params);
+        await this.#heard(message.connection, message.params);
         break;
     }
   }
@@ -339,10 +380,21 @@
       this.#options.log.warn("Lost the connection to a peer.", {
         peer: connection.peer,
       });
+      this.#probe(connection.peer);
     }
     this.#forgetDials();
   }
 
+  /** A refused connection tells a process that is gone from a cut one. */
+  #probe(peer: string): void {
+    const address = this.#routers.find(({ name }) => name === peer)
+      ?.controlAddress;
+    if (address === undefined) return;
+    void isRefused(address).then((isGone) => {
+      if (isGone && !this.#isClosed) this.#task.send({ kind: "gone", peer });
+    });
+  }
+
   #forgetDials(): void {
     for (const [address, router] of this.#dialTargets()) {
       const peer = router === undefined ? undefined : this.#peers.get(router);
@@ -397,17 +449,29 @@
     this.#dials.set(address, dial);
   }
 
+  /** Answers a borrower at once, so that its loan is as fresh as can be. */
+  async #renewLoans(connection: PeerConnection): Promise<void> {
+    const { hooks } = this.#options;
+    const [offers = []] = await hooks.collectOffers([connection.peer]);
+    if (offers.length === 0) return;
+    this.#sendHeartbeat(connection, { offers, isReply: true });
+  }
+
   async #sendHeartbeats(peers: readonly string[]): Promise<void> {
     const offers = await this.#options.hooks.collectOffers(peers);
     peers.forEach((name, index) => {
       const connection = this.#peers.get(name)?.connection;
-      if (connection) this.#sendHeartbeat(connection, offers[index]!);
+      if (connection === undefined) return;
+      this.#sendHeartbeat(connection, { offers: offers[index]! });
     });
   }
 
   #sendHeartbeat(
     connection: PeerConnection,
-    offers: readonly PoolOffer[],
+    { offers, isReply = false }: {
+      offers: readonly PoolOffer[];
+      isReply?: boolean;
+    },
   ): void {
     const { hooks, incarnation, clock } = this.#options;
     const word = hooks.getWord();
@@ -418,12 +482,14 @@
       word.routersVersion,
       Math.min(MAX_IN_FORCE_MS, Math.floor(word.routersInForceMs)),
       this.#isLeaving ? 1 : 0,
+      isReply ? 1 : 0,
       toWireLoans(offers),
+      this.#returns.map(({ pool, stamp }) => [pool, stamp.at] as const),
     ];
     connection.notify("hb", params);
   }
 
-  #heard(connection: PeerConnection, params: unknown): void {
+  async #heard(connection: PeerConnection, params: unknown): Promise<void> {
     const heartbeat = parseHeartbeat(connection.peer, params);
     const peer = this.#peers.get(connection.peer);
     if (heartbeat === undefined || peer === undefined) return;
@@ -436,5 +502,6 @@
       this.#membership.leaving(connection.peer, { incarnation });
     }
     this.#options.hooks.onHeartbeat(heartbeat);
+    if (!heartbeat.isReply) await this.#renewLoans(connection);
   }
 }
--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -25,12 +25,17 @@
   type ChatHash,
   createChatDirectory,
 } from "../policy/chat_directory.ts";
-import { getMeanInFlight, limitOf } from "../policy/load_bound.ts";
+import {
+  capacityLimitOf,
+  getMeanInFlight,
+  loadLimitOf,
+} from "../policy/load_bound.ts";
 import {
   createLoans,
   type Heartbeat,
   type Loans,
   type Offer,
+  type Stamp,
 } from "../policy/loans.ts";
 import { type Candidate, place, type Placement } from "../policy/placement.ts";
 import { type Hash, rankByRendezvous } from "../policy/rendezvous.ts";
@@ -66,6 +71,9 @@
   readonly clock: Clock;
   readonly hash: Hash;
   readonly random: () => number;
+  /** Takes a line for each placement. */
+  readonly placementLog: Log;
+  /** Takes what happens to the pool and its upstreams. */
   readonly log: Log;
   readonly metrics: Metrics;
   readonly tasks: TaskSystem;
@@ -83,6 +91,9 @@
   readonly isInService: boolean;
   readonly isLeaving: boolean;
   readonly isCold: boolean;
+  readonly incarnation: string | undefined;
+  /** Attempts that ended well under this controller. */
+  readonly answers: number;
   readonly inFlight: number;
   readonly limit: number;
   readonly room: number;
@@ -101,6 +112,13 @@
   readonly upstreams: readonly UpstreamSummary[];
 }
 
+/** Chats that an upstream has evicted from its cache. */
+export interface Evictions {
+  readonly chats: readonly ChatHash[];
+  /** Monotonic time; a chat that was used since may be cached again. */
+  readonly usedBefore: number;
+}
+
 /** What the configuration says of a pool beside its service. */
 export interface PoolConfiguration {
   readonly upstreams: readonly Upstream[];
@@ -115,6 +133,12 @@
   /** Makes the offers of this pool to `peers`, in the same order. */
   collectOffers(peers: readonly string[]): Promise<readonly Offer[]>;
   receive(peer: string, heartbeat: Heartbeat): void;
+  /** Gives up every borrowed rank ahead of a planned stop. */
+  returnLoans(): Promise<Stamp>;
+  /** Notes that `peer` gave up its loans. */
+  noteReturned(peer: string, stamp: Stamp): void;
+  /** Corrects the directory by the word of an upstream. */
+  noteEvictions(upstream: string, evictions: Evictions): void;
   summarise(): PoolSummary;
   /** Order in which a chat would try the upstreams. */
   explain(chat: ChatHash): {
@@ -153,11 +177,18 @@
     readonly peer: string;
     readonly heartbeat: Heartbeat;
   }
+  | {
+    readonly kind: "evictions";
+    readonly upstream: string;
+    readonly evictions: Evictions;
+  }
   | {
     readonly kind: "configure";
     readonly service: Service;
     readonly options: PoolConfiguration;
   }
+  | { readonly kind: "return"; reply(stamp: Stamp): void }
+  | { readonly kind: "returned"; readonly peer: string; readonly stamp: Stamp }
   | { readonly kind: "tick" };
 
 interface Waiting {
@@ -218,7 +249,6 @@
       confirmMs: timing.holdDownMs - timing.driftMs,
     });
     this.#queue = createAdmissionQueue({
-      limit: Number.MAX_SAFE_INTEGER,
       initialUnitMs: QUEUE_UNIT_MS,
       random: options.random,
     });
@@ -274,6 +304,18 @@
     this.#send({ kind: "heartbeat", peer, heartbeat });
   }
 
+  returnLoans(): Promise<Stamp> {
+    return new Promise((reply) => this.#send({ kind: "return", reply }));
+  }
+
+  noteReturned(peer: string, stamp: Stamp): void {
+    this.#send({ kind: "returned", peer, stamp });
+  }
+
+  noteEvictions(upstream: string, evictions: Evictions): void {
+    this.#send({ kind: "evictions", upstream, evictions });
+  }
+
   summarise(): PoolSummary {
     const now = this.#options.clock();
     const view = this.#view(now);
@@ -296,6 +338,8 @@
           isInService: this.#isInService(state),
           isLeaving: state.isLeaving,
           isCold: state.coldStart.isCold(now),
+          incarnation: state.incarnation,
+          answers: state.answers,
           inFlight: this.#shares.inFlightEstimate(name, now),
           limit: known?.limit ?? 0,
           room: known?.room ?? 0,
@@ -347,9 +391,22 @@
       case "heartbeat":
         this.#receive(message.peer, message.heartbeat);
         break;
+      case "evictions":
+        this.#forget(message.upstream, message.evictions);
+        break;
       case "configure":
         this.#configure(message.service, message.options);
         break;
+      case "return":
+        message.reply(this.#loans.returnAll(this.#options.clock()));
+        break;
+      case "returned":
+        this.#loans.returned(
+          message.peer,
+          message.stamp,
+          this.#options.clock(),
+        );
+        break;
       case "tick":
         this.#tick();
         break;
@@ -396,11 +453,6 @@
 
   #enqueue(waiting: Waiting, now: number): void {
     const { request } = waiting;
-    const limit = this.#service?.queueLimit ?? 0;
-    if (this.#queue.length >= limit && limit === 0) {
-      waiting.reply(Err(createRefusal("queue-full", "There is no queue.")));
-      return;
-    }
     const push = this.#queue.push({
       id: request.requestId,
       workspace: request.workspace,
@@ -505,19 +557,26 @@
     states.forEach((state, index) => {
       const { upstream, coldStart, service } = state;
       const cold = coldStart.isCold(now);
-      const limit = limitOf({
+      const capacityLimit = capacityLimitOf({
         hardLimit: coldStart.limit(now),
         coldLimit: upstream.coldLimit,
         cold,
-        loadFactor: service.loadFactor,
+      });
+      const { loadFactor } = service;
+      const loadLimit = loadLimitOf({
+        loadFactor,
         meanInFlight,
         upstreamCount,
       });
+      const inFlight = inFlights[index]!;
+      const share = this.#shares.roomFor(upstream.name, capacityLimit, now);
       upstreams.set(upstream.name, {
-        limit,
+        capacityLimit,
+        limit: Math.min(capacityLimit, loadLimit),
         cold,
-        inFlight: inFlights[index]!,
-        room: this.#shares.roomFor(upstream.name, limit, now),
+        inFlight,
+        share,
+        room: Math.min(share, loadLimit - inFlight),
       });
     });
     const hasRoom = [...upstreams.values()].some(({ room }) => room > 0);
@@ -537,13 +596,14 @@
     const { request, reply, since } = waiting;
     const state = this.#byIndex[placement.upstream]!;
     const { upstream, service } = state;
-    const limit = upstreams.get(upstream.name)?.limit ?? 0;
-    const hasBegun = this.#shares.tryBegin(upstream.name, limit, now);
+    const known = upstreams.get(upstream.name);
+    const hasBegun = known !== undefined &&
+      this.#shares.tryBegin(upstream.name, known.capacityLimit, now);
     if (!hasBegun) {
       this.#enqueue(waiting, now);
       return;
     }
-    const { log, metrics, timing } = this.#options;
+    const { placementLog, metrics, timing } = this.#options;
     const grant: Grant = {
       attemptId: randomUUID(),
       pool: this.id,
@@ -552,14 +612,15 @@
       beganAt: now,
       sendBy: now + timing.transitMs / 2,
       request,
+      utilisation: (known.inFlight + 1) / (known.inFlight + known.share),
     };
-    log.info("Placed a request.", {
+    placementLog.info("Placed a request.", {
       requestId: request.requestId,
       attemptId: grant.attemptId,
       upstream: upstream.name,
       reason: placement.reason,
       inFlight: this.#shares.inFlightEstimate(upstream.name, now),
-      limit,
+      limit: known.limit,
       waitedMs: Math.round(now - since),
     });
     metrics.placements.inc({ service: service.name, reason: placement.reason });
@@ -595,9 +656,10 @@
       firstByteMs,
       poolFirstByteMs: estimateFirstByteMs(this.#firstByte, computedTokens),
       incarnation: end.isOk ? state.incarnation : undefined,
-      inFlight: this.#shares.inFlightEstimate(state.upstream.name, now),
+      utilisation: grant.utilisation,
     }, now);
     if (end.fate !== "finished" || !end.isOk) return;
+    state.answers++;
     if (firstByteMs !== undefined) {
       noteFirstByte(this.#firstByte, { firstByteMs, computedTokens });
     }
@@ -643,6 +705,17 @@
     this.#pump();
   }
 
+  /** Drops chats only where the directory still names the upstream. */
+  #forget(upstream: string, { chats, usedBefore }: Evictions): void {
+    const index = this.#upstreams.get(upstream)?.index;
+    for (const chat of chats) {
+      const home = this.#directory.get(chat);
+      if (home === undefined || home.upstream !== index) continue;
+      // The time of the last use is rounded down to whole seconds.
+      if ((home.usedAt + 1) * 1_000 <= usedBefore) this.#directory.forget(chat);
+    }
+  }
+
   #owner(): string | undefined {
     return this.#replicas.find((name) => this.#options.liveness.isLive(name));
   }
@@ -667,6 +740,7 @@
   ): void {
     const now = this.#options.clock();
     this.#service = service;
+    this.#queue.setLimit(service.queueLimit);
     this.#replicas = replicas;
     this.#setReplicas(now, hasGap);
     for (const state of this.#upstreams.values()) state.isListed = false;
@@ -762,9 +836,14 @@
 
 /** An upstream that is in service, as the decisions of a moment see it. */
 interface UpstreamView {
+  /** What the upstream can bear. */
+  readonly capacityLimit: number;
+  /** The same, and no more than the load factor allows. */
   readonly limit: number;
   readonly cold: boolean;
   readonly inFlight: number;
+  /** Requests that this router's capacity share has left. */
+  readonly share: number;
   readonly room: number;
 }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,13 +1,18 @@
 /**
  * Wires the parts of a router together and owns their start and their stop.
  */
-import { randomBytes } from "node:crypto";
+import { randomBytes, randomUUID } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import type { Server } from "node:http";
 import type { Manifest, Service, Upstream } from "../config/manifest.ts";
 import { createConfigurationStore } from "../config/configuration_store.ts";
 import type { Configuration } from "../config/configuration.ts";
 import type { Settings } from "../config/settings.ts";
+import {
+  type CacheEventsController,
+  createCacheEventsController,
+} from "../control/cache_events_controller.ts";
+import { createCacheEventSource } from "../control/cache_events_controller_source.ts";
 import {
   type ConfigurationController,
   createConfigurationController,
@@ -18,11 +23,17 @@
   createHostsController,
   type HostsController,
 } from "../control/hosts_controller.ts";
+import {
+  createOrdersController,
+  type OrdersController,
+} from "../control/orders_controller.ts";
+import { createWeightSlots } from "../control/orders_controller_slots.ts";
 import {
   createPeersController,
   type Heartbeat,
   type PeersController,
   type PoolOffer,
+  type PoolReturn,
 } from "../control/peers_controller.ts";
 import { createPoolController } from "../control/pool_controller.ts";
 import {
@@ -35,6 +46,7 @@
 } from "../control/registry_controller.ts";
 import { createRetentionLease } from "../control/retention_lease.ts";
 import { createTaskSystem, type TaskSystem } from "../control/task.ts";
+import { createUpstreamOrders } from "../control/upstream_orders.ts";
 import type { Clock } from "../control/views.ts";
 import * as Debug from "../debug.ts";
 import { BodyFilter } from "../filters/body_filter.ts";
@@ -49,7 +61,9 @@
 import { createEtcdKeyValue } from "../platform/etcd_key_value.ts";
 import { createHttpHostList } from "../platform/host_list.ts";
 import type { KeyValue } from "../platform/key_value.ts";
+import { createHttpWeightStore } from "../platform/weight_store.ts";
 import type { ChatHash } from "../policy/chat_directory.ts";
+import { selectPeers } from "../policy/peer_selection.ts";
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import { createRetryBudget } from "../policy/retry_budget.ts";
 import { createWorkspaceLimits } from "../policy/workspace_limits.ts";
@@ -67,7 +81,7 @@
 import { createLoadPoller } from "./load_poller.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
 import { createLogFactory, type LogFactory } from "./log.ts";
-import { createMetrics, type Metrics } from "./metrics.ts";
+import { createMetrics, type Metrics, setUpstreamGauges } from "./metrics.ts";
 import { createAdminHandler } from "./admin.ts";
 
 /** Options of a daemon. */
@@ -84,6 +98,8 @@
 }
 
 const INCARNATION_BYTES = 4;
+/** Retries a minute of a router that serves few requests. */
+const RETRY_FLOOR = 10;
 const CONFIG_READ_TIMEOUT_MS = 2_000;
 /** Silence on a request that was answered in part, in milliseconds. */
 const REQUEST_TIMEOUT_FACTOR = 6;
@@ -108,7 +124,7 @@
   readonly #tasks: TaskSystem = createTaskSystem();
   readonly #metrics: Metrics = createMetrics();
   readonly #inFlight = createInFlight();
-  readonly #retries = createRetryBudget();
+  readonly #retries = createRetryBudget({ floor: RETRY_FLOOR });
   readonly #workspaceLimits = createWorkspaceLimits();
   readonly #client: HttpClient;
   readonly #keyValue: KeyValue;
@@ -117,6 +133,8 @@
   readonly #pools: PoolsController;
   readonly #hosts: HostsController;
   readonly #registry: RegistryController;
+  readonly #orders: OrdersController;
+  readonly #cacheEvents: CacheEventsController;
   #index = createIndex(undefined);
 
   constructor(options: DaemonOptions & { hash: Hash }) {
@@ -175,6 +193,8 @@
       log: this.#logs("registry"),
       tasks: this.#tasks,
     });
+    this.#orders = this.#createOrders();
+    this.#cacheEvents = this.#createCacheEvents();
   }
 
   async open(): Promise<void> {
@@ -195,6 +215,10 @@
     this.#registry.open();
     this.#lifeCycle.own("registry", () => this.#registry.close());
     this.#lifeCycle.own("pools", () => this.#pools.close());
+    this.#orders.open();
+    this.#lifeCycle.own("orders", () => this.#orders.close());
+    this.#cacheEvents.open();
+    this.#lifeCycle.own("cache events", () => this.#cacheEvents.close());
     const callerServer = await listenForHttp(callers, {
       limits: this.#limits(),
       handle: this.#createCallerHandler(),
@@ -209,7 +233,7 @@
   async stop(): Promise<void> {
     const log = this.#logs("daemon");
     log.info("A graceful stop begins.", { inFlight: this.#inFlight.count });
-    this.#peers.announceLeaving();
+    this.#peers.announceLeaving(await this.#returnLoans());
     await this.#registry.withdraw();
     await sleep(this.#settings.limits.drainMs);
     await this.#inFlight.idle();
@@ -264,6 +288,52 @@
     });
   }
 
+  #createOrders(): OrdersController {
+    const { platform: { weightStore: address }, timing } = this.#settings;
+    const onBytes = this.#counterOf("weights");
+    const weightStore = address === undefined
+      ? undefined
+      : createHttpWeightStore({ address, onBytes });
+    this.#lifeCycle.own("weight store", () => weightStore?.close());
+    const shared = {
+      keyValue: this.#keyValue,
+      clock: this.#clock,
+      random: Math.random,
+      createId: randomUUID,
+    };
+    return createOrdersController({
+      ...shared,
+      self: this.#self.name,
+      slots: createWeightSlots({ ...shared, weightStore }),
+      orders: createUpstreamOrders({
+        client: this.#client,
+        onBytes: this.#counterOf("orders"),
+      }),
+      times: { transitMs: timing.transitMs },
+      log: this.#logs("upstream"),
+      tasks: this.#tasks,
+      listPools: () => this.#pools.list().map((pool) => pool.summarise()),
+      getManifest: () => this.#configuration.current().manifest,
+      isLeaving: () => this.#peers.isLeaving(),
+    });
+  }
+
+  #createCacheEvents(): CacheEventsController {
+    return createCacheEventsController({
+      self: this.#self.name,
+      source: createCacheEventSource({
+        client: this.#client,
+        onBytes: this.#counterOf("cache-events"),
+      }),
+      clock: this.#clock,
+      log: this.#logs("upstream"),
+      tasks: this.#tasks,
+      listPools: () => this.#pools.list(),
+      isEngine: (name) => this.#index.services.get(name)?.kind === "engine",
+      hashChat: (chat) => this.#hashChat(chat),
+    });
+  }
+
   #createPeers(): PeersController {
     const { timing, fleet, listen } = this.#settings;
     return createPeersController({
@@ -310,10 +380,21 @@
     return { version, routersVersion, routersInForceMs };
   }
 
-  #heard({ peer, sentAt, word, offers }: Heartbeat): void {
+  #returnLoans(): Promise<PoolReturn[]> {
+    return Promise.all(
+      this.#pools.list().map(async (pool) => ({
+        pool: pool.id,
+        stamp: await pool.returnLoans(),
+      })),
+    );
+  }
+
+  #heard({ peer, sentAt, word, offers, returns }: Heartbeat): void {
     this.#configuration.notePeer(peer, word);
     for (const pool of this.#pools.list()) {
       const own = offers.find((offer) => offer.pool === pool.id);
+      const returned = returns.find((each) => each.pool === pool.id);
+      if (returned !== undefined) pool.noteReturned(peer, returned.stamp);
       pool.receive(peer, { sentAt, lends: false, ...own?.offer });
     }
   }
@@ -338,9 +419,13 @@
     this.#metrics.configurationVersion.set(configuration.version);
     this.#index = createIndex(configuration.manifest);
     this.#workspaceLimits.setRouters(configuration.routers.length);
-    this.#peers.setRouters(configuration.routers);
     const hasGap = hasRoutersGap(configuration, previous);
     this.#pools.configure(configuration, { hasGap });
+    const peers = selectPeers(configuration.routers, {
+      self: this.#self.name,
+      neighbours: this.#pools.neighbours(),
+    });
+    this.#peers.setRouters(peers);
   }
 
   #createPool(id: string) {
@@ -353,7 +438,8 @@
       clock: this.#clock,
       hash: this.#hash,
       random: Math.random,
-      log: this.#logs("place"),
+      placementLog: this.#logs("place"),
+      log: this.#logs("pool"),
       metrics: this.#metrics,
       tasks: this.#tasks,
       liveness: this.#peers,
@@ -366,7 +452,8 @@
     });
   }
 
-  #isInService({ host, failureDomain }: Upstream): boolean {
+  #isInService({ name, host, failureDomain }: Upstream): boolean {
+    if (this.#orders.isLoading(name)) return false;
     const { failureDomainsOut, hostsOut } = this.#configuration.current();
     if (failureDomainsOut.includes(failureDomain)) return false;
     if (hostsOut.includes(host)) return false;
@@ -393,7 +480,6 @@
         findPool: ({ service, chat }: Exchange) =>
           this.#pools.get(this.#pools.locate(service!, chat).pool),
         tryRetry: () => this.#tryRetry(),
-        onRequest: () => this.#retries.noteRequest(this.#clock()),
         hashChat: (chat) => this.#hashChat(chat),
       }),
     ];
@@ -422,6 +508,7 @@
         ),
       findUpstreamAddress: (name) => this.#index.upstreams.get(name)?.address,
       tryRetry: () => this.#tryRetry(),
+      onRequest: () => this.#retries.noteRequest(this.#clock()),
     });
   }
 
@@ -472,12 +559,18 @@
     return createAdminHandler({
       next: handleRequest,
       metrics: this.#metrics,
+      refreshMetrics: () => this.#refreshMetrics(),
       isReady: () => this.#isReady(),
       getStatus: () => this.#getStatus(),
       explain: (service, chat) => this.#explain(service, chat),
     });
   }
 
+  #refreshMetrics(): void {
+    const pools = this.#pools.list().map((pool) => pool.summarise());
+    setUpstreamGauges(this.#metrics, pools, { owner: this.#self.name });
+  }
+
   async #getStatus(): Promise<RouterStatus> {
     const { values } = await this.#metrics.invariantBreaches.get();
     return renderStatus({
--- a/src/daemon/testing/local_fleet.ts
+++ b/src/daemon/testing/local_fleet.ts
@@ -107,7 +107,6 @@
   "liveness_ms": 1_200,
   "drift_ms": 20,
   "transit_ms": 400,
-  "report_lag_ms": 200,
   "hold_down_ms": 15_000,
 };
 
--- a/src/filters/testing/fakes.ts
+++ b/src/filters/testing/fakes.ts
@@ -136,6 +136,7 @@
     workspace,
     isIdempotent: true,
     isStreaming: false,
+    isCallChecked: false,
     deadlineAt: 10_000,
     promptTokens: 1,
     hops: 0,
@@ -172,6 +173,7 @@
       service: this.service,
       upstream,
       beganAt: 0,
+      utilisation: 0.5,
       sendBy: 1_000,
       request,
     };
--- a/src/filters/upstream_filter.ts
+++ b/src/filters/upstream_filter.ts
@@ -24,6 +24,7 @@
   type Outcome,
   refused,
 } from "./exchange.ts";
+import { cancelAttempt } from "./cancel_attempt.ts";
 import { isTokenStream, streamAnswer } from "./stream_answer.ts";
 
 /** Options of the filter. */
@@ -35,8 +36,6 @@
   findPool(exchange: Exchange): Pool | undefined;
   /** Takes one retry from the budget, if there is one. */
   tryRetry(): boolean;
-  /** Notes a request, by which the budget grows. */
-  onRequest(): void;
   hashChat(chat: string): ChatHash;
 }
 
@@ -77,7 +76,6 @@
       const detail = "This router is no replica of the pool.";
       return refused(createRefusal("no-owner", detail));
     }
-    this.#options.onRequest();
     return await this.#serve(exchange, pool);
   }
 
@@ -241,7 +239,7 @@
       isEvents,
       client: this.#options.client,
       onEnd: (isWhole) =>
-        this.#ended(attempt, isWhole ? end : { fate: "unclear", isOk: false }),
+        this.#streamEnded(exchange, { attempt, end, isWhole }),
     });
     return {
       kind: "outcome",
@@ -249,6 +247,24 @@
     };
   }
 
+  #streamEnded(
+    exchange: Exchange,
+    { attempt, end, isWhole }: {
+      attempt: Attempt;
+      end: AttemptEnd;
+      isWhole: boolean;
+    },
+  ): void {
+    if (isWhole) {
+      this.#release(attempt, end);
+      return;
+    }
+    this.#release(attempt, { fate: "unclear", isOk: false });
+    // The router that forwarded the request may go on with the stream at the
+    // upstream. It cancels the attempt if it gives it up.
+    if (exchange.hops === 0) this.#cancel(attempt);
+  }
+
   #ended(attempt: Attempt, end: AttemptEnd): void {
     this.#release(attempt, end);
     if (end.fate === "unclear") this.#cancel(attempt);
@@ -283,27 +299,13 @@
     pool.release(grant, end);
   }
 
-  /** Tells the upstream to stop; it may not get to know of it. */
   #cancel({ grant }: Attempt): void {
     if (grant.service.kind !== "engine") return;
-    const { client } = this.#options;
-    void client.send({
-      address: grant.upstream.address,
-      method: "DELETE",
-      path: `/v1/attempts/${grant.attemptId}`,
-      headers: {},
-      body: undefined,
-      firstByteTimeoutMs: CANCEL_TIMEOUT_MS,
-      betweenBytesTimeoutMs: CANCEL_TIMEOUT_MS,
-      signal: AbortSignal.timeout(CANCEL_TIMEOUT_MS),
-      isFresh: true,
-    }).then((sent) => sent.ok ? sent.val.body.dump() : undefined)
-      .catch(() => undefined);
+    const { attemptId, upstream: { address } } = grant;
+    cancelAttempt(this.#options.client, { attemptId, address });
   }
 }
 
-const CANCEL_TIMEOUT_MS = 1_000;
-
 /** Keeps the chats of two workspaces apart at the upstreams. */
 function scopeChat(workspace: string, chat: string): string {
   return `${workspace}/${chat}`;
--- a/src/filters/upstream_filter_test.ts
+++ b/src/filters/upstream_filter_test.ts
@@ -86,7 +86,6 @@
     log: SILENT_LOG,
     findPool: () => pool,
     tryRetry: () => retries < budget && ++retries > 0,
-    onRequest: () => {},
     hashChat: () => ({ hi: 1, lo: 2 }),
   });
   const outcome = await filter.handle(createTestExchange(changes));
--- a/src/transport/forward_server.ts
+++ b/src/transport/forward_server.ts
@@ -15,6 +15,7 @@
   refused,
 } from "../filters/exchange.ts";
 import {
+  CALL_CHECKED_HEADER,
   FORWARD_KEEP_ALIVE_MS,
   REFUSAL_HEADER,
 } from "../filters/locate_filter.ts";
@@ -27,6 +28,7 @@
 } from "./forward_headers.ts";
 import { type ServerLimits, writeOutcome } from "./http_server.ts";
 import { withKeepAlive } from "./keep_alive.ts";
+import { renderProblem } from "./problem.ts";
 
 /** Options of the handler. */
 export interface ForwardHandlerOptions {
@@ -42,6 +44,7 @@
 
 const CHAT_HEADER = "x-chat-id";
 const BYTES_PER_TOKEN = 4;
+const FORBIDDEN_STATUS = 403;
 
 function isToken(expected: string, actual: unknown): boolean {
   if (typeof actual !== "string" || actual.length !== expected.length) {
@@ -102,12 +105,14 @@
   ): Promise<void> {
     if (!isToken(options.token, request.headers[FORWARD_TOKEN_HEADER])) {
       log.warn("A forwarded request has no valid token.");
-      response.writeHead(403, { connection: "close" }).end();
+      writeStranger(response);
       return;
     }
+    showProgress(response);
     const exchange = await readExchange(request, response);
     if ("kind" in exchange) {
-      await write(response, exchange);
+      const requestId = "unknown";
+      await write(response, exchange, { requestId, isCallChecked: false });
       return;
     }
     const outcome = await options.chain.handle(exchange);
@@ -117,20 +122,22 @@
   async function write(
     response: ServerResponse,
     outcome: Outcome,
-    { requestId, service }: Partial<Exchange> = {},
+    { requestId, isCallChecked, service }:
+      & Pick<Exchange, "requestId" | "isCallChecked">
+      & { service?: Service },
   ): Promise<void> {
-    const id = requestId ?? "unknown";
     if (outcome.kind === "refused") {
       response.setHeader(REFUSAL_HEADER, outcome.refusal.code);
+      if (isCallChecked) response.setHeader(CALL_CHECKED_HEADER, "1");
     }
     const isPaced = outcome.kind === "stream" && service !== undefined &&
       isTokenStream(service, outcome.headers);
     if (!isPaced) {
-      await writeOutcome(response, outcome, id);
+      await writeOutcome(response, outcome, requestId);
       return;
     }
     const body = withKeepAlive(outcome.body, FORWARD_KEEP_ALIVE_MS);
-    await writeOutcome(response, { ...outcome, body }, id);
+    await writeOutcome(response, { ...outcome, body }, requestId);
   }
 
   return function handle(
@@ -146,3 +153,25 @@
       .finally(() => inFlight.end());
   };
 }
+
+/**
+ * Refuses a request without the fleet's token. An ingress that holds another
+ * fleet key is told that nothing ran, so that it tries the next replica.
+ */
+function writeStranger(response: ServerResponse): void {
+  const detail = "The request carries no token of this fleet.";
+  const refusal = createRefusal("no-owner", detail);
+  const { headers, body } = renderProblem(refusal, "unknown");
+  headers[REFUSAL_HEADER] = refusal.code;
+  headers["connection"] = "close";
+  response.writeHead(FORBIDDEN_STATUS, headers).end(body);
+}
+
+/** Shows the ingress that the request is in hand until the answer begins. */
+function showProgress(response: ServerResponse): void {
+  const timer = setInterval(() => {
+    if (response.headersSent) clearInterval(timer);
+    else response.writeProcessing();
+  }, FORWARD_KEEP_ALIVE_MS);
+  response.once("close", () => clearInterval(timer));
+}
