Dial a peer again that failed the handshake

Cause: a dial whose handshake ended in a rejected proof counted as proved, so that its failure was never reported and the address was never dialled again, also once the peer had the right key. Before: one connection to a peer with another key, ever; after: one at each heartbeat.

--- /dev/null
+++ b/src/control/configuration_controller_test.ts
@@ -0,0 +1,206 @@
+import {
+  type Configuration,
+  EMPTY_CONFIGURATION,
+} from "../config/configuration.ts";
+import { encodeConfiguration } from "../config/configuration_codec.ts";
+import { createConfigurationStore } from "../config/configuration_store.ts";
+import { SILENT_LOG } from "../daemon/log.ts";
+import { PlatformFailure } from "../platform/key_value.ts";
+import { MemoryKeyValue } from "../platform/testing/memory_key_value.ts";
+import {
+  type ConfigurationController,
+  createConfigurationController,
+  type PeerReader,
+} from "./configuration_controller.ts";
+import { createTaskSystem, type TaskSystem } from "./task.ts";
+import { settle, until } from "./testing/settle.ts";
+
+const RETRY_MS = 10;
+const down = new PlatformFailure("unavailable", "down");
+
+/** One for each controller, as its tasks have fixed names. */
+let systems: TaskSystem[];
+let platform: MemoryKeyValue;
+let open: ConfigurationController[];
+
+beforeEach(() => {
+  systems = [];
+  platform = new MemoryKeyValue();
+  open = [];
+});
+
+afterEach(() => {
+  for (const controller of open) controller.close();
+  for (const tasks of systems) tasks.close();
+});
+
+/** Lets calls through until `isDown`, as one router sees the platform. */
+function createLink(isDown: () => boolean): MemoryKeyValue {
+  return new Proxy(platform, {
+    get(target, name) {
+      const member = Reflect.get(target, name, target);
+      if (typeof member !== "function") return member;
+      if (isDown() && name !== "watch") {
+        return () => Promise.resolve({ err: true, ok: false, val: down });
+      }
+      return member.bind(target);
+    },
+  });
+}
+
+/** A router's controller; its peers are controllers too, by name. */
+function start(
+  { isDown = () => false, peers = {}, read }: {
+    isDown?: () => boolean;
+    peers?: Record<string, ConfigurationController>;
+    read?: PeerReader;
+  } = {},
+) {
+  const keyValue = createLink(isDown);
+  const tasks = createTaskSystem();
+  systems.push(tasks);
+  const versions: number[] = [];
+  const controller = createConfigurationController({
+    keyValue,
+    store: createConfigurationStore({ keyValue, retryDelayMs: 1 }),
+    clock: () => performance.now(),
+    log: SILENT_LOG,
+    tasks,
+    readFromPeer: read ??
+      ((peer, after) => Promise.resolve(peers[peer]?.renderFor(after))),
+    retryMs: RETRY_MS,
+    onChange: ({ version }) => versions.push(version),
+  });
+  open.push(controller);
+  return { controller, versions };
+}
+
+const author = () => createConfigurationStore({ keyValue: platform });
+
+/** Commits a set of one router; returns its version. */
+async function commit(name: string): Promise<number> {
+  const store = author();
+  const head = (await store.read(EMPTY_CONFIGURATION)).unwrap();
+  const router = {
+    name,
+    failureDomain: "a",
+    controlAddress: "127.0.0.1:1",
+    forwardAddress: "127.0.0.1:2",
+  };
+  const change = { kind: "routers", routers: [router] } as const;
+  const entry = await store.commit("o", change, { basedOn: head.version });
+  return entry.unwrap().version;
+}
+
+function word(version: number) {
+  return { version, routersVersion: 0, routersInForceMs: 0 };
+}
+
+function at(version: number): Configuration {
+  return { ...EMPTY_CONFIGURATION, version, hostsOut: [`h${version}`] };
+}
+
+test("entries come in order, also while nothing is watched", async () => {
+  const { controller, versions } = start();
+  controller.open();
+  for (const name of ["a", "b", "c"]) {
+    const version = await commit(name);
+    await until(() => controller.current().version === version);
+    platform.closeWatches(down);
+  }
+  expect(controller.current().routers.map(({ name }) => name)).toEqual(["c"]);
+  expect(versions).toEqual([1, 2, 3]);
+});
+
+test("an entry between the first read and the watch is not missed", async () => {
+  let hasCommitted = false;
+  platform.faults.after = async ({ operation }) => {
+    if (operation !== "list" || hasCommitted) return undefined;
+    hasCommitted = true;
+    await commit("a");
+    return undefined;
+  };
+  const { controller } = start();
+  controller.open();
+  await until(() => controller.current().version === 1);
+});
+
+test("a peer carries an entry on when the service goes down right after", async () => {
+  let isDown = false;
+  const first = start({ isDown: () => isDown });
+  first.controller.open();
+  const second = start({
+    isDown: () => true,
+    peers: { r1: first.controller },
+  });
+  second.controller.open();
+  await commit("a");
+  await until(() => first.controller.current().version === 1);
+  isDown = true;
+  second.controller.notePeer("r1", word(first.controller.current().version));
+  await until(() => second.controller.current().version === 1);
+  expect(second.controller.current()).toEqual(first.controller.current());
+  expect(second.controller.confirmedAt()).toBeGreaterThan(-Infinity);
+  const third = start({
+    isDown: () => true,
+    peers: { r2: second.controller },
+  });
+  third.controller.notePeer("r2", word(1));
+  await until(() => third.controller.current().version === 1);
+});
+
+test("without the service and without peers nothing is in force", async () => {
+  const { controller, versions } = start({ isDown: () => true });
+  controller.open();
+  await settle();
+  expect(controller.current()).toBe(EMPTY_CONFIGURATION);
+  expect(controller.confirmedAt()).toBe(-Infinity);
+  expect(versions).toEqual([]);
+});
+
+test("the version never falls, whatever peers say in whatever order", async () => {
+  const claims = [3, 1, 2, 9, 3, 5, 9, 4, 12, 1, 12];
+  const { controller, versions } = start({
+    isDown: () => true,
+    // A peer may answer with less than it claimed.
+    read: (peer) => Promise.resolve(encodeConfiguration(at(Number(peer)))),
+  });
+  const seen: number[] = [];
+  for (const [index, claim] of claims.entries()) {
+    const answered = String(index % 3 === 2 ? 1 : claim);
+    controller.notePeer(answered, word(claim));
+    await settle();
+    seen.push(controller.current().version);
+  }
+  expect(seen).toEqual([3, 3, 3, 9, 9, 9, 9, 9, 9, 9, 12]);
+  expect(versions).toEqual([...versions].sort((a, b) => a - b));
+  expect(new Set(versions).size).toBe(versions.length);
+  expect(controller.current().version).toBe(12);
+});
+
+test.each([
+  ["nothing", undefined],
+  ["no JSON", "{"],
+  ["another document", "{}"],
+])("a peer that answers with %s changes nothing", async (_, text) => {
+  const { controller } = start({
+    isDown: () => true,
+    read: () => Promise.resolve(text),
+  });
+  controller.notePeer("r1", word(4));
+  await settle();
+  expect(controller.current()).toBe(EMPTY_CONFIGURATION);
+  expect(controller.confirmedAt()).toBe(-Infinity);
+});
+
+test("a peer with nothing newer confirms the version", async () => {
+  const { controller } = start();
+  controller.open();
+  const version = await commit("a");
+  await until(() => controller.current().version === version);
+  const before = controller.confirmedAt();
+  controller.notePeer("r1", word(version));
+  expect(controller.confirmedAt()).toBeGreaterThan(before);
+  expect(controller.renderFor(version)).toBeUndefined();
+  expect(controller.renderFor(version - 1)).toBeDefined();
+});
--- a/src/transport/peer_connection.ts
+++ b/src/transport/peer_connection.ts
@@ -105,8 +105,11 @@
     timer.unref();
   }
 
-  /** Proves this router to the other end and checks its proof. */
-  async proveAsClient(): Promise<void> {
+  /**
+   * Proves this router to the other end and checks its proof; returns whether
+   * the connection is open then.
+   */
+  async proveAsClient(): Promise<boolean> {
     const { name, key } = this.#options;
     const clientNonce = createNonce();
     const welcome = await this.#rpc.request("hello", {
@@ -117,10 +120,11 @@
     const expected = proofOf(key, welcome.name, nonces);
     if (!isSameProof(expected, welcome.proof)) {
       this.#socket.destroy();
-      return;
+      return false;
     }
     await this.#rpc.request("prove", { proof: proofOf(key, name, nonces) });
     this.#opened(welcome.name);
+    return this.#open;
   }
 
   /** Waits for the other end to prove itself. */
@@ -237,8 +241,8 @@
   let proved = false;
   socket.once("connect", () => {
     peer.proveAsClient()
-      .then(() => {
-        proved = true;
+      .then((isOpen) => {
+        proved = isOpen;
       })
       .catch(() => socket.destroy());
   });
