--- a/src/transport/forward_server_test.ts
+++ b/src/transport/forward_server_test.ts
@@ -1,13 +1,20 @@
-import { createServer } from "node:http";
+import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { request } from "undici";
 import { SILENT_LOG } from "../daemon/log.ts";
 import { createInFlight } from "./caller_server.ts";
 import { createForwardHandler } from "./forward_server.ts";
 
+let server: Server;
+
+afterEach(() => {
+  server.closeAllConnections();
+  server.close();
+});
+
 test("a request without the fleet's token is refused as not run", async () => {
   const handle = jest.fn();
-  const server = createServer(createForwardHandler({
+  server = createServer(createForwardHandler({
     chain: { handle },
     limits: {
       maxBodyBytes: 1,
@@ -31,5 +38,4 @@
   expect(answer.headers["x-cf-refusal"]).toBe("no-owner");
   expect(await answer.body.json()).toMatchObject({ ran: "no" });
   expect(handle).not.toHaveBeenCalled();
-  await new Promise((done) => server.close(done));
 });
