--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -4,7 +4,7 @@
  *
  * A heartbeat is the notification `hb` with the parameters
  * `[incarnation, sentAt, version, routersVersion, routersInForceMs, isLeaving,
- * loans, returns]`, where `loans` lists
+ * isReply, loans, returns]`, where `loans` lists
  * the pools whose rank the sender lends to the receiver.
  */
 import type { Server } from "node:net";
@@ -15,6 +15,7 @@
 import {
   dialPeer,
   type Direction,
+  isRefused,
   listenForPeers,
   type PeerConnection,
   type PeerDial,
@@ -42,6 +43,8 @@
   readonly sentAt: Stamp;
   readonly word: PeerWord;
   readonly isLeaving: boolean;
+  /** Whether it answers a heartbeat; a reply is not answered. */
+  readonly isReply: boolean;
   readonly offers: readonly PoolOffer[];
   readonly returns: readonly PoolReturn[];
 }
@@ -106,6 +109,7 @@
   | { readonly kind: "open"; readonly connection: PeerConnection }
   | { readonly kind: "close"; readonly connection: PeerConnection }
   | { readonly kind: "dial-failed"; readonly address: string }
+  | { readonly kind: "gone"; readonly peer: string }
   | { readonly kind: "routers"; readonly routers: readonly Router[] }
   | {
     readonly kind: "heartbeat";
@@ -126,6 +130,7 @@
   routersVersion: number,
   routersInForceMs: number,
   isLeaving: 0 | 1,
+  isReply: 0 | 1,
   loans: readonly WireLoan[],
   returns: readonly WireReturn[],
 ];
@@ -145,7 +150,7 @@
 }
 
 function parseHeartbeat(peer: string, params: unknown): Heartbeat | undefined {
-  if (!Array.isArray(params) || params.length < 8) return undefined;
+  if (!Array.isArray(params) || params.length < 9) return undefined;
   const [
     incarnation,
     at,
@@ -153,6 +158,7 @@
     routersVersion,
     inForceMs,
     leaving,
+    reply,
     loans,
     returns,
   ] = params as unknown as WireHeartbeat;
@@ -169,6 +175,7 @@
     sentAt: { incarnation, at },
     word: { version, routersVersion, routersInForceMs: inForceMs },
     isLeaving: leaving === 1,
+    isReply: reply === 1,
     offers: loans.map(toOffer),
     returns: returns.map(([pool, at]) => ({
       pool,
@@ -332,12 +339,18 @@
       case "dial-failed":
         this.#dials.delete(message.address);
         break;
+      case "gone":
+        this.#options.log.warn("A peer's process is gone.", {
+          peer: message.peer,
+        });
+        this.#membership.lost(message.peer);
+        break;
       case "routers":
         this.#routers = message.routers;
         this.#dialMissing();
         break;
       case "heartbeat":
-        this.#heard(message.connection, message.params);
+        await this.#heard(message.connection, message.params);
         break;
     }
   }
@@ -367,10 +380,21 @@
       this.#options.log.warn("Lost the connection to a peer.", {
         peer: connection.peer,
       });
+      this.#probe(connection.peer);
     }
     this.#forgetDials();
   }
 
+  /** A refused connection tells a process that is gone from a cut one. */
+  #probe(peer: string): void {
+    const address = this.#routers.find(({ name }) => name === peer)
+      ?.controlAddress;
+    if (address === undefined) return;
+    void isRefused(address).then((isGone) => {
+      if (isGone && !this.#isClosed) this.#task.send({ kind: "gone", peer });
+    });
+  }
+
   #forgetDials(): void {
     for (const [address, router] of this.#dialTargets()) {
       const peer = router === undefined ? undefined : this.#peers.get(router);
@@ -425,17 +449,29 @@
     this.#dials.set(address, dial);
   }
 
+  /** Answers a borrower at once, so that its loan is as fresh as can be. */
+  async #renewLoans(connection: PeerConnection): Promise<void> {
+    const { hooks } = this.#options;
+    const [offers = []] = await hooks.collectOffers([connection.peer]);
+    if (offers.length === 0) return;
+    this.#sendHeartbeat(connection, { offers, isReply: true });
+  }
+
   async #sendHeartbeats(peers: readonly string[]): Promise<void> {
     const offers = await this.#options.hooks.collectOffers(peers);
     peers.forEach((name, index) => {
       const connection = this.#peers.get(name)?.connection;
-      if (connection) this.#sendHeartbeat(connection, offers[index]!);
+      if (connection === undefined) return;
+      this.#sendHeartbeat(connection, { offers: offers[index]! });
     });
   }
 
   #sendHeartbeat(
     connection: PeerConnection,
-    offers: readonly PoolOffer[],
+    { offers, isReply = false }: {
+      offers: readonly PoolOffer[];
+      isReply?: boolean;
+    },
   ): void {
     const { hooks, incarnation, clock } = this.#options;
     const word = hooks.getWord();
@@ -446,13 +482,14 @@
       word.routersVersion,
       Math.min(MAX_IN_FORCE_MS, Math.floor(word.routersInForceMs)),
       this.#isLeaving ? 1 : 0,
+      isReply ? 1 : 0,
       toWireLoans(offers),
       this.#returns.map(({ pool, stamp }) => [pool, stamp.at] as const),
     ];
     connection.notify("hb", params);
   }
 
-  #heard(connection: PeerConnection, params: unknown): void {
+  async #heard(connection: PeerConnection, params: unknown): Promise<void> {
     const heartbeat = parseHeartbeat(connection.peer, params);
     const peer = this.#peers.get(connection.peer);
     if (heartbeat === undefined || peer === undefined) return;
@@ -465,5 +502,6 @@
       this.#membership.leaving(connection.peer, { incarnation });
     }
     this.#options.hooks.onHeartbeat(heartbeat);
+    if (!heartbeat.isReply) await this.#renewLoans(connection);
   }
 }
--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -25,7 +25,11 @@
   type ChatHash,
   createChatDirectory,
 } from "../policy/chat_directory.ts";
-import { getMeanInFlight, limitOf } from "../policy/load_bound.ts";
+import {
+  capacityLimitOf,
+  getMeanInFlight,
+  loadLimitOf,
+} from "../policy/load_bound.ts";
 import {
   createLoans,
   type Heartbeat,
@@ -87,6 +91,9 @@
   readonly isInService: boolean;
   readonly isLeaving: boolean;
   readonly isCold: boolean;
+  readonly incarnation: string | undefined;
+  /** Attempts that ended well under this controller. */
+  readonly answers: number;
   readonly inFlight: number;
   readonly limit: number;
   readonly room: number;
@@ -105,6 +112,13 @@
   readonly upstreams: readonly UpstreamSummary[];
 }
 
+/** Chats that an upstream has evicted from its cache. */
+export interface Evictions {
+  readonly chats: readonly ChatHash[];
+  /** Monotonic time; a chat that was used since may be cached again. */
+  readonly usedBefore: number;
+}
+
 /** What the configuration says of a pool beside its service. */
 export interface PoolConfiguration {
   readonly upstreams: readonly Upstream[];
@@ -123,6 +137,8 @@
   returnLoans(): Promise<Stamp>;
   /** Notes that `peer` gave up its loans. */
   noteReturned(peer: string, stamp: Stamp): void;
+  /** Corrects the directory by the word of an upstream. */
+  noteEvictions(upstream: string, evictions: Evictions): void;
   summarise(): PoolSummary;
   /** Order in which a chat would try the upstreams. */
   explain(chat: ChatHash): {
@@ -161,6 +177,11 @@
     readonly peer: string;
     readonly heartbeat: Heartbeat;
   }
+  | {
+    readonly kind: "evictions";
+    readonly upstream: string;
+    readonly evictions: Evictions;
+  }
   | {
     readonly kind: "configure";
     readonly service: Service;
@@ -291,6 +312,10 @@
     this.#send({ kind: "returned", peer, stamp });
   }
 
+  noteEvictions(upstream: string, evictions: Evictions): void {
+    this.#send({ kind: "evictions", upstream, evictions });
+  }
+
   summarise(): PoolSummary {
     const now = this.#options.clock();
     const view = this.#view(now);
@@ -313,6 +338,8 @@
           isInService: this.#isInService(state),
           isLeaving: state.isLeaving,
           isCold: state.coldStart.isCold(now),
+          incarnation: state.incarnation,
+          answers: state.answers,
           inFlight: this.#shares.inFlightEstimate(name, now),
           limit: known?.limit ?? 0,
           room: known?.room ?? 0,
@@ -364,6 +391,9 @@
       case "heartbeat":
         this.#receive(message.peer, message.heartbeat);
         break;
+      case "evictions":
+        this.#forget(message.upstream, message.evictions);
+        break;
       case "configure":
         this.#configure(message.service, message.options);
         break;
@@ -527,19 +557,26 @@
     states.forEach((state, index) => {
       const { upstream, coldStart, service } = state;
       const cold = coldStart.isCold(now);
-      const limit = limitOf({
+      const capacityLimit = capacityLimitOf({
         hardLimit: coldStart.limit(now),
         coldLimit: upstream.coldLimit,
         cold,
-        loadFactor: service.loadFactor,
+      });
+      const { loadFactor } = service;
+      const loadLimit = loadLimitOf({
+        loadFactor,
         meanInFlight,
         upstreamCount,
       });
+      const inFlight = inFlights[index]!;
+      const share = this.#shares.roomFor(upstream.name, capacityLimit, now);
       upstreams.set(upstream.name, {
-        limit,
+        capacityLimit,
+        limit: Math.min(capacityLimit, loadLimit),
         cold,
-        inFlight: inFlights[index]!,
-        room: this.#shares.roomFor(upstream.name, limit, now),
+        inFlight,
+        share,
+        room: Math.min(share, loadLimit - inFlight),
       });
     });
     const hasRoom = [...upstreams.values()].some(({ room }) => room > 0);
@@ -559,8 +596,9 @@
     const { request, reply, since } = waiting;
     const state = this.#byIndex[placement.upstream]!;
     const { upstream, service } = state;
-    const limit = upstreams.get(upstream.name)?.limit ?? 0;
-    const hasBegun = this.#shares.tryBegin(upstream.name, limit, now);
+    const known = upstreams.get(upstream.name);
+    const hasBegun = known !== undefined &&
+      this.#shares.tryBegin(upstream.name, known.capacityLimit, now);
     if (!hasBegun) {
       this.#enqueue(waiting, now);
       return;
@@ -574,6 +612,7 @@
       beganAt: now,
       sendBy: now + timing.transitMs / 2,
       request,
+      utilisation: (known.inFlight + 1) / (known.inFlight + known.share),
     };
     placementLog.info("Placed a request.", {
       requestId: request.requestId,
@@ -581,7 +620,7 @@
       upstream: upstream.name,
       reason: placement.reason,
       inFlight: this.#shares.inFlightEstimate(upstream.name, now),
-      limit,
+      limit: known.limit,
       waitedMs: Math.round(now - since),
     });
     metrics.placements.inc({ service: service.name, reason: placement.reason });
@@ -617,9 +656,10 @@
       firstByteMs,
       poolFirstByteMs: estimateFirstByteMs(this.#firstByte, computedTokens),
       incarnation: end.isOk ? state.incarnation : undefined,
-      inFlight: this.#shares.inFlightEstimate(state.upstream.name, now),
+      utilisation: grant.utilisation,
     }, now);
     if (end.fate !== "finished" || !end.isOk) return;
+    state.answers++;
     if (firstByteMs !== undefined) {
       noteFirstByte(this.#firstByte, { firstByteMs, computedTokens });
     }
@@ -665,6 +705,17 @@
     this.#pump();
   }
 
+  /** Drops chats only where the directory still names the upstream. */
+  #forget(upstream: string, { chats, usedBefore }: Evictions): void {
+    const index = this.#upstreams.get(upstream)?.index;
+    for (const chat of chats) {
+      const home = this.#directory.get(chat);
+      if (home === undefined || home.upstream !== index) continue;
+      // The time of the last use is rounded down to whole seconds.
+      if ((home.usedAt + 1) * 1_000 <= usedBefore) this.#directory.forget(chat);
+    }
+  }
+
   #owner(): string | undefined {
     return this.#replicas.find((name) => this.#options.liveness.isLive(name));
   }
@@ -785,9 +836,14 @@
 
 /** An upstream that is in service, as the decisions of a moment see it. */
 interface UpstreamView {
+  /** What the upstream can bear. */
+  readonly capacityLimit: number;
+  /** The same, and no more than the load factor allows. */
   readonly limit: number;
   readonly cold: boolean;
   readonly inFlight: number;
+  /** Requests that this router's capacity share has left. */
+  readonly share: number;
   readonly room: number;
 }
 
--- a/src/filters/locate_filter.ts
+++ b/src/filters/locate_filter.ts
@@ -30,6 +30,7 @@
   type Outcome,
   refused,
 } from "./exchange.ts";
+import { cancelAttempt } from "./cancel_attempt.ts";
 import { streamAnswer } from "./stream_answer.ts";
 
 /** Header by which the owner marks a refusal of its own. */
@@ -53,6 +54,8 @@
   /** Address of an upstream, for the resumption of its streams. */
   findUpstreamAddress(name: string): string | undefined;
   tryRetry(): boolean;
+  /** Notes a request, by which the budget of retries grows. */
+  onRequest(): void;
 }
 
 type ForwardResult =
@@ -87,6 +90,7 @@
   }
 
   async handle(exchange: Exchange): Promise<Outcome> {
+    this.#options.onRequest();
     const tried = new Set<string>();
     let failure: Refusal | undefined;
     let ran: Refusal["ran"] = "no";
@@ -209,12 +213,19 @@
     if (length !== undefined && Number(length) <= MAX_WHOLE_BYTES) {
       return await this.#whole(exchange, { answer, headers });
     }
+    const { client } = this.#options;
+    const attempt = this.#toResumable(exchange, answer);
     const body = streamAnswer(exchange, {
       answer,
-      attempt: this.#toResumable(exchange, answer),
+      attempt,
       isEvents,
-      client: this.#options.client,
-      onEnd: () => {},
+      client,
+      onEnd: (isWhole) => {
+        // A router in between leaves it to the one that the caller reached.
+        const isIngress = exchange.hops === 0;
+        if (isWhole || !isEvents || !isIngress || !attempt) return;
+        cancelAttempt(client, attempt);
+      },
     });
     const { status } = answer;
     return {
