Explain a chat as its pool's owner sees it

cflow explain hashed the bare chat id, while the routers hash it with its workspace: the home was never found and the order was that of another chat. It also took the first router's answer, which has no order unless that router is a replica, and no home unless it is the owner. Adding the caller addresses to the configuration, to ask the owner alone, was ruled out: cflow has them.

--- a/bench/demo_main.ts
+++ b/bench/demo_main.ts
@@ -97,7 +97,7 @@
 
 function printUse(fleet: Fleet): void {
   const [router] = fleet.addresses;
-  const { key } = fleet.plan.manifest.workspaces[0]!;
+  const { key, name: workspace } = fleet.plan.manifest.workspaces[0]!;
   const model = fleet.plan.manifest.models[0]!.name;
   const service = fleet.plan.manifest.services[0]!.name;
   const failureDomain = fleet.plan.manifest.failureDomains[0]!.name;
@@ -122,7 +122,8 @@
 The operators' commands:
   export CFLOW_SETTINGS=${OPERATOR_FILE}
   node dist/src/cli/main.js status
-  node dist/src/cli/main.js explain demo --service ${service}
+  node dist/src/cli/main.js explain demo --service ${service} \\
+    --workspace ${workspace}
   node dist/src/cli/main.js failure-domain take-out ${failureDomain}
   node dist/src/cli/main.js failure-domain bring-back ${failureDomain}
   node dist/src/cli/main.js history
--- a/src/cli/cli_test.ts
+++ b/src/cli/cli_test.ts
@@ -61,6 +61,7 @@
     response.statusCode = isKnown ? 200 : 404;
     response.end(JSON.stringify(
       request.url === "/admin/status" ? { ...STATUS, version } : {
+        router: "r1",
         pool: "assistant/0",
         owner: "r1",
         order: [{ upstream: "assistant-1", reason: "home" }],
@@ -148,8 +149,8 @@
     ["history"],
     ["history", "--limit", "1", "--json"],
     ["status"],
-    ["explain", "chat-1", "--service", "assistant"],
-    ["explain", "chat-1", "--service", "none"],
+    ["explain", "chat-1", "--service", "assistant", "--workspace", "aso"],
+    ["explain", "chat-1", "--service", "none", "--workspace", "aso"],
   ];
   for (const [id, ...argv] of steps) {
     const outcome = await runWithSettings(id, ...argv);
@@ -233,3 +234,30 @@
     await runCommand("failure-domain:bring-back", ["kyushu-a", ...nobody]),
   ).toMatchSnapshot();
 });
+
+test("a chat is explained by the pool's owner", async () => {
+  const other = createServer((_, response) => {
+    response.end(JSON.stringify({
+      router: "r2",
+      pool: "assistant/0",
+      owner: "r1",
+      order: [],
+    }));
+  });
+  await new Promise<void>((done) => other.listen(0, "127.0.0.1", done));
+  try {
+    const { port } = other.address() as AddressInfo;
+    const address = `127.0.0.1:${port}`;
+    const chat = ["chat-1", "--service", "assistant", "--workspace", "aso"];
+    const both = [...chat, "--routers", `${address},${getAddress()}`];
+    expect((await runCommand("explain", both)).output).toContain(
+      "1. assistant-1",
+    );
+    const one = [...chat, "--routers", address];
+    expect((await runCommand("explain", one)).output)
+      .toContain("r2 says so; only the owner knows the home.");
+  } finally {
+    other.closeAllConnections();
+    other.close();
+  }
+});
--- a/src/cli/commands/inspection.ts
+++ b/src/cli/commands/inspection.ts
@@ -10,7 +10,11 @@
   formatEntry,
   toReadFailure,
 } from "../command_failure.ts";
-import type { RouterClient, RouterFailure } from "../router_client.ts";
+import type {
+  ChatQuestion,
+  RouterClient,
+  RouterFailure,
+} from "../router_client.ts";
 import { formatExplanation, formatStatuses } from "../status_format.ts";
 
 const HISTORY_DEFAULT = 20;
@@ -40,7 +44,7 @@
   }
 }
 
-/** `cflow explain CHAT --service S`. */
+/** `cflow explain CHAT --service S --workspace W`. */
 export class Explain extends BaseCommand {
   static override summary = "Show where a chat would be placed, and why.";
   static override args = {
@@ -48,6 +52,10 @@
   };
   static override flags = {
     service: Flags.string({ required: true, description: "name of a service" }),
+    workspace: Flags.string({
+      required: true,
+      description: "name of the chat's workspace",
+    }),
   };
 
   async run(): Promise<Explanation> {
@@ -56,7 +64,11 @@
     const explanation = await this.withRouters(
       settings,
       (client) =>
-        askInTurn(client, settings.routers, { service: flags.service, chat }),
+        askOwner(client, settings.routers, {
+          service: flags.service,
+          workspace: flags.workspace,
+          chat,
+        }),
     );
     this.log(formatExplanation(explanation));
     return explanation;
@@ -88,23 +100,33 @@
   }
 }
 
-/** Returns the answer of the first router that gives one. */
-async function askInTurn(
+/**
+ * Returns the answer of the pool's owner, which has the chat's home; where it
+ * gives none, that of a replica, which has the order.
+ */
+async function askOwner(
   client: RouterClient,
   routers: readonly string[],
-  chat: { service: string; chat: string },
+  chat: ChatQuestion,
 ): Promise<Explanation> {
   const failures: RouterFailure[] = [];
+  let best: Explanation | undefined;
   for (const router of routers) {
     const explanation = await client.explain(router, chat);
-    if (explanation.ok) return explanation.val;
+    if (explanation.ok) {
+      const { router: name, owner, order } = explanation.val;
+      if (name === owner) return explanation.val;
+      if (order.length >= (best?.order.length ?? 0)) best = explanation.val;
+      continue;
+    }
     if (explanation.val.kind === "refused") {
       const message = `The router refused the question: ` +
-        `${explanation.val.detail}. See the services with: cflow status`;
+        `${explanation.val.detail}. See the names with: cflow manifest show`;
       throw new CommandFailure("bad-input", message);
     }
     failures.push(explanation.val);
   }
+  if (best !== undefined) return best;
   throw toUnreachable(failures);
 }
 
--- a/src/cli/router_client.ts
+++ b/src/cli/router_client.ts
@@ -20,12 +20,19 @@
   readonly detail: string;
 }
 
+/** Names a chat. */
+export interface ChatQuestion {
+  readonly service: string;
+  readonly workspace: string;
+  readonly chat: string;
+}
+
 /** Asks routers; each call is bounded in time. */
 export interface RouterClient {
   getStatus(address: string): Promise<Result<RouterStatus, RouterFailure>>;
   explain(
     address: string,
-    chat: { readonly service: string; readonly chat: string },
+    chat: ChatQuestion,
   ): Promise<Result<Explanation, RouterFailure>>;
   close(): Promise<void>;
 }
@@ -67,9 +74,9 @@
 
   explain(
     address: string,
-    { service, chat }: { readonly service: string; readonly chat: string },
+    { service, workspace, chat }: ChatQuestion,
   ): Promise<Result<Explanation, RouterFailure>> {
-    const query = new URLSearchParams({ service, chat });
+    const query = new URLSearchParams({ service, workspace, chat });
     const path = `/admin/explain?${query}`;
     return this.#get({ address, path }, isExplanation);
   }
--- a/src/cli/status_format.ts
+++ b/src/cli/status_format.ts
@@ -25,11 +25,14 @@
 
 /** Writes where a chat would be placed. */
 export function formatExplanation(
-  { pool, owner, order, home }: Explanation,
+  { router, pool, owner, order, home }: Explanation,
 ): string {
   const lines = [
     `pool ${pool}, owner ${owner ?? "none"}, home ${home ?? "none"}`,
   ];
+  if (router !== owner) {
+    lines.push(`${router} says so; only the owner knows the home.`);
+  }
   order.forEach(({ upstream, reason }, index) => {
     lines.push(`${index + 1}. ${upstream}: ${reason}`);
   });
--- a/src/daemon/admin.ts
+++ b/src/daemon/admin.ts
@@ -11,6 +11,13 @@
   response: ServerResponse,
 ) => void;
 
+/** Names a chat. */
+export interface ChatQuestion {
+  readonly service: string;
+  readonly workspace: string;
+  readonly chat: string;
+}
+
 /** Options of the handler. */
 export interface AdminOptions {
   /** Handles every other path. */
@@ -20,8 +27,8 @@
   refreshMetrics(): void;
   isReady(): boolean;
   getStatus(): Promise<RouterStatus>;
-  /** Undefined for an unknown service. */
-  explain(service: string, chat: string): Explanation | undefined;
+  /** Undefined for an unknown service or workspace. */
+  explain(chat: ChatQuestion): Explanation | undefined;
 }
 
 const BASE = "http://router";
@@ -53,13 +60,14 @@
 
   function writeExplanation(url: URL, response: ServerResponse): void {
     const service = url.searchParams.get("service") ?? "";
+    const workspace = url.searchParams.get("workspace") ?? "";
     const chat = url.searchParams.get("chat") ?? "";
-    const explanation = options.explain(service, chat);
+    const explanation = options.explain({ service, workspace, chat });
     if (explanation !== undefined) {
       writeJson(response, explanation);
       return;
     }
-    const title = `There is no service ${service}.`;
+    const title = `There is no service ${service} or workspace ${workspace}.`;
     writeJson(response, { title, status: 404 }, 404);
   }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -56,7 +56,7 @@
 import { LimitsFilter } from "../filters/limits_filter.ts";
 import { LocateFilter } from "../filters/locate_filter.ts";
 import { ServiceFilter } from "../filters/service_filter.ts";
-import { UpstreamFilter } from "../filters/upstream_filter.ts";
+import { scopeChat, UpstreamFilter } from "../filters/upstream_filter.ts";
 import { WorkspaceFilter } from "../filters/workspace_filter.ts";
 import { createEtcdKeyValue } from "../platform/etcd_key_value.ts";
 import { createHttpHostList } from "../platform/host_list.ts";
@@ -82,7 +82,7 @@
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
 import { createLogFactory, type LogFactory } from "./log.ts";
 import { createMetrics, type Metrics, setUpstreamGauges } from "./metrics.ts";
-import { createAdminHandler } from "./admin.ts";
+import { type ChatQuestion, createAdminHandler } from "./admin.ts";
 
 /** Options of a daemon. */
 export interface DaemonOptions {
@@ -562,7 +562,7 @@
       refreshMetrics: () => this.#refreshMetrics(),
       isReady: () => this.#isReady(),
       getStatus: () => this.#getStatus(),
-      explain: (service, chat) => this.#explain(service, chat),
+      explain: (chat) => this.#explain(chat),
     });
   }
 
@@ -584,20 +584,24 @@
     });
   }
 
-  #explain(name: string, chat: string): Explanation | undefined {
-    const service = this.#index.services.get(name);
-    if (service === undefined) return undefined;
+  #explain({ chat, ...names }: ChatQuestion): Explanation | undefined {
+    const service = this.#index.services.get(names.service);
+    const { manifest } = this.#configuration.current();
+    const isWorkspace = manifest?.workspaces
+      .some(({ name }) => name === names.workspace);
+    if (service === undefined || !isWorkspace) return undefined;
     const { pool, replicas } = this.#pools.locate(service, chat);
     const owner = replicas.find((each) => this.#peers.isLive(each)) ?? null;
     const explained = this.#pools.getController(pool)?.explain(
-      this.#hashChat(chat),
+      this.#hashChat(scopeChat(names.workspace, chat)),
     );
     const order = (explained?.order ?? []).map((upstream, rank) => ({
       upstream,
       reason: `number ${rank + 1} in rendezvous order`,
     }));
     const home = explained?.home;
-    return { pool, owner, order, ...(home !== undefined && { home }) };
+    const router = this.#self.name;
+    return { router, pool, owner, order, ...(home !== undefined && { home }) };
   }
 
   #isReady(): boolean {
--- a/src/filters/upstream_filter.ts
+++ b/src/filters/upstream_filter.ts
@@ -302,7 +302,7 @@
 }
 
 /** Keeps the chats of two workspaces apart at the upstreams. */
-function scopeChat(workspace: string, chat: string): string {
+export function scopeChat(workspace: string, chat: string): string {
   return `${workspace}/${chat}`;
 }
 
--- a/src/types_status.ts
+++ b/src/types_status.ts
@@ -57,8 +57,10 @@
   breaches: Type.Integer(),
 });
 
-/** Shape of the answer to `GET /admin/explain?service=S&chat=C`. */
+/** Shape of the answer to `GET /admin/explain?service=S&workspace=W&chat=C`. */
 export const ExplanationSchema = Type.Object({
+  /** Router that gives the answer. */
+  router: Type.String(),
   pool: Type.String(),
   owner: Type.Union([Type.String(), Type.Null()]),
   /** Candidates, best first, each with the reason of its place. */
