Wait for the orders of the owner before, and test the orders to engines

A new owner read a list without the order that the one before had sent, and gave it again. An engine whose version was taken back while its last order was under way counted as right, since it had been so before.

--- a/src/control/orders_controller.ts
+++ b/src/control/orders_controller.ts
@@ -45,6 +45,7 @@
 }
 
 const TICK_MS = 1_000;
+const MAX_TICKS_MISSED = 3;
 
 /** An engine whose list is to be read, and what it is to run. */
 interface Visit {
@@ -65,8 +66,11 @@
 class RollingOrders implements OrdersController {
   readonly #options: OrdersControllerOptions;
   readonly #engines = new Map<string, OrderedEngine>();
+  /** Pools that are owned, and since when. */
+  readonly #ownedSince = new Map<string, number>();
   readonly #stop = new AbortController();
   readonly #task: Task<"tick">;
+  #tickedAt = -Infinity;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: OrdersControllerOptions) {
@@ -98,18 +102,40 @@
   }
 
   #tick(): void {
-    const { listPools, getManifest, isLeaving, self } = this.#options;
+    const { listPools, getManifest, isLeaving, clock } = this.#options;
+    const now = clock();
+    const { tickMs = TICK_MS } = this.#options;
+    // After a pause the pools may have had another owner in between.
+    if (now - this.#tickedAt > tickMs * MAX_TICKS_MISSED) {
+      this.#ownedSince.clear();
+    }
+    this.#tickedAt = now;
+    const pools = listPools();
+    this.#noteOwned(pools, now);
     if (isLeaving() || this.#stop.signal.aborted) return;
-    for (const pool of listPools()) {
+    for (const pool of pools) {
       const model = findModel(getManifest(), pool.service);
-      if (model === undefined || !isSoleOwner(pool, self)) continue;
+      if (model === undefined || !this.#ownedSince.has(pool.id)) continue;
       this.#visitPool(pool, model);
     }
   }
 
+  #noteOwned(pools: readonly PoolSummary[], now: number): void {
+    const { self } = this.#options;
+    const owned = pools.filter((pool) => isSoleOwner(pool, self));
+    const ids = new Set(owned.map(({ id }) => id));
+    for (const id of [...this.#ownedSince.keys()]) {
+      if (!ids.has(id)) this.#ownedSince.delete(id);
+    }
+    for (const id of ids) {
+      if (!this.#ownedSince.has(id)) this.#ownedSince.set(id, now);
+    }
+  }
+
   /** Starts visits of engines while few enough of the pool are changing. */
   #visitPool(pool: PoolSummary, model: Model): void {
     const now = this.#options.clock();
+    const ownedSince = this.#ownedSince.get(pool.id);
     const changing = new Set(
       pool.upstreams.filter((each) =>
         this.#engineOf(each).isChanging(each, now)
@@ -123,7 +149,9 @@
       const hasRoom = changing.size < countChanging(pool);
       if (!hasRoom && !changing.has(summary)) continue;
       const engine = this.#engineOf(summary);
-      const wish = `${describeWish(model)} ${summary.incarnation}`;
+      // An owner or an incarnation in between may have changed what it runs.
+      const wish = [describeWish(model), summary.incarnation, ownedSince]
+        .join(" ");
       if (!engine.isVisitDue(summary, { wish, now })) continue;
       changing.add(summary);
       void this.#visit({ pool, summary, engine, model, wish });
@@ -178,6 +206,7 @@
     return runOrder({
       order,
       upstream,
+      ownedSince: this.#ownedSince.get(pool.id) ?? Infinity,
       key: getHolderKey(pool.service, upstream.name),
       isDue: (done) => findDueOrder(model, done)?.id === order.id,
       mayBeSent: () => this.#isOwner(pool.id),
--- a/src/control/orders_controller_engine.ts
+++ b/src/control/orders_controller_engine.ts
@@ -27,7 +27,7 @@
   /** True while an order that was sent has not ended. */
   isLoading = false;
   readonly #times: Required<EngineTimes>;
-  /** The wish and the incarnation that were last seen fulfilled. */
+  /** The wish that was last seen fulfilled. */
   #fulfilled: string | undefined;
   #checkedAt = -Infinity;
   /** Whether it had capacity in use when it was last ordered to load. */
@@ -76,6 +76,8 @@
     { holdsBack, now }: { holdsBack: boolean; now: number },
   ): void {
     this.isLoading = holdsBack;
+    // What it ran before no longer counts, also if that is wished for again.
+    this.#fulfilled = undefined;
     // An adapter's load goes on with the change that the model's load began.
     const isSettling = now - this.#loadedAt < this.#times.settleMs;
     this.#wasWarm = !isIdle(summary) || (this.#wasWarm && isSettling);
--- a/src/control/orders_controller_run.ts
+++ b/src/control/orders_controller_run.ts
@@ -11,14 +11,15 @@
   PlatformFailure,
 } from "../platform/key_value.ts";
 import { startOrder, stepOrder } from "../policy/order_fencing.ts";
-import type {
-  OrderAttempt,
-  OrderEffect,
-  OrderInput,
-  OrderOptions,
-  Outcome,
+import {
+  type OrderAttempt,
+  type OrderEffect,
+  type OrderInput,
+  type OrderOptions,
+  type Outcome,
+  stretch,
 } from "../policy/order_fencing_attempt.ts";
-import type { Order } from "../policy/order_fencing_record.ts";
+import { type Order, tryDecodeHolder } from "../policy/order_fencing_record.ts";
 import { type Claim, isClaimUsable } from "../policy/weight_rate.ts";
 import type { WeightSlots } from "./orders_controller_slots.ts";
 import type { CarriedOut, UpstreamOrders } from "./upstream_orders.ts";
@@ -31,6 +32,8 @@
   | "no-slot"
   /** The engine's list no longer asks for it, or the pool has another owner. */
   | "outdated"
+  /** An order of the owner before may still be under way. */
+  | "too-early"
   /** This router stops. */
   | "stopped";
 
@@ -41,6 +44,8 @@
   readonly orders: UpstreamOrders;
   readonly clock: Clock;
   readonly times: Omit<OrderOptions, "checksFencing">;
+  /** Name of this router's process, which no other ever bears. */
+  readonly holder: string;
   createId(): string;
 }
 
@@ -50,6 +55,8 @@
   readonly upstream: Upstream;
   /** Key of the record of who may give orders to the engine. */
   readonly key: string;
+  /** Since when this router has owned the engine's pool without a break. */
+  readonly ownedSince: number;
   /** Whether the engine's list still asks for the order. */
   isDue(done: readonly CarriedOut[]): boolean;
   /** The last word, right before the send. */
@@ -71,7 +78,7 @@
   readonly #options: OrderRunOptions;
   #claim: Claim | undefined;
   /** Why nothing was sent, where the policy can't know. */
-  #refusal: "no-slot" | "outdated" | undefined;
+  #refusal: "no-slot" | "outdated" | "too-early" | undefined;
 
   constructor(request: OrderRequest, options: OrderRunOptions) {
     this.#request = request;
@@ -80,8 +87,9 @@
 
   async run(): Promise<OrderEnd> {
     const { order, upstream: { checksFencing }, signal } = this.#request;
-    const { times, clock, createId } = this.#options;
-    let step = startOrder(order, createId(), { ...times, checksFencing });
+    const { times, clock, createId, holder } = this.#options;
+    const id = `${holder}#${createId()}`;
+    let step = startOrder(order, id, { ...times, checksFencing });
     while (step.effect !== undefined) {
       if (signal.aborted) return "stopped";
       // No await may come between a step and the send that it asks for.
@@ -90,8 +98,8 @@
       step = stepOrder(step.attempt, input, clock());
     }
     const { outcome, sends } = step.attempt;
-    const wasRefused = outcome === "unreachable" && sends <= 1;
-    return wasRefused ? this.#refusal ?? outcome : outcome!;
+    const wasSent = sends > 1 || outcome === "unknown";
+    return wasSent ? outcome! : this.#refusal ?? outcome!;
   }
 
   #carryOut(
@@ -102,7 +110,7 @@
     const { key } = this.#request;
     switch (effect.kind) {
       case "read":
-        return this.#read();
+        return this.#read(attempt);
       case "create":
         return keyValue.create(key, effect.value).then(toInput);
       case "replace": {
@@ -118,10 +126,21 @@
     }
   }
 
-  async #read(): Promise<OrderInput> {
-    const read = await this.#options.keyValue.get(this.#request.key);
-    if (read.ok) return { kind: "read", item: read.val };
-    return { kind: "failed", failure: read.val.kind };
+  async #read({ options }: OrderAttempt): Promise<OrderInput> {
+    const { holder, keyValue, clock } = this.#options;
+    const { key, ownedSince } = this.#request;
+    const read = await keyValue.get(key);
+    if (read.err) return { kind: "failed", failure: read.val.kind };
+    const item = read.val;
+    const last = item && tryDecodeHolder(item.value);
+    const isOther = last !== undefined && !last.id.startsWith(`${holder}#`);
+    // What the owner before sent may be on its way, or being carried out.
+    const boundMs = options.transitMs + options.carryOutMs;
+    if (isOther && clock() < ownedSince + stretch(boundMs, options)) {
+      this.#refusal = "too-early";
+      return { kind: "failed", failure: "unavailable" };
+    }
+    return { kind: "read", item };
   }
 
   async #wait(until: number): Promise<OrderInput> {
--- /dev/null
+++ b/src/control/orders_controller_test.ts
@@ -0,0 +1,388 @@
+import { randomUUID } from "node:crypto";
+import { performance } from "node:perf_hooks";
+import { Err, Ok } from "ts-results/result";
+import { Engine } from "../../testing/engine.ts";
+import { Orders } from "../../testing/engine_orders.ts";
+import type { Manifest, Upstream } from "../config/manifest.ts";
+import { SILENT_LOG } from "../daemon/log.ts";
+import { PlatformFailure } from "../platform/key_value.ts";
+import { MemoryKeyValue } from "../platform/testing/memory_key_value.ts";
+import { SLOT_PREFIX } from "../policy/weight_rate.ts";
+import { createHttpClient } from "../transport/http_client.ts";
+import {
+  createOrdersController,
+  type OrdersController,
+  type OrdersControllerOptions,
+} from "./orders_controller.ts";
+import { createWeightSlots } from "./orders_controller_slots.ts";
+import type { PoolSummary } from "./pool_controller.ts";
+import { createTaskSystem } from "./task.ts";
+import {
+  createUpstreamOrders,
+  type SendOutcome,
+  type UpstreamOrders,
+} from "./upstream_orders.ts";
+
+const TIMES = { leaseMs: 60, transitMs: 10, carryOutMs: 60, pollMs: 5 };
+const ENGINE_TIMES = { backOffMs: 5, settleMs: 20 };
+const WAIT_MS = 5;
+const MAX_WAITS = 1_000;
+
+async function until(condition: () => boolean): Promise<void> {
+  for (let wait = 0; wait < MAX_WAITS && !condition(); wait++) {
+    await sleep(WAIT_MS);
+  }
+  expect(condition()).toBe(true);
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
+function createUpstream(name: string, checksFencing: boolean): Upstream {
+  return {
+    name,
+    host: name,
+    failureDomain: "d",
+    address: "127.0.0.1:1",
+    hardLimit: 8,
+    coldLimit: 1,
+    checksFencing,
+  };
+}
+
+/** Engines behind the interface, whose answers a test can lose or delay. */
+class FakeEngines implements UpstreamOrders {
+  readonly engines = new Map<string, Orders>();
+  sends = 0;
+  /** Most engines that were at a load at once. */
+  peak = 0;
+  lose: (() => "nothing" | "answer" | "order") | undefined;
+  delayMs = 1;
+  #loading = 0;
+
+  constructor(upstreams: readonly Upstream[]) {
+    for (const { name, checksFencing } of upstreams) {
+      this.engines.set(name, new Orders(checksFencing));
+    }
+  }
+
+  get done() {
+    return [...this.engines.values()].flatMap(({ done }) => done);
+  }
+
+  async list({ name }: Upstream) {
+    await sleep(this.delayMs);
+    return [...this.engines.get(name)!.done];
+  }
+
+  async send(
+    { name }: Upstream,
+    order: Parameters<UpstreamOrders["send"]>[1],
+    { fence }: { fence: number },
+  ): Promise<SendOutcome> {
+    this.sends++;
+    this.#loading++;
+    this.peak = Math.max(this.peak, this.#loading);
+    await sleep(this.delayMs);
+    this.#loading--;
+    const lost = this.lose?.() ?? "nothing";
+    if (lost === "order") return "unclear";
+    const isOk = this.engines.get(name)!.tryCarryOut({ ...order, fence });
+    if (lost === "answer") return "unclear";
+    return isOk ? "accepted" : "fenced";
+  }
+}
+
+/** One fleet: engines, a key-value service and routers that own the pool. */
+class World {
+  readonly keyValue = new MemoryKeyValue();
+  readonly engines: FakeEngines;
+  readonly upstreams: Upstream[];
+  version = "v1";
+  fetchesPerMinute = 200;
+  summary: Partial<PoolSummary> = {};
+  readonly #tasks = createTaskSystem();
+  readonly #controllers: OrdersController[] = [];
+
+  constructor(checksFencing: readonly boolean[]) {
+    this.upstreams = checksFencing.map((checks, index) =>
+      createUpstream(`e${index}`, checks)
+    );
+    this.engines = new FakeEngines(this.upstreams);
+  }
+
+  addRouter(options: Partial<OrdersControllerOptions> = {}): OrdersController {
+    const shared = {
+      keyValue: this.keyValue,
+      clock: () => performance.now(),
+      random: () => Math.random(),
+      createId: () => randomUUID(),
+    };
+    const getRate = () =>
+      Promise.resolve(Ok({ fetchesPerMinute: this.fetchesPerMinute }));
+    const controller = createOrdersController({
+      ...shared,
+      self: "r",
+      holder: randomUUID(),
+      slots: createWeightSlots({ ...shared, weightStore: { getRate } }),
+      orders: this.engines,
+      times: TIMES,
+      log: SILENT_LOG,
+      tasks: createTaskSystem(),
+      tickMs: 2,
+      engineTimes: ENGINE_TIMES,
+      listPools: () => [this.#summarise()],
+      getManifest: () => this.#getManifest(),
+      isLeaving: () => false,
+      ...options,
+    });
+    this.#controllers.push(controller);
+    controller.open();
+    return controller;
+  }
+
+  close(): void {
+    for (const controller of this.#controllers) controller.close();
+    this.#tasks.close();
+  }
+
+  countCalls(prefix: string): number {
+    return this.keyValue.calls.filter(({ operation, key }) =>
+      operation === "create" && key.startsWith(prefix)
+    ).length;
+  }
+
+  #summarise(): PoolSummary {
+    return {
+      id: "s/0",
+      service: "s",
+      replicas: ["r", "q"],
+      owner: "r",
+      heldRanks: ["r", "q"],
+      queued: 0,
+      chats: 0,
+      upstreams: this.upstreams.map((upstream) => ({
+        upstream,
+        isInService: true,
+        isLeaving: false,
+        isCold: false,
+        incarnation: "i",
+        answers: 0,
+        inFlight: 0,
+        limit: 8,
+        room: 8,
+        reportAgeMs: 0,
+      })),
+      ...this.summary,
+    };
+  }
+
+  #getManifest(): Manifest {
+    const model = { name: "m", version: this.version, adapters: ["a"] };
+    const service = { name: "s", kind: "engine", model: "m" };
+    return { services: [service], models: [model] } as unknown as Manifest;
+  }
+}
+
+async function withWorld(
+  checksFencing: readonly boolean[],
+  act: (world: World) => Promise<void>,
+): Promise<void> {
+  const world = new World(checksFencing);
+  try {
+    await act(world);
+  } finally {
+    world.close();
+  }
+}
+
+function versionsOf({ engines }: World): string[][] {
+  return [...engines.engines.values()].map(({ done }) =>
+    done.map(({ kind, version }) => `${kind} ${version}`)
+  );
+}
+
+test("brings the engines to a version, its adapters, and back again", () =>
+  withWorld([true, false, true], async (world) => {
+    world.addRouter();
+    const { engines } = world;
+    for (const [index, version] of ["v1", "v2", "v1"].entries()) {
+      world.version = version;
+      await until(() => engines.done.length === 6 * (index + 1));
+    }
+    const each = ["v1", "v2", "v1"].flatMap((version) => [
+      `load-model ${version}`,
+      `load-adapter ${version}`,
+    ]);
+    expect(versionsOf(world)).toEqual([each, each, each]);
+    expect(engines.peak).toBe(1);
+  }));
+
+test("takes a version back while its last order is under way", () =>
+  withWorld([true], async (world) => {
+    const { engines } = world;
+    world.addRouter();
+    await until(() => engines.done.length === 2);
+    engines.lose = () => {
+      if (engines.sends === 4) world.version = "v1";
+      return "nothing";
+    };
+    world.version = "v2";
+    await until(() => engines.done.length === 6);
+    expect(engines.done.at(-1)!.version).toBe("v1");
+  }));
+
+test("a new owner waits for what the one before may have sent", () =>
+  withWorld([true, false], async (world) => {
+    const { engines } = world;
+    engines.delayMs = TIMES.carryOutMs / 2;
+    const first = world.addRouter();
+    await until(() => engines.sends === 1);
+    first.close();
+    world.addRouter();
+    await until(() => engines.done.length >= 4);
+    await sleep(4 * TIMES.carryOutMs);
+    expect(engines.sends).toBe(4);
+  }));
+
+test.each([true, false])(
+  "a lost answer is looked up, not repeated (checked: %p)",
+  (checksFencing) =>
+    withWorld([checksFencing], async (world) => {
+      const { engines } = world;
+      engines.lose = () => "answer";
+      world.addRouter();
+      await until(() => engines.done.length === 2);
+      await sleep(4 * TIMES.carryOutMs);
+      expect(engines.sends).toBe(2);
+    }),
+);
+
+test("an order that never arrived is given again after its bound", () =>
+  withWorld([true], async (world) => {
+    const { engines } = world;
+    engines.lose = () => engines.sends <= 2 ? "order" : "nothing";
+    world.addRouter();
+    await until(() => engines.done.length === 2);
+    expect(engines.sends).toBe(4);
+    // Each send has a fetch of its own.
+    expect(world.countCalls(SLOT_PREFIX)).toBe(4);
+  }));
+
+test.each([true, false])(
+  "two owners at once give each order once (checked: %p)",
+  (checksFencing) =>
+    withWorld([checksFencing, checksFencing], async (world) => {
+      const { engines } = world;
+      engines.delayMs = 3;
+      const times = { ...TIMES, carryOutMs: 60_000 };
+      world.addRouter({ times });
+      world.addRouter({ times });
+      await until(() => engines.done.length >= 4);
+      await sleep(200);
+      for (const { done } of engines.engines.values()) {
+        const ids = done.map(({ id }) => id);
+        expect(ids).toEqual([...new Set(ids)]);
+        const fences = done.map(({ fence }) => fence);
+        expect(fences).toEqual(fences.toSorted((a, b) => a - b));
+      }
+    }),
+);
+
+test("gives no order while the key-value service is down", () =>
+  withWorld([true, false], async (world) => {
+    const { engines, keyValue } = world;
+    const down = new PlatformFailure("unavailable", "down");
+    keyValue.faults.before = () => down;
+    world.addRouter();
+    await until(() => keyValue.calls.length > 4);
+    expect(engines.sends).toBe(0);
+    keyValue.faults.before = undefined;
+    await until(() => engines.done.length === 4);
+  }));
+
+test("a lost answer to a claim counts as claimed", () =>
+  withWorld([true], async (world) => {
+    const { engines, keyValue } = world;
+    const lost = new PlatformFailure("unknown", "lost");
+    keyValue.faults.after = ({ operation, key }) =>
+      operation === "create" && key.startsWith(SLOT_PREFIX) ? lost : undefined;
+    world.addRouter();
+    await until(() => engines.done.length === 2);
+    const { val: slots } = await keyValue.list(SLOT_PREFIX);
+    expect(slots).toMatchObject({ items: { length: 2 } });
+  }));
+
+test("sends no more orders than the rate has fetches", () =>
+  withWorld([true, true, false, true], async (world) => {
+    const { engines } = world;
+    world.fetchesPerMinute = 3;
+    world.addRouter();
+    world.addRouter();
+    await until(() => engines.done.length === 3);
+    await sleep(4 * TIMES.carryOutMs);
+    expect(engines.sends).toBe(3);
+  }));
+
+test.each<[string, Partial<PoolSummary>]>([
+  ["another owner", { owner: "q" }],
+  ["a rank that is missing", { heldRanks: ["r"] }],
+])(
+  "gives no order with %s",
+  (_name, summary) =>
+    withWorld([true], async (world) => {
+      world.summary = summary;
+      world.addRouter();
+      await sleep(50);
+      expect(world.engines.sends).toBe(0);
+    }),
+);
+
+test("sends nothing once the pool has gone to another owner", () =>
+  withWorld([true], async (world) => {
+    // The pool goes while the fetch is claimed.
+    world.keyValue.faults.after = ({ key }) => {
+      if (key.startsWith(`${SLOT_PREFIX}`)) world.summary = { owner: "q" };
+      return undefined;
+    };
+    world.addRouter();
+    await until(() => world.countCalls(SLOT_PREFIX) > 0 || hasGone(world));
+    await sleep(50);
+    expect(world.engines.sends).toBe(0);
+  }));
+
+function hasGone({ summary }: World): boolean {
+  return summary.owner === "q";
+}
+
+test("orders reach a stand-in engine over HTTP", async () => {
+  const engine = new Engine({ name: "e", checksFencing: true });
+  const address = await engine.listen(0);
+  const client = createHttpClient();
+  const orders = createUpstreamOrders({ client, onBytes: () => {} });
+  const upstream = { ...createUpstream("e", true), address };
+  const order = { id: "o", kind: "load-model", model: "m" } as const;
+  expect(await orders.send(upstream, order, { fence: 2 })).toBe("accepted");
+  expect(await orders.send(upstream, order, { fence: 1 })).toBe("fenced");
+  expect(await orders.list(upstream)).toEqual([{ ...order, fence: 2 }]);
+  engine.close();
+  expect(await orders.send(upstream, order, { fence: 3 })).toBe("not-sent");
+  expect(await orders.list(upstream)).toBeUndefined();
+  await client.close();
+});
+
+test("nothing is claimed while the weight store does not answer", async () => {
+  const keyValue = new MemoryKeyValue();
+  const down = new PlatformFailure("unavailable", "down");
+  const slots = createWeightSlots({
+    keyValue,
+    weightStore: { getRate: () => Promise.resolve(Err(down)) },
+    clock: () => 0,
+    random: () => 0,
+    createId: () => "c",
+  });
+  expect(await slots.hasFree()).toBe(false);
+  expect(await slots.claim()).toBeUndefined();
+  expect(keyValue.calls).toEqual([]);
+});
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -300,6 +300,7 @@
     return createOrdersController({
       ...shared,
       self: this.#self.name,
+      holder: `${this.#self.name}#${this.#incarnation}`,
       slots: createWeightSlots({ ...shared, weightStore }),
       orders: createUpstreamOrders({
         client: this.#client,
