--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -33,6 +33,7 @@
   type Heartbeat,
   type PeersController,
   type PoolOffer,
+  type PoolReturn,
 } from "../control/peers_controller.ts";
 import { createPoolController } from "../control/pool_controller.ts";
 import {
@@ -62,6 +63,7 @@
 import type { KeyValue } from "../platform/key_value.ts";
 import { createHttpWeightStore } from "../platform/weight_store.ts";
 import type { ChatHash } from "../policy/chat_directory.ts";
+import { selectPeers } from "../policy/peer_selection.ts";
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import { createRetryBudget } from "../policy/retry_budget.ts";
 import { createWorkspaceLimits } from "../policy/workspace_limits.ts";
@@ -79,7 +81,7 @@
 import { createLoadPoller } from "./load_poller.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
 import { createLogFactory, type LogFactory } from "./log.ts";
-import { createMetrics, type Metrics } from "./metrics.ts";
+import { createMetrics, type Metrics, setUpstreamGauges } from "./metrics.ts";
 import { createAdminHandler } from "./admin.ts";
 
 /** Options of a daemon. */
@@ -96,6 +98,8 @@
 }
 
 const INCARNATION_BYTES = 4;
+/** Retries a minute of a router that serves few requests. */
+const RETRY_FLOOR = 10;
 const CONFIG_READ_TIMEOUT_MS = 2_000;
 /** Silence on a request that was answered in part, in milliseconds. */
 const REQUEST_TIMEOUT_FACTOR = 6;
@@ -120,7 +124,7 @@
   readonly #tasks: TaskSystem = createTaskSystem();
   readonly #metrics: Metrics = createMetrics();
   readonly #inFlight = createInFlight();
-  readonly #retries = createRetryBudget();
+  readonly #retries = createRetryBudget({ floor: RETRY_FLOOR });
   readonly #workspaceLimits = createWorkspaceLimits();
   readonly #client: HttpClient;
   readonly #keyValue: KeyValue;
@@ -229,7 +233,7 @@
   async stop(): Promise<void> {
     const log = this.#logs("daemon");
     log.info("A graceful stop begins.", { inFlight: this.#inFlight.count });
-    this.#peers.announceLeaving();
+    this.#peers.announceLeaving(await this.#returnLoans());
     await this.#registry.withdraw();
     await sleep(this.#settings.limits.drainMs);
     await this.#inFlight.idle();
@@ -377,10 +381,21 @@
     return { version, routersVersion, routersInForceMs };
   }
 
-  #heard({ peer, sentAt, word, offers }: Heartbeat): void {
+  #returnLoans(): Promise<PoolReturn[]> {
+    return Promise.all(
+      this.#pools.list().map(async (pool) => ({
+        pool: pool.id,
+        stamp: await pool.returnLoans(),
+      })),
+    );
+  }
+
+  #heard({ peer, sentAt, word, offers, returns }: Heartbeat): void {
     this.#configuration.notePeer(peer, word);
     for (const pool of this.#pools.list()) {
       const own = offers.find((offer) => offer.pool === pool.id);
+      const returned = returns.find((each) => each.pool === pool.id);
+      if (returned !== undefined) pool.noteReturned(peer, returned.stamp);
       pool.receive(peer, { sentAt, lends: false, ...own?.offer });
     }
   }
@@ -405,9 +420,13 @@
     this.#metrics.configurationVersion.set(configuration.version);
     this.#index = createIndex(configuration.manifest);
     this.#workspaceLimits.setRouters(configuration.routers.length);
-    this.#peers.setRouters(configuration.routers);
     const hasGap = hasRoutersGap(configuration, previous);
     this.#pools.configure(configuration, { hasGap });
+    const peers = selectPeers(configuration.routers, {
+      self: this.#self.name,
+      neighbours: this.#pools.neighbours(),
+    });
+    this.#peers.setRouters(peers);
   }
 
   #createPool(id: string) {
@@ -420,7 +439,8 @@
       clock: this.#clock,
       hash: this.#hash,
       random: Math.random,
-      log: this.#logs("place"),
+      placementLog: this.#logs("place"),
+      log: this.#logs("pool"),
       metrics: this.#metrics,
       tasks: this.#tasks,
       liveness: this.#peers,
@@ -461,7 +481,6 @@
         findPool: ({ service, chat }: Exchange) =>
           this.#pools.get(this.#pools.locate(service!, chat).pool),
         tryRetry: () => this.#tryRetry(),
-        onRequest: () => this.#retries.noteRequest(this.#clock()),
         hashChat: (chat) => this.#hashChat(chat),
       }),
     ];
@@ -490,6 +509,7 @@
         ),
       findUpstreamAddress: (name) => this.#index.upstreams.get(name)?.address,
       tryRetry: () => this.#tryRetry(),
+      onRequest: () => this.#retries.noteRequest(this.#clock()),
     });
   }
 
@@ -540,12 +560,18 @@
     return createAdminHandler({
       next: handleRequest,
       metrics: this.#metrics,
+      refreshMetrics: () => this.#refreshMetrics(),
       isReady: () => this.#isReady(),
       getStatus: () => this.#getStatus(),
       explain: (service, chat) => this.#explain(service, chat),
     });
   }
 
+  #refreshMetrics(): void {
+    const pools = this.#pools.list().map((pool) => pool.summarise());
+    setUpstreamGauges(this.#metrics, pools, { owner: this.#self.name });
+  }
+
   async #getStatus(): Promise<RouterStatus> {
     const { values } = await this.#metrics.invariantBreaches.get();
     return renderStatus({
--- a/src/transport/forward_server.ts
+++ b/src/transport/forward_server.ts
@@ -15,6 +15,7 @@
   refused,
 } from "../filters/exchange.ts";
 import {
+  CALL_CHECKED_HEADER,
   FORWARD_KEEP_ALIVE_MS,
   REFUSAL_HEADER,
 } from "../filters/locate_filter.ts";
@@ -26,6 +27,7 @@
 } from "./forward_headers.ts";
 import { type ServerLimits, writeOutcome } from "./http_server.ts";
 import { withKeepAlive } from "./keep_alive.ts";
+import { renderProblem } from "./problem.ts";
 
 /** Options of the handler. */
 export interface ForwardHandlerOptions {
@@ -41,6 +43,7 @@
 
 const CHAT_HEADER = "x-chat-id";
 const BYTES_PER_TOKEN = 4;
+const FORBIDDEN_STATUS = 403;
 
 function isToken(expected: string, actual: unknown): boolean {
   if (typeof actual !== "string" || actual.length !== expected.length) {
@@ -100,25 +103,31 @@
   ): Promise<void> {
     if (!isToken(options.token, request.headers[FORWARD_TOKEN_HEADER])) {
       log.warn("A forwarded request has no valid token.");
-      response.writeHead(403, { connection: "close" }).end();
+      writeStranger(response);
       return;
     }
+    showProgress(response);
     const exchange = await readExchange(request, response);
     if ("kind" in exchange) {
-      await write(response, exchange, "unknown");
+      const requestId = "unknown";
+      await write(response, exchange, { requestId, isCallChecked: false });
       return;
     }
     const outcome = await options.chain.handle(exchange);
-    await write(response, outcome, exchange.requestId);
+    await write(response, outcome, exchange);
   }
 
   async function write(
     response: ServerResponse,
     outcome: Outcome,
-    requestId: string,
+    { requestId, isCallChecked }: Pick<
+      Exchange,
+      "requestId" | "isCallChecked"
+    >,
   ): Promise<void> {
     if (outcome.kind === "refused") {
       response.setHeader(REFUSAL_HEADER, outcome.refusal.code);
+      if (isCallChecked) response.setHeader(CALL_CHECKED_HEADER, "1");
     }
     if (outcome.kind !== "stream" || !isEvents(outcome)) {
       await writeOutcome(response, outcome, requestId);
@@ -142,6 +151,28 @@
   };
 }
 
+/**
+ * Refuses a request without the fleet's token. An ingress that holds another
+ * fleet key is told that nothing ran, so that it tries the next replica.
+ */
+function writeStranger(response: ServerResponse): void {
+  const detail = "The request carries no token of this fleet.";
+  const refusal = createRefusal("no-owner", detail);
+  const { headers, body } = renderProblem(refusal, "unknown");
+  headers[REFUSAL_HEADER] = refusal.code;
+  headers["connection"] = "close";
+  response.writeHead(FORBIDDEN_STATUS, headers).end(body);
+}
+
+/** Shows the ingress that the request is in hand until the answer begins. */
+function showProgress(response: ServerResponse): void {
+  const timer = setInterval(() => {
+    if (response.headersSent) clearInterval(timer);
+    else response.writeProcessing();
+  }, FORWARD_KEEP_ALIVE_MS);
+  response.once("close", () => clearInterval(timer));
+}
+
 function isEvents(outcome: Outcome & { kind: "stream" }): boolean {
   return String(outcome.headers["content-type"] ?? "")
     .startsWith("text/event-stream");
