--- a/src/filters/locate_filter.ts
+++ b/src/filters/locate_filter.ts
@@ -31,7 +31,7 @@
   refused,
 } from "./exchange.ts";
 import { cancelAttempt } from "./cancel_attempt.ts";
-import { streamAnswer } from "./stream_answer.ts";
+import { isTokenStream, streamAnswer } from "./stream_answer.ts";
 
 /** Header by which the owner marks a refusal of its own. */
 export const REFUSAL_HEADER = "x-cf-refusal";
@@ -115,13 +115,20 @@
       if (exchange.signal.aborted) break;
       // The record of a non-idempotent call guards its repetition.
       const mayRepeat = result.isNotRun || !exchange.isIdempotent ||
-        this.#options.tryRetry();
+        this.#tryRetry(exchange);
       if (!mayRepeat) break;
     }
     const detail = "No router that owns the pool can be reached.";
     return refused({ ...(failure ?? createRefusal("no-owner", detail)), ran });
   }
 
+  /** Takes the one retry that a request may have, here or at an owner. */
+  #tryRetry(exchange: Exchange): boolean {
+    if (exchange.hasRetried) return false;
+    exchange.hasRetried = this.#options.tryRetry();
+    return exchange.hasRetried;
+  }
+
   async #serveHere(
     exchange: Exchange,
     ran: Refusal["ran"],
@@ -207,8 +214,7 @@
       return await this.#refusedByOwner(exchange, answer);
     }
     const headers = copyAnswerHeaders(answer.headers);
-    const isEvents = String(headers["content-type"] ?? "")
-      .startsWith("text/event-stream");
+    const isEvents = isTokenStream(exchange.service!, answer.headers);
     const length = headers["content-length"];
     if (length !== undefined && Number(length) <= MAX_WHOLE_BYTES) {
       return await this.#whole(exchange, { answer, headers });
--- a/src/transport/caller_server.ts
+++ b/src/transport/caller_server.ts
@@ -90,6 +90,7 @@
     deadlineAt: arrivedAt,
     promptTokens: 0,
     hops: 0,
+    hasRetried: false,
   };
 }
 
--- a/src/transport/forward_server.ts
+++ b/src/transport/forward_server.ts
@@ -19,6 +19,7 @@
   FORWARD_KEEP_ALIVE_MS,
   REFUSAL_HEADER,
 } from "../filters/locate_filter.ts";
+import { isTokenStream } from "../filters/stream_answer.ts";
 import { createExchange, type InFlight, watchCaller } from "./caller_server.ts";
 import {
   FORWARD_TOKEN_HEADER,
@@ -83,6 +84,7 @@
     exchange.idempotencyKey = parseIdempotencyKey(request.headers);
     exchange.isStreaming = context.isStreaming;
     exchange.hops = context.hops;
+    exchange.hasRetried = context.hasRetried;
     exchange.deadlineAt = exchange.arrivedAt + context.remainingMs;
     if (exchange.service.kind === "engine") {
       exchange.chat = request.headers[CHAT_HEADER] as string | undefined;
@@ -120,16 +122,17 @@
   async function write(
     response: ServerResponse,
     outcome: Outcome,
-    { requestId, isCallChecked }: Pick<
-      Exchange,
-      "requestId" | "isCallChecked"
-    >,
+    { requestId, isCallChecked, service }:
+      & Pick<Exchange, "requestId" | "isCallChecked">
+      & { service?: Service },
   ): Promise<void> {
     if (outcome.kind === "refused") {
       response.setHeader(REFUSAL_HEADER, outcome.refusal.code);
       if (isCallChecked) response.setHeader(CALL_CHECKED_HEADER, "1");
     }
-    if (outcome.kind !== "stream" || !isEvents(outcome)) {
+    const isPaced = outcome.kind === "stream" && service !== undefined &&
+      isTokenStream(service, outcome.headers);
+    if (!isPaced) {
       await writeOutcome(response, outcome, requestId);
       return;
     }
@@ -172,8 +175,3 @@
   }, FORWARD_KEEP_ALIVE_MS);
   response.once("close", () => clearInterval(timer));
 }
-
-function isEvents(outcome: Outcome & { kind: "stream" }): boolean {
-  return String(outcome.headers["content-type"] ?? "")
-    .startsWith("text/event-stream");
-}
