--- a/src/control/cache_events_controller_test.ts
+++ b/src/control/cache_events_controller_test.ts
@@ -63,6 +63,7 @@
     clock,
     hash: (text) => text.length,
     random: () => 0.5,
+    placementLog: SILENT_LOG,
     log: SILENT_LOG,
     metrics: createMetrics(),
     tasks,
