--- a/src/daemon/bad_input_test.ts
+++ b/src/daemon/bad_input_test.ts
@@ -316,12 +316,13 @@
   const status = JSON.parse((await fleet.get("/admin/status")).text);
   expect([...Value.Errors(RouterStatusSchema, status)]).toEqual([]);
   expect(status).toMatchObject({ name: "r1", ready: true, version: 2 });
-  const explained = await fleet.get(
-    "/admin/explain?service=assistant&chat=chat-meanwhile",
-  );
+  const path = "/admin/explain?service=assistant&chat=chat-meanwhile";
+  const explained = await fleet.get(`${path}&workspace=hakata`);
   const explanation = JSON.parse(explained.text);
   expect([...Value.Errors(ExplanationSchema, explanation)]).toEqual([]);
   expect(explanation.order).toHaveLength(2);
-  expect(await fleet.get("/admin/explain?service=none"))
+  expect(await fleet.get("/admin/explain?service=none&workspace=hakata"))
+    .toMatchObject({ status: 404 });
+  expect(await fleet.get(`${path}&workspace=none`))
     .toMatchObject({ status: 404 });
 });
