Use every address of the key-value service, and count records apart

The daemon used the first address only, so that its loss was an outage. The records of non-idempotent calls have a client of their own, whose bytes are counted as records: they grow with the calls, and stood among the control bytes. A router that has had no word of the configuration for the hold-down admits nothing, and now says that it is not ready.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -60,6 +60,7 @@
 import { WorkspaceFilter } from "../filters/workspace_filter.ts";
 import { createEtcdKeyValue } from "../platform/etcd_key_value.ts";
 import { createHttpHostList } from "../platform/host_list.ts";
+import { createFailoverKeyValue } from "../platform/failover_key_value.ts";
 import type { KeyValue } from "../platform/key_value.ts";
 import { createHttpWeightStore } from "../platform/weight_store.ts";
 import type { ChatHash } from "../policy/chat_directory.ts";
@@ -128,6 +129,8 @@
   readonly #workspaceLimits = createWorkspaceLimits();
   readonly #client: HttpClient;
   readonly #keyValue: KeyValue;
+  /** The same service for the records of calls, whose bytes count apart. */
+  readonly #records: KeyValue;
   readonly #configuration: ConfigurationController;
   readonly #peers: PeersController;
   readonly #pools: PoolsController;
@@ -156,7 +159,8 @@
     this.#client = createHttpClient({
       connectTimeoutMs: settings.timing.transitMs / 2,
     });
-    this.#keyValue = this.#createKeyValue();
+    this.#keyValue = this.#createKeyValue("key-value");
+    this.#records = this.#createKeyValue("records");
     const store = createConfigurationStore({ keyValue: this.#keyValue });
     this.#configuration = createConfigurationController({
       keyValue: this.#keyValue,
@@ -242,6 +246,7 @@
       log.error("A part did not close.", { name, cause: String(cause) });
     }
     await this.#keyValue.close();
+    await this.#records.close();
     await this.#client.close();
     this.#tasks.close();
     log.info("The router has stopped.");
@@ -280,12 +285,13 @@
     };
   }
 
-  #createKeyValue(): KeyValue {
-    const [address] = this.#settings.platform.keyValue;
-    return createEtcdKeyValue({
-      address: address!,
-      onBytes: this.#counterOf("key-value"),
-    });
+  /** `kind` names the bytes of this client in the metrics. */
+  #createKeyValue(kind: string): KeyValue {
+    const onBytes = this.#counterOf(kind);
+    const { keyValue } = this.#settings.platform;
+    return createFailoverKeyValue(
+      keyValue.map((address) => createEtcdKeyValue({ address, onBytes })),
+    );
   }
 
   #createOrders(): OrdersController {
@@ -464,9 +470,9 @@
   #createOwnerFilters() {
     return [
       new IdempotencyFilter({
-        keyValue: this.#keyValue,
+        keyValue: this.#records,
         retention: createRetentionLease({
-          keyValue: this.#keyValue,
+          keyValue: this.#records,
           clock: this.#clock,
         }),
         router: `${this.#self.name}#${this.#incarnation}`,
@@ -608,6 +614,8 @@
   #isReady(): boolean {
     const { manifest, routers } = this.#configuration.current();
     if (manifest === undefined || this.#peers.isLeaving()) return false;
+    const unconfirmedMs = this.#clock() - this.#configuration.confirmedAt();
+    if (unconfirmedMs > this.#settings.timing.holdDownMs) return false;
     return routers.length > 0;
   }
 }
