Poll only with a rank to use, and settle which connection of a pair stays

Measured before: 98 B/s of polls an upstream and router, most of it by replicas that hold no rank and can admit nothing; the host list 0.9 to 1.0 KB/s a router at one read a second. A router without a rank no longer polls, the host list is read every 2 s. Two routers that dialled each other at once each closed the other's connection and dialled again. Both now keep the one that the lesser name dialled.

--- a/src/control/hosts_controller.ts
+++ b/src/control/hosts_controller.ts
@@ -21,7 +21,7 @@
   close(): void;
 }
 
-const POLL_MS = 1_000;
+const POLL_MS = 2_000;
 
 /** Creates the controller; `open` starts it. */
 export function createHostsController(
--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -362,7 +362,10 @@
       return;
     }
     const peer = this.#peers.get(connection.peer);
-    // The newest connection replaces an older one, which may be silent.
+    if (peer !== undefined && this.#isSurplus(peer, connection)) {
+      connection.close();
+      return;
+    }
     peer?.connection?.close();
     this.#peers.set(connection.peer, {
       connection,
@@ -373,6 +376,19 @@
     await this.#sendHeartbeats([connection.peer]);
   }
 
+  /**
+   * Of two connections that a pair has opened at once both ends keep the one
+   * that the lesser name dialled. A new connection replaces a silent one.
+   */
+  #isSurplus(peer: PeerState, connection: PeerConnection): boolean {
+    const { clock, self, heartbeatMs } = this.#options;
+    const isFresh = clock() - peer.heardAt <= heartbeatMs;
+    if (peer.connection === undefined || !isFresh) return false;
+    const isSelfLesser = self.name < connection.peer;
+    const isPreferred = connection.isDialed === isSelfLesser;
+    return !isPreferred && peer.connection.isDialed === isSelfLesser;
+  }
+
   #closed(connection: PeerConnection): void {
     const peer = this.#peers.get(connection.peer);
     if (peer?.connection === connection) {
--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -808,6 +808,8 @@
 
   #pollIfDue(state: UpstreamState, now: number): void {
     if (!state.isListed || state.isPollOutstanding) return;
+    // Without a rank nothing can be admitted; the first rank brings a poll.
+    if (this.#loans.heldRanks(now).length === 0) return;
     const interval = this.#needsReport(state, now)
       ? NEEDED_POLL_MS
       : POLL_SILENCE_MS;
--- a/src/transport/peer_connection.ts
+++ b/src/transport/peer_connection.ts
@@ -48,6 +48,8 @@
 /** An authenticated connection to one peer. */
 export interface PeerConnection {
   readonly peer: string;
+  /** Whether this router opened the connection. */
+  readonly isDialed: boolean;
   notify(method: string, params: unknown): void;
   request(method: string, params: unknown, timeoutMs: number): Promise<unknown>;
   close(): void;
@@ -74,6 +76,7 @@
 
 class SocketPeer implements PeerConnection {
   peer = "";
+  isDialed = false;
   readonly #socket: Socket;
   readonly #rpc: JSONRPCServerAndClient;
   readonly #options: PeerOptions;
@@ -107,6 +110,7 @@
 
   /** Proves this router to the other end and checks its proof. */
   async proveAsClient(): Promise<void> {
+    this.isDialed = true;
     const { name, key } = this.#options;
     const clientNonce = createNonce();
     const welcome = await this.#rpc.request("hello", {
