Keep the chat directories of a pool's replicas alike

The directory was in the owner's memory alone, so that chats went by rendezvous order after each change of owner though most had overflowed elsewhere. The owner now sends what is new or has moved to the other replicas each second, and its whole directory to a router that takes the pool over.

--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -56,6 +56,8 @@
     peers: readonly string[],
   ): Promise<readonly (readonly PoolOffer[])[]>;
   onHeartbeat(heartbeat: Heartbeat): void;
+  /** Takes changes of a pool's directory. */
+  onChats(params: unknown): void;
   onRequest(method: string, params: unknown): Promise<unknown>;
   onBytes(direction: Direction, bytes: number): void;
   /** What to say of the configuration in force here. */
@@ -94,7 +96,8 @@
   setRouters(routers: readonly Router[]): void;
   /** Tells every peer that this router stops and which loans it gives up. */
   announceLeaving(returns: readonly PoolReturn[]): void;
-  broadcast(method: string, params: unknown): void;
+  /** Sends a notification to a peer, if it is connected. */
+  notify(peer: string, method: string, params: unknown): void;
   request(
     peer: string,
     call: { method: string; params: unknown; timeoutMs: number },
@@ -258,10 +261,8 @@
     this.#task.send({ kind: "tick" });
   }
 
-  broadcast(method: string, params: unknown): void {
-    for (const peer of this.#peers.values()) {
-      peer.connection?.notify(method, params);
-    }
+  notify(peer: string, method: string, params: unknown): void {
+    this.#peers.get(peer)?.connection?.notify(method, params);
   }
 
   async request(
@@ -315,6 +316,7 @@
           params: unknown,
         ) => {
           if (method === "hb") send({ kind: "heartbeat", connection, params });
+          if (method === "chats") hooks.onChats(params);
         },
         onRequest: (_: PeerConnection, method: string, params: unknown) =>
           hooks.onRequest(method, params),
--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -37,6 +37,10 @@
   type Offer,
   type Stamp,
 } from "../policy/loans.ts";
+import {
+  type ChatChange,
+  createDirectoryChanges,
+} from "../policy/directory_changes.ts";
 import { type Candidate, place, type Placement } from "../policy/placement.ts";
 import { type Hash, rankByRendezvous } from "../policy/rendezvous.ts";
 import type { LoadReport } from "../types.ts";
@@ -139,6 +143,12 @@
   noteReturned(peer: string, stamp: Stamp): void;
   /** Corrects the directory by the word of an upstream. */
   noteEvictions(upstream: string, evictions: Evictions): void;
+  /** Takes changes of the directory that the other replicas lack. */
+  takeChanges(): Promise<readonly ChatChange[]>;
+  /** Takes over changes of another replica's directory. */
+  noteChanges(changes: readonly ChatChange[]): void;
+  /** The other routers that may own the pool. */
+  peers(): readonly string[];
   summarise(): PoolSummary;
   /** Order in which a chat would try the upstreams. */
   explain(chat: ChatHash): {
@@ -189,6 +199,11 @@
   }
   | { readonly kind: "return"; reply(stamp: Stamp): void }
   | { readonly kind: "returned"; readonly peer: string; readonly stamp: Stamp }
+  | {
+    readonly kind: "take-changes";
+    reply(changes: readonly ChatChange[]): void;
+  }
+  | { readonly kind: "changes"; readonly changes: readonly ChatChange[] }
   | { readonly kind: "tick" };
 
 interface Waiting {
@@ -200,6 +215,9 @@
 }
 
 const TICK_MS = 100;
+/** Most changes of the directory that are sent at a time. */
+const MAX_CHANGES = 500;
+const MS_PER_SECOND = 1_000;
 /** Silence after which an upstream is asked for its load. */
 const POLL_SILENCE_MS = 4_000;
 /** Interval of the polls while a report is needed to use a rank. */
@@ -226,6 +244,8 @@
   readonly #timer: NodeJS.Timeout;
   #service: Service | undefined;
   #replicas: readonly string[] = [];
+  readonly #changes = createDirectoryChanges();
+  #lastOwner: string | undefined;
   #loggedRanks = "";
   #isClosed = false;
 
@@ -308,6 +328,19 @@
     return new Promise((reply) => this.#send({ kind: "return", reply }));
   }
 
+  takeChanges(): Promise<readonly ChatChange[]> {
+    if (this.#isClosed) return Promise.resolve([]);
+    return new Promise((reply) => this.#send({ kind: "take-changes", reply }));
+  }
+
+  noteChanges(changes: readonly ChatChange[]): void {
+    this.#send({ kind: "changes", changes });
+  }
+
+  peers(): readonly string[] {
+    return this.#replicas.filter((name) => name !== this.#options.self);
+  }
+
   noteReturned(peer: string, stamp: Stamp): void {
     this.#send({ kind: "returned", peer, stamp });
   }
@@ -407,6 +440,12 @@
           this.#options.clock(),
         );
         break;
+      case "take-changes":
+        message.reply(this.#changes.take(MAX_CHANGES));
+        break;
+      case "changes":
+        this.#noteChanges(message.changes);
+        break;
       case "tick":
         this.#tick();
         break;
@@ -674,6 +713,10 @@
     metrics.cachedTokens.inc({ service }, cachedTokens);
     const { chat } = grant.request;
     if (chat === undefined || promptTokens === 0) return;
+    if (this.#directory.get(chat)?.upstream !== state.index) {
+      const upstream = state.upstream.name;
+      this.#changes.note({ chat, upstream, tokens: promptTokens });
+    }
     this.#directory.set(chat, {
       upstream: state.index,
       tokens: promptTokens,
@@ -767,8 +810,38 @@
     this.#byIndex.push(created);
   }
 
+  #noteChanges(changes: readonly ChatChange[]): void {
+    const usedAt = this.#options.clock() / MS_PER_SECOND;
+    for (const { chat, upstream: name, tokens } of changes) {
+      const state = this.#upstreams.get(name);
+      if (state === undefined) continue;
+      this.#directory.set(chat, { upstream: state.index, tokens, usedAt });
+    }
+  }
+
+  /** Hands the whole directory to the router that owns the pool from now on. */
+  #handOverDirectory(): void {
+    const owner = this.#owner();
+    const { self, log } = this.#options;
+    const wasOwner = this.#lastOwner === self;
+    this.#lastOwner = owner;
+    if (!wasOwner || owner === self || owner === undefined) return;
+    for (
+      const [chat, { upstream: index, tokens }] of this.#directory.entries()
+    ) {
+      const upstream = this.#byIndex[index]!.upstream.name;
+      this.#changes.note({ chat, upstream, tokens });
+    }
+    log.info("Hands its directory over.", {
+      pool: this.id,
+      owner,
+      chats: this.#changes.size,
+    });
+  }
+
   #tick(): void {
     const now = this.#options.clock();
+    this.#handOverDirectory();
     this.#shares.confirm(this.#options.configuration.confirmedAt());
     this.#setReplicas(now);
     this.#logRanks(now);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -19,6 +19,10 @@
   hasRoutersGap,
   type PeerWord,
 } from "../control/configuration_controller.ts";
+import {
+  createDirectoriesController,
+  type DirectoriesController,
+} from "../control/directories_controller.ts";
 import {
   createHostsController,
   type HostsController,
@@ -134,6 +138,7 @@
   readonly #configuration: ConfigurationController;
   readonly #peers: PeersController;
   readonly #pools: PoolsController;
+  readonly #directories: DirectoriesController;
   readonly #hosts: HostsController;
   readonly #registry: RegistryController;
   readonly #orders: OrdersController;
@@ -178,6 +183,10 @@
       createPool: (id) => this.#createPool(id),
     });
     this.#peers = this.#createPeers();
+    this.#directories = createDirectoriesController({
+      pools: this.#pools,
+      peers: this.#peers,
+    });
     const hostList = createHttpHostList({
       address: settings.platform.hostList,
       onBytes: this.#counterOf("host-list"),
@@ -219,6 +228,8 @@
     this.#registry.open();
     this.#lifeCycle.own("registry", () => this.#registry.close());
     this.#lifeCycle.own("pools", () => this.#pools.close());
+    this.#directories.open();
+    this.#lifeCycle.own("directories", () => this.#directories.close());
     this.#orders.open();
     this.#lifeCycle.own("orders", () => this.#orders.close());
     this.#cacheEvents.open();
@@ -357,6 +368,7 @@
       hooks: {
         collectOffers: (peers) => this.#collectOffers(peers),
         onHeartbeat: (heartbeat) => this.#heard(heartbeat),
+        onChats: (params) => this.#directories.receive(params),
         onRequest: (_method, params) => {
           const { after } = params as { after: number };
           const text = this.#configuration.renderFor(after);
--- a/src/policy/chat_directory.ts
+++ b/src/policy/chat_directory.ts
@@ -150,6 +150,16 @@
     this.#count(upstream, 1);
   }
 
+  /** Every chat that `get` would find, in no order. */
+  *entries(): Generator<readonly [ChatHash, ChatEntry]> {
+    const { slots, hi, lo } = this.#columns;
+    for (let slot = 0; slot < slots; slot++) {
+      if (!this.#isLive(slot)) continue;
+      const hash = { hi: hi[slot]!, lo: lo[slot]! };
+      yield [hash, this.get(hash)!];
+    }
+  }
+
   /** Drops a chat; returns whether it was known. */
   forget(hash: ChatHash): boolean {
     const slot = findSlot(this.#columns, hash);
--- a/src/transport/peer_connection.ts
+++ b/src/transport/peer_connection.ts
@@ -59,9 +59,7 @@
 /** Methods of the protocol that are calls; the others are notifications. */
 export const CALL_METHODS = ["config.read"] as const;
 /** Methods of the protocol that expect no answer. */
-export const NOTIFICATION_METHODS = [
-  "hb",
-] as const;
+export const NOTIFICATION_METHODS = ["hb", "chats"] as const;
 
 interface Hello {
   readonly name: string;
