--- a/src/control/cache_events_controller_test.ts
+++ b/src/control/cache_events_controller_test.ts
@@ -64,6 +64,7 @@
     hash: (text) => text.length,
     random: () => 0.5,
     log: SILENT_LOG,
+    placementLog: SILENT_LOG,
     metrics: createMetrics(),
     tasks,
     liveness: { isLive: () => true, isLeaving: () => false },
--- a/src/control/orders_controller_test.ts
+++ b/src/control/orders_controller_test.ts
@@ -88,8 +88,14 @@
     this.#loading--;
     const lost = this.lose?.() ?? "nothing";
     if (lost === "order") return "unclear";
-    const isOk = this.engines.get(name)!.tryCarryOut({ ...order, fence });
-    if (lost === "answer") return "unclear";
+    const engine = this.engines.get(name)!;
+    if (lost === "answer") {
+      // The load goes on without anybody to answer to.
+      const carryOut = () => engine.tryCarryOut({ ...order, fence });
+      setTimeout(carryOut, TIMES.carryOutMs / 2);
+      return "unclear";
+    }
+    const isOk = engine.tryCarryOut({ ...order, fence });
     return isOk ? "accepted" : "fenced";
   }
 }
@@ -222,8 +228,11 @@
 test("takes a version back while its last order is under way", () =>
   withWorld([true], async (world) => {
     const { engines } = world;
-    world.addRouter();
+    // A late tick counts as a pause, after which all is looked at anew.
+    world.addRouter({ tickMs: 30 });
     await until(() => engines.done.length === 2);
+    // The first version is seen to be there.
+    await sleep(150);
     engines.lose = () => {
       if (engines.sends === 4) world.version = "v1";
       return "nothing";
@@ -236,7 +245,7 @@
 test("a new owner waits for what the one before may have sent", () =>
   withWorld([true, false], async (world) => {
     const { engines } = world;
-    engines.delayMs = TIMES.carryOutMs / 2;
+    engines.lose = () => engines.sends === 1 ? "answer" : "nothing";
     const first = world.addRouter();
     await until(() => engines.sends === 1);
     first.close();
@@ -325,6 +334,24 @@
     expect(engines.sends).toBe(3);
   }));
 
+test("sends nothing where another router takes the slots first", () =>
+  withWorld([true], async (world) => {
+    const { engines, keyValue } = world;
+    world.fetchesPerMinute = 2;
+    let isTaken = false;
+    keyValue.faults.before = async ({ operation }) => {
+      if (operation !== "lease" || isTaken) return undefined;
+      isTaken = true;
+      await keyValue.create(`${SLOT_PREFIX}0`, "other");
+      await keyValue.create(`${SLOT_PREFIX}1`, "other");
+      return undefined;
+    };
+    world.addRouter();
+    await until(() => isTaken);
+    await sleep(100);
+    expect(engines.sends).toBe(0);
+  }));
+
 test.each<[string, Partial<PoolSummary>]>([
   ["another owner", { owner: "q" }],
   ["a rank that is missing", { heldRanks: ["r"] }],
