--- a/src/filters/upstream_filter.ts
+++ b/src/filters/upstream_filter.ts
@@ -25,7 +25,7 @@
   refused,
 } from "./exchange.ts";
 import { cancelAttempt } from "./cancel_attempt.ts";
-import { streamAnswer } from "./stream_answer.ts";
+import { isTokenStream, streamAnswer } from "./stream_answer.ts";
 
 /** Options of the filter. */
 export interface UpstreamFilterOptions {
@@ -93,12 +93,17 @@
       failure = result.refusal;
       if (!result.isNotRun) ran = "unknown";
       excluded.push(grant.val.upstream.name);
-      const mayRepeat = result.isNotRun || exchange.isIdempotent;
-      if (!mayRepeat || !this.#options.tryRetry()) break;
+      if (!this.#tryRetry(exchange, result)) break;
     }
     return refused({ ...failure!, ran });
   }
 
+  #tryRetry(exchange: Exchange, { isNotRun }: { isNotRun: boolean }): boolean {
+    const { isIdempotent, hasRetried, signal } = exchange;
+    const mayRepeat = isNotRun || (isIdempotent && !hasRetried);
+    return mayRepeat && !signal.aborted && this.#options.tryRetry();
+  }
+
   #toAcquire(exchange: Exchange, excluded: readonly string[]) {
     const workspace = exchange.workspace!;
     const { chat } = exchange;
@@ -137,7 +142,8 @@
       firstByteTimeoutMs: grant.service.firstByteTimeoutMs,
       betweenBytesTimeoutMs: grant.service.betweenBytesTimeoutMs,
       signal: exchange.signal,
-      isFresh: !exchange.isIdempotent,
+      // The first try may have met a connection that has gone silent.
+      isFresh: !exchange.isIdempotent || grant.request.excluded.length > 0,
     });
     if (sent.err) return this.#failed(exchange, { attempt, failure: sent.val });
     return await this.#answered(exchange, { attempt, answer: sent.val });
@@ -222,8 +228,7 @@
       promptTokens: Number(answer.headers["x-prompt-tokens"] ?? 0),
       cachedTokens: Number(answer.headers["x-cached-tokens"] ?? 0),
     };
-    const isEvents = String(answer.headers["content-type"] ?? "")
-      .startsWith("text/event-stream");
+    const isEvents = isTokenStream(grant.service, answer.headers);
     if (!isEvents && isSmall(answer)) {
       return await this.#passWhole(exchange, { attempt, answer, headers, end });
     }
@@ -302,7 +307,7 @@
 }
 
 /** Keeps the chats of two workspaces apart at the upstreams. */
-function scopeChat(workspace: string, chat: string): string {
+export function scopeChat(workspace: string, chat: string): string {
   return `${workspace}/${chat}`;
 }
 
