--- a/src/control/cache_events_controller_test.ts
+++ b/src/control/cache_events_controller_test.ts
@@ -65,7 +65,6 @@
     random: () => 0.5,
     placementLog: SILENT_LOG,
     log: SILENT_LOG,
-    placementLog: SILENT_LOG,
     metrics: createMetrics(),
     tasks,
     liveness: { isLive: () => true, isLeaving: () => false },
