Split the pool's controller, and refuse at once who can't be placed

Its queue with the replies, its chats, its view of the upstreams and its messages are modules of their own now. Two waits in vain came to light: a request that waited while the last upstream went out of service, and one that had failed at every upstream in service, stayed in the queue until their deadline. Both get their answer at once; the two new tests fail without it.

--- a/src/control/cache_events_controller.ts
+++ b/src/control/cache_events_controller.ts
@@ -19,7 +19,8 @@
   type CacheEventSource,
   READ_OVERHEAD_BYTES,
 } from "./cache_events_controller_source.ts";
-import type { PoolController, UpstreamSummary } from "./pool_controller.ts";
+import type { PoolController } from "./pool_controller.ts";
+import type { UpstreamSummary } from "./pool_summary.ts";
 import { isSoleOwner } from "./pools_controller.ts";
 import type { Task, TaskSystem } from "./task.ts";
 import type { Clock } from "./views.ts";
--- a/src/control/orders_controller.ts
+++ b/src/control/orders_controller.ts
@@ -18,7 +18,7 @@
   type OrderRunOptions,
   runOrder,
 } from "./orders_controller_run.ts";
-import type { PoolSummary, UpstreamSummary } from "./pool_controller.ts";
+import type { PoolSummary, UpstreamSummary } from "./pool_summary.ts";
 import { isSoleOwner } from "./pools_controller.ts";
 import type { Task, TaskSystem } from "./task.ts";
 
--- a/src/control/orders_controller_engine.ts
+++ b/src/control/orders_controller_engine.ts
@@ -2,7 +2,7 @@
  * What the orders controller keeps of an engine, and what follows from it.
  */
 import { isIdle } from "./orders_controller_plan.ts";
-import type { UpstreamSummary } from "./pool_controller.ts";
+import type { UpstreamSummary } from "./pool_summary.ts";
 
 const BACK_OFF_MS = 2_000;
 const MAX_BACK_OFF_MS = 60_000;
--- a/src/control/orders_controller_plan.ts
+++ b/src/control/orders_controller_plan.ts
@@ -3,7 +3,7 @@
  */
 import type { Manifest, Model } from "../config/manifest.ts";
 import type { Order } from "../policy/order_fencing_record.ts";
-import type { PoolSummary, UpstreamSummary } from "./pool_controller.ts";
+import type { PoolSummary, UpstreamSummary } from "./pool_summary.ts";
 import type { CarriedOut } from "./upstream_orders.ts";
 
 /** Largest part of a pool's engines that change at once. */
--- a/src/control/orders_controller_test.ts
+++ b/src/control/orders_controller_test.ts
@@ -15,7 +15,7 @@
   type OrdersControllerOptions,
 } from "./orders_controller.ts";
 import { createWeightSlots } from "./orders_controller_slots.ts";
-import type { PoolSummary } from "./pool_controller.ts";
+import type { PoolSummary } from "./pool_summary.ts";
 import { createTaskSystem } from "./task.ts";
 import {
   createUpstreamOrders,
--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -12,24 +12,12 @@
   type DiagnosticCode,
   type Refusal,
 } from "../diagnostics.ts";
-import {
-  type AdmissionQueue,
-  createAdmissionQueue,
-} from "../policy/admission_queue.ts";
 import {
   type CapacityShares,
   createCapacityShares,
 } from "../policy/capacity_shares.ts";
-import {
-  type ChatDirectory,
-  type ChatHash,
-  createChatDirectory,
-} from "../policy/chat_directory.ts";
-import {
-  capacityLimitOf,
-  getMeanInFlight,
-  loadLimitOf,
-} from "../policy/load_bound.ts";
+import type { ChatHash } from "../policy/chat_directory.ts";
+import type { ChatChange } from "../policy/directory_changes.ts";
 import {
   createLoans,
   type Heartbeat,
@@ -37,14 +25,20 @@
   type Offer,
   type Stamp,
 } from "../policy/loans.ts";
-import {
-  type ChatChange,
-  createDirectoryChanges,
-} from "../policy/directory_changes.ts";
-import { type Candidate, place, type Placement } from "../policy/placement.ts";
+import { place, type Placement } from "../policy/placement.ts";
 import { type Hash, rankByRendezvous } from "../policy/rendezvous.ts";
 import type { LoadReport } from "../types.ts";
 import type { AcquireRequest, AttemptEnd, Grant, Pool } from "./pool.ts";
+import { PoolChats } from "./pool_chats.ts";
+import type {
+  Evictions,
+  PoolConfiguration,
+  PoolMessage,
+  Reply,
+} from "./pool_messages.ts";
+import { PoolQueue, type Waiting } from "./pool_queue.ts";
+import type { PoolSummary } from "./pool_summary.ts";
+import { type PoolView, readPoolView, toCandidate } from "./pool_view.ts";
 import type { Task, TaskSystem } from "./task.ts";
 import {
   createFirstByteModel,
@@ -89,48 +83,6 @@
   poll(upstream: Upstream): Promise<LoadReport | undefined>;
 }
 
-/** State of an upstream as operators see it. */
-export interface UpstreamSummary {
-  readonly upstream: Upstream;
-  readonly isInService: boolean;
-  readonly isLeaving: boolean;
-  readonly isCold: boolean;
-  readonly incarnation: string | undefined;
-  /** Attempts that ended well under this controller. */
-  readonly answers: number;
-  readonly inFlight: number;
-  readonly limit: number;
-  readonly room: number;
-  readonly reportAgeMs: number;
-}
-
-/** State of a pool as operators see it. */
-export interface PoolSummary {
-  readonly id: string;
-  readonly service: string;
-  readonly replicas: readonly string[];
-  readonly owner: string | undefined;
-  readonly heldRanks: readonly string[];
-  readonly queued: number;
-  readonly chats: number;
-  readonly upstreams: readonly UpstreamSummary[];
-}
-
-/** Chats that an upstream has evicted from its cache. */
-export interface Evictions {
-  readonly chats: readonly ChatHash[];
-  /** Monotonic time; a chat that was used since may be cached again. */
-  readonly usedBefore: number;
-}
-
-/** What the configuration says of a pool beside its service. */
-export interface PoolConfiguration {
-  readonly upstreams: readonly Upstream[];
-  readonly replicas: readonly string[];
-  /** Whether sets of routers before this one were not seen. */
-  readonly hasGap: boolean;
-}
-
 /** The controller of a pool. */
 export interface PoolController extends Pool {
   configure(service: Service, options: PoolConfiguration): void;
@@ -158,71 +110,11 @@
   close(): void;
 }
 
-type Message =
-  | {
-    readonly kind: "acquire";
-    readonly request: AcquireRequest;
-    reply(result: Result<Grant, Refusal>): void;
-  }
-  | { readonly kind: "cancel"; readonly id: string }
-  | {
-    readonly kind: "release";
-    readonly grant: Grant;
-    readonly end: AttemptEnd;
-  }
-  | {
-    readonly kind: "report";
-    readonly upstream: string;
-    readonly report: LoadReport | undefined;
-    readonly askedAt: number;
-    readonly isPoll: boolean;
-  }
-  | {
-    readonly kind: "offers";
-    readonly peers: readonly string[];
-    reply(offers: readonly Offer[]): void;
-  }
-  | {
-    readonly kind: "heartbeat";
-    readonly peer: string;
-    readonly heartbeat: Heartbeat;
-  }
-  | {
-    readonly kind: "evictions";
-    readonly upstream: string;
-    readonly evictions: Evictions;
-  }
-  | {
-    readonly kind: "configure";
-    readonly service: Service;
-    readonly options: PoolConfiguration;
-  }
-  | { readonly kind: "return"; reply(stamp: Stamp): void }
-  | { readonly kind: "returned"; readonly peer: string; readonly stamp: Stamp }
-  | {
-    readonly kind: "take-changes";
-    reply(changes: readonly ChatChange[]): void;
-  }
-  | { readonly kind: "changes"; readonly changes: readonly ChatChange[] }
-  | { readonly kind: "tick" };
-
-interface Waiting {
-  readonly request: AcquireRequest;
-  readonly since: number;
-  /** Upstreams in rendezvous order for the request's chat. */
-  readonly order: readonly UpstreamState[];
-  reply(result: Result<Grant, Refusal>): void;
-}
-
 const TICK_MS = 100;
-/** Most changes of the directory that are sent at a time. */
-const MAX_CHANGES = 500;
-const MS_PER_SECOND = 1_000;
 /** Silence after which an upstream is asked for its load. */
 const POLL_SILENCE_MS = 4_000;
 /** Interval of the polls while a report is needed to use a rank. */
 const NEEDED_POLL_MS = 250;
-const QUEUE_UNIT_MS = 100;
 
 /** Creates the controller of a pool; it admits nothing until configured. */
 export function createPoolController(options: PoolOptions): PoolController {
@@ -232,19 +124,17 @@
 class SharedPool implements PoolController {
   readonly id: string;
   readonly #options: PoolOptions;
-  readonly #task: Task<Message>;
+  readonly #task: Task<PoolMessage>;
   readonly #loans: Loans;
   readonly #shares: CapacityShares;
-  readonly #directory: ChatDirectory = createChatDirectory();
-  readonly #queue: AdmissionQueue;
-  readonly #waiting = new Map<string, Waiting>();
+  readonly #chats: PoolChats;
+  readonly #queue: PoolQueue;
   readonly #upstreams = new Map<string, UpstreamState>();
   readonly #byIndex: UpstreamState[] = [];
   readonly #firstByte = createFirstByteModel();
   readonly #timer: NodeJS.Timeout;
   #service: Service | undefined;
   #replicas: readonly string[] = [];
-  readonly #changes = createDirectoryChanges();
   #lastOwner: string | undefined;
   #loggedRanks = "";
   #isClosed = false;
@@ -268,17 +158,18 @@
       holdDownMs: timing.holdDownMs,
       confirmMs: timing.holdDownMs - timing.driftMs,
     });
-    this.#queue = createAdmissionQueue({
-      initialUnitMs: QUEUE_UNIT_MS,
-      random: options.random,
-    });
-    this.#task = options.tasks.spawn<Message>(`pool-${toTaskName(this.id)}`, {
-      handle: (message) => this.#handle(message),
-      onFailure: (cause) => {
-        const detail = cause instanceof Error ? cause.stack : String(cause);
-        options.log.error("A message failed.", { pool: this.id, detail });
+    this.#chats = new PoolChats(this.#upstreams);
+    this.#queue = new PoolQueue(this.id, options.random);
+    this.#task = options.tasks.spawn<PoolMessage>(
+      `pool-${toTaskName(this.id)}`,
+      {
+        handle: (message) => this.#handle(message),
+        onFailure: (cause) => {
+          const detail = cause instanceof Error ? cause.stack : String(cause);
+          options.log.error("A message failed.", { pool: this.id, detail });
+        },
       },
-    });
+    );
     this.#timer = setInterval(() => this.#send({ kind: "tick" }), TICK_MS);
   }
 
@@ -362,7 +253,7 @@
       owner: this.#owner(),
       heldRanks: this.#loans.heldRanks(now).map(({ replica }) => replica),
       queued: this.#queue.length,
-      chats: this.#directory.size,
+      chats: this.#chats.size,
       upstreams: states.map((state) => {
         const { name } = state.upstream;
         const known = view.upstreams.get(name);
@@ -383,9 +274,8 @@
   }
 
   explain(chat: ChatHash) {
-    const home = this.#directory.get(chat);
     return {
-      home: home && this.#byIndex[home.upstream]?.upstream.name,
+      home: this.#chats.findHome(chat),
       order: this.#orderFor(chat).map(({ upstream }) => upstream.name),
     };
   }
@@ -393,24 +283,23 @@
   close(): void {
     this.#isClosed = true;
     clearInterval(this.#timer);
-    for (const { reply } of this.#waiting.values()) {
-      reply(Err(createRefusal("not-ready", "The router is stopping.")));
-    }
-    this.#waiting.clear();
+    this.#queue.refuseAll(
+      createRefusal("not-ready", "The router is stopping."),
+    );
     this.#task.stop();
   }
 
-  #send(message: Message): void {
+  #send(message: PoolMessage): void {
     if (!this.#isClosed) this.#task.send(message);
   }
 
-  #handle(message: Message): void {
+  #handle(message: PoolMessage): void {
     switch (message.kind) {
       case "acquire":
         this.#acquire(message.request, message.reply);
         break;
       case "cancel":
-        this.#cancel(message.id);
+        this.#queue.cancel(message.id);
         break;
       case "release":
         this.#release(message.grant, message.end);
@@ -425,7 +314,7 @@
         this.#receive(message.peer, message.heartbeat);
         break;
       case "evictions":
-        this.#forget(message.upstream, message.evictions);
+        this.#chats.forget(message.upstream, message.evictions);
         break;
       case "configure":
         this.#configure(message.service, message.options);
@@ -441,10 +330,10 @@
         );
         break;
       case "take-changes":
-        message.reply(this.#changes.take(MAX_CHANGES));
+        message.reply(this.#chats.takeChanges());
         break;
       case "changes":
-        this.#noteChanges(message.changes);
+        this.#chats.noteChanges(message.changes, this.#options.clock());
         break;
       case "tick":
         this.#tick();
@@ -454,7 +343,7 @@
 
   #acquire(
     request: AcquireRequest,
-    reply: (result: Result<Grant, Refusal>) => void,
+    reply: Reply,
   ): void {
     const now = this.#options.clock();
     if (request.signal.aborted) {
@@ -467,21 +356,19 @@
       since: now,
       order: this.#orderFor(request.chat),
     };
-    // Who came earlier goes first.
-    if (this.#queue.length > 0) {
-      this.#enqueue(waiting, now);
-      this.#pump();
-      return;
-    }
     const view = this.#view(now);
     const placement = this.#place(waiting, view);
-    if (placement.kind === "place") {
-      this.#admit(waiting, placement, view);
-    } else if (placement.kind === "refuse") {
+    if (placement.kind === "refuse") {
       reply(Err(this.#refuse(placement.code)));
-    } else {
-      this.#enqueue(waiting, now);
+      return;
     }
+    // Who came earlier goes first.
+    if (placement.kind === "place" && this.#queue.length === 0) {
+      this.#admit(waiting, placement, view);
+      return;
+    }
+    this.#queue.add(waiting, now);
+    this.#pump();
   }
 
   #refuse(code: DiagnosticCode): Refusal {
@@ -490,74 +377,43 @@
     return createRefusal(code, "The deadline has passed.");
   }
 
-  #enqueue(waiting: Waiting, now: number): void {
-    const { request } = waiting;
-    const push = this.#queue.push({
-      id: request.requestId,
-      workspace: request.workspace,
-      weight: request.weight,
-      enqueuedAt: now,
-      deadline: request.deadlineAt,
-      promptTokens: request.promptTokens,
-    }, now);
-    if (push.kind === "refused") {
-      const { code, retryAfterMs } = push;
-      const detail = `${this.#queue.length} requests wait for ${this.id}.`;
-      waiting.reply(Err(createRefusal(code, detail, { retryAfterMs })));
-      return;
-    }
-    this.#waiting.set(request.requestId, waiting);
-    if (push.shed === undefined) return;
-    const { waiter, retryAfterMs } = push.shed;
-    const detail = "The workspace is above its share of the queue.";
-    const refusal = createRefusal("queue-full", detail, { retryAfterMs });
-    this.#refuseWaiting(waiter.id, refusal);
-  }
-
-  #refuseWaiting(id: string, refusal: Refusal): void {
-    const waiting = this.#waiting.get(id);
-    this.#waiting.delete(id);
-    waiting?.reply(Err(refusal));
-  }
-
-  #cancel(id: string): void {
-    if (!this.#waiting.has(id)) return;
-    this.#queue.remove(id);
-    const detail = "The caller has gone.";
-    this.#refuseWaiting(id, createRefusal("deadline-passed", detail));
-  }
-
   /** Admits waiters in order for as long as there is room. */
   #pump(): void {
     const now = this.#options.clock();
-    this.#expire(now);
+    this.#queue.expire(now);
     while (this.#queue.length > 0) {
       const view = this.#view(now);
+      if (view.upstreams.size === 0) {
+        this.#queue.refuseAll(this.#refuse("no-capacity"));
+        return;
+      }
       // Most calls end here, whatever the length of the queue.
       if (!view.hasRoom) return;
-      let chosen: Placement | undefined;
-      const waiter = this.#queue.next(now, ({ id }) => {
-        const waiting = this.#waiting.get(id);
-        chosen = waiting && this.#place(waiting, view);
-        return chosen?.kind === "place";
-      });
-      if (waiter === undefined || chosen?.kind !== "place") return;
-      const waiting = this.#waiting.get(waiter.id)!;
-      this.#waiting.delete(waiter.id);
-      this.#admit(waiting, chosen, view);
+      const next = this.#next(view);
+      if (next === undefined) return;
+      this.#admit(next.waiting, next.placement, view);
     }
   }
 
-  #expire(now: number): void {
-    for (const { id } of this.#queue.expire(now)) {
-      const detail = "The request waited until its deadline.";
-      this.#refuseWaiting(id, createRefusal("deadline-passed", detail));
+  /** The first waiter that can be placed; refuses those that never can. */
+  #next(view: PoolView) {
+    let placement: Placement | undefined;
+    const refused: [Waiting, DiagnosticCode][] = [];
+    const waiting = this.#queue.next(view.now, (each) => {
+      placement = this.#place(each, view);
+      if (placement.kind === "refuse") refused.push([each, placement.code]);
+      return placement.kind === "place";
+    });
+    for (const [each, code] of refused) {
+      this.#queue.refuse(each.request.requestId, this.#refuse(code));
     }
+    if (waiting === undefined || placement?.kind !== "place") return undefined;
+    return { waiting, placement };
   }
 
   #place({ request, since, order }: Waiting, view: PoolView): Placement {
     const { now } = view;
-    const home = request.chat && this.#directory.get(request.chat);
+    const home = request.chat && this.#chats.get(request.chat);
     return place(
       {
         chat: request.chat,
@@ -582,44 +438,10 @@
     return ranked.map((name) => this.#upstreams.get(name)!);
   }
 
-  /** Reads every upstream once, for the decisions of one moment. */
   #view(now: number): PoolView {
     const states = [...this.#upstreams.values()]
       .filter((state) => this.#isInService(state));
-    const inFlights = states.map(({ upstream }) =>
-      this.#shares.inFlightEstimate(upstream.name, now)
-    );
-    const upstreamCount = states.length;
-    const inFlight = inFlights.reduce((sum, each) => sum + each, 1);
-    const meanInFlight = getMeanInFlight({ inFlight, upstreamCount });
-    const upstreams = new Map<string, UpstreamView>();
-    states.forEach((state, index) => {
-      const { upstream, coldStart, service } = state;
-      const cold = coldStart.isCold(now);
-      const capacityLimit = capacityLimitOf({
-        hardLimit: coldStart.limit(now),
-        coldLimit: upstream.coldLimit,
-        cold,
-      });
-      const { loadFactor } = service;
-      const loadLimit = loadLimitOf({
-        loadFactor,
-        meanInFlight,
-        upstreamCount,
-      });
-      const inFlight = inFlights[index]!;
-      const share = this.#shares.roomFor(upstream.name, capacityLimit, now);
-      upstreams.set(upstream.name, {
-        capacityLimit,
-        limit: Math.min(capacityLimit, loadLimit),
-        cold,
-        inFlight,
-        share,
-        room: Math.min(share, loadLimit - inFlight),
-      });
-    });
-    const hasRoom = [...upstreams.values()].some(({ room }) => room > 0);
-    return { now, upstreams, hasRoom };
+    return readPoolView(states, { shares: this.#shares, now });
   }
 
   #isInService(state: UpstreamState | undefined): boolean {
@@ -639,7 +461,7 @@
     const hasBegun = known !== undefined &&
       this.#shares.tryBegin(upstream.name, known.capacityLimit, now);
     if (!hasBegun) {
-      this.#enqueue(waiting, now);
+      this.#queue.add(waiting, now);
       return;
     }
     const { placementLog, metrics, timing } = this.#options;
@@ -713,18 +535,10 @@
     metrics.cachedTokens.inc({ service }, cachedTokens);
     const { chat } = grant.request;
     if (chat === undefined || promptTokens === 0) return;
-    if (this.#directory.get(chat)?.upstream !== state.index) {
-      const upstream = state.upstream.name;
-      this.#changes.note({ chat, upstream, tokens: promptTokens });
-    }
-    this.#directory.set(chat, {
-      upstream: state.index,
-      tokens: promptTokens,
-      usedAt: now / 1_000,
-    });
+    this.#chats.learn(chat, { state, tokens: promptTokens, now });
   }
 
-  #report(message: Message & { kind: "report" }): void {
+  #report(message: PoolMessage & { kind: "report" }): void {
     const state = this.#upstreams.get(message.upstream);
     if (state === undefined) return;
     if (message.isPoll) state.isPollOutstanding = false;
@@ -734,7 +548,7 @@
     const wasLeaving = state.isLeaving;
     const isNew = noteReport(state, report, { askedAt, now });
     if (isNew) {
-      this.#directory.forgetUpstream(state.index);
+      this.#chats.forgetUpstream(state);
       this.#options.log.warn("An upstream has a new incarnation.", {
         upstream: message.upstream,
       });
@@ -748,17 +562,6 @@
     this.#pump();
   }
 
-  /** Drops chats only where the directory still names the upstream. */
-  #forget(upstream: string, { chats, usedBefore }: Evictions): void {
-    const index = this.#upstreams.get(upstream)?.index;
-    for (const chat of chats) {
-      const home = this.#directory.get(chat);
-      if (home === undefined || home.upstream !== index) continue;
-      // The time of the last use is rounded down to whole seconds.
-      if ((home.usedAt + 1) * 1_000 <= usedBefore) this.#directory.forget(chat);
-    }
-  }
-
   #owner(): string | undefined {
     return this.#replicas.find((name) => this.#options.liveness.isLive(name));
   }
@@ -810,15 +613,6 @@
     this.#byIndex.push(created);
   }
 
-  #noteChanges(changes: readonly ChatChange[]): void {
-    const usedAt = this.#options.clock() / MS_PER_SECOND;
-    for (const { chat, upstream: name, tokens } of changes) {
-      const state = this.#upstreams.get(name);
-      if (state === undefined) continue;
-      this.#directory.set(chat, { upstream: state.index, tokens, usedAt });
-    }
-  }
-
   /** Hands the whole directory to the router that owns the pool from now on. */
   #handOverDirectory(): void {
     const owner = this.#owner();
@@ -826,17 +620,8 @@
     const wasOwner = this.#lastOwner === self;
     this.#lastOwner = owner;
     if (!wasOwner || owner === self || owner === undefined) return;
-    for (
-      const [chat, { upstream: index, tokens }] of this.#directory.entries()
-    ) {
-      const upstream = this.#byIndex[index]!.upstream.name;
-      this.#changes.note({ chat, upstream, tokens });
-    }
-    log.info("Hands its directory over.", {
-      pool: this.id,
-      owner,
-      chats: this.#changes.size,
-    });
+    const chats = this.#chats.handOver();
+    log.info("Hands its directory over.", { pool: this.id, owner, chats });
   }
 
   #tick(): void {
@@ -858,11 +643,8 @@
     const owner = this.#owner();
     if (owner === undefined || owner === this.#options.self) return;
     if (this.#loans.heldRanks(now).length > 0) return;
-    for (const id of [...this.#waiting.keys()]) {
-      this.#queue.remove(id);
-      const detail = `${owner} owns ${this.id} now.`;
-      this.#refuseWaiting(id, createRefusal("no-owner", detail));
-    }
+    const detail = `${owner} owns ${this.id} now.`;
+    this.#queue.refuseAll(createRefusal("no-owner", detail));
   }
 
   /** Logs a change of the ranks that this router may use. */
@@ -909,46 +691,6 @@
   }
 }
 
-/** An upstream that is in service, as the decisions of a moment see it. */
-interface UpstreamView {
-  /** What the upstream can bear. */
-  readonly capacityLimit: number;
-  /** The same, and no more than the load factor allows. */
-  readonly limit: number;
-  readonly cold: boolean;
-  readonly inFlight: number;
-  /** Requests that this router's capacity share has left. */
-  readonly share: number;
-  readonly room: number;
-}
-
-/** The upstreams in service at a moment. */
-interface PoolView {
-  readonly now: number;
-  readonly upstreams: ReadonlyMap<string, UpstreamView>;
-  readonly hasRoom: boolean;
-}
-
-function toCandidate(
-  state: UpstreamState,
-  { request, view }: { request: AcquireRequest; view: PoolView },
-): Candidate {
-  const { name, failureDomain } = state.upstream;
-  const known = view.upstreams.get(name);
-  const inFlight = known?.inFlight ?? 0;
-  return {
-    upstream: state.index,
-    room: known?.room ?? 0,
-    inFlight,
-    limit: known?.limit ?? 0,
-    cold: known?.cold ?? true,
-    inService: known !== undefined && !request.excluded.includes(name),
-    failureDomain,
-    msPerPromptToken: state.msPerPromptToken,
-    expectedWaitMs: state.serviceMs / Math.max(1, inFlight),
-  };
-}
-
 const NO_OFFER: Offer = { lends: false };
 
 /** Task names take no slash. */
--- a/src/control/pool_controller_test.ts
+++ b/src/control/pool_controller_test.ts
@@ -167,6 +167,32 @@
   expect((await grant()).upstream.name).toBe("u1");
 });
 
+test("who waits is refused at once when the last upstream goes out", async () => {
+  await start([{ hardLimit: 1, coldLimit: 1 }]);
+  await grant();
+  const asked = ask();
+  await settle();
+  expect(asked.done).toBeUndefined();
+  out.add("u1");
+  await until(() => asked.done !== undefined);
+  expect(asked.done).toMatchObject({
+    err: true,
+    val: { code: "no-capacity", ran: "no" },
+  });
+});
+
+test("who has failed at every upstream is not left in the queue", async () => {
+  await start([{ hardLimit: 1, coldLimit: 1 }]);
+  const first = await grant();
+  const before = ask();
+  const asked = ask({ excluded: ["u1"] });
+  await settle();
+  pool.release(first, { fate: "finished", isOk: true });
+  await until(() => asked.done !== undefined && before.done !== undefined);
+  expect(before.done!.ok).toBe(true);
+  expect(asked.done).toMatchObject({ err: true, val: { code: "no-capacity" } });
+});
+
 test("the cold limit is never passed, whatever ends when", async () => {
   await start([{ coldLimit: 3 }, { coldLimit: 1 }]);
   const limits = new Map([["u1", 3], ["u2", 1]]);
--- a/src/control/pools_controller.ts
+++ b/src/control/pools_controller.ts
@@ -14,7 +14,8 @@
   rankByWeightedRendezvous,
 } from "../policy/rendezvous.ts";
 import type { PoolDirectory, PoolLocation } from "./pool.ts";
-import type { PoolController, PoolSummary } from "./pool_controller.ts";
+import type { PoolController } from "./pool_controller.ts";
+import type { PoolSummary } from "./pool_summary.ts";
 
 /** Most upstreams of a pool on average. */
 const POOL_SIZE = 32;
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -2,7 +2,7 @@
  * Metrics of the daemon, by prom-client.
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import type { PoolSummary } from "../control/pool_controller.ts";
+import type { PoolSummary } from "../control/pool_summary.ts";
 
 /** Every metric of the daemon. */
 export interface Metrics {
--- a/src/daemon/metrics_test.ts
+++ b/src/daemon/metrics_test.ts
@@ -1,4 +1,4 @@
-import type { PoolSummary } from "../control/pool_controller.ts";
+import type { PoolSummary } from "../control/pool_summary.ts";
 import { createMetrics, setUpstreamGauges } from "./metrics.ts";
 
 function pool(owner: string): PoolSummary {
--- a/src/daemon/status.ts
+++ b/src/daemon/status.ts
@@ -3,10 +3,7 @@
  */
 import type { Configuration } from "../config/configuration.ts";
 import type { PeerStatus, PoolStatus, RouterStatus } from "../types_status.ts";
-import type {
-  PoolSummary,
-  UpstreamSummary,
-} from "../control/pool_controller.ts";
+import type { PoolSummary, UpstreamSummary } from "../control/pool_summary.ts";
 
 /** What a status is made of. */
 export interface StatusParts {
