--- /dev/null
+++ b/src/control/heartbeat_test.ts
@@ -0,0 +1,35 @@
+import { parseHeartbeat, renderHeartbeat } from "./heartbeat.ts";
+
+const HEARTBEAT = {
+  sentAt: { incarnation: "1a", at: 1_234 },
+  word: { version: 7, routersVersion: 3, routersInForceMs: 90_000 },
+  isLeaving: false,
+  isReply: true,
+  offers: [{
+    pool: "assistant/0",
+    offer: { echo: { incarnation: "2b", at: 900 }, lends: true },
+  }],
+  returns: [{ pool: "booking/0", stamp: { incarnation: "1a", at: 1_200 } }],
+};
+
+test("a heartbeat comes off the wire as it was", () => {
+  const params = JSON.parse(JSON.stringify(renderHeartbeat(HEARTBEAT)));
+  expect(parseHeartbeat("r2", params)).toEqual({ peer: "r2", ...HEARTBEAT });
+  expect(params).toMatchSnapshot();
+});
+
+test("a time in force without an end is named as a long one", () => {
+  const word = { ...HEARTBEAT.word, routersInForceMs: Infinity };
+  const params = renderHeartbeat({ ...HEARTBEAT, word });
+  expect(parseHeartbeat("r2", JSON.parse(JSON.stringify(params))))
+    .toMatchObject({ word: { routersInForceMs: 1_000_000_000 } });
+});
+
+test.each([
+  ["nothing", undefined],
+  ["too few", ["1a", 1]],
+  ["a time that is none", ["1a", "x", 1, 1, 1, 0, 0, [], []]],
+  ["loans that are none", ["1a", 1, 1, 1, 1, 0, 0, "x", []]],
+])("a heartbeat of %s is dropped", (_name, params) => {
+  expect(parseHeartbeat("r2", params)).toBeUndefined();
+});
--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -1,16 +1,10 @@
 /**
  * Controller of the control connections: dials peers, exchanges heartbeats and
  * keeps the membership.
- *
- * A heartbeat is the notification `hb` with the parameters
- * `[incarnation, sentAt, version, routersVersion, routersInForceMs, isLeaving,
- * isReply, loans, returns]`, where `loans` lists
- * the pools whose rank the sender lends to the receiver.
  */
 import type { Server } from "node:net";
 import type { Log } from "../daemon/log.ts";
 import type { Router } from "../types.ts";
-import type { Offer, Stamp } from "../policy/loans.ts";
 import { createMembership, type Membership } from "../policy/membership.ts";
 import {
   dialPeer,
@@ -22,33 +16,15 @@
 } from "../transport/peer_connection.ts";
 import type { Task, TaskSystem } from "./task.ts";
 import type { PeerWord } from "./configuration_controller.ts";
+import {
+  type Heartbeat,
+  parseHeartbeat,
+  type PoolOffer,
+  type PoolReturn,
+  renderHeartbeat,
+} from "./heartbeat.ts";
 import type { Clock, LivenessView } from "./views.ts";
 
-/** A loan that the sender of a heartbeat makes in one pool. */
-export interface PoolOffer {
-  readonly pool: string;
-  readonly offer: Offer;
-}
-
-/** Loans of one pool that the sender of a heartbeat has given up. */
-export interface PoolReturn {
-  readonly pool: string;
-  readonly stamp: Stamp;
-}
-
-/** A heartbeat as it arrived. */
-export interface Heartbeat {
-  readonly peer: string;
-  /** Process of the peer, and its monotonic time when it was sent. */
-  readonly sentAt: Stamp;
-  readonly word: PeerWord;
-  readonly isLeaving: boolean;
-  /** Whether it answers a heartbeat; a reply is not answered. */
-  readonly isReply: boolean;
-  readonly offers: readonly PoolOffer[];
-  readonly returns: readonly PoolReturn[];
-}
-
 /** What the peers controller needs of the rest of the daemon. */
 export interface PeersHooks {
   /** Collects the offers to each of `peers`, in the same order. */
@@ -126,77 +102,6 @@
   version: number;
 }
 
-type WireHeartbeat = [
-  incarnation: string,
-  sentAt: number,
-  version: number,
-  routersVersion: number,
-  routersInForceMs: number,
-  isLeaving: 0 | 1,
-  isReply: 0 | 1,
-  loans: readonly WireLoan[],
-  returns: readonly WireReturn[],
-];
-
-/** A pool whose loans the sender gave up, and when on its clock. */
-type WireReturn = readonly [pool: string, at: number];
-
-/** A loan with the stamp of the heartbeat that it answers. */
-type WireLoan = readonly [pool: string, incarnation: string, at: number];
-
-/** Longest time in force that a heartbeat names. */
-const MAX_IN_FORCE_MS = 1_000_000_000;
-
-/** Rounds down, so that a loan never ends later than its stamp allows. */
-function roundStamp(at: number): number {
-  return Math.floor(at);
-}
-
-function parseHeartbeat(peer: string, params: unknown): Heartbeat | undefined {
-  if (!Array.isArray(params) || params.length < 9) return undefined;
-  const [
-    incarnation,
-    at,
-    version,
-    routersVersion,
-    inForceMs,
-    leaving,
-    reply,
-    loans,
-    returns,
-  ] = params as unknown as WireHeartbeat;
-  const numbers = [at, version, routersVersion, inForceMs];
-  if (!numbers.every(Number.isFinite)) return undefined;
-  if (
-    typeof incarnation !== "string" || !Array.isArray(loans) ||
-    !Array.isArray(returns)
-  ) {
-    return undefined;
-  }
-  return {
-    peer,
-    sentAt: { incarnation, at },
-    word: { version, routersVersion, routersInForceMs: inForceMs },
-    isLeaving: leaving === 1,
-    isReply: reply === 1,
-    offers: loans.map(toOffer),
-    returns: returns.map(([pool, at]) => ({
-      pool,
-      stamp: { incarnation, at },
-    })),
-  };
-}
-
-function toOffer([pool, incarnation, at]: WireLoan): PoolOffer {
-  return { pool, offer: { echo: { incarnation, at }, lends: true } };
-}
-
-function toWireLoans(offers: readonly PoolOffer[]): WireLoan[] {
-  return offers.flatMap(({ pool, offer: { echo } }) =>
-    echo === undefined ? [] : [[pool, echo.incarnation, echo.at] as const]
-  );
-}
-
 /** Creates a peers controller; `open` starts it. */
 export function createPeersController(options: PeersOptions): PeersController {
   return new SocketPeersController(options);
@@ -492,18 +397,14 @@
     },
   ): void {
     const { hooks, incarnation, clock } = this.#options;
-    const word = hooks.getWord();
-    const params: WireHeartbeat = [
-      incarnation,
-      roundStamp(clock()),
-      word.version,
-      word.routersVersion,
-      Math.min(MAX_IN_FORCE_MS, Math.floor(word.routersInForceMs)),
-      this.#isLeaving ? 1 : 0,
-      isReply ? 1 : 0,
-      toWireLoans(offers),
-      this.#returns.map(({ pool, stamp }) => [pool, stamp.at] as const),
-    ];
+    const params = renderHeartbeat({
+      sentAt: { incarnation, at: clock() },
+      word: hooks.getWord(),
+      isLeaving: this.#isLeaving,
+      isReply,
+      offers,
+      returns: this.#returns,
+    });
     connection.notify("hb", params);
   }
 
--- a/src/control/peers_controller_test.ts
+++ b/src/control/peers_controller_test.ts
@@ -4,9 +4,9 @@
 import { createRelay, type Relay } from "../../testing/relay.ts";
 import { SILENT_LOG } from "../daemon/log.ts";
 import type { Router } from "../types.ts";
+import type { Heartbeat } from "./heartbeat.ts";
 import {
   createPeersController,
-  type Heartbeat,
   type PeersController,
 } from "./peers_controller.ts";
 import { createTaskSystem, type TaskSystem } from "./task.ts";
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,9 +4,10 @@
 import { randomBytes, randomUUID } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import type { Server } from "node:http";
-import type { Manifest, Service, Upstream } from "../config/manifest.ts";
+import type { Upstream } from "../config/manifest.ts";
 import { createConfigurationStore } from "../config/configuration_store.ts";
 import type { Configuration } from "../config/configuration.ts";
+import { createManifestIndex } from "../config/manifest_index.ts";
 import type { Settings } from "../config/settings.ts";
 import {
   type CacheEventsController,
@@ -32,12 +33,10 @@
   type OrdersController,
 } from "../control/orders_controller.ts";
 import { createWeightSlots } from "../control/orders_controller_slots.ts";
+import type { Heartbeat, PoolOffer, PoolReturn } from "../control/heartbeat.ts";
 import {
   createPeersController,
-  type Heartbeat,
   type PeersController,
-  type PoolOffer,
-  type PoolReturn,
 } from "../control/peers_controller.ts";
 import { createPoolController } from "../control/pool_controller.ts";
 import {
@@ -143,7 +142,7 @@
   readonly #registry: RegistryController;
   readonly #orders: OrdersController;
   readonly #cacheEvents: CacheEventsController;
-  #index = createIndex(undefined);
+  #index = createManifestIndex(undefined);
 
   constructor(options: DaemonOptions & { hash: Hash }) {
     const { settings } = options;
@@ -436,7 +435,7 @@
 
   #configured(configuration: Configuration, previous: Configuration): void {
     this.#metrics.configurationVersion.set(configuration.version);
-    this.#index = createIndex(configuration.manifest);
+    this.#index = createManifestIndex(configuration.manifest);
     this.#workspaceLimits.setRouters(configuration.routers.length);
     const hasGap = hasRoutersGap(configuration, previous);
     this.#pools.configure(configuration, { hasGap });
@@ -632,27 +631,6 @@
   }
 }
 
-/** Look-ups into a manifest that every request needs. */
-interface ManifestIndex {
-  readonly services: ReadonlyMap<string, Service>;
-  readonly upstreams: ReadonlyMap<string, Upstream>;
-  readonly workspaces: ReadonlyMap<string, Manifest["workspaces"][number]>;
-}
-
-function createIndex(manifest: Manifest | undefined): ManifestIndex {
-  const services = manifest?.services ?? [];
-  const workspaces = manifest?.workspaces ?? [];
-  return {
-    services: new Map(services.map((each) => [each.name, each])),
-    upstreams: new Map(
-      services.flatMap(({ upstreams }) =>
-        upstreams.map((each) => [each.name, each] as const)
-      ),
-    ),
-    workspaces: new Map(workspaces.map((each) => [each.key, each])),
-  };
-}
-
 function sleep(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
