End a stop while a caller holds half a request

Cause: closing a server ends Node's checks of head and request timeouts, so that a connection with half a request, or with none yet, kept the server from ever closing: the stop did not end in 15 s with both, and the router had to be killed. Now connections without an open answer are closed, the others once their answer is written out.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -74,7 +74,11 @@
 import { createForwardHandler } from "../transport/forward_server.ts";
 import { forwardTokenOf } from "../transport/handshake.ts";
 import { createHttpClient, type HttpClient } from "../transport/http_client.ts";
-import { listenForHttp, type ServerLimits } from "../transport/http_server.ts";
+import {
+  createServerCloser,
+  listenForHttp,
+  type ServerLimits,
+} from "../transport/http_server.ts";
 import type { Router } from "../types.ts";
 import type { Explanation, RouterStatus } from "../types_status.ts";
 import { renderStatus } from "./status.ts";
@@ -259,11 +263,7 @@
   }
 
   #ownServer(name: string, server: Server): void {
-    this.#lifeCycle.own(name, () =>
-      new Promise<void>((resolve) => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
-      }));
+    this.#lifeCycle.own(name, createServerCloser(server));
   }
 
   #handleBreaches(): void {
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -10,6 +10,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { Err, Ok, type Result } from "ts-results";
 import { createRefusal, type Refusal } from "../diagnostics.ts";
 import type { Outcome } from "../filters/exchange.ts";
@@ -56,6 +57,39 @@
   });
 }
 
+/** Ends a server whose requests have all been answered. */
+export type ServerCloser = () => Promise<void>;
+
+/**
+ * Prepares the end of `server`: connections close once their answers are
+ * written out, and those without a whole request at once. Node stops to time
+ * these out when it closes a server.
+ */
+export function createServerCloser(server: Server): ServerCloser {
+  const open = new Map<Socket, number>();
+  let isClosing = false;
+  function closeIfIdle(socket: Socket): void {
+    if (isClosing && open.get(socket) === 0) socket.destroy();
+  }
+  server.on("connection", (socket) => {
+    open.set(socket, 0);
+    socket.once("close", () => open.delete(socket));
+  });
+  server.prependListener("request", ({ socket }, response) => {
+    open.set(socket, (open.get(socket) ?? 0) + 1);
+    response.once("close", () => {
+      open.set(socket, (open.get(socket) ?? 1) - 1);
+      closeIfIdle(socket);
+    });
+  });
+  return () =>
+    new Promise((resolve) => {
+      isClosing = true;
+      server.close(() => resolve());
+      for (const socket of open.keys()) closeIfIdle(socket);
+    });
+}
+
 /** Reads the whole body, or refuses it. */
 export async function readBody(
   request: IncomingMessage,
