--- a/src/control/peers_controller_test.ts
+++ b/src/control/peers_controller_test.ts
@@ -87,6 +87,7 @@
     tasks,
     hooks: {
       collectOffers: (names) => Promise.resolve(names.map(() => [])),
+      onChats: () => {},
       onHeartbeat: (heartbeat) => heard.push(heartbeat),
       onRequest: (method, params) => {
         requests.push([method, params]);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -19,6 +19,10 @@
   hasRoutersGap,
   type PeerWord,
 } from "../control/configuration_controller.ts";
+import {
+  createDirectoriesController,
+  type DirectoriesController,
+} from "../control/directories_controller.ts";
 import {
   createHostsController,
   type HostsController,
@@ -56,10 +60,11 @@
 import { LimitsFilter } from "../filters/limits_filter.ts";
 import { LocateFilter } from "../filters/locate_filter.ts";
 import { ServiceFilter } from "../filters/service_filter.ts";
-import { UpstreamFilter } from "../filters/upstream_filter.ts";
+import { scopeChat, UpstreamFilter } from "../filters/upstream_filter.ts";
 import { WorkspaceFilter } from "../filters/workspace_filter.ts";
 import { createEtcdKeyValue } from "../platform/etcd_key_value.ts";
 import { createHttpHostList } from "../platform/host_list.ts";
+import { createFailoverKeyValue } from "../platform/failover_key_value.ts";
 import type { KeyValue } from "../platform/key_value.ts";
 import { createHttpWeightStore } from "../platform/weight_store.ts";
 import type { ChatHash } from "../policy/chat_directory.ts";
@@ -86,7 +91,7 @@
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
 import { createLogFactory, type LogFactory } from "./log.ts";
 import { createMetrics, type Metrics, setUpstreamGauges } from "./metrics.ts";
-import { createAdminHandler } from "./admin.ts";
+import { type ChatQuestion, createAdminHandler } from "./admin.ts";
 
 /** Options of a daemon. */
 export interface DaemonOptions {
@@ -132,9 +137,12 @@
   readonly #workspaceLimits = createWorkspaceLimits();
   readonly #client: HttpClient;
   readonly #keyValue: KeyValue;
+  /** The same service for the records of calls, whose bytes count apart. */
+  readonly #records: KeyValue;
   readonly #configuration: ConfigurationController;
   readonly #peers: PeersController;
   readonly #pools: PoolsController;
+  readonly #directories: DirectoriesController;
   readonly #hosts: HostsController;
   readonly #registry: RegistryController;
   readonly #orders: OrdersController;
@@ -160,7 +168,8 @@
     this.#client = createHttpClient({
       connectTimeoutMs: settings.timing.transitMs / 2,
     });
-    this.#keyValue = this.#createKeyValue();
+    this.#keyValue = this.#createKeyValue("key-value");
+    this.#records = this.#createKeyValue("records");
     const store = createConfigurationStore({ keyValue: this.#keyValue });
     this.#configuration = createConfigurationController({
       keyValue: this.#keyValue,
@@ -178,6 +187,10 @@
       createPool: (id) => this.#createPool(id),
     });
     this.#peers = this.#createPeers();
+    this.#directories = createDirectoriesController({
+      pools: this.#pools,
+      peers: this.#peers,
+    });
     const hostList = createHttpHostList({
       address: settings.platform.hostList,
       onBytes: this.#counterOf("host-list"),
@@ -219,6 +232,8 @@
     this.#registry.open();
     this.#lifeCycle.own("registry", () => this.#registry.close());
     this.#lifeCycle.own("pools", () => this.#pools.close());
+    this.#directories.open();
+    this.#lifeCycle.own("directories", () => this.#directories.close());
     this.#orders.open();
     this.#lifeCycle.own("orders", () => this.#orders.close());
     this.#cacheEvents.open();
@@ -246,6 +261,7 @@
       log.error("A part did not close.", { name, cause: String(cause) });
     }
     await this.#keyValue.close();
+    await this.#records.close();
     await this.#client.close();
     this.#tasks.close();
     log.info("The router has stopped.");
@@ -280,12 +296,13 @@
     };
   }
 
-  #createKeyValue(): KeyValue {
-    const [address] = this.#settings.platform.keyValue;
-    return createEtcdKeyValue({
-      address: address!,
-      onBytes: this.#counterOf("key-value"),
-    });
+  /** `kind` names the bytes of this client in the metrics. */
+  #createKeyValue(kind: string): KeyValue {
+    const onBytes = this.#counterOf(kind);
+    const { keyValue } = this.#settings.platform;
+    return createFailoverKeyValue(
+      keyValue.map((address) => createEtcdKeyValue({ address, onBytes })),
+    );
   }
 
   #createOrders(): OrdersController {
@@ -304,6 +321,7 @@
     return createOrdersController({
       ...shared,
       self: this.#self.name,
+      holder: `${this.#self.name}#${this.#incarnation}`,
       slots: createWeightSlots({ ...shared, weightStore }),
       orders: createUpstreamOrders({
         client: this.#client,
@@ -350,6 +368,7 @@
       hooks: {
         collectOffers: (peers) => this.#collectOffers(peers),
         onHeartbeat: (heartbeat) => this.#heard(heartbeat),
+        onChats: (params) => this.#directories.receive(params),
         onRequest: (_method, params) => {
           const { after } = params as { after: number };
           const text = this.#configuration.renderFor(after);
@@ -463,9 +482,9 @@
   #createOwnerFilters() {
     return [
       new IdempotencyFilter({
-        keyValue: this.#keyValue,
+        keyValue: this.#records,
         retention: createRetentionLease({
-          keyValue: this.#keyValue,
+          keyValue: this.#records,
           clock: this.#clock,
         }),
         router: `${this.#self.name}#${this.#incarnation}`,
@@ -562,7 +581,7 @@
       refreshMetrics: () => this.#refreshMetrics(),
       isReady: () => this.#isReady(),
       getStatus: () => this.#getStatus(),
-      explain: (service, chat) => this.#explain(service, chat),
+      explain: (chat) => this.#explain(chat),
     });
   }
 
@@ -584,25 +603,31 @@
     });
   }
 
-  #explain(name: string, chat: string): Explanation | undefined {
-    const service = this.#index.services.get(name);
-    if (service === undefined) return undefined;
+  #explain({ chat, ...names }: ChatQuestion): Explanation | undefined {
+    const service = this.#index.services.get(names.service);
+    const { manifest } = this.#configuration.current();
+    const isWorkspace = manifest?.workspaces
+      .some(({ name }) => name === names.workspace);
+    if (service === undefined || !isWorkspace) return undefined;
     const { pool, replicas } = this.#pools.locate(service, chat);
     const owner = replicas.find((each) => this.#peers.isLive(each)) ?? null;
     const explained = this.#pools.getController(pool)?.explain(
-      this.#hashChat(chat),
+      this.#hashChat(scopeChat(names.workspace, chat)),
     );
     const order = (explained?.order ?? []).map((upstream, rank) => ({
       upstream,
       reason: `number ${rank + 1} in rendezvous order`,
     }));
     const home = explained?.home;
-    return { pool, owner, order, ...(home !== undefined && { home }) };
+    const router = this.#self.name;
+    return { router, pool, owner, order, ...(home !== undefined && { home }) };
   }
 
   #isReady(): boolean {
     const { manifest, routers } = this.#configuration.current();
     if (manifest === undefined || this.#peers.isLeaving()) return false;
+    const unconfirmedMs = this.#clock() - this.#configuration.confirmedAt();
+    if (unconfirmedMs > this.#settings.timing.holdDownMs) return false;
     return routers.length > 0;
   }
 }
--- a/src/transport/peer_connection.ts
+++ b/src/transport/peer_connection.ts
@@ -48,6 +48,8 @@
 /** An authenticated connection to one peer. */
 export interface PeerConnection {
   readonly peer: string;
+  /** Whether this router opened the connection. */
+  readonly isDialed: boolean;
   notify(method: string, params: unknown): void;
   request(method: string, params: unknown, timeoutMs: number): Promise<unknown>;
   close(): void;
@@ -57,9 +59,7 @@
 /** Methods of the protocol that are calls; the others are notifications. */
 export const CALL_METHODS = ["config.read"] as const;
 /** Methods of the protocol that expect no answer. */
-export const NOTIFICATION_METHODS = [
-  "hb",
-] as const;
+export const NOTIFICATION_METHODS = ["hb", "chats"] as const;
 
 interface Hello {
   readonly name: string;
@@ -74,6 +74,7 @@
 
 class SocketPeer implements PeerConnection {
   peer = "";
+  isDialed = false;
   readonly #socket: Socket;
   readonly #rpc: JSONRPCServerAndClient;
   readonly #options: PeerOptions;
@@ -110,6 +111,7 @@
    * the connection is open then.
    */
   async proveAsClient(): Promise<boolean> {
+    this.isDialed = true;
     const { name, key } = this.#options;
     const clientNonce = createNonce();
     const welcome = await this.#rpc.request("hello", {
