Refuse a hold-down that a late heartbeat would outlast

With hold_down_ms = 1000 the configuration counts as unconfirmed after 900 ms, less than the 1 s between two heartbeats, and a router stops admitting in between. The settings now name it.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -168,6 +168,11 @@
     const message = "must be below liveness_ms";
     clashes.push({ section: "timing", key: "heartbeat_ms", message });
   }
+  // A heartbeat that comes late must not leave the configuration unconfirmed.
+  if (timing.holdDownMs < 2 * timing.heartbeatMs + timing.driftMs) {
+    const message = "must be above twice heartbeat_ms and drift_ms";
+    clashes.push({ section: "timing", key: "hold_down_ms", message });
+  }
   if (timing.heartbeatMs >= timing.loanMs) {
     const message = "must be below loan_ms";
     clashes.push({ section: "timing", key: "heartbeat_ms", message });
--- a/src/config/settings_test.ts
+++ b/src/config/settings_test.ts
@@ -70,6 +70,10 @@
     "r.ini:17: [timing] heartbeat_ms must be below liveness_ms",
     "r.ini:17: [timing] heartbeat_ms must be below loan_ms",
   ]);
+  expect(readFaults(WHOLE + "[timing]\nhold_down_ms = 1000")).toEqual([
+    "r.ini:16: [timing] hold_down_ms must be above twice heartbeat_ms and " +
+    "drift_ms",
+  ]);
   expect(readFaults(WHOLE.replace(/key = ".*"/, ""))).toEqual([
     "r.ini:13: [fleet] key is missing, and so is key_file",
   ]);
