Count requests in flight in one place, and move the log below what logs

The servers for callers and for forwards each wrapped their handler in the same way. The log stood in the daemon's directory, though every layer uses it.

--- a/src/control/cache_events_controller.ts
+++ b/src/control/cache_events_controller.ts
@@ -7,7 +7,7 @@
  * however busy the engines are: the busier, the larger the part that is
  * skipped.
  */
-import type { Log } from "../daemon/log.ts";
+import type { Log } from "../log.ts";
 import type { ChatHash } from "../policy/chat_directory.ts";
 import {
   chooseAfter,
--- a/src/control/cache_events_controller_test.ts
+++ b/src/control/cache_events_controller_test.ts
@@ -1,7 +1,7 @@
 import { Engine } from "../../testing/engine.ts";
 import { CacheEvents } from "../../testing/engine_cache_events.ts";
 import type { Service, Upstream } from "../config/manifest.ts";
-import { SILENT_LOG } from "../daemon/log.ts";
+import { SILENT_LOG } from "../log.ts";
 import { createMetrics } from "../daemon/metrics.ts";
 import type { ChatHash } from "../policy/chat_directory.ts";
 import { createHttpClient } from "../transport/http_client.ts";
--- a/src/control/configuration_controller_test.ts
+++ b/src/control/configuration_controller_test.ts
@@ -4,7 +4,7 @@
 } from "../config/configuration.ts";
 import { encodeConfiguration } from "../config/configuration_codec.ts";
 import { createConfigurationStore } from "../config/configuration_store.ts";
-import { SILENT_LOG } from "../daemon/log.ts";
+import { SILENT_LOG } from "../log.ts";
 import { PlatformFailure } from "../platform/key_value.ts";
 import { MemoryKeyValue } from "../platform/testing/memory_key_value.ts";
 import {
--- a/src/control/hosts_controller.ts
+++ b/src/control/hosts_controller.ts
@@ -2,7 +2,7 @@
  * Controller of the platform's host list: reads it from time to time and says
  * which hosts are leaving.
  */
-import type { Log } from "../daemon/log.ts";
+import type { Log } from "../log.ts";
 import type { HostList } from "../platform/host_list.ts";
 import type { Task, TaskSystem } from "./task.ts";
 import type { HostView } from "./views.ts";
--- a/src/control/orders_controller.ts
+++ b/src/control/orders_controller.ts
@@ -3,7 +3,7 @@
  * adapters of the manifest's models, a few engines at a time.
  */
 import type { Manifest, Model } from "../config/manifest.ts";
-import type { Log } from "../daemon/log.ts";
+import type { Log } from "../log.ts";
 import { getHolderKey, type Order } from "../policy/order_fencing_record.ts";
 import { type EngineTimes, OrderedEngine } from "./orders_controller_engine.ts";
 import {
--- a/src/control/orders_controller_test.ts
+++ b/src/control/orders_controller_test.ts
@@ -4,7 +4,7 @@
 import { Engine } from "../../testing/engine.ts";
 import { Orders } from "../../testing/engine_orders.ts";
 import type { Manifest, Upstream } from "../config/manifest.ts";
-import { SILENT_LOG } from "../daemon/log.ts";
+import { SILENT_LOG } from "../log.ts";
 import { PlatformFailure } from "../platform/key_value.ts";
 import { MemoryKeyValue } from "../platform/testing/memory_key_value.ts";
 import { SLOT_PREFIX } from "../policy/weight_rate.ts";
--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -3,7 +3,7 @@
  * keeps the membership.
  */
 import type { Server } from "node:net";
-import type { Log } from "../daemon/log.ts";
+import type { Log } from "../log.ts";
 import type { Router } from "../types.ts";
 import { createMembership, type Membership } from "../policy/membership.ts";
 import {
--- a/src/control/peers_controller_test.ts
+++ b/src/control/peers_controller_test.ts
@@ -2,7 +2,7 @@
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 import { createRelay, type Relay } from "../../testing/relay.ts";
-import { SILENT_LOG } from "../daemon/log.ts";
+import { SILENT_LOG } from "../log.ts";
 import type { Router } from "../types.ts";
 import type { Heartbeat } from "./heartbeat.ts";
 import {
--- a/src/control/pool_controller.ts
+++ b/src/control/pool_controller.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { Err, Ok, type Result } from "ts-results";
 import type { Service, Upstream } from "../config/manifest.ts";
-import type { Log } from "../daemon/log.ts";
+import type { Log } from "../log.ts";
 import type { Metrics } from "../daemon/metrics.ts";
 import {
   createRefusal,
--- a/src/control/pool_controller_test.ts
+++ b/src/control/pool_controller_test.ts
@@ -1,7 +1,7 @@
 import type { Result } from "ts-results";
 import type { Service, Upstream } from "../config/manifest.ts";
 import { EMPTY_CONFIGURATION } from "../config/configuration.ts";
-import { SILENT_LOG } from "../daemon/log.ts";
+import { SILENT_LOG } from "../log.ts";
 import { createMetrics } from "../daemon/metrics.ts";
 import type { Refusal } from "../diagnostics.ts";
 import { createService, createUpstream } from "../filters/testing/fakes.ts";
--- a/src/control/registry_controller_test.ts
+++ b/src/control/registry_controller_test.ts
@@ -5,7 +5,7 @@
   EMPTY_CONFIGURATION,
 } from "../config/configuration.ts";
 import { createConfigurationStore } from "../config/configuration_store.ts";
-import { SILENT_LOG } from "../daemon/log.ts";
+import { SILENT_LOG } from "../log.ts";
 import { PlatformFailure } from "../platform/key_value.ts";
 import { MemoryKeyValue } from "../platform/testing/memory_key_value.ts";
 import type { Router } from "../types.ts";
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -71,10 +71,8 @@
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import { createRetryBudget } from "../policy/retry_budget.ts";
 import { createWorkspaceLimits } from "../policy/workspace_limits.ts";
-import {
-  createCallerHandler,
-  createInFlight,
-} from "../transport/caller_server.ts";
+import { createCallerHandler } from "../transport/caller_server.ts";
+import { createInFlight } from "../transport/in_flight.ts";
 import { createForwardHandler } from "../transport/forward_server.ts";
 import { forwardTokenOf } from "../transport/handshake.ts";
 import { createHttpClient, type HttpClient } from "../transport/http_client.ts";
@@ -88,7 +86,7 @@
 import { renderStatus } from "./status.ts";
 import { createLoadPoller } from "./load_poller.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
-import { createLogFactory, type LogFactory } from "./log.ts";
+import { createLogFactory, type LogFactory } from "../log.ts";
 import { createMetrics, type Metrics, setUpstreamGauges } from "./metrics.ts";
 import { type ChatQuestion, createAdminHandler } from "./admin.ts";
 
--- a/src/daemon/testing/local_fleet.ts
+++ b/src/daemon/testing/local_fleet.ts
@@ -28,7 +28,7 @@
 import { readSettings } from "../../config/settings.ts";
 import type { RouterStatus } from "../../types_status.ts";
 import { type Daemon, startDaemon } from "../daemon.ts";
-import { type LogFields, SILENT_LOG } from "../log.ts";
+import { type LogFields, SILENT_LOG } from "../../log.ts";
 
 /** Options of a fleet. */
 export interface LocalFleetOptions {
--- a/src/filters/idempotency_filter.ts
+++ b/src/filters/idempotency_filter.ts
@@ -11,7 +11,7 @@
 import type { Result } from "ts-results";
 import type { RetentionLease } from "../control/retention_lease.ts";
 import type { Clock } from "../control/views.ts";
-import type { Log } from "../daemon/log.ts";
+import type { Log } from "../log.ts";
 import { createRefusal } from "../diagnostics.ts";
 import type {
   ConditionalWrite,
--- a/src/filters/idempotency_filter_test.ts
+++ b/src/filters/idempotency_filter_test.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import fc from "fast-check";
 import { createRetentionLease } from "../control/retention_lease.ts";
-import { SILENT_LOG } from "../daemon/log.ts";
+import { SILENT_LOG } from "../log.ts";
 import { createRefusal } from "../diagnostics.ts";
 import { PlatformFailure } from "../platform/key_value.ts";
 import { MemoryKeyValue } from "../platform/testing/memory_key_value.ts";
--- a/src/filters/locate_filter.ts
+++ b/src/filters/locate_filter.ts
@@ -5,7 +5,7 @@
 import { Buffer } from "node:buffer";
 import type { PoolDirectory } from "../control/pool.ts";
 import type { Clock, LivenessView } from "../control/views.ts";
-import type { Log } from "../daemon/log.ts";
+import type { Log } from "../log.ts";
 import {
   createRefusal,
   type DiagnosticCode,
--- a/src/filters/locate_filter_test.ts
+++ b/src/filters/locate_filter_test.ts
@@ -1,4 +1,4 @@
-import { SILENT_LOG } from "../daemon/log.ts";
+import { SILENT_LOG } from "../log.ts";
 import { createRefusal } from "../diagnostics.ts";
 import { renderProblem } from "../transport/problem.ts";
 import { type Exchange, type Outcome, refused } from "./exchange.ts";
--- a/src/filters/upstream_filter.ts
+++ b/src/filters/upstream_filter.ts
@@ -5,7 +5,7 @@
 import { Buffer } from "node:buffer";
 import type { AttemptEnd, Grant, Pool } from "../control/pool.ts";
 import type { Clock } from "../control/views.ts";
-import type { Log } from "../daemon/log.ts";
+import type { Log } from "../log.ts";
 import { createRefusal, type Refusal } from "../diagnostics.ts";
 import type { ChatHash } from "../policy/chat_directory.ts";
 import {
--- a/src/filters/upstream_filter_test.ts
+++ b/src/filters/upstream_filter_test.ts
@@ -1,4 +1,4 @@
-import { SILENT_LOG } from "../daemon/log.ts";
+import { SILENT_LOG } from "../log.ts";
 import type { OutgoingRequest } from "../transport/http_client.ts";
 import type { Exchange, Outcome } from "./exchange.ts";
 import {
--- a/src/transport/caller_server.ts
+++ b/src/transport/caller_server.ts
@@ -6,7 +6,7 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "../control/views.ts";
-import type { Log } from "../daemon/log.ts";
+import type { Log } from "../log.ts";
 import type { Metrics } from "../daemon/metrics.ts";
 import { createRefusal } from "../diagnostics.ts";
 import {
@@ -15,6 +15,7 @@
   type Outcome,
   refused,
 } from "../filters/exchange.ts";
+import { createCountedHandler, type InFlight } from "./in_flight.ts";
 import { readBody, type ServerLimits, writeOutcome } from "./http_server.ts";
 
 /** Options of the handler. */
@@ -28,39 +29,6 @@
   readonly inFlight: InFlight;
 }
 
-/** Counts what is in flight and tells when it has reached zero. */
-export interface InFlight {
-  readonly count: number;
-  begin(): void;
-  end(): void;
-  /** Resolves once nothing is in flight. */
-  idle(): Promise<void>;
-}
-
-/** Creates a count of zero. */
-export function createInFlight(): InFlight {
-  let count = 0;
-  let waiting: (() => void)[] = [];
-  return {
-    get count() {
-      return count;
-    },
-    begin() {
-      count++;
-    },
-    end() {
-      count--;
-      if (count > 0) return;
-      for (const resolve of waiting) resolve();
-      waiting = [];
-    },
-    idle() {
-      if (count === 0) return Promise.resolve();
-      return new Promise((resolve) => waiting.push(resolve));
-    },
-  };
-}
-
 /** Creates an exchange around an HTTP request. */
 export function createExchange(
   request: IncomingMessage,
@@ -161,16 +129,5 @@
     }
   }
 
-  return function handle(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): void {
-    inFlight.begin();
-    serve(request, response)
-      .catch((cause) => {
-        log.error("An answer failed.", { cause: String(cause) });
-        response.destroy();
-      })
-      .finally(() => inFlight.end());
-  };
+  return createCountedHandler(serve, { inFlight, log });
 }
--- a/src/transport/forward_server.ts
+++ b/src/transport/forward_server.ts
@@ -6,7 +6,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "../control/views.ts";
 import type { Service, Workspace } from "../config/manifest.ts";
-import type { Log } from "../daemon/log.ts";
+import type { Log } from "../log.ts";
 import { createRefusal } from "../diagnostics.ts";
 import {
   type Exchange,
@@ -20,7 +20,8 @@
   REFUSAL_HEADER,
 } from "../filters/locate_filter.ts";
 import { isTokenStream } from "../filters/stream_answer.ts";
-import { createExchange, type InFlight, watchCaller } from "./caller_server.ts";
+import { createExchange, watchCaller } from "./caller_server.ts";
+import { createCountedHandler, type InFlight } from "./in_flight.ts";
 import {
   FORWARD_TOKEN_HEADER,
   parseForwardHeaders,
@@ -140,18 +141,7 @@
     await writeOutcome(response, { ...outcome, body }, requestId);
   }
 
-  return function handle(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): void {
-    inFlight.begin();
-    serve(request, response)
-      .catch((cause) => {
-        log.error("A forwarded request failed.", { cause: String(cause) });
-        response.destroy();
-      })
-      .finally(() => inFlight.end());
-  };
+  return createCountedHandler(serve, { inFlight, log });
 }
 
 /**
--- a/src/transport/forward_server_test.ts
+++ b/src/transport/forward_server_test.ts
@@ -1,8 +1,8 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { request } from "undici";
-import { SILENT_LOG } from "../daemon/log.ts";
-import { createInFlight } from "./caller_server.ts";
+import { SILENT_LOG } from "../log.ts";
+import { createInFlight } from "./in_flight.ts";
 import { createForwardHandler } from "./forward_server.ts";
 
 let server: Server;
