Share the result of one try between the two filters that repeat

Both described an outcome or a failure that another try may mend, and the bound of an answer that is held back, in the same words.

--- a/src/filters/exchange.ts
+++ b/src/filters/exchange.ts
@@ -26,6 +26,19 @@
     readonly body: AsyncIterable<Uint8Array>;
   };
 
+/** What one try at a request led to, where another may follow. */
+export type TryResult =
+  | { readonly kind: "outcome"; readonly outcome: Outcome }
+  | {
+    readonly kind: "failed";
+    readonly refusal: Refusal;
+    /** Whether the request can't have run in this try. */
+    readonly isNotRun: boolean;
+  };
+
+/** Largest answer that is held back until it is whole, in bytes. */
+export const MAX_WHOLE_ANSWER_BYTES = 1_048_576;
+
 /** A request; the filters fill in what they find out. */
 export interface Exchange {
   readonly requestId: string;
--- a/src/filters/locate_filter.ts
+++ b/src/filters/locate_filter.ts
@@ -27,8 +27,10 @@
   type Exchange,
   type Filter,
   type FilterChain,
+  MAX_WHOLE_ANSWER_BYTES,
   type Outcome,
   refused,
+  type TryResult,
 } from "./exchange.ts";
 import { cancelAttempt } from "./cancel_attempt.ts";
 import { isTokenStream, streamAnswer } from "./stream_answer.ts";
@@ -58,14 +60,6 @@
   onRequest(): void;
 }
 
-type ForwardResult =
-  | { readonly kind: "outcome"; readonly outcome: Outcome }
-  | {
-    readonly kind: "failed";
-    readonly refusal: Refusal;
-    readonly isNotRun: boolean;
-  };
-
 const MAX_HOPS = 2;
 const MAX_TRIES = 3;
 /** How long the ingress waits past the deadline for the owner's refusal. */
@@ -76,7 +70,6 @@
 const SUSPECT_MS = 3_000;
 /** Interval of the keep-alive comments on forwarded streams. */
 export const FORWARD_KEEP_ALIVE_MS = 1_000;
-const MAX_WHOLE_BYTES = 1_048_576;
 
 /** Serves a request at the owner of its pool. */
 export class LocateFilter implements Filter {
@@ -172,7 +165,7 @@
     });
   }
 
-  async #forward(exchange: Exchange, target: string): Promise<ForwardResult> {
+  async #forward(exchange: Exchange, target: string): Promise<TryResult> {
     const { findRouter, client, clock, forwardToken: token } = this.#options;
     const router = findRouter(target);
     if (router === undefined) return unreachable(target);
@@ -196,7 +189,7 @@
     return await this.#answered(exchange, sent.val);
   }
 
-  #forwardFailed(exchange: Exchange, failure: SendFailure): ForwardResult {
+  #forwardFailed(exchange: Exchange, failure: SendFailure): TryResult {
     this.#options.log.warn("A forward got no answer.", {
       requestId: exchange.requestId,
       kind: failure.kind,
@@ -209,14 +202,14 @@
   async #answered(
     exchange: Exchange,
     answer: IncomingAnswer,
-  ): Promise<ForwardResult> {
+  ): Promise<TryResult> {
     if (answer.headers[REFUSAL_HEADER] !== undefined) {
       return await this.#refusedByOwner(exchange, answer);
     }
     const headers = copyAnswerHeaders(answer.headers);
     const isEvents = isTokenStream(exchange.service!, answer.headers);
     const length = headers["content-length"];
-    if (length !== undefined && Number(length) <= MAX_WHOLE_BYTES) {
+    if (length !== undefined && Number(length) <= MAX_WHOLE_ANSWER_BYTES) {
       return await this.#whole(exchange, { answer, headers });
     }
     const { client } = this.#options;
@@ -258,7 +251,7 @@
       answer: IncomingAnswer;
       headers: Record<string, string | string[]>;
     },
-  ): Promise<ForwardResult> {
+  ): Promise<TryResult> {
     try {
       const body = Buffer.from(await answer.body.arrayBuffer());
       const { status } = answer;
@@ -274,7 +267,7 @@
   async #refusedByOwner(
     exchange: Exchange,
     answer: IncomingAnswer,
-  ): Promise<ForwardResult> {
+  ): Promise<TryResult> {
     exchange.isCallChecked ||= answer.headers[CALL_CHECKED_HEADER] === "1";
     const refusal = await readRefusal(answer);
     if (refusal === undefined) {
@@ -289,7 +282,7 @@
   }
 }
 
-function unreachable(router: string): ForwardResult {
+function unreachable(router: string): TryResult {
   const refusal = createRefusal("no-owner", `${router} can't be reached.`);
   return { kind: "failed", refusal, isNotRun: true };
 }
--- a/src/filters/upstream_filter.ts
+++ b/src/filters/upstream_filter.ts
@@ -21,8 +21,10 @@
 import {
   type Exchange,
   type Filter,
+  MAX_WHOLE_ANSWER_BYTES,
   type Outcome,
   refused,
+  type TryResult,
 } from "./exchange.ts";
 import { cancelAttempt } from "./cancel_attempt.ts";
 import { isTokenStream, streamAnswer } from "./stream_answer.ts";
@@ -46,19 +48,7 @@
   readonly sentAt: number;
 }
 
-/** What an attempt led to: an outcome, or a failure that a retry may mend. */
-type AttemptResult =
-  | { readonly kind: "outcome"; readonly outcome: Outcome }
-  | {
-    readonly kind: "failed";
-    readonly refusal: Refusal;
-    /** Whether the upstream can't have run it. */
-    readonly isNotRun: boolean;
-  };
-
 const MAX_ATTEMPTS = 2;
-/** Largest answer that is held back until it is whole. */
-const MAX_WHOLE_BYTES = 1_048_576;
 const NOT_RUN_STATUS = 503;
 
 /** Sends requests to the upstreams of this router's pools. */
@@ -125,7 +115,7 @@
   async #attempt(
     exchange: Exchange,
     { pool, grant }: { pool: Pool; grant: Grant },
-  ): Promise<AttemptResult | undefined> {
+  ): Promise<TryResult | undefined> {
     const { clock, client } = this.#options;
     // Read last, right before the request is sent.
     if (!pool.isUsable(grant)) {
@@ -166,7 +156,7 @@
   #failed(
     exchange: Exchange,
     { attempt, failure }: { attempt: Attempt; failure: SendFailure },
-  ): AttemptResult {
+  ): TryResult {
     const { grant } = attempt;
     const isNotRun = failure.kind === "not-sent";
     this.#options.log.warn("An attempt got no answer.", {
@@ -192,7 +182,7 @@
   async #answered(
     exchange: Exchange,
     { attempt, answer }: { attempt: Attempt; answer: IncomingAnswer },
-  ): Promise<AttemptResult> {
+  ): Promise<TryResult> {
     const { grant, pool } = attempt;
     const report = parseLoadHeaders(answer.headers);
     if (report !== undefined) {
@@ -217,7 +207,7 @@
   async #passOn(
     exchange: Exchange,
     { attempt, answer }: { attempt: Attempt; answer: IncomingAnswer },
-  ): Promise<AttemptResult> {
+  ): Promise<TryResult> {
     const { grant } = attempt;
     const headers = copyAnswerHeaders(answer.headers);
     headers["x-upstream"] = grant.upstream.name;
@@ -278,7 +268,7 @@
       headers: Record<string, string | string[]>;
       end: AttemptEnd;
     },
-  ): Promise<AttemptResult> {
+  ): Promise<TryResult> {
     try {
       const body = Buffer.from(await answer.body.arrayBuffer());
       this.#release(attempt, end);
@@ -326,7 +316,7 @@
 function isSmall({ headers }: IncomingAnswer): boolean {
   const length = headers["content-length"];
   if (length === undefined) return false;
-  return Number(length) <= MAX_WHOLE_BYTES;
+  return Number(length) <= MAX_WHOLE_ANSWER_BYTES;
 }
 
 function unclearRefusal(exchange: Exchange): Refusal {
