Take a call for abandoned only after 10 s of its router's silence

Cause: a repeat that found the record of another router's attempt judged that router by its liveness for ownership. The records are judged by silence alone now, with 10 s; after a kill a repeat gets in-progress for that long. The peers' test holds that a router which leaves is still heard.

--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -79,6 +79,8 @@
     call: { method: string; params: unknown; timeoutMs: number },
   ): Promise<unknown>;
   connectedPeers(): readonly string[];
+  /** Time since a peer was heard, milliseconds; infinite before the first. */
+  silenceOf(peer: string): number;
   status(): readonly PeerStatus[];
   close(): void;
 }
@@ -185,6 +187,13 @@
       .map(([name]) => name);
   }
 
+  silenceOf(peer: string): number {
+    const state = this.#peers.get(peer);
+    return state === undefined
+      ? Infinity
+      : this.#options.clock() - state.heardAt;
+  }
+
   status(): readonly PeerStatus[] {
     return [...this.#peers].map(([name, peer]) => ({
       name,
--- a/src/control/peers_controller_test.ts
+++ b/src/control/peers_controller_test.ts
@@ -192,4 +192,7 @@
   await until(() => one.heard.length > length + 2);
   expect(one.peers.isLive("r2")).toBe(false);
   expect(two.peers.isLive("r2")).toBe(false);
+  // What it has begun it still ends, so that a repeat has to wait for it.
+  expect(one.peers.silenceOf("r2")).toBeLessThan(Infinity);
+  expect(one.peers.silenceOf("r9")).toBe(Infinity);
 });
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -104,6 +104,8 @@
 }
 
 const INCARNATION_BYTES = 4;
+/** Silence of a router after which the calls that it had begun are given up. */
+const ABANDONED_AFTER_MS = 10_000;
 /** Retries a minute of a router that serves few requests. */
 const RETRY_FLOOR = 10;
 const CONFIG_READ_TIMEOUT_MS = 2_000;
@@ -505,7 +507,8 @@
   #isAlive(router: string): boolean {
     const [name, incarnation] = router.split("#");
     if (name === this.#self.name) return incarnation === this.#incarnation;
-    return this.#peers.isLive(name!);
+    // One that leaves, or was silent for a moment, still ends what it began.
+    return this.#peers.silenceOf(name!) <= ABANDONED_AFTER_MS;
   }
 
   #createLocateFilter(): LocateFilter {
