--- a/src/control/peers_controller_test.ts
+++ b/src/control/peers_controller_test.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
+import { findFreeAddress } from "../../testing/free_address.ts";
 import { createRelay, type Relay } from "../../testing/relay.ts";
 import { SILENT_LOG } from "../log.ts";
 import type { Router } from "../types.ts";
@@ -39,15 +40,6 @@
   await Promise.all(opened.map(({ relay }) => relay.close()));
 });
 
-async function findFreeAddress(): Promise<string> {
-  const server = createServer().listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, "close");
-  return `127.0.0.1:${port}`;
-}
-
 function createRouter(name: string): Router {
   const address = "127.0.0.1:1";
   return {
--- a/src/daemon/testing/local_fleet.ts
+++ b/src/daemon/testing/local_fleet.ts
@@ -5,14 +5,14 @@
  * proposal and no hold-down stand between a test and its first request.
  */
 import { Buffer } from "node:buffer";
-import { connect, createServer } from "node:net";
-import type { AddressInfo } from "node:net";
+import { connect } from "node:net";
 import { Readable } from "node:stream";
 import { text } from "node:stream/consumers";
 import { stringify } from "ini";
 import { Agent, request } from "undici";
 import { Engine, type EngineOptions } from "../../../testing/engine.ts";
 import { Operator } from "../../../testing/fleet_operator.ts";
+import { findFreeAddress } from "../../../testing/free_address.ts";
 import { createHostListServer } from "../../../testing/host_list_server.ts";
 import {
   createKeyValueServer,
@@ -110,16 +110,6 @@
   "hold_down_ms": 15_000,
 };
 
-async function findFreeAddress(): Promise<string> {
-  const server = createServer();
-  await new Promise<void>((resolve) =>
-    server.listen(0, "127.0.0.1", () => resolve())
-  );
-  const { port } = server.address() as AddressInfo;
-  await new Promise<void>((resolve) => server.close(() => resolve()));
-  return `127.0.0.1:${port}`;
-}
-
 /** Waits until `check` holds. */
 export async function until(
   check: () => boolean | Promise<boolean>,
--- a/testing/fleet_ports.ts
+++ b/testing/fleet_ports.ts
@@ -36,7 +36,8 @@
   return free.every((each) => each);
 }
 
-function isFree(port: number): Promise<boolean> {
+/** Tells whether a port of the loopback address can be bound. */
+export function isFree(port: number): Promise<boolean> {
   return new Promise((resolve) => {
     const server = createServer();
     server.once("error", () => resolve(false));
