--- a/src/cli/session.ts
+++ b/src/cli/session.ts
@@ -7,8 +7,8 @@
   createConfigurationStore,
 } from "../config/configuration_store.ts";
 import { SNAPSHOT_HEAD_KEY } from "../config/configuration_snapshot.ts";
-import { createEtcdKeyValue } from "../platform/etcd_key_value.ts";
-import type { KeyValue } from "../platform/key_value.ts";
+import { createEtcdKeyValue } from "../store/etcd_key_value.ts";
+import type { KeyValue } from "../store/key_value.ts";
 import { CommandFailure, toReadFailure } from "./command_failure.ts";
 
 /** An open connection to the configuration store. */
--- a/src/config/configuration_commit.ts
+++ b/src/config/configuration_commit.ts
@@ -2,7 +2,7 @@
  * Writes one entry of the configuration log and learns whether it was written.
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Item, KeyValue, PlatformFailure } from "../platform/key_value.ts";
+import type { Item, KeyValue, PlatformFailure } from "../store/key_value.ts";
 import type { Entry } from "./configuration.ts";
 import { decodeLogItem, encodeEntry } from "./configuration_codec.ts";
 import { entryKey } from "./configuration_log.ts";
--- a/src/config/configuration_compaction.ts
+++ b/src/config/configuration_compaction.ts
@@ -8,7 +8,7 @@
   Item,
   KeyValue,
   PlatformFailure,
-} from "../platform/key_value.ts";
+} from "../store/key_value.ts";
 import { encodeCompacted } from "./configuration_codec.ts";
 import type { Configuration } from "./configuration.ts";
 import { entryKey } from "./configuration_log.ts";
--- a/src/config/configuration_reader.ts
+++ b/src/config/configuration_reader.ts
@@ -3,7 +3,7 @@
  * shorter, then the entries after it.
  */
 import { Err, Ok, type Result } from "ts-results/result";
-import type { Item, KeyValue, PlatformFailure } from "../platform/key_value.ts";
+import type { Item, KeyValue, PlatformFailure } from "../store/key_value.ts";
 import { decodeLogItem, type LogItem } from "./configuration_codec.ts";
 import type { Configuration, Entry } from "./configuration.ts";
 import { applyEntry, entryKey, LOG_PREFIX } from "./configuration_log.ts";
--- a/src/config/configuration_store.ts
+++ b/src/config/configuration_store.ts
@@ -8,7 +8,7 @@
 import { Buffer } from "node:buffer";
 import { randomUUID } from "node:crypto";
 import { Err, Ok, type Result } from "ts-results/result";
-import type { KeyValue } from "../platform/key_value.ts";
+import type { KeyValue } from "../store/key_value.ts";
 import {
   type Change,
   type Configuration,
--- a/src/config/configuration_store_test.ts
+++ b/src/config/configuration_store_test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
-import { PlatformFailure } from "../platform/key_value.ts";
-import { MemoryKeyValue } from "../platform/testing/memory_key_value.ts";
+import { PlatformFailure } from "../store/key_value.ts";
+import { MemoryKeyValue } from "../store/testing/memory_key_value.ts";
 import { type Change, EMPTY_CONFIGURATION } from "./configuration.ts";
 import { decodeLogItem } from "./configuration_codec.ts";
 import { applyEntry, entryKey, LOG_PREFIX } from "./configuration_log.ts";
--- a/src/control/configuration_controller.ts
+++ b/src/control/configuration_controller.ts
@@ -18,7 +18,7 @@
 import type { ConfigurationStore } from "../config/configuration_store.ts";
 import type { Log } from "../log.ts";
 import * as Debug from "../debug.ts";
-import type { KeyValue, Watch, WatchEvent } from "../platform/key_value.ts";
+import type { KeyValue, Watch, WatchEvent } from "../store/key_value.ts";
 import type { Task, TaskSystem } from "./task.ts";
 import type { Clock, ConfigurationView } from "./views.ts";
 
--- a/src/control/configuration_controller_test.ts
+++ b/src/control/configuration_controller_test.ts
@@ -5,8 +5,8 @@
 import { encodeConfiguration } from "../config/configuration_codec.ts";
 import { createConfigurationStore } from "../config/configuration_store.ts";
 import { SILENT_LOG } from "../log.ts";
-import { PlatformFailure } from "../platform/key_value.ts";
-import { MemoryKeyValue } from "../platform/testing/memory_key_value.ts";
+import { PlatformFailure } from "../store/key_value.ts";
+import { MemoryKeyValue } from "../store/testing/memory_key_value.ts";
 import {
   type ConfigurationController,
   createConfigurationController,
--- a/src/control/hosts_controller.ts
+++ b/src/control/hosts_controller.ts
@@ -3,7 +3,7 @@
  * which hosts are leaving.
  */
 import type { Log } from "../log.ts";
-import type { HostList } from "../platform/host_list.ts";
+import type { HostList } from "../store/host_list.ts";
 import type { Task, TaskSystem } from "./task.ts";
 import type { HostView } from "./views.ts";
 
--- a/src/control/orders_controller_run.ts
+++ b/src/control/orders_controller_run.ts
@@ -9,7 +9,7 @@
   ConditionalWrite,
   KeyValue,
   PlatformFailure,
-} from "../platform/key_value.ts";
+} from "../store/key_value.ts";
 import { startOrder, stepOrder } from "../policy/order_fencing.ts";
 import {
   type OrderAttempt,
--- a/src/control/orders_controller_slots.ts
+++ b/src/control/orders_controller_slots.ts
@@ -2,8 +2,8 @@
  * Claims fetches from the weight store's rate; see `policy/weight_rate.ts`.
  */
 import type { Result } from "ts-results/result";
-import type { KeyValue, PlatformFailure } from "../platform/key_value.ts";
-import type { WeightStore } from "../platform/weight_store.ts";
+import type { KeyValue, PlatformFailure } from "../store/key_value.ts";
+import type { WeightStore } from "../store/weight_store.ts";
 import {
   type Claim,
   type ClaimEffect,
--- a/src/control/orders_controller_test.ts
+++ b/src/control/orders_controller_test.ts
@@ -5,8 +5,8 @@
 import { Orders } from "../../testing/engine_orders.ts";
 import type { Manifest, Upstream } from "../config/manifest.ts";
 import { SILENT_LOG } from "../log.ts";
-import { PlatformFailure } from "../platform/key_value.ts";
-import { MemoryKeyValue } from "../platform/testing/memory_key_value.ts";
+import { PlatformFailure } from "../store/key_value.ts";
+import { MemoryKeyValue } from "../store/testing/memory_key_value.ts";
 import { SLOT_PREFIX } from "../policy/weight_rate.ts";
 import { createHttpClient } from "../transport/http_client.ts";
 import {
--- a/src/control/registry_controller.ts
+++ b/src/control/registry_controller.ts
@@ -10,7 +10,7 @@
 import { Value } from "@sinclair/typebox/value";
 import type { ConfigurationStore } from "../config/configuration_store.ts";
 import type { Log } from "../log.ts";
-import type { KeyValue } from "../platform/key_value.ts";
+import type { KeyValue } from "../store/key_value.ts";
 import type { Router } from "../types.ts";
 import type { Task, TaskSystem } from "./task.ts";
 import type { Clock, ConfigurationView } from "./views.ts";
--- a/src/control/registry_controller_test.ts
+++ b/src/control/registry_controller_test.ts
@@ -6,8 +6,8 @@
 } from "../config/configuration.ts";
 import { createConfigurationStore } from "../config/configuration_store.ts";
 import { SILENT_LOG } from "../log.ts";
-import { PlatformFailure } from "../platform/key_value.ts";
-import { MemoryKeyValue } from "../platform/testing/memory_key_value.ts";
+import { PlatformFailure } from "../store/key_value.ts";
+import { MemoryKeyValue } from "../store/testing/memory_key_value.ts";
 import type { Router } from "../types.ts";
 import {
   createRegistryController,
--- a/src/control/retention_lease.ts
+++ b/src/control/retention_lease.ts
@@ -6,7 +6,7 @@
  * hour, not one for each record, and its death ends no record early.
  */
 import { Ok, type Result } from "ts-results";
-import type { KeyValue, PlatformFailure } from "../platform/key_value.ts";
+import type { KeyValue, PlatformFailure } from "../store/key_value.ts";
 import type { Clock } from "./views.ts";
 
 /** Options of the lease. */
--- a/src/filters/idempotency_filter.ts
+++ b/src/filters/idempotency_filter.ts
@@ -18,7 +18,7 @@
   Item,
   KeyValue,
   PlatformFailure,
-} from "../platform/key_value.ts";
+} from "../store/key_value.ts";
 import { startAttempt, stepAttempt } from "../policy/idempotency.ts";
 import type {
   Attempt,
--- a/src/policy/idempotency_attempt.ts
+++ b/src/policy/idempotency_attempt.ts
@@ -7,7 +7,7 @@
   type DiagnosticCode,
   type Refusal,
 } from "../diagnostics.ts";
-import type { Item, PlatformFailureKind } from "../platform/key_value.ts";
+import type { Item, PlatformFailureKind } from "../store/key_value.ts";
 import type { Ran } from "../types.ts";
 import { type Answer, type Call, tryDecodeCall } from "./idempotency_record.ts";
 
--- a/src/policy/idempotency_claim.ts
+++ b/src/policy/idempotency_claim.ts
@@ -3,7 +3,7 @@
  * record, or answering from the record of another attempt.
  */
 import * as Debug from "../debug.ts";
-import type { Item } from "../platform/key_value.ts";
+import type { Item } from "../store/key_value.ts";
 import {
   type Attempt,
   conclude,
--- a/src/policy/idempotency_outcome.ts
+++ b/src/policy/idempotency_outcome.ts
@@ -3,7 +3,7 @@
  * removing the record of an attempt that was not sent.
  */
 import * as Debug from "../debug.ts";
-import type { Item } from "../platform/key_value.ts";
+import type { Item } from "../store/key_value.ts";
 import {
   type Attempt,
   type Effect,
--- a/src/policy/idempotency_test.ts
+++ b/src/policy/idempotency_test.ts
@@ -3,7 +3,7 @@
 import { startAttempt, stepAttempt } from "./idempotency.ts";
 import type { Attempt, Effect, Input, Step } from "./idempotency_attempt.ts";
 import type { Ran } from "../types.ts";
-import type { Item } from "../platform/key_value.ts";
+import type { Item } from "../store/key_value.ts";
 import {
   createAnswer,
   encodeCall,
--- a/src/policy/order_fencing.ts
+++ b/src/policy/order_fencing.ts
@@ -22,7 +22,7 @@
  * time that it takes to arrive and to be carried out.
  */
 import * as Debug from "../debug.ts";
-import type { Item } from "../platform/key_value.ts";
+import type { Item } from "../store/key_value.ts";
 import {
   call,
   createOrderAttempt,
--- a/src/policy/order_fencing_attempt.ts
+++ b/src/policy/order_fencing_attempt.ts
@@ -2,7 +2,7 @@
  * State, inputs and effects of an order to an upstream, and the steps that its
  * phases have in common.
  */
-import type { Item, PlatformFailureKind } from "../platform/key_value.ts";
+import type { Item, PlatformFailureKind } from "../store/key_value.ts";
 import type { Holder, Order } from "./order_fencing_record.ts";
 
 /** How an order ended. */
--- a/src/policy/order_fencing_test.ts
+++ b/src/policy/order_fencing_test.ts
@@ -1,5 +1,5 @@
 import * as fc from "fast-check";
-import type { Item } from "../platform/key_value.ts";
+import type { Item } from "../store/key_value.ts";
 import { startOrder, stepOrder } from "./order_fencing.ts";
 import type {
   OrderAttempt,
--- a/src/policy/weight_rate.ts
+++ b/src/policy/weight_rate.ts
@@ -28,7 +28,7 @@
  * Assumed: the rate does not change. After it was lowered, claims under the old
  * rate may stand for one more lease.
  */
-import type { PlatformFailureKind } from "../platform/key_value.ts";
+import type { PlatformFailureKind } from "../store/key_value.ts";
 
 /** Options of a claim; times are in milliseconds. */
 export interface WeightRateOptions {
--- a/testing/fleet_operator.ts
+++ b/testing/fleet_operator.ts
@@ -11,8 +11,8 @@
   createConfigurationStore,
 } from "../src/config/configuration_store.ts";
 import type { Manifest } from "../src/config/manifest.ts";
-import { createEtcdKeyValue } from "../src/platform/etcd_key_value.ts";
-import type { KeyValue } from "../src/platform/key_value.ts";
+import { createEtcdKeyValue } from "../src/store/etcd_key_value.ts";
+import type { KeyValue } from "../src/store/key_value.ts";
 
 /** A change was not committed. */
 export class OperatorError extends Error {
