--- /dev/null
+++ b/src/control/routing_controller.ts
@@ -0,0 +1,350 @@
+/**
+ * Controller of the routing state: follows the metadata store and owns what the
+ * router believes of the configuration, the upstreams, the failure domains and
+ * its fellow routers.
+ */
+import type { Log } from "../log.ts";
+import type {
+  MetadataStore,
+  StoreSnapshot,
+} from "../platform/metadata_store.ts";
+import { Confirmation } from "../policy/confirmation.ts";
+import { RouteTable } from "../policy/route_table.ts";
+import { UpstreamDirectory } from "../policy/upstream_directory.ts";
+import type {
+  Instant,
+  RoutingConfiguration,
+  StoreChange,
+  UpstreamEntry,
+} from "../routing/types.ts";
+import type { PlatformFailure } from "../store/key_value.ts";
+import type { Task, TaskSystem } from "./task.ts";
+
+/** What the router believes; one writer, read in the moment of a decision. */
+export interface RoutingView {
+  /** The configuration in force; undefined before the first. */
+  table(): RouteTable | undefined;
+  readonly directory: UpstreamDirectory;
+  /** Age of the configuration in milliseconds. */
+  ageAt(now: Instant): number;
+  /** Whether API keys may still be trusted. */
+  isTrustedAt(now: Instant): boolean;
+  /** Names of the routers of the fleet, this one included. */
+  routers(): readonly string[];
+}
+
+/** Follows the store. */
+export interface RoutingController extends RoutingView {
+  open(): void;
+  close(): Promise<void>;
+}
+
+/** Options of the controller. */
+export interface RoutingOptions {
+  /** Name of this router. */
+  readonly self: string;
+  readonly store: MetadataStore;
+  readonly now: () => Instant;
+  readonly log: Log;
+  readonly tasks: TaskSystem;
+  /** Bound on the use of a key after it was taken away, in milliseconds. */
+  readonly revocationMs: number;
+  /** Interval of an upstream's writes, in milliseconds. */
+  readonly heartbeatMs: number;
+  /** Called after the configuration has changed. */
+  readonly onConfiguration?: (configuration: RoutingConfiguration) => void;
+  /** Called when an upstream's process is new. */
+  readonly onNewUpstream?: (entry: UpstreamEntry) => void;
+  /** Called after the number of routers has changed. */
+  readonly onRouters?: (count: number) => void;
+  /** Called with each call to the store and whether it was answered. */
+  readonly onCall?: (isAnswered: boolean) => void;
+}
+
+/**
+ * Pause between two polls, in milliseconds. A poll, its pause and a lost call
+ * stay well within the bound on leaving upstreams (2 s).
+ */
+const POLL_PAUSE_MS = 600;
+/** Pause after a call that failed, in milliseconds. */
+const RETRY_PAUSE_MS = 250;
+/** Pause between two renewals of the registration, in milliseconds. */
+const RENEWAL_MS = 2_500;
+/** Heartbeats after which a domain's upstreams have said whether they are cold. */
+const COLD_WORD_HEARTBEATS = 2;
+
+type Message = "poll" | "renew";
+
+class StoreFollower implements RoutingController {
+  readonly directory = new UpstreamDirectory();
+  readonly #options: RoutingOptions;
+  readonly #confirmation: Confirmation;
+  readonly #routers = new Set<string>();
+  readonly #poller: Task<Message>;
+  readonly #registrar: Task<Message>;
+  #table: RouteTable | undefined;
+  #revision: number | undefined;
+  #lease: string | undefined;
+  #isReachable = true;
+  #isClosed = false;
+  #pollTimer: NodeJS.Timeout | undefined;
+  #renewTimer: NodeJS.Timeout | undefined;
+
+  constructor(options: RoutingOptions) {
+    this.#options = options;
+    const { revocationMs, tasks, log } = options;
+    this.#confirmation = new Confirmation({ revocationMs });
+    function onFailure(cause: unknown): void {
+      log.error("A message failed.", { cause: String(cause) });
+    }
+    this.#poller = tasks.spawn<Message>("store-poller", {
+      handle: () => this.#poll(),
+      onFailure,
+    });
+    this.#registrar = tasks.spawn<Message>("registrar", {
+      handle: () => this.#renew(),
+      onFailure,
+    });
+  }
+
+  open(): void {
+    this.#poller.send("poll");
+    this.#registrar.send("renew");
+  }
+
+  async close(): Promise<void> {
+    this.#isClosed = true;
+    clearTimeout(this.#pollTimer);
+    clearTimeout(this.#renewTimer);
+    this.#poller.stop();
+    this.#registrar.stop();
+    if (this.#lease === undefined) return;
+    const ended = await this.#options.store.deregister(this.#lease);
+    if (ended.ok) return;
+    const { message } = ended.val;
+    this.#options.log.warn("The registration is left to lapse.", {
+      cause: message,
+    });
+  }
+
+  table(): RouteTable | undefined {
+    return this.#table;
+  }
+
+  ageAt(now: Instant): number {
+    return this.#confirmation.ageAt(now);
+  }
+
+  isTrustedAt(now: Instant): boolean {
+    return this.#confirmation.isTrustedAt(now);
+  }
+
+  routers(): readonly string[] {
+    return [...this.#routers];
+  }
+
+  async #poll(): Promise<void> {
+    let pauseMs = RETRY_PAUSE_MS;
+    try {
+      const isAnswered = await this.#readChanges();
+      if (isAnswered) pauseMs = POLL_PAUSE_MS;
+    } finally {
+      if (!this.#isClosed) {
+        this.#pollTimer = setTimeout(
+          () => this.#poller.send("poll"),
+          pauseMs,
+        );
+      }
+    }
+  }
+
+  /** Reads what is new; false where the store must be asked again soon. */
+  async #readChanges(): Promise<boolean> {
+    const { store } = this.#options;
+    if (this.#revision === undefined) {
+      const snapshot = await store.readAll();
+      if (snapshot.err) return this.#lost(snapshot.val);
+      this.#answered();
+      this.#takeSnapshot(snapshot.val);
+      return true;
+    }
+    const poll = await store.poll(this.#revision);
+    if (poll.err) return this.#lost(poll.val);
+    this.#answered();
+    if (poll.val.kind === "compacted") {
+      this.#options.log.warn("The store has dropped its history.", {
+        revision: this.#revision,
+      });
+      this.#revision = undefined;
+      return false;
+    }
+    const { changes, revision, sentAt } = poll.val;
+    for (const change of changes) this.#apply(change);
+    this.#revision = revision;
+    if (sentAt !== undefined) {
+      this.#confirmation.confirm(sentAt);
+      return true;
+    }
+    // The watch has missed changes: only a snapshot tells them.
+    this.#options.log.warn("A poll skipped revisions.", { revision });
+    this.#revision = undefined;
+    return false;
+  }
+
+  #lost(failure: PlatformFailure): false {
+    const { log, now, onCall } = this.#options;
+    onCall?.(false);
+    this.directory.noteStoreAway();
+    if (this.#isReachable) {
+      log.warn("The metadata store is lost.", {
+        cause: failure.message,
+        ageMs: Math.round(this.ageAt(now())),
+      });
+    }
+    this.#isReachable = false;
+    return false;
+  }
+
+  #answered(): void {
+    const { log, now, onCall } = this.#options;
+    onCall?.(true);
+    this.directory.noteStoreAnswered(now().steady);
+    if (!this.#isReachable) {
+      log.info("The metadata store is regained.", {
+        ageMs: Math.round(this.ageAt(now())),
+      });
+    }
+    this.#isReachable = true;
+  }
+
+  #takeSnapshot({ changes, revision, sentAt }: StoreSnapshot): void {
+    const { log, now } = this.#options;
+    const upstreams = new Set<string>();
+    const domainsOut = new Set<string>();
+    const routers = new Set<string>();
+    for (const change of changes) {
+      if (change.kind === "upstream") upstreams.add(change.entry.id);
+      if (change.kind === "domain-out") domainsOut.add(change.failureDomain);
+      if (change.kind === "router") routers.add(change.name);
+      this.#apply(change);
+    }
+    this.directory.retainOnly(upstreams, now().steady);
+    for (const failureDomain of this.directory.domainsOut) {
+      if (domainsOut.has(failureDomain)) continue;
+      this.#apply({ kind: "domain-back", failureDomain });
+    }
+    for (const name of this.#routers) {
+      if (!routers.has(name)) this.#apply({ kind: "router-gone", name });
+    }
+    this.#revision = revision;
+    // A snapshot without a configuration confirms none.
+    if (this.#table !== undefined) this.#confirmation.confirm(sentAt);
+    log.info("Took a snapshot of the store.", {
+      revision,
+      upstreams: upstreams.size,
+      routers: routers.size,
+      version: this.#table?.configuration.version,
+    });
+  }
+
+  #apply(change: StoreChange): void {
+    const { log, now, self } = this.#options;
+    const { steady } = now();
+    switch (change.kind) {
+      case "configuration":
+        this.#takeConfiguration(change.configuration);
+        break;
+      case "upstream":
+        this.#takeUpstream(change.entry, steady);
+        break;
+      case "upstream-gone":
+        log.info("An upstream's entry is gone.", { upstream: change.id });
+        this.directory.remove(change.id, steady);
+        break;
+      case "domain-out":
+        log.info("A failure domain is out of service.", { ...change });
+        this.directory.takeOut(change.failureDomain);
+        break;
+      case "domain-back":
+        log.info("A failure domain is back in service.", { ...change });
+        this.#bringBack(change.failureDomain, steady);
+        break;
+      case "router":
+        this.#routers.add(change.name);
+        this.#options.onRouters?.(this.#routers.size);
+        break;
+      case "router-gone":
+        if (change.name !== self) this.#routers.delete(change.name);
+        this.#options.onRouters?.(this.#routers.size);
+        break;
+      case "unreadable":
+        log.warn("An item of the store can't be read.", { ...change });
+        break;
+    }
+  }
+
+  #takeConfiguration(configuration: RoutingConfiguration): void {
+    const previous = this.#table?.configuration.version;
+    if (previous !== undefined && configuration.version <= previous) return;
+    this.#table = new RouteTable(configuration);
+    this.#options.log.info("A configuration is in force.", {
+      version: configuration.version,
+      previous,
+      routes: configuration.routes.length,
+    });
+    this.#options.onConfiguration?.(configuration);
+  }
+
+  #takeUpstream(entry: UpstreamEntry, now: number): void {
+    const { log, onNewUpstream } = this.#options;
+    const previous = this.directory.find(entry.id)?.entry;
+    const isNew = this.directory.put(entry, now);
+    if (isNew) onNewUpstream?.(entry);
+    const isCold = entry.coldLeftMs > 0;
+    const wasCold = (previous?.coldLeftMs ?? 0) > 0;
+    if (!isNew && previous?.state === entry.state && isCold === wasCold) return;
+    log.info("An upstream has changed.", {
+      upstream: entry.id,
+      service: entry.service,
+      failureDomain: entry.failureDomain,
+      state: entry.state,
+      coldLeftMs: entry.coldLeftMs,
+      bornAt: entry.bornAt,
+    });
+  }
+
+  /** Its upstreams may be cold, which their next heartbeat says. */
+  #bringBack(failureDomain: string, now: number): void {
+    this.directory.bringBack(failureDomain);
+    const until = now + COLD_WORD_HEARTBEATS * this.#options.heartbeatMs;
+    this.directory.noteDomainRestarted(failureDomain, until);
+  }
+
+  async #renew(): Promise<void> {
+    const { store, self, log } = this.#options;
+    try {
+      if (this.#lease !== undefined) {
+        const renewed = await store.renew(this.#lease);
+        if (renewed.err || renewed.val) return;
+        log.warn("The registration has lapsed.", { lease: this.#lease });
+        this.#lease = undefined;
+      }
+      const registered = await store.register(self);
+      if (registered.ok) this.#lease = registered.val;
+    } finally {
+      if (!this.#isClosed) {
+        this.#renewTimer = setTimeout(
+          () => this.#registrar.send("renew"),
+          RENEWAL_MS,
+        );
+      }
+    }
+  }
+}
+
+/** Creates the controller; `open` starts it. */
+export function createRoutingController(
+  options: RoutingOptions,
+): RoutingController {
+  return new StoreFollower(options);
+}
--- /dev/null
+++ b/src/daemon/ingress_daemon.ts
@@ -0,0 +1,362 @@
+/**
+ * Wires a router that finds its fleet in a metadata store and places requests
+ * at the ingress; owns its start and its stop.
+ */
+import type {
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerResponse,
+} from "node:http";
+import { createServer } from "node:http";
+import { monitorEventLoopDelay, performance } from "node:perf_hooks";
+import process from "node:process";
+import type { IngressSettings } from "../config/ingress_settings.ts";
+import {
+  createRoutingController,
+  type RoutingController,
+} from "../control/routing_controller.ts";
+import { createTaskSystem, type TaskSystem } from "../control/task.ts";
+import { createFilterChain } from "../filters/exchange.ts";
+import { RequestBodyFilter } from "../ingress/body_filter.ts";
+import { ForwardFilter } from "../ingress/forward_filter.ts";
+import type {
+  IngressExchange,
+  IngressOutcome,
+} from "../ingress/ingress_exchange.ts";
+import {
+  createIngressMetrics,
+  type IngressMetrics,
+} from "../ingress/ingress_metrics.ts";
+import { createIngressHandler } from "../ingress/ingress_server.ts";
+import { KeyFilter } from "../ingress/key_filter.ts";
+import { Placement } from "../ingress/placement.ts";
+import { RouteFilter } from "../ingress/route_filter.ts";
+import { createLogFactory, type LogFactory } from "../log.ts";
+import { createLogWriter, type LogWriter } from "../log_writer.ts";
+import { createMetadataStore } from "../platform/metadata_store.ts";
+import { READY_PATH } from "../platform/names.ts";
+import { findUnreadyReason } from "../policy/readiness.ts";
+import { type Hash, loadHash } from "../policy/rendezvous.ts";
+import { createRetryBudget, type RetryBudget } from "../policy/retry_budget.ts";
+import type { Instant, RoutingConfiguration } from "../routing/types.ts";
+import { answerClientErrors } from "../transport/client_error.ts";
+import { createInFlight } from "../transport/in_flight.ts";
+import { parseAddress } from "../transport/peer_connection.ts";
+import { createUpstreamConnections } from "../transport/upstream_connections.ts";
+import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
+
+/** Options of the daemon. */
+export interface IngressDaemonOptions {
+  readonly settings: IngressSettings;
+  readonly logs?: LogFactory;
+}
+
+/** A running router. */
+export interface IngressDaemon {
+  /** Stops gracefully: finishes what is in flight, then closes. */
+  stop(): Promise<void>;
+  /** Takes settings over that may change while the router runs. */
+  reload(settings: IngressSettings): void;
+  /** Notes that the settings can't be used; those in force stay. */
+  rejectReload(faults: string): void;
+}
+
+/**
+ * Time after a stop began in which new connections may still come, in
+ * milliseconds: the balancer asks once a second and believes the second answer.
+ */
+const DRAIN_MS = 3_200;
+/** Part of the grace time that is left to end the process, in milliseconds. */
+const EXIT_MARGIN_MS = 500;
+/** Pause between two looks at the readiness, in milliseconds. */
+const READINESS_LOOK_MS = 500;
+/** Limits of callers before the first configuration, in milliseconds. */
+const HEADER_TIMEOUT_MS = 3_000;
+const IDLE_TIMEOUT_MS = 15_000;
+const MAX_HEADER_BYTES = 32_768;
+/** Share of the fleet's retry budget that is used; counts are per router. */
+const RETRY_SHARE = 0.9;
+const MS_PER_SECOND = 1_000;
+const NS_PER_SECOND = 1e9;
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+
+/** Starts a router; resolves once it listens. */
+export async function startIngressDaemon(
+  options: IngressDaemonOptions,
+): Promise<IngressDaemon> {
+  const hash = await loadHash();
+  const daemon = new IngressRouterDaemon({ ...options, hash });
+  await daemon.open();
+  return daemon;
+}
+
+function readClocks(): Instant {
+  return { steady: performance.now(), wall: Date.now() };
+}
+
+function readSteadyClock(): number {
+  return performance.now();
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(parseAddress(address), () => resolve());
+  });
+}
+
+class IngressRouterDaemon implements IngressDaemon {
+  readonly #settings: IngressSettings;
+  #bounds: IngressSettings["bounds"];
+  readonly #writer: LogWriter;
+  readonly #logs: LogFactory;
+  readonly #lifeCycle: LifeCycle = createLifeCycle();
+  readonly #tasks: TaskSystem = createTaskSystem();
+  readonly #metrics: IngressMetrics = createIngressMetrics();
+  readonly #inFlight = createInFlight();
+  readonly #retries: RetryBudget;
+  readonly #routing: RoutingController;
+  readonly #placement: Placement;
+  readonly #connections;
+  readonly #callers: Server;
+  readonly #loopDelay = monitorEventLoopDelay();
+  #stopsAt = Infinity;
+  #unreadyReason: string | undefined = "no-configuration";
+
+  constructor(
+    { settings, logs, hash }: IngressDaemonOptions & { hash: Hash },
+  ) {
+    const { router, bounds, store: { address } } = settings;
+    this.#settings = settings;
+    this.#bounds = bounds;
+    this.#writer = createLogWriter({
+      stream: process.stdout,
+      clock: readSteadyClock,
+      linesPerSecond: settings.log.linesPerS,
+      renderDropped: (count) =>
+        JSON.stringify({
+          at: new Date().toISOString(),
+          level: "warn",
+          router: router.name,
+          message: "daemon: Log lines were dropped.",
+          count,
+        }),
+    });
+    this.#logs = logs ?? createLogFactory({
+      router: router.name,
+      level: settings.log.level,
+      write: (line) => this.#writer.write(line),
+    });
+    this.#retries = createRetryBudget({
+      ratio: bounds.retryRatio * RETRY_SHARE,
+      windowMs: bounds.retryWindowS * MS_PER_SECOND,
+      slack: bounds.retrySlack * RETRY_SHARE,
+    });
+    const store = createMetadataStore({
+      address,
+      now: readClocks,
+    });
+    this.#lifeCycle.own("metadata store", () => store.close());
+    this.#routing = createRoutingController({
+      self: router.name,
+      store,
+      now: readClocks,
+      log: this.#logs("config"),
+      tasks: this.#tasks,
+      revocationMs: bounds.revocationMs,
+      heartbeatMs: bounds.heartbeatMs,
+      onConfiguration: (configuration) => this.#configured(configuration),
+      onNewUpstream: ({ id, address }) => {
+        this.#placement.forget(id);
+        this.#connections.dropIdle(address);
+      },
+      onRouters: (count) => this.#shareRetries(count),
+      onCall: (isAnswered) =>
+        this.#metrics.storeCalls.inc({
+          outcome: isAnswered ? "answered" : "lost",
+        }),
+    });
+    this.#connections = createUpstreamConnections({
+      clock: readSteadyClock,
+      onOpen: () => this.#metrics.connections.inc(),
+    });
+    this.#lifeCycle.own("connections", () => this.#connections.close());
+    this.#placement = new Placement({
+      self: router.name,
+      routing: this.#routing,
+      hash,
+      clock: readSteadyClock,
+      coldFactor: bounds.coldFactor,
+    });
+    this.#callers = this.#createCallerServer(hash);
+  }
+
+  async open(): Promise<void> {
+    const { listen: addresses, router } = this.#settings;
+    this.#routing.open();
+    this.#lifeCycle.own("routing", () => this.#routing.close());
+    await listen(this.#callers, addresses.callers);
+    await this.#openServer(addresses.ready, (request, response) => {
+      const isReadyPath = request.url === READY_PATH;
+      const isReady = this.#findUnreadyReason() === undefined;
+      answer(response, isReadyPath && isReady ? STATUS_OK : STATUS_UNAVAILABLE);
+    });
+    await this.#openServer(addresses.metrics, (request, response) => {
+      void this.#answerMetrics(request, response);
+    });
+    const timer = setInterval(() => this.#noteReadiness(), READINESS_LOOK_MS);
+    this.#lifeCycle.own("readiness", () => clearInterval(timer));
+    this.#loopDelay.enable();
+    this.#logs("daemon").info("The router has started.", {
+      router: router.name,
+      failureDomain: router.failureDomain,
+      callers: addresses.callers,
+    });
+  }
+
+  reload({ bounds }: IngressSettings): void {
+    this.#bounds = bounds;
+    this.#shareRetries(this.#routing.routers().length);
+    this.#logs("daemon").info("The settings were read again.", { bounds });
+  }
+
+  rejectReload(faults: string): void {
+    this.#logs("daemon").error("The changed settings can't be used.", {
+      faults,
+    });
+  }
+
+  async stop(): Promise<void> {
+    const { graceS } = this.#bounds;
+    const log = this.#logs("daemon");
+    const begunAt = readSteadyClock();
+    this.#stopsAt = begunAt + graceS * MS_PER_SECOND - EXIT_MARGIN_MS;
+    log.info("The router stops.", { inFlight: this.#inFlight.count });
+    await sleep(Math.min(DRAIN_MS, this.#getLifetimeMs()));
+    await Promise.race([this.#inFlight.idle(), sleep(this.#getLifetimeMs())]);
+    this.#callers.close();
+    for (const { name, cause } of await this.#lifeCycle.close()) {
+      log.warn("A resource failed to close.", { name, cause: String(cause) });
+    }
+    this.#tasks.close();
+    log.info("The router has stopped.", {
+      inFlight: this.#inFlight.count,
+      ms: Math.round(readSteadyClock() - begunAt),
+    });
+  }
+
+  #getLifetimeMs(): number {
+    return Math.max(0, this.#stopsAt - readSteadyClock());
+  }
+
+  #createCallerServer(hash: Hash): Server {
+    const chain = createFilterChain<IngressExchange, IngressOutcome>([
+      new RouteFilter({ routing: this.#routing, now: readClocks }),
+      new KeyFilter({ routing: this.#routing, now: readClocks }),
+      new RequestBodyFilter({
+        getLifetimeMs: () => this.#getLifetimeMs(),
+        clock: readSteadyClock,
+      }),
+      new ForwardFilter({
+        routing: this.#routing,
+        placement: this.#placement,
+        connections: this.#connections,
+        retries: this.#retries,
+        clock: readSteadyClock,
+        hash,
+        log: this.#logs("route"),
+        onTry: (service, end) => this.#metrics.tries.inc({ service, end }),
+      }),
+    ]);
+    const server = createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: HEADER_TIMEOUT_MS,
+        keepAliveTimeout: IDLE_TIMEOUT_MS,
+        noDelay: true,
+      },
+      createIngressHandler({
+        chain,
+        clock: readSteadyClock,
+        log: this.#logs("route"),
+        metrics: this.#metrics,
+        inFlight: this.#inFlight,
+        getTable: () => this.#routing.table(),
+        getLifetimeMs: () => this.#getLifetimeMs(),
+      }),
+    );
+    server.maxConnections = this.#settings.limits.maxConnections;
+    answerClientErrors(server);
+    return server;
+  }
+
+  async #openServer(
+    address: string,
+    handle: RequestListener,
+  ): Promise<void> {
+    const server = createServer(handle);
+    await listen(server, address);
+    this.#lifeCycle.own(`server ${address}`, () => {
+      server.closeAllConnections();
+      server.close();
+    });
+  }
+
+  #configured({ limits, version }: RoutingConfiguration): void {
+    this.#callers.keepAliveTimeout = limits.idleTimeoutMs;
+    this.#callers.headersTimeout = limits.headerTimeoutMs;
+    this.#metrics.configurationVersion.set(version);
+  }
+
+  /** Each router takes an equal part of what the fleet may add. */
+  #shareRetries(routers: number): void {
+    const { retrySlack } = this.#bounds;
+    this.#retries.setSlack(retrySlack * RETRY_SHARE / Math.max(1, routers));
+  }
+
+  #findUnreadyReason(): string | undefined {
+    return findUnreadyReason({
+      isStopping: this.#stopsAt !== Infinity,
+      hasConfiguration: this.#routing.table() !== undefined,
+      isConfirmed: this.#routing.isTrustedAt(readClocks()),
+    });
+  }
+
+  #noteReadiness(): void {
+    const reason = this.#findUnreadyReason();
+    if (reason === this.#unreadyReason) return;
+    this.#unreadyReason = reason;
+    const ageMs = Math.round(this.#routing.ageAt(readClocks()));
+    const log = this.#logs("daemon");
+    if (reason === undefined) log.info("The router is ready.", { ageMs });
+    else log.warn("The router is not ready.", { reason, ageMs });
+  }
+
+  async #answerMetrics(
+    _request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { registry, ...metrics } = this.#metrics;
+    const ageMs = this.#routing.ageAt(readClocks());
+    metrics.configurationAgeSeconds.set(ageMs / MS_PER_SECOND);
+    metrics.upstreams.set(this.#routing.directory.size);
+    metrics.routers.set(this.#routing.routers().length);
+    metrics.logLinesDropped.set(this.#writer.dropped);
+    const delay = this.#loopDelay.percentile(99) / NS_PER_SECOND;
+    metrics.eventLoopDelaySeconds.set(delay);
+    const text = await registry.metrics();
+    response.writeHead(STATUS_OK, { "content-type": registry.contentType });
+    response.end(text);
+  }
+}
+
+function answer(response: ServerResponse, status: number): void {
+  response.writeHead(status, { "content-length": "0" });
+  response.end();
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,20 +1,23 @@
 #!/usr/bin/env node
 /**
- * Entry point of `corianderflowd --settings FILE`.
+ * Entry point of `corianderflowd --settings FILE`. Without the option the
+ * path is that of the environment variable CORIANDERFLOW_SETTINGS.
+ *
+ * Settings with a section `[store]` start a router that finds its fleet
+ * there; all others start a router of a fleet with pool owners.
  *
  * Exit codes: 0 after a graceful stop, 1 if the start failed, 2 for settings
  * that can't be used.
  */
-import { readFileSync } from "node:fs";
+import { readFileSync, statSync } from "node:fs";
 import process from "node:process";
 import { parseArgs } from "node:util";
-import { formatSettingFault } from "../config/ini_sections.ts";
 import {
-  MIN_FLEET_KEY_LENGTH,
-  readSettings,
-  type Settings,
-} from "../config/settings.ts";
-import { type Daemon, startDaemon } from "./daemon.ts";
+  formatSettingFault,
+  type SettingFault,
+} from "../config/ini_sections.ts";
+import type { Settings } from "../config/settings.ts";
+import type { IngressDaemon } from "./ingress_daemon.ts";
 
 const EXIT_FAILED = 1;
 const EXIT_USAGE = 2;
@@ -24,10 +27,15 @@
   process.exit(code);
 }
 
+const SETTINGS_VARIABLE = "CORIANDERFLOW_SETTINGS";
+/** Pause between two looks at the settings file, in milliseconds. */
+const SETTINGS_LOOK_MS = 2_000;
+
 function getSettingsFile(): string {
   try {
     const { values } = parseArgs({ options: { settings: { type: "string" } } });
-    if (values.settings !== undefined) return values.settings;
+    const file = values.settings ?? process.env[SETTINGS_VARIABLE];
+    if (file !== undefined) return file;
   } catch (cause) {
     fail((cause as Error).message, EXIT_USAGE);
   }
@@ -42,23 +50,28 @@
   }
 }
 
-function loadSettings(file: string): Settings {
-  const settings = readSettings(readFile(file), file);
-  if (settings.ok) return settings.val;
-  const faults = settings.val.map(formatSettingFault);
-  return fail(`${file} can't be used\n${faults.join("\n")}`, EXIT_USAGE);
+function describeFaults(faults: readonly SettingFault[]): string {
+  return faults.map(formatSettingFault).join("\n");
+}
+
+function failOnFaults(file: string, faults: readonly SettingFault[]): never {
+  return fail(`${file} can't be used\n${describeFaults(faults)}`, EXIT_USAGE);
 }
 
-function getFleetKey({ fleet }: Settings): string {
+function getFleetKey(
+  { fleet }: Settings,
+  { minLength }: { minLength: number },
+): string {
   if (fleet.key !== undefined) return fleet.key;
   const file = fleet.keyFile!;
   const key = readFile(file).trim();
-  if (key.length >= MIN_FLEET_KEY_LENGTH) return key;
-  const least = `at least ${MIN_FLEET_KEY_LENGTH} characters`;
+  if (key.length >= minLength) return key;
+  const least = `at least ${minLength} characters`;
   return fail(`the fleet key in ${file} must have ${least}`, EXIT_USAGE);
 }
 
-function stopOnSignals(daemon: Daemon): void {
+/** Stops `daemon` on the first of the signals that ask for it. */
+function stopOnSignals(daemon: { stop(): Promise<void> }): void {
   let isStopping = false;
   function stop(): void {
     if (isStopping) return;
@@ -69,16 +82,71 @@
   process.on("SIGINT", stop);
 }
 
+function getModificationTime(file: string): number {
+  try {
+    return statSync(file).mtimeMs;
+  } catch {
+    // The file is being replaced; the next look finds it.
+    return 0;
+  }
+}
+
+async function runPoolRouter(file: string, text: string): Promise<void> {
+  const { MIN_FLEET_KEY_LENGTH, readSettings } = await import(
+    "../config/settings.ts"
+  );
+  const { startDaemon } = await import("./daemon.ts");
+  const read = readSettings(text, file);
+  if (read.err) failOnFaults(file, read.val);
+  const settings = read.val as Settings;
+  const fleetKey = getFleetKey(settings, { minLength: MIN_FLEET_KEY_LENGTH });
+  stopOnSignals(await startDaemon({ settings, fleetKey }));
+  const { callers: listening } = settings.listen;
+  process.stdout.write(JSON.stringify({ listening }) + "\n");
+}
+
+async function runIngressRouter(file: string, text: string): Promise<void> {
+  const { readIngressSettings } = await import("../config/ingress_settings.ts");
+  const { startIngressDaemon } = await import("./ingress_daemon.ts");
+  const read = readIngressSettings(text, file);
+  if (read.err) return failOnFaults(file, read.val);
+  const daemon = await startIngressDaemon({ settings: read.val });
+  stopOnSignals(daemon);
+  followSettings(file, { daemon, read: readIngressSettings });
+}
+
+/** Reads the settings again on SIGHUP and when the file has changed. */
+function followSettings(
+  file: string,
+  { daemon, read }: {
+    daemon: IngressDaemon;
+    read: typeof import("../config/ingress_settings.ts").readIngressSettings;
+  },
+): void {
+  let modifiedAt = getModificationTime(file);
+  function reload(): void {
+    modifiedAt = getModificationTime(file);
+    try {
+      const settings = read(readFileSync(file, "utf8"), file);
+      if (settings.ok) daemon.reload(settings.val);
+      else daemon.rejectReload(describeFaults(settings.val));
+    } catch (cause) {
+      daemon.rejectReload((cause as Error).message);
+    }
+  }
+  process.on("SIGHUP", reload);
+  setInterval(() => {
+    if (getModificationTime(file) !== modifiedAt) reload();
+  }, SETTINGS_LOOK_MS).unref();
+}
+
 async function main(): Promise<void> {
-  const settings = loadSettings(getSettingsFile());
+  const file = getSettingsFile();
+  const text = readFile(file);
+  const { isIngressSettings } = await import("../config/ingress_settings.ts");
   try {
-    const daemon = await startDaemon({
-      settings,
-      fleetKey: getFleetKey(settings),
-    });
-    stopOnSignals(daemon);
-    const { callers: listening } = settings.listen;
-    process.stdout.write(JSON.stringify({ listening }) + "\n");
+    if (isIngressSettings(text)) await runIngressRouter(file, text);
+    else await runPoolRouter(file, text);
   } catch (cause) {
     fail(`can't start: ${(cause as Error).message}`, EXIT_FAILED);
   }
--- a/src/diagnostics.ts
+++ b/src/diagnostics.ts
@@ -44,6 +44,12 @@
   "no-capacity": [503, "No upstream can take the request", true],
   "no-owner": [503, "No router that owns the pool can be reached", true],
   "not-ready": [503, "The router is not ready", true],
+  "configuration-unconfirmed": [
+    503,
+    "The router can't confirm its configuration",
+    true,
+  ],
+  "router-stopping": [503, "The router is about to stop", true],
   "key-value-unavailable": [
     503,
     "The platform's key-value service can't be reached",
--- a/src/filters/exchange.ts
+++ b/src/filters/exchange.ts
@@ -77,19 +77,21 @@
 export type Next = () => Promise<Outcome>;
 
 /** One step of the chain. */
-export interface Filter {
+export interface Filter<Request = Exchange, Answer = Outcome> {
   readonly name: string;
-  handle(exchange: Exchange, next: Next): Promise<Outcome>;
+  handle(exchange: Request, next: () => Promise<Answer>): Promise<Answer>;
 }
 
 /** A chain of filters, run in order. */
-export interface FilterChain {
-  handle(exchange: Exchange): Promise<Outcome>;
+export interface FilterChain<Request = Exchange, Answer = Outcome> {
+  handle(exchange: Request): Promise<Answer>;
 }
 
 /** Creates the chain of `filters`; the last one must not call `next`. */
-export function createFilterChain(filters: readonly Filter[]): FilterChain {
-  function run(exchange: Exchange, index: number): Promise<Outcome> {
+export function createFilterChain<Request = Exchange, Answer = Outcome>(
+  filters: readonly Filter<Request, Answer>[],
+): FilterChain<Request, Answer> {
+  function run(exchange: Request, index: number): Promise<Answer> {
     const filter = filters[index]!;
     return filter.handle(exchange, () => run(exchange, index + 1));
   }
--- /dev/null
+++ b/src/ingress/ingress_metrics.ts
@@ -0,0 +1,94 @@
+/**
+ * Metrics of the ingress, by prom-client.
+ */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Every metric of a router whose ingress places requests itself. */
+export interface IngressMetrics {
+  readonly registry: Registry;
+  readonly requests: Counter<"route" | "outcome">;
+  readonly tries: Counter<"service" | "end">;
+  readonly seconds: Histogram<"route">;
+  readonly storeCalls: Counter<"outcome">;
+  readonly connections: Counter;
+  readonly configurationVersion: Gauge;
+  readonly configurationAgeSeconds: Gauge;
+  readonly upstreams: Gauge;
+  readonly routers: Gauge;
+  readonly logLinesDropped: Gauge;
+  readonly eventLoopDelaySeconds: Gauge;
+}
+
+const SECONDS_BUCKETS = [
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.2,
+  0.4,
+  0.8,
+  1.5,
+  3,
+  6,
+  15,
+];
+
+/** Creates the metrics in a registry of their own. */
+export function createIngressMetrics(): IngressMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  function createGauge(name: string, help: string): Gauge {
+    return new Gauge({ name: `corianderflow_${name}`, help, registers });
+  }
+  return {
+    registry,
+    requests: new Counter({
+      name: "corianderflow_ingress_requests_total",
+      help: "Requests of callers by kind of route and outcome.",
+      labelNames: ["route", "outcome"],
+      registers,
+    }),
+    tries: new Counter({
+      name: "corianderflow_tries_total",
+      help: "Tries at upstreams by how they ended.",
+      labelNames: ["service", "end"],
+      registers,
+    }),
+    seconds: new Histogram({
+      name: "corianderflow_request_seconds",
+      help: "Time from the arrival of a request to the end of its answer.",
+      labelNames: ["route"],
+      buckets: SECONDS_BUCKETS,
+      registers,
+    }),
+    storeCalls: new Counter({
+      name: "corianderflow_store_calls_total",
+      help: "Calls to the metadata store by outcome.",
+      labelNames: ["outcome"],
+      registers,
+    }),
+    connections: new Counter({
+      name: "corianderflow_upstream_connections_total",
+      help: "Connections opened to upstreams.",
+      registers,
+    }),
+    configurationVersion: createGauge(
+      "configuration_version",
+      "Version of the configuration in force.",
+    ),
+    configurationAgeSeconds: createGauge(
+      "configuration_age_seconds",
+      "Time since the configuration was last confirmed.",
+    ),
+    upstreams: createGauge("upstreams", "Upstreams that are known."),
+    routers: createGauge("routers", "Routers that are registered."),
+    logLinesDropped: createGauge(
+      "log_lines_dropped",
+      "Log lines that were dropped to bound the volume.",
+    ),
+    eventLoopDelaySeconds: createGauge(
+      "event_loop_delay_seconds",
+      "99th percentile of the delay of the event loop.",
+    ),
+  };
+}
--- /dev/null
+++ b/src/ingress/ingress_server.ts
@@ -0,0 +1,179 @@
+/**
+ * Serves callers: reads a request, runs it through the filters and writes what
+ * came of it.
+ */
+import type { Buffer } from "node:buffer";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createRefusal } from "../diagnostics.ts";
+import type { FilterChain } from "../filters/exchange.ts";
+import type { Log } from "../log.ts";
+import { decodeRequest } from "../platform/message_headers.ts";
+import type { RouteTable } from "../policy/route_table.ts";
+import { createCountedHandler, type InFlight } from "../transport/in_flight.ts";
+import { renderProblem } from "../transport/problem.ts";
+import type { IngressExchange, IngressOutcome } from "./ingress_exchange.ts";
+import type { IngressMetrics } from "./ingress_metrics.ts";
+import { refuseForNow } from "./refusals.ts";
+
+/** Options of the handler. */
+export interface IngressHandlerOptions {
+  readonly chain: FilterChain<IngressExchange, IngressOutcome>;
+  readonly clock: () => number;
+  readonly log: Log;
+  readonly metrics: IngressMetrics;
+  readonly inFlight: InFlight;
+  readonly getTable: () => RouteTable | undefined;
+  /** Time for which this router still answers, in milliseconds. */
+  readonly getLifetimeMs: () => number;
+}
+
+/** Time that a caller is assumed to wait where it doesn't say, milliseconds. */
+const DEFAULT_DEADLINE_MS = 1_000;
+
+function getPath(target: string): string {
+  const end = target.search(/[?#]/);
+  return end < 0 ? target : target.slice(0, end);
+}
+
+/** Creates the handler of callers' requests. */
+export function createIngressHandler(options: IngressHandlerOptions) {
+  const { clock, log, metrics, inFlight } = options;
+
+  function refuseEarly(
+    request: IncomingMessage,
+    arrivedAt: number,
+  ): IngressOutcome {
+    const { deadlineMs = DEFAULT_DEADLINE_MS } = decodeRequest(request.headers);
+    const answerBy = arrivedAt + deadlineMs;
+    return refuseForNow({ arrivedAt, answerBy }, {
+      code: "not-ready",
+      detail: "This router has no configuration yet.",
+      cause: "this-router",
+      closes: true,
+    });
+  }
+
+  async function run(exchange: IngressExchange): Promise<IngressOutcome> {
+    try {
+      return await options.chain.handle(exchange);
+    } catch (cause) {
+      log.error("A filter failed.", {
+        requestId: exchange.traits.requestId,
+        cause: cause instanceof Error ? cause.stack : String(cause),
+      });
+      const detail = "The router failed on this request.";
+      const refusal = createRefusal("internal", detail, { ran: "unknown" });
+      return { kind: "refused", refusal };
+    }
+  }
+
+  async function serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const arrivedAt = clock();
+    response.on("error", () => response.destroy());
+    const table = options.getTable();
+    if (table === undefined) {
+      write(request, response, refuseEarly(request, arrivedAt));
+      metrics.requests.inc({ route: "none", outcome: "not-ready" });
+      return;
+    }
+    const exchange: IngressExchange = {
+      request,
+      response,
+      traits: decodeRequest(request.headers),
+      path: getPath(request.url ?? "/"),
+      arrivedAt,
+      table,
+      answerBy: arrivedAt + DEFAULT_DEADLINE_MS,
+      trace: [],
+    };
+    if (options.getLifetimeMs() !== Infinity) {
+      response.setHeader("connection", "close");
+    }
+    const outcome = await run(exchange);
+    write(request, response, outcome);
+    report(exchange, outcome);
+  }
+
+  function write(
+    request: IncomingMessage,
+    response: ServerResponse,
+    outcome: IngressOutcome,
+  ): void {
+    if (response.destroyed) return;
+    if (options.getLifetimeMs() !== Infinity && !response.headersSent) {
+      response.setHeader("connection", "close");
+    }
+    if (outcome.kind === "whole") {
+      writeWhole(response, outcome);
+    } else if (outcome.kind === "refused") {
+      const { refusal, closes = false } = outcome;
+      // A close with unread bytes would reset the connection under the answer.
+      if (closes && request.complete) {
+        response.setHeader("connection", "close");
+      }
+      const { requestId } = decodeRequest(request.headers);
+      writeWhole(
+        response,
+        renderProblem(refusal, requestId, { hasFractions: true }),
+      );
+    }
+  }
+
+  function report(exchange: IngressExchange, outcome: IngressOutcome): void {
+    const { route, traits, trace, table } = exchange;
+    const ms = Math.round(clock() - exchange.arrivedAt);
+    const name = route?.name ?? "none";
+    const label = outcome.kind === "refused"
+      ? outcome.refusal.code
+      : outcome.kind === "streamed"
+      ? `stream-${outcome.end}`
+      : outcome.kind;
+    const kind = route?.kind ?? "none";
+    metrics.requests.inc({ route: kind, outcome: label });
+    metrics.seconds.observe({ route: kind }, ms / 1_000);
+    const isWell = outcome.kind === "whole" ||
+      (outcome.kind === "streamed" && outcome.end === "complete");
+    const line = {
+      requestId: traits.requestId,
+      route: name,
+      version: table.configuration.version,
+      outcome: label,
+      ...(outcome.kind === "whole" && { status: outcome.status }),
+      ...(outcome.kind === "refused" && {
+        ran: outcome.refusal.ran,
+        detail: outcome.refusal.detail,
+        retryAfterMs: outcome.refusal.retryAfterMs,
+      }),
+      ms,
+      tries: trace,
+    };
+    if (isWell) log.info("Answered.", line);
+    else log.warn("Not answered.", line);
+  }
+
+  return createCountedHandler(serve, { inFlight, log });
+}
+
+function writeWhole(
+  response: ServerResponse,
+  answer: {
+    status: number;
+    headers: Record<string, string | string[]>;
+    body: Buffer;
+  },
+): void {
+  response.writeHead(answer.status, {
+    ...answer.headers,
+    "content-length": String(answer.body.length),
+  });
+  response.end(answer.body);
+}
+
+/** Applies the callers' limits of a configuration to a server. */
+export function applyIdleTimeout(server: Server, idleTimeoutMs: number): void {
+  // Callers reuse a connection until shortly before the limit.
+  server.keepAliveTimeout = idleTimeoutMs;
+}
--- /dev/null
+++ b/src/ingress/placement.ts
@@ -0,0 +1,148 @@
+/**
+ * What the router knows of the upstreams beyond their entries, and the choice
+ * among them.
+ */
+import type { RoutingView } from "../control/routing_controller.ts";
+import { ColdAllowance } from "../policy/cold_allowance.ts";
+import type { Hash } from "../policy/rendezvous.ts";
+import type { Candidate, UpstreamChoice } from "../policy/upstream_choice.ts";
+import { chooseUpstream } from "../policy/upstream_choice.ts";
+import type { KnownUpstream } from "../policy/upstream_directory.ts";
+import { type RequestEnd, UpstreamHealth } from "../policy/upstream_health.ts";
+import { UpstreamLoads } from "../policy/upstream_loads.ts";
+import type {
+  PromptPart,
+  RoutedService,
+  UpstreamEntry,
+  UpstreamLoad,
+} from "../routing/types.ts";
+
+/** Options of the placement. */
+export interface PlacementOptions {
+  readonly self: string;
+  readonly routing: RoutingView;
+  readonly hash: Hash;
+  readonly clock: () => number;
+  readonly random?: () => number;
+  /** Factor on what a cold upstream is said to bear. */
+  readonly coldFactor: number;
+}
+
+/** A request to place. */
+export interface PlacementRequest {
+  readonly service: RoutedService;
+  readonly promptParts: readonly PromptPart[];
+  /** Upstreams that the request was sent to before. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** A place for a request. */
+export interface Place extends UpstreamChoice {
+  readonly entry: UpstreamEntry;
+  readonly load: number;
+}
+
+/** Why there is no place. */
+export type NoPlace = "no-upstream" | "upstreams-full";
+
+const PRUNE_MS = 5_000;
+
+/** Names what a prompt shares with others: the part before its own. */
+export function getSharedPart(
+  parts: readonly PromptPart[],
+): string | undefined {
+  return (parts.at(-2) ?? parts.at(-1))?.id;
+}
+
+/** See the module. */
+export class Placement {
+  readonly #options: Required<PlacementOptions>;
+  readonly #loads = new UpstreamLoads();
+  readonly #health = new UpstreamHealth();
+  readonly #cold: ColdAllowance;
+  #prunedAt = 0;
+
+  constructor(options: PlacementOptions) {
+    this.#options = { random: Math.random, ...options };
+    this.#cold = new ColdAllowance(options);
+  }
+
+  /** Finds a place for a request. */
+  find(request: PlacementRequest): Place | NoPlace {
+    const { routing, clock, hash, random } = this.#options;
+    const now = clock();
+    this.#prune(now);
+    const usable = routing.directory.listUsable(request.service.name, now);
+    if (usable.length === 0) return "no-upstream";
+    const fresh = usable.filter(({ entry }) => !request.excluded.has(entry.id));
+    const candidates = this.#rate(request.service, { known: fresh, now });
+    const choice = chooseUpstream(candidates, {
+      key: request.service.isEngine
+        ? getSharedPart(request.promptParts)
+        : undefined,
+      hash,
+      random,
+    });
+    if (choice === undefined) return "upstreams-full";
+    const { entry } = fresh.find(({ entry }) => entry.id === choice.id)!;
+    const { load } = candidates.find(({ id }) => id === choice.id)!;
+    return { ...choice, entry, load };
+  }
+
+  noteSent(upstream: string): void {
+    this.#loads.noteSent(upstream);
+    this.#cold.noteSent(upstream, this.#options.clock());
+  }
+
+  noteStated(upstream: string, load: UpstreamLoad): void {
+    this.#loads.noteStated(upstream, load, this.#options.clock());
+  }
+
+  /** Notes the end of a request that was sent. */
+  noteEnded(upstream: string): void {
+    this.#loads.noteEnded(upstream);
+  }
+
+  noteHealth(upstream: string, end: RequestEnd): void {
+    this.#health.noteEnd(upstream, end, this.#options.clock());
+  }
+
+  /** Forgets what was seen of an earlier process. */
+  forget(upstream: string): void {
+    this.#health.forget(upstream);
+  }
+
+  #rate(
+    service: RoutedService,
+    { known, now }: { known: readonly KnownUpstream[]; now: number },
+  ): Candidate[] {
+    const ids = known.map(({ entry }) => entry.id);
+    const loads = this.#loads.estimate(ids, now);
+    const suspects = this.#health.findSuspects(ids, now);
+    return known.map(({ entry, coldUntil }, index) => ({
+      id: entry.id,
+      load: loads[index]!,
+      slots: entry.slots,
+      hasColdRoom: now >= coldUntil || this.#hasColdRoom(service, entry.id),
+      isSuspect: suspects.has(entry.id),
+    }));
+  }
+
+  #hasColdRoom(service: RoutedService, upstream: string): boolean {
+    if (service.coldRequestsPerSecond === 0) return true;
+    const { routing, clock, coldFactor } = this.#options;
+    return this.#cold.hasRoom(upstream, {
+      bound: { perSecond: service.coldRequestsPerSecond * coldFactor },
+      routers: routing.routers(),
+      now: clock(),
+    });
+  }
+
+  #prune(now: number): void {
+    if (now - this.#prunedAt < PRUNE_MS) return;
+    this.#prunedAt = now;
+    this.#cold.prune(now);
+    const { directory } = this.#options.routing;
+    this.#loads.prune((id) => directory.find(id) !== undefined);
+  }
+}
--- /dev/null
+++ b/src/ingress/stream_relay.ts
@@ -0,0 +1,108 @@
+/**
+ * Writes a stream of events to the caller, over all the upstreams that it goes
+ * on at. The head and the signature are those of the first upstream.
+ */
+import { Buffer } from "node:buffer";
+import type { ServerResponse } from "node:http";
+import { EventOrder } from "../policy/event_order.ts";
+import type { StreamEvent } from "../transport/event_stream.ts";
+
+/** Holds an upstream back while the caller reads slowly. */
+export interface FlowControl {
+  pause(): void;
+  resume(): void;
+}
+
+/** See the module. */
+export class StreamRelay {
+  readonly #response: ServerResponse;
+  readonly #order: EventOrder;
+  readonly #clock: () => number;
+  #isBegun = false;
+  #count = 0;
+  #lastPassedAt: number | undefined;
+  #longestPauseMs = 0;
+  #firstAt: number | undefined;
+
+  constructor(
+    response: ServerResponse,
+    { lastEventId, clock }: {
+      lastEventId: number | undefined;
+      clock: () => number;
+    },
+  ) {
+    this.#response = response;
+    this.#order = new EventOrder(lastEventId);
+    this.#clock = clock;
+  }
+
+  /** Whether the caller has received the head. */
+  get isBegun(): boolean {
+    return this.#isBegun;
+  }
+
+  get lastEventId(): number | undefined {
+    return this.#order.lastId;
+  }
+
+  /** Events that were passed on. */
+  get count(): number {
+    return this.#count;
+  }
+
+  /** Monotonic time of the first event, milliseconds. */
+  get firstAt(): number | undefined {
+    return this.#firstAt;
+  }
+
+  /** Longest time between two events, in milliseconds. */
+  get longestPauseMs(): number {
+    return this.#longestPauseMs;
+  }
+
+  /** Writes the head, once. */
+  begin(status: number, headers: Record<string, string | string[]>): void {
+    if (this.#isBegun) return;
+    this.#isBegun = true;
+    this.#response.writeHead(status, headers);
+  }
+
+  /** Passes events on; false where one is missing before them. */
+  pass(events: readonly StreamEvent[], flow: FlowControl): boolean {
+    const passed: Buffer[] = [];
+    let isInOrder = true;
+    for (const { id, bytes } of events) {
+      const fate = this.#order.take(id);
+      if (fate === "gap") {
+        isInOrder = false;
+        break;
+      }
+      if (fate === "pass") passed.push(bytes);
+    }
+    if (passed.length > 0) this.#write(passed, flow);
+    return isInOrder;
+  }
+
+  /** Ends the answer as complete. */
+  end(): void {
+    this.#response.end();
+  }
+
+  /** Breaks the answer off, so that it can't look complete. */
+  breakOff(): void {
+    this.#response.destroy();
+  }
+
+  #write(passed: readonly Buffer[], flow: FlowControl): void {
+    const now = this.#clock();
+    this.#firstAt ??= now;
+    const pauseMs = now - (this.#lastPassedAt ?? now);
+    this.#longestPauseMs = Math.max(this.#longestPauseMs, pauseMs);
+    this.#lastPassedAt = now;
+    this.#count += passed.length;
+    const bytes = passed.length === 1 ? passed[0]! : Buffer.concat(passed);
+    if (this.#response.write(bytes)) return;
+    flow.pause();
+    this.#response.once("drain", () => flow.resume());
+  }
+}
--- /dev/null
+++ b/src/ingress/upstream_try.ts
@@ -0,0 +1,233 @@
+/**
+ * One try of a request at one upstream: sends it, checks that what comes back
+ * is its whole answer, and hands a stream on as it arrives.
+ */
+import { Buffer } from "node:buffer";
+import type { IncomingHttpHeaders } from "node:http";
+import {
+  copyAnswerHeaders,
+  decodeAnswer,
+} from "../platform/message_headers.ts";
+import type { TryEnd } from "../policy/attempt_plan.ts";
+import type { AnswerTraits, UpstreamLoad } from "../routing/types.ts";
+import { EventSplitter } from "../transport/event_stream.ts";
+import type {
+  UpstreamConnections,
+  UpstreamExchange,
+  UpstreamRequest,
+} from "../transport/upstream_connections.ts";
+import type { StreamRelay } from "./stream_relay.ts";
+
+/** An answer that is whole. */
+export interface WholeAnswer {
+  readonly status: number;
+  readonly headers: Record<string, string | string[]>;
+  readonly body: Buffer;
+}
+
+/** How a try ended. */
+export type TryResult =
+  | { readonly kind: "answered"; readonly answer: WholeAnswer }
+  /** The stream has reached its end. */
+  | { readonly kind: "stream-complete" }
+  | {
+    readonly kind: "ended";
+    readonly end: TryEnd;
+    readonly detail: string;
+    /** The upstream's own failure, where it may be passed on. */
+    readonly answer?: WholeAnswer;
+    readonly isMisdirected?: boolean;
+    /** No byte came for longer than a sound upstream takes. */
+    readonly isSilent?: boolean;
+  };
+
+/** Options of a try. */
+export interface UpstreamTryOptions {
+  readonly connections: UpstreamConnections;
+  readonly request: UpstreamRequest;
+  readonly requestId: string;
+  readonly relay: StreamRelay;
+  /** Silence after which `mayGiveUp` is asked, in milliseconds. */
+  readonly patienceMs: number;
+  /** Whether another try may replace this silent one. */
+  mayGiveUp(): boolean;
+  onLoad(load: UpstreamLoad): void;
+}
+
+const STATUS_MISDIRECTED = 421;
+const FIRST_FAILURE_STATUS = 500;
+const EVENT_STREAM = "text/event-stream";
+/** Larger answers are not held in memory. */
+const MAX_WHOLE_ANSWER_BYTES = 16_777_216;
+
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
+
+/** A try under way. */
+export class UpstreamTry {
+  /** Resolves once, with how the try ended; never after `cancel`. */
+  readonly result: Promise<TryResult>;
+  readonly #options: UpstreamTryOptions;
+  readonly #exchange: UpstreamExchange;
+  readonly #chunks: Buffer[] = [];
+  readonly #splitter = new EventSplitter();
+  #resolve!: (result: TryResult) => void;
+  #patience: NodeJS.Timeout | undefined;
+  #size = 0;
+  #isDone = false;
+  #head: {
+    status: number;
+    headers: IncomingHttpHeaders;
+    traits: AnswerTraits;
+    isStream: boolean;
+  } | undefined;
+
+  constructor(options: UpstreamTryOptions) {
+    this.#options = options;
+    this.result = new Promise((resolve) => this.#resolve = resolve);
+    this.#exchange = options.connections.send(options.request, {
+      onHead: (status, headers) => this.#onHead(status, headers),
+      onData: (chunk) => this.#onData(chunk),
+      onEnd: () => this.#onEnd(),
+      onFailure: (failure, detail) => {
+        const end = failure === "not-sent" ? "not-sent" : "no-answer";
+        this.#end({ kind: "ended", end, detail });
+      },
+    });
+    this.#watchSilence();
+  }
+
+  get isReused(): boolean {
+    return this.#exchange.isReused;
+  }
+
+  /** Closes the connection, so that the upstream drops the request. */
+  cancel(): void {
+    if (this.#isDone) return;
+    this.#isDone = true;
+    clearTimeout(this.#patience);
+    this.#exchange.cancel();
+  }
+
+  #watchSilence(): void {
+    const { patienceMs } = this.#options;
+    if (!Number.isFinite(patienceMs)) return;
+    this.#patience = setTimeout(() => {
+      if (!this.#options.mayGiveUp()) return;
+      const detail = `no byte for ${Math.round(patienceMs)} ms`;
+      this.#reject({ end: "no-answer", detail, isSilent: true });
+    }, patienceMs);
+  }
+
+  #onHead(status: number, headers: IncomingHttpHeaders): void {
+    const traits = decodeAnswer(headers);
+    const { requestId, onLoad } = this.#options;
+    const isForeign = traits.requestId === undefined
+      ? isSuccess(status)
+      : traits.requestId !== requestId;
+    if (isForeign) {
+      const detail = `the answer is for ${traits.requestId ?? "no request"}`;
+      this.#reject({ end: "no-answer", detail });
+      return;
+    }
+    if (traits.load !== undefined) onLoad(traits.load);
+    const type = headers["content-type"] ?? "";
+    const isStream = isSuccess(status) && type.startsWith(EVENT_STREAM);
+    if (isSuccess(status) && !traits.isSigned) {
+      this.#reject({ end: "no-answer", detail: "the answer is not signed" });
+      return;
+    }
+    this.#head = { status, headers, traits, isStream };
+  }
+
+  #onData(chunk: Buffer): void {
+    if (this.#isDone || this.#head === undefined) return;
+    this.#patience?.refresh();
+    if (this.#head.isStream) {
+      this.#passEvents(chunk);
+      return;
+    }
+    this.#size += chunk.length;
+    if (this.#size > MAX_WHOLE_ANSWER_BYTES) {
+      this.#reject({ end: "no-answer", detail: "the answer is too large" });
+      return;
+    }
+    this.#chunks.push(chunk);
+  }
+
+  #passEvents(chunk: Buffer): void {
+    const { relay } = this.#options;
+    const { status, headers } = this.#head!;
+    let events;
+    try {
+      events = this.#splitter.push(chunk);
+    } catch (cause) {
+      this.#reject({ end: "no-answer", detail: String(cause) });
+      return;
+    }
+    if (events.length === 0) return;
+    relay.begin(status, copyAnswerHeaders(headers));
+    const isInOrder = relay.pass(events, {
+      pause: () => this.#exchange.pause(),
+      resume: () => this.#exchange.resume(),
+    });
+    if (!isInOrder) {
+      this.#reject({ end: "no-answer", detail: "an event is missing" });
+    }
+  }
+
+  #onEnd(): void {
+    if (this.#isDone) return;
+    if (this.#head === undefined) {
+      this.#end({ kind: "ended", end: "no-answer", detail: "no head" });
+      return;
+    }
+    if (this.#head.isStream) {
+      this.#endStream();
+      return;
+    }
+    this.#end(this.#classify());
+  }
+
+  #endStream(): void {
+    if (this.#splitter.hasRest) {
+      const detail = "the stream ended within an event";
+      this.#end({ kind: "ended", end: "no-answer", detail });
+      return;
+    }
+    const { status, headers } = this.#head!;
+    this.#options.relay.begin(status, copyAnswerHeaders(headers));
+    this.#end({ kind: "stream-complete" });
+  }
+
+  #classify(): TryResult {
+    const { status, headers, traits } = this.#head!;
+    const detail = `status ${status}`;
+    if (status === STATUS_MISDIRECTED) {
+      return { kind: "ended", end: "refused", detail, isMisdirected: true };
+    }
+    if (traits.isNotRun) return { kind: "ended", end: "refused", detail };
+    const body = this.#chunks.length === 1
+      ? this.#chunks[0]!
+      : Buffer.concat(this.#chunks);
+    const answer = { status, headers: copyAnswerHeaders(headers), body };
+    if (status < FIRST_FAILURE_STATUS) return { kind: "answered", answer };
+    return { kind: "ended", end: "failed", detail, answer };
+  }
+
+  #reject(
+    ended: { end: TryEnd; detail: string; isSilent?: boolean },
+  ): void {
+    if (this.#isDone) return;
+    this.#exchange.cancel();
+    this.#end({ kind: "ended", ...ended });
+  }
+
+  #end(result: TryResult): void {
+    if (this.#isDone) return;
+    this.#isDone = true;
+    clearTimeout(this.#patience);
+    this.#resolve(result);
+  }
+}
--- a/src/policy/retry_budget.ts
+++ b/src/policy/retry_budget.ts
@@ -32,6 +32,8 @@
   ratio?: number;
   /** Retries of a window that are allowed however few requests there are. */
   floor?: number;
+  /** Retries of a window that are allowed on top of the ratio. */
+  slack?: number;
   /** Time over which requests and retries are counted, in milliseconds. */
   windowMs?: number;
 }
@@ -51,12 +53,16 @@
 export class RetryBudget {
   readonly #ratio: number;
   readonly #floor: number;
+  #slack: number;
   readonly #slotMs: number;
   readonly #slots: Slot[];
 
-  constructor({ ratio, floor, windowMs }: Required<RetryBudgetOptions>) {
+  constructor(
+    { ratio, floor, slack, windowMs }: Required<RetryBudgetOptions>,
+  ) {
     this.#ratio = ratio;
     this.#floor = floor;
+    this.#slack = slack;
     this.#slotMs = windowMs / SLOTS;
     this.#slots = Array.from(
       { length: SLOTS },
@@ -75,13 +81,22 @@
     if (tried.length > MAX_RETRIES) {
       return { kind: "give-up", reason: "already-retried" };
     }
+    if (!this.tryTake(now)) return { kind: "give-up", reason: "budget-spent" };
+    return { kind: "retry", exclude: tried };
+  }
+
+  /** Takes one retry from the budget, if there is one left. */
+  tryTake(now: number): boolean {
     const { requests, retries } = this.#sum(now);
-    const allowed = Math.max(this.#floor, requests * this.#ratio);
-    if (retries + 1 > allowed) {
-      return { kind: "give-up", reason: "budget-spent" };
-    }
+    const share = requests * this.#ratio + this.#slack;
+    if (retries + 1 > Math.max(this.#floor, share)) return false;
     this.#getSlot(now).retries++;
-    return { kind: "retry", exclude: tried };
+    return true;
+  }
+
+  /** Sets this router's part of the retries that the whole fleet may add. */
+  setSlack(slack: number): void {
+    this.#slack = slack;
   }
 
   /** Slot of the current part of the window, cleared if it is an old one. */
@@ -111,8 +126,9 @@
   {
     ratio = DEFAULT_RATIO,
     floor = 0,
+    slack = 0,
     windowMs = DEFAULT_WINDOW_MS,
   }: RetryBudgetOptions = {},
 ): RetryBudget {
-  return new RetryBudget({ ratio, floor, windowMs });
+  return new RetryBudget({ ratio, floor, slack, windowMs });
 }
--- /dev/null
+++ b/src/policy/route_table.ts
@@ -0,0 +1,81 @@
+/**
+ * Finds the route of a request, its workspace and the service that takes it.
+ */
+import type {
+  KeyedWorkspace,
+  RoutedService,
+  RoutingConfiguration,
+  ServiceRoute,
+} from "../routing/types.ts";
+import type { Hash } from "./rendezvous.ts";
+
+const HASH_RANGE = 2 ** 32;
+
+/** Look-ups in one version of the configuration. */
+export class RouteTable {
+  readonly configuration: RoutingConfiguration;
+  /** Routes of each host, the longest prefix first. */
+  readonly #routes = new Map<string, ServiceRoute[]>();
+  readonly #services: ReadonlyMap<string, RoutedService>;
+  readonly #workspaces = new Map<string, KeyedWorkspace>();
+
+  constructor(configuration: RoutingConfiguration) {
+    this.configuration = configuration;
+    for (const route of configuration.routes) {
+      const routes = this.#routes.get(route.host) ?? [];
+      routes.push(route);
+      this.#routes.set(route.host, routes);
+    }
+    for (const routes of this.#routes.values()) {
+      routes.sort((left, right) => right.prefix.length - left.prefix.length);
+    }
+    this.#services = new Map(
+      configuration.services.map((service) => [service.name, service]),
+    );
+    for (const workspace of configuration.workspaces ?? []) {
+      for (const key of workspace.keys) this.#workspaces.set(key, workspace);
+    }
+  }
+
+  /** Finds the route with the longest prefix that begins `path`. */
+  findRoute(host: string, path: string): ServiceRoute | undefined {
+    const name = host.toLowerCase();
+    const routes = this.#routes.get(name) ??
+      this.#routes.get(name.replace(/:\d+$/, ""));
+    return routes?.find(({ prefix }) => path.startsWith(prefix));
+  }
+
+  findService(name: string): RoutedService | undefined {
+    return this.#services.get(name);
+  }
+
+  /** Whether callers must show a key on `route`. */
+  isKeyed(route: ServiceRoute): boolean {
+    return this.configuration.workspaces !== undefined && !route.isPublic;
+  }
+
+  findWorkspace(key: string): KeyedWorkspace | undefined {
+    return this.#workspaces.get(key);
+  }
+}
+
+/**
+ * Picks the service that takes a request, in proportion to the weights. Equal
+ * keys take the same service, so that a prompt's parts stay where they are
+ * cached.
+ */
+export function pickTarget(
+  { targets, name }: ServiceRoute,
+  key: string,
+  { hash }: { hash: Hash },
+): string {
+  if (targets.length === 1) return targets[0]!.service;
+  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+  let point = hash(`${name}\u0000${key}`) / HASH_RANGE * total;
+  for (const { service, weight } of targets) {
+    point -= weight;
+    if (point < 0) return service;
+  }
+  return targets.findLast(({ weight }) => weight > 0)?.service ??
+    targets[0]!.service;
+}
--- /dev/null
+++ b/src/policy/upstream_directory.ts
@@ -0,0 +1,155 @@
+/**
+ * Knows the upstreams that may get work.
+ *
+ * An entry that is leaving or gone gets none. While the store is away, leases
+ * of upstreams that live may lapse; they are back within a known time of its
+ * return. What is missing is therefore used on until then, and is gone after.
+ */
+import type { UpstreamEntry } from "../routing/types.ts";
+
+/** An upstream as the router knows it. */
+export interface KnownUpstream {
+  readonly entry: UpstreamEntry;
+  /** Steady time until which it is cold, in milliseconds. */
+  readonly coldUntil: number;
+}
+
+interface Known extends KnownUpstream {
+  entry: UpstreamEntry;
+  coldUntil: number;
+  /** Steady time after which a missing entry counts as gone. */
+  goneAt: number;
+  /** Whether another upstream was met at its address. */
+  isMisdirected: boolean;
+}
+
+/** Options of a directory. */
+export interface UpstreamDirectoryOptions {
+  /** Time after the store's return in which entries come back, milliseconds. */
+  readonly returnMs?: number;
+}
+
+/** Letter 2 of the users: back within about two seconds. */
+const RETURN_MS = 2_000;
+
+/** See the module. */
+export class UpstreamDirectory {
+  readonly #known = new Map<string, Known>();
+  readonly #domainsOut = new Set<string>();
+  readonly #returnMs: number;
+  #isStoreAway = false;
+  #returnedAt = -Infinity;
+
+  constructor({ returnMs = RETURN_MS }: UpstreamDirectoryOptions = {}) {
+    this.#returnMs = returnMs;
+  }
+
+  /** Notes that the store does not answer. */
+  noteStoreAway(): void {
+    this.#isStoreAway = true;
+  }
+
+  /** Notes that the store has answered. */
+  noteStoreAnswered(now: number): void {
+    if (!this.#isStoreAway) return;
+    this.#isStoreAway = false;
+    this.#returnedAt = now;
+  }
+
+  /** Takes an entry that was written; true if it names a new process. */
+  put(entry: UpstreamEntry, now: number): boolean {
+    const known = this.#known.get(entry.id);
+    const isNew = known === undefined || known.entry.bornAt !== entry.bornAt;
+    const stated = now + entry.coldLeftMs;
+    this.#known.set(entry.id, {
+      entry,
+      coldUntil: isNew ? stated : Math.max(stated, known.coldUntil),
+      goneAt: Infinity,
+      isMisdirected: false,
+    });
+    return isNew;
+  }
+
+  /** Notes that the entry of `id` is no longer in the store. */
+  remove(id: string, now: number): void {
+    const known = this.#known.get(id);
+    if (known === undefined || known.goneAt !== Infinity) return;
+    const until = this.#returnedAt + this.#returnMs;
+    if (now >= until || known.entry.state === "leaving") {
+      this.#known.delete(id);
+      return;
+    }
+    known.goneAt = until;
+  }
+
+  /** Notes which entries a complete listing of the store holds. */
+  retainOnly(ids: ReadonlySet<string>, now: number): void {
+    for (const id of [...this.#known.keys()]) {
+      if (!ids.has(id)) this.remove(id, now);
+    }
+  }
+
+  /** Notes that another upstream answers at the address of `id`. */
+  noteMisdirected(id: string): void {
+    const known = this.#known.get(id);
+    if (known !== undefined) known.isMisdirected = true;
+  }
+
+  /** Notes that `id` may have started anew without saying so yet. */
+  noteRestarted(id: string, coldUntil: number): void {
+    const known = this.#known.get(id);
+    if (known === undefined) return;
+    known.coldUntil = Math.max(known.coldUntil, coldUntil);
+  }
+
+  /** Does the same for every upstream of a failure domain. */
+  noteDomainRestarted(failureDomain: string, coldUntil: number): void {
+    for (const [id, { entry }] of this.#known) {
+      if (entry.failureDomain === failureDomain) {
+        this.noteRestarted(id, coldUntil);
+      }
+    }
+  }
+
+  find(id: string): KnownUpstream | undefined {
+    return this.#known.get(id);
+  }
+
+  takeOut(failureDomain: string): void {
+    this.#domainsOut.add(failureDomain);
+  }
+
+  bringBack(failureDomain: string): void {
+    this.#domainsOut.delete(failureDomain);
+  }
+
+  get domainsOut(): ReadonlySet<string> {
+    return this.#domainsOut;
+  }
+
+  get size(): number {
+    return this.#known.size;
+  }
+
+  /** Whether `id` may get a request now; read again right before a send. */
+  isUsable(id: string, now: number): boolean {
+    const known = this.#known.get(id);
+    return known !== undefined && this.#isUsable(known, now);
+  }
+
+  /** Upstreams of `service` that may get a request now. */
+  listUsable(service: string, now: number): KnownUpstream[] {
+    const usable: KnownUpstream[] = [];
+    for (const known of this.#known.values()) {
+      if (known.entry.service !== service) continue;
+      if (this.#isUsable(known, now)) usable.push(known);
+    }
+    return usable;
+  }
+
+  #isUsable(known: Known, now: number): boolean {
+    if (known.entry.state !== "ready" || known.isMisdirected) return false;
+    if (now >= known.goneAt) return false;
+    return !this.#domainsOut.has(known.entry.failureDomain);
+  }
+}
--- a/src/store/http_json.ts
+++ b/src/store/http_json.ts
@@ -22,7 +22,7 @@
 
 /** Options of a call. */
 export interface CallOptions {
-  method?: "GET" | "POST";
+  method?: "GET" | "POST" | "DELETE";
   /** Whether the call can change what the service holds. */
   isWrite?: boolean;
   body?: unknown;
@@ -85,7 +85,8 @@
   { text }: { text: string },
 ): PlatformFailure {
   const kind = isAmbiguous(status) ? getLostKind(isWrite) : "refused";
-  return new PlatformFailure(kind, `status ${status}: ${text.slice(0, 200)}`);
+  const detail = `status ${status}: ${text.slice(0, 200)}`;
+  return new PlatformFailure(kind, detail, { status });
 }
 
 function getHeaderBytes(headers: IncomingHttpHeaders): number {
@@ -157,7 +158,7 @@
   async #send(
     path: string,
     { method, body, signal }: {
-      method: "GET" | "POST";
+      method: "GET" | "POST" | "DELETE";
       body: unknown;
       signal: AbortSignal;
     },
--- a/src/store/key_value.ts
+++ b/src/store/key_value.ts
@@ -18,11 +18,18 @@
 /** A failed call to the platform. */
 export class PlatformFailure extends Error {
   readonly kind: PlatformFailureKind;
+  /** HTTP status of the answer, where there was one. */
+  readonly status: number | undefined;
 
-  constructor(kind: PlatformFailureKind, detail: string) {
+  constructor(
+    kind: PlatformFailureKind,
+    detail: string,
+    { status }: { status?: number } = {},
+  ) {
     super(detail);
     this.name = "PlatformFailure";
     this.kind = kind;
+    this.status = status;
   }
 }
 
--- a/src/transport/event_stream.ts
+++ b/src/transport/event_stream.ts
@@ -42,27 +42,45 @@
   };
 }
 
-/** Splits `source` into whole events; a torn last event is dropped. */
-export async function* splitEvents(
-  source: AsyncIterable<Uint8Array>,
-): AsyncGenerator<StreamEvent> {
-  let pending: Buffer = Buffer.alloc(0);
-  for await (const chunk of source) {
+/** Splits what is pushed into whole events; keeps the torn rest. */
+export class EventSplitter {
+  #pending: Buffer = Buffer.alloc(0);
+
+  /** Whether bytes of an event that is not whole are left. */
+  get hasRest(): boolean {
+    return this.#pending.length > 0;
+  }
+
+  /** Takes a chunk and returns the events that it completes. */
+  push(chunk: Uint8Array): StreamEvent[] {
     const part = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength);
-    pending = pending.length === 0 ? part : Buffer.concat([pending, part]);
+    const events: StreamEvent[] = [];
+    let pending = this.#pending.length === 0
+      ? part
+      : Buffer.concat([this.#pending, part]);
     let end = pending.indexOf(BOUNDARY);
     while (end >= 0) {
       const size = end + BOUNDARY.length;
-      yield parseEvent(pending.subarray(0, size));
+      events.push(parseEvent(pending.subarray(0, size)));
       pending = pending.subarray(size);
       end = pending.indexOf(BOUNDARY);
     }
     if (pending.length > MAX_EVENT_BYTES) {
       throw new MalformedStream("an event is too long");
     }
+    this.#pending = pending;
+    return events;
   }
 }
 
+/** Splits `source` into whole events; a torn last event is dropped. */
+export async function* splitEvents(
+  source: AsyncIterable<Uint8Array>,
+): AsyncGenerator<StreamEvent> {
+  const splitter = new EventSplitter();
+  for await (const chunk of source) yield* splitter.push(chunk);
+}
+
 /** Renders the event that ends a stream which can't be completed. */
 export function renderErrorEvent(problem: unknown): Buffer {
   return Buffer.from(`event: error\ndata: ${JSON.stringify(problem)}\n\n`);
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -93,7 +93,7 @@
 /** Reads the whole body, or refuses it. */
 export async function readBody(
   request: IncomingMessage,
-  limits: ServerLimits,
+  limits: Pick<ServerLimits, "maxBodyBytes">,
 ): Promise<Result<Buffer, Refusal>> {
   const chunks: Buffer[] = [];
   let bytes = 0;
--- a/src/transport/problem.ts
+++ b/src/transport/problem.ts
@@ -42,10 +42,14 @@
   readonly body: Buffer;
 }
 
-/** Renders a refusal; Retry-After is in whole seconds, rounded up. */
+/**
+ * Renders a refusal; Retry-After is in whole seconds, rounded up, unless the
+ * callers take fractions.
+ */
 export function renderProblem(
   refusal: Refusal,
   requestId: string,
+  { hasFractions = false }: { hasFractions?: boolean } = {},
 ): RenderedProblem {
   const problem = createProblem(refusal, requestId);
   const body = Buffer.from(JSON.stringify(problem));
@@ -55,8 +59,10 @@
     "x-request-id": requestId,
   };
   if (problem.retryAfterMs !== undefined) {
-    const seconds = Math.ceil(problem.retryAfterMs / MS_PER_SECOND);
-    headers["retry-after"] = String(Math.max(1, seconds));
+    const seconds = problem.retryAfterMs / MS_PER_SECOND;
+    headers["retry-after"] = hasFractions
+      ? seconds.toFixed(3)
+      : String(Math.max(1, Math.ceil(seconds)));
   }
   return { status: problem.status, headers, body };
 }
