Pass answers without a length on without one, start faster, serve while stopping

Ruled out: a reset that undici takes for an end, which is caught now too but was not what came. Such answers now end with the connection towards the caller as well.

--- a/src/config/ini_sections.ts
+++ b/src/config/ini_sections.ts
@@ -78,6 +78,9 @@
     allErrors: true,
     coerceTypes: true,
     verbose: true,
+    // The schemas are the program's own; checking them takes most of a start.
+    validateSchema: false,
+    meta: false,
   }).compile<Static<S>>(schema);
   validate(sections);
   const errors = (validate.errors ?? []).filter(isWholeError);
--- /dev/null
+++ b/src/daemon/ingress_answers_test.ts
@@ -0,0 +1,237 @@
+import { decodeRequest } from "../platform/message_headers.ts";
+import {
+  answerWhole,
+  API_KEY,
+  type ArrivedRequest,
+  beginStream,
+  endStream,
+  LocalIngress,
+  sendEvent,
+  signedHead,
+} from "./testing/local_ingress.ts";
+
+let fleet: LocalIngress;
+let count = 0;
+
+beforeAll(async () => {
+  fleet = await new LocalIngress().start();
+});
+
+afterAll(async () => {
+  await fleet.close();
+});
+
+beforeEach(() => {
+  for (const upstream of fleet.upstreams) upstream.arrived.length = 0;
+  fleet.script((request) => answerWhole(request));
+});
+
+function nextId(): string {
+  return `id-${++count}`;
+}
+
+/** Uses `first` for the first request that arrives and `then` for the rest. */
+function scriptInOrder(
+  first: (request: ArrivedRequest) => void,
+  then: (request: ArrivedRequest) => void = answerWhole,
+): void {
+  fleet.script((request) => {
+    (fleet.arrived.length === 1 ? first : then)(request);
+  });
+}
+
+function breakOff({ socket }: ArrivedRequest): void {
+  socket.resetAndDestroy();
+}
+
+/** Breaks the first request off once the caller has `text`. */
+function breakOffAfter(text: string): (received: string) => void {
+  let isBroken = false;
+  return (received) => {
+    if (isBroken || !received.includes(text)) return;
+    isBroken = true;
+    breakOff(fleet.arrived[0]!);
+  };
+}
+
+function refuseUnrun(request: ArrivedRequest): void {
+  const more = "x-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+  request.socket.write(signedHead(request, { status: 503, more }));
+}
+
+test("a request reaches an upstream with what the router says of it", async () => {
+  const id = nextId();
+  const answer = await fleet.ask({
+    id,
+    headers: { "x-tenant": "other", "x-hold": "h", "x-model": "m" },
+  });
+  expect(answer).toMatchObject({ status: 200, text: "ok" });
+  expect(answer.headers["x-response-stamp"]).toBe(`s-${id}`);
+  const [{ headers }] = fleet.arrived as [ArrivedRequest];
+  expect(headers).toMatchObject({ "x-tenant": "workspace", "x-model": "m" });
+  expect(headers).not.toHaveProperty("authorization");
+  expect(headers).not.toHaveProperty("x-hold");
+  expect(fleet.upstreams.map(({ id }) => id)).toContain(
+    headers["x-expect-instance"],
+  );
+  expect(decodeRequest(headers).deadlineMs).toBeLessThanOrEqual(2_000);
+});
+
+test("unknown routes and keys are refused, and the connection stays", async () => {
+  const noRoute = await fleet.ask({ id: nextId(), path: "/none/x" });
+  const noKey = await fleet.ask({ id: nextId(), key: "unknown" });
+  expect([noRoute.status, noKey.status]).toEqual([404, 401]);
+  expect(noRoute.headers.connection).not.toBe("close");
+  expect(fleet.arrived).toEqual([]);
+});
+
+test("an idempotent request goes on elsewhere after a broken answer", async () => {
+  scriptInOrder(breakOff);
+  const answer = await fleet.ask({ id: nextId() });
+  expect(answer).toMatchObject({ status: 200, text: "ok" });
+  const upstreams = fleet.arrived.map(({ headers }) =>
+    headers["x-expect-instance"]
+  );
+  expect(new Set(upstreams).size).toBe(2);
+});
+
+test("a non-idempotent request runs once, and its loss is no refusal", async () => {
+  scriptInOrder(breakOff);
+  const answer = await fleet.ask({ id: nextId(), path: "/book/x" });
+  expect(answer.status).toBe(502);
+  expect(fleet.arrived).toHaveLength(1);
+});
+
+test("a non-idempotent request that was not run goes on elsewhere", async () => {
+  scriptInOrder(refuseUnrun);
+  const answer = await fleet.ask({ id: nextId(), path: "/book/x" });
+  expect(answer).toMatchObject({ status: 200, text: "ok" });
+});
+
+test("a request that no upstream runs is refused with when to come back", async () => {
+  fleet.script(refuseUnrun);
+  const answer = await fleet.ask({ id: nextId(), path: "/book/x" });
+  expect(answer.status).toBe(503);
+  const seconds = Number(answer.headers["retry-after"]);
+  expect(seconds).toBeGreaterThan(0);
+  expect(seconds).toBeLessThan(1);
+});
+
+test("an upstream's own failure is passed on as it is", async () => {
+  fleet.script((request) => answerWhole(request, { status: 500, body: "no" }));
+  const id = nextId();
+  const answer = await fleet.ask({ id, path: "/book/x" });
+  expect(answer).toMatchObject({ status: 500, text: "no" });
+  expect(answer.headers["x-response-stamp"]).toBe(`s-${id}`);
+});
+
+test("an answer of another request or without a signature is not passed on", async () => {
+  scriptInOrder((request) => answerWhole({ ...request, id: "other" }));
+  expect((await fleet.ask({ id: nextId() })).status).toBe(200);
+  expect(fleet.arrived).toHaveLength(2);
+  fleet.script(({ id, socket }) => {
+    socket.write(
+      `HTTP/1.1 200 X\r\nx-attempt-id: ${id}\r\ncontent-length: 0\r\n\r\n`,
+    );
+  });
+  expect((await fleet.ask({ id: nextId(), path: "/book/x" })).status).toBe(502);
+});
+
+test("an answer without a length goes on without one", async () => {
+  fleet.script((request) => {
+    request.socket.end(signedHead(request, { more: "\r\n" }) + "part");
+  });
+  const answer = await fleet.ask({ id: nextId(), path: "/book/x" });
+  expect(answer).toMatchObject({ status: 200, text: "part" });
+  expect(answer.headers).not.toHaveProperty("content-length");
+  expect(answer.headers).not.toHaveProperty("transfer-encoding");
+  expect(answer.headers.connection).toBe("close");
+});
+
+test("a resumable stream goes on at another upstream after its last event", async () => {
+  scriptInOrder((request) => {
+    beginStream(request);
+    sendEvent(request, 1);
+    sendEvent(request, 2);
+    request.socket.write("10\r\nid: 3\nda");
+  }, (request) => {
+    beginStream(request);
+    sendEvent(request, 3);
+    endStream(request);
+  });
+  const answer = await fleet.ask({
+    id: nextId(),
+    path: "/chat/x",
+    method: "POST",
+  }, { onChunk: breakOffAfter("d2") });
+  expect(answer).toMatchObject({
+    status: 200,
+    isComplete: true,
+    text: "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\nid: 3\ndata: d3\n\n",
+  });
+  const resumedAfter = fleet.arrived.map(({ headers }) =>
+    headers["last-event-id"]
+  );
+  expect(new Set(resumedAfter)).toEqual(new Set([undefined, "2"]));
+});
+
+test("a stream that may not be resumed breaks off visibly", async () => {
+  fleet.script((request) => {
+    beginStream(request);
+    sendEvent(request, 1);
+  });
+  const answer = await fleet.ask({ id: nextId(), path: "/plan/x" }, {
+    onChunk: breakOffAfter("d1"),
+  });
+  expect(answer).toMatchObject({ isComplete: false });
+  expect(fleet.arrived).toHaveLength(1);
+});
+
+test("a caller that leaves ends its request at the upstream", async () => {
+  const closed = new Promise<void>((resolve) => {
+    fleet.script((request) => {
+      beginStream(request);
+      sendEvent(request, 1);
+      request.socket.once("close", () => resolve());
+    });
+  });
+  const answer = await fleet.open({ id: nextId(), path: "/plan/x" });
+  answer.destroy();
+  await closed;
+});
+
+test("a request is answered by its deadline, and the upstream is told", async () => {
+  const closed = new Promise<void>((resolve) => {
+    fleet.script(({ socket }) => socket.once("close", () => resolve()));
+  });
+  const answer = await fleet.ask({
+    id: nextId(),
+    path: "/book/x",
+    deadlineMs: 150,
+  });
+  expect(answer.status).toBe(504);
+  await closed;
+});
+
+test("an upstream that is not the expected one gets no more requests", async () => {
+  const [first] = fleet.upstreams;
+  first!.script = ({ id, socket }) => {
+    socket.write(
+      `HTTP/1.1 421 X\r\nx-attempt-id: ${id}\r\ncontent-length: 0\r\n\r\n`,
+    );
+  };
+  for (let request = 0; request < 6; request++) {
+    const answer = await fleet.ask({ id: nextId(), path: "/book/x" });
+    expect(answer.status).toBe(200);
+  }
+  expect(first!.arrived.length).toBeLessThanOrEqual(1);
+  fleet.putUpstream(first!, { seq: 2 });
+  await fleet.untilLogged({ upstream: first!.id });
+});
+
+test("a key that was taken away is refused", async () => {
+  fleet.putConfiguration({ keys: ["new"] });
+  await fleet.untilLogged({ version: 2 });
+  expect((await fleet.ask({ id: nextId(), key: API_KEY })).status).toBe(401);
+  expect((await fleet.ask({ id: nextId(), key: "new" })).status).toBe(200);
+});
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -18,7 +18,10 @@
 } from "../control/routing_controller.ts";
 import { createTaskSystem, type TaskSystem } from "../control/task.ts";
 import { createFilterChain } from "../filters/exchange.ts";
-import { RequestBodyFilter } from "../ingress/body_filter.ts";
+import {
+  RequestBodyFilter,
+  type StopProgress,
+} from "../ingress/body_filter.ts";
 import { ForwardFilter } from "../ingress/forward_filter.ts";
 import type {
   IngressExchange,
@@ -36,6 +39,7 @@
 import { createLogWriter, type LogWriter } from "../log_writer.ts";
 import { createMetadataStore } from "../platform/metadata_store.ts";
 import { READY_PATH } from "../platform/names.ts";
+import { BALANCER_DRAIN_MS } from "../policy/stop_plan.ts";
 import { findUnreadyReason } from "../policy/readiness.ts";
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import { createRetryBudget, type RetryBudget } from "../policy/retry_budget.ts";
@@ -62,11 +66,6 @@
   rejectReload(faults: string): void;
 }
 
-/**
- * Time after a stop began in which new connections may still come, in
- * milliseconds: the balancer asks once a second and believes the second answer.
- */
-const DRAIN_MS = 3_200;
 /** Part of the grace time that is left to end the process, in milliseconds. */
 const EXIT_MARGIN_MS = 500;
 /** Pause between two looks at the readiness, in milliseconds. */
@@ -122,7 +121,7 @@
   readonly #connections;
   readonly #callers: Server;
   readonly #loopDelay = monitorEventLoopDelay();
-  #stopsAt = Infinity;
+  #stopBegunAt: number | undefined;
   #unreadyReason: string | undefined = "no-configuration";
 
   constructor(
@@ -229,14 +228,21 @@
   }
 
   async stop(): Promise<void> {
-    const { graceS } = this.#bounds;
     const log = this.#logs("daemon");
     const begunAt = readSteadyClock();
-    this.#stopsAt = begunAt + graceS * MS_PER_SECOND - EXIT_MARGIN_MS;
+    this.#stopBegunAt = begunAt;
     log.info("The router stops.", { inFlight: this.#inFlight.count });
-    await sleep(Math.min(DRAIN_MS, this.#getLifetimeMs()));
-    await Promise.race([this.#inFlight.idle(), sleep(this.#getLifetimeMs())]);
+    await sleep(Math.min(BALANCER_DRAIN_MS, this.#getStop()!.lifetimeMs));
+    await Promise.race([
+      this.#inFlight.idle(),
+      sleep(this.#getStop()!.lifetimeMs),
+    ]);
     this.#callers.close();
+    // What came while the last answers ended.
+    await Promise.race([
+      this.#inFlight.idle(),
+      sleep(this.#getStop()!.lifetimeMs),
+    ]);
     for (const { name, cause } of await this.#lifeCycle.close()) {
       log.warn("A resource failed to close.", { name, cause: String(cause) });
     }
@@ -247,8 +253,11 @@
     });
   }
 
-  #getLifetimeMs(): number {
-    return Math.max(0, this.#stopsAt - readSteadyClock());
+  #getStop(): StopProgress | undefined {
+    if (this.#stopBegunAt === undefined) return undefined;
+    const stoppingMs = readSteadyClock() - this.#stopBegunAt;
+    const graceMs = this.#bounds.graceS * MS_PER_SECOND - EXIT_MARGIN_MS;
+    return { stoppingMs, lifetimeMs: Math.max(0, graceMs - stoppingMs) };
   }
 
   #createCallerServer(hash: Hash): Server {
@@ -256,7 +265,7 @@
       new RouteFilter({ routing: this.#routing, now: readClocks }),
       new KeyFilter({ routing: this.#routing, now: readClocks }),
       new RequestBodyFilter({
-        getLifetimeMs: () => this.#getLifetimeMs(),
+        getStop: () => this.#getStop(),
         clock: readSteadyClock,
       }),
       new ForwardFilter({
@@ -284,7 +293,7 @@
         metrics: this.#metrics,
         inFlight: this.#inFlight,
         getTable: () => this.#routing.table(),
-        getLifetimeMs: () => this.#getLifetimeMs(),
+        isStopping: () => this.#stopBegunAt !== undefined,
       }),
     );
     server.maxConnections = this.#settings.limits.maxConnections;
@@ -318,7 +327,7 @@
 
   #findUnreadyReason(): string | undefined {
     return findUnreadyReason({
-      isStopping: this.#stopsAt !== Infinity,
+      isStopping: this.#stopBegunAt !== undefined,
       hasConfiguration: this.#routing.table() !== undefined,
       isConfirmed: this.#routing.isTrustedAt(readClocks()),
     });
--- /dev/null
+++ b/src/daemon/testing/local_ingress.ts
@@ -0,0 +1,358 @@
+/**
+ * A router with a metadata store on loopback, beside scripted upstreams, in the
+ * process of the test.
+ */
+import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import {
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  request as sendRequest,
+} from "node:http";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { findFreeAddress } from "../../../testing/free_address.ts";
+import { MetadataStoreServer } from "../../../testing/metadata_store.ts";
+import {
+  INGRESS_SETTING_DEFAULTS,
+  type IngressSettings,
+} from "../../config/ingress_settings.ts";
+import { createLogFactory } from "../../log.ts";
+import { type IngressDaemon, startIngressDaemon } from "../ingress_daemon.ts";
+
+/** Key of the one workspace. */
+export const API_KEY = "key-of-workspace";
+export const HOST = "chats.example";
+
+/** A request that reached an upstream. */
+export interface ArrivedRequest {
+  readonly id: string;
+  readonly head: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly socket: Socket;
+}
+
+/** Answers a request on its socket. */
+export type Script = (request: ArrivedRequest) => void;
+
+/** An upstream that speaks raw bytes. */
+export interface ScriptedUpstream {
+  readonly id: string;
+  readonly address: string;
+  readonly arrived: ArrivedRequest[];
+  script: Script;
+  close(): void;
+}
+
+/** Headers of a signed answer to `request`. */
+export function signedHead(
+  { id }: ArrivedRequest,
+  { status = 200, more = "" }: { status?: number; more?: string } = {},
+): string {
+  return `HTTP/1.1 ${status} X\r\nx-attempt-id: ${id}\r\n` +
+    `x-response-stamp: s-${id}\r\n${more}`;
+}
+
+/** Answers `request` with a whole body. */
+export function answerWhole(
+  request: ArrivedRequest,
+  { status = 200, body = "ok" }: { status?: number; body?: string } = {},
+): void {
+  const more = `content-length: ${body.length}\r\n\r\n${body}`;
+  request.socket.write(signedHead(request, { status, more }));
+}
+
+/** Begins a stream of events in chunks. */
+export function beginStream(request: ArrivedRequest): void {
+  request.socket.write(signedHead(request, {
+    more: "content-type: text/event-stream\r\n" +
+      "transfer-encoding: chunked\r\n\r\n",
+  }));
+}
+
+/** Sends one event of a stream. */
+export function sendEvent({ socket }: ArrivedRequest, id: number): void {
+  const event = `id: ${id}\ndata: d${id}\n\n`;
+  socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
+}
+
+/** Ends a stream as complete. */
+export function endStream({ socket }: ArrivedRequest): void {
+  socket.write("0\r\n\r\n");
+}
+
+function parseHead(head: string): Record<string, string> {
+  const lines = head.split("\r\n").slice(1).filter((line) => line !== "");
+  return Object.fromEntries(lines.map((line) => {
+    const [name = "", ...value] = line.split(":");
+    return [name.toLowerCase(), value.join(":").trim()];
+  }));
+}
+
+async function startUpstream(id: string): Promise<ScriptedUpstream> {
+  const arrived: ArrivedRequest[] = [];
+  const sockets = new Set<Socket>();
+  const upstream = {
+    script: (request: ArrivedRequest) => answerWhole(request),
+  };
+  const server = createServer((socket) => {
+    let pending = "";
+    sockets.add(socket);
+    socket.on("error", () => {});
+    socket.on("close", () => sockets.delete(socket));
+    socket.on("data", (chunk) => {
+      pending += chunk.toString("latin1");
+      for (;;) {
+        const end = pending.indexOf("\r\n\r\n");
+        if (end < 0) return;
+        const head = pending.slice(0, end);
+        const headers = parseHead(head);
+        const size = end + 4 + Number(headers["content-length"] ?? 0);
+        if (pending.length < size) return;
+        pending = pending.slice(size);
+        const request = {
+          id: headers["x-attempt-id"] ?? "",
+          head,
+          headers,
+          socket,
+        };
+        arrived.push(request);
+        upstream.script(request);
+      }
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  return Object.assign(upstream, {
+    id,
+    address: `127.0.0.1:${port}`,
+    arrived,
+    close() {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+    },
+  });
+}
+
+/** What a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly text: string;
+  /** Whether the answer ended as its framing says. */
+  readonly isComplete: boolean;
+}
+
+/** A request of a caller. */
+export interface CallerRequest {
+  readonly id?: string;
+  readonly method?: string;
+  readonly path?: string;
+  readonly key?: string;
+  readonly body?: string;
+  readonly headers?: Record<string, string>;
+  readonly deadlineMs?: number;
+}
+
+/** Options of the fixture. */
+export interface LocalIngressOptions {
+  readonly upstreams?: number;
+  readonly bounds?: Partial<IngressSettings["bounds"]>;
+}
+
+/** See the module. */
+export class LocalIngress {
+  readonly store = new MetadataStoreServer();
+  readonly upstreams: ScriptedUpstream[] = [];
+  readonly lines: Record<string, unknown>[] = [];
+  daemon!: IngressDaemon;
+  settings!: IngressSettings;
+  #version = 1;
+
+  /** Starts everything and waits until the router is ready. */
+  async start(
+    { upstreams = 2, bounds = {} }: LocalIngressOptions = {},
+  ): Promise<this> {
+    await this.store.open();
+    this.putConfiguration();
+    for (let index = 0; index < upstreams; index++) {
+      this.putUpstream(await this.#addUpstream(`up-${index}`));
+    }
+    this.settings = {
+      router: { name: "router-1", failureDomain: "east" },
+      listen: {
+        callers: await findFreeAddress(),
+        ready: await findFreeAddress(),
+        metrics: await findFreeAddress(),
+      },
+      store: { address: this.store.address },
+      ...INGRESS_SETTING_DEFAULTS,
+      bounds: { ...INGRESS_SETTING_DEFAULTS.bounds, retrySlack: 50, ...bounds },
+    };
+    this.daemon = await startIngressDaemon({
+      settings: this.settings,
+      logs: createLogFactory({
+        router: "router-1",
+        level: "debug",
+        write: (line) => this.lines.push(JSON.parse(line)),
+      }),
+    });
+    await this.untilReady(200);
+    return this;
+  }
+
+  async close(): Promise<void> {
+    this.store.faults.isSilent = false;
+    await this.daemon.stop();
+    for (const upstream of this.upstreams) upstream.close();
+    await this.store.close();
+  }
+
+  /** Writes a configuration of a newer version. */
+  putConfiguration({ keys = [API_KEY] }: { keys?: string[] } = {}): void {
+    const route = {
+      host: HOST,
+      timeoutMs: 2_000,
+      goalMs: 200,
+      priority: 1,
+      service: "svc",
+      maxAttempts: 2,
+      public: false,
+      sticky: false,
+    };
+    this.store.put("op/config", {
+      version: this.#version++,
+      routes: [
+        { ...route, name: "read", prefix: "/read/", kind: "idempotent" },
+        { ...route, name: "book", prefix: "/book/", kind: "non_idempotent" },
+        {
+          ...route,
+          name: "chat",
+          prefix: "/chat/",
+          kind: "stream",
+          resumable: true,
+        },
+        { ...route, name: "plan", prefix: "/plan/", kind: "stream" },
+      ],
+      services: [{ name: "svc", maxConns: 50, coldStartS: 0, coldPerS: 0 }],
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 100_000,
+        headerTimeoutMs: 3_000,
+        idleTimeoutMs: 15_000,
+      },
+      tenants: [{ name: "workspace", apiKeys: keys, priority: 1 }],
+    });
+  }
+
+  /** Writes the entry of an upstream. */
+  putUpstream(
+    { id, address }: Pick<ScriptedUpstream, "id" | "address">,
+    fields: Record<string, unknown> = {},
+  ): void {
+    this.store.put(`servers/${id}`, {
+      service: "svc",
+      address,
+      zone: "east",
+      version: "v1",
+      slots: 4,
+      state: "ready",
+      coldLeftMs: 0,
+      seq: 1,
+      ...fields,
+    });
+  }
+
+  /** Sets the script of every upstream. */
+  script(script: Script): void {
+    for (const upstream of this.upstreams) upstream.script = script;
+  }
+
+  /** Requests that reached any upstream. */
+  get arrived(): ArrivedRequest[] {
+    return this.upstreams.flatMap(({ arrived }) => arrived);
+  }
+
+  /** Opens a request; resolves with the head of its answer. */
+  open(
+    {
+      id = "id-1",
+      method = "GET",
+      path = "/read/x",
+      key = API_KEY,
+      body = "",
+      headers = {},
+      deadlineMs = 2_000,
+    }: CallerRequest,
+  ): Promise<IncomingMessage> {
+    const [host, port] = this.settings.listen.callers.split(":");
+    return new Promise((resolve, reject) => {
+      const request = sendRequest({
+        host,
+        port,
+        method,
+        path,
+        headers: {
+          host: HOST,
+          "x-attempt-id": id,
+          "x-deadline-ms": String(deadlineMs),
+          authorization: `Bearer ${key}`,
+          "content-length": String(body.length),
+          ...headers,
+        },
+      }, resolve);
+      request.on("error", reject);
+      request.end(body);
+    });
+  }
+
+  /** Sends a request and reads its whole answer. */
+  async ask(
+    request: CallerRequest = {},
+    { onChunk = () => {} }: { onChunk?: (text: string) => void } = {},
+  ): Promise<CallerAnswer> {
+    const answer = await this.open(request);
+    const chunks: Buffer[] = [];
+    try {
+      for await (const chunk of answer) {
+        chunks.push(chunk as Buffer);
+        onChunk(Buffer.concat(chunks).toString());
+      }
+    } catch {
+      // A broken answer shows in `complete`.
+    }
+    return {
+      status: answer.statusCode ?? 0,
+      headers: answer.headers,
+      text: Buffer.concat(chunks).toString(),
+      isComplete: answer.complete,
+    };
+  }
+
+  /** Waits until the router says `status` to the balancer. */
+  async untilReady(status: number): Promise<void> {
+    for (;;) {
+      const url = `http://${this.settings.listen.ready}/corianderflow/ready`;
+      if ((await fetch(url)).status === status) return;
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+  }
+
+  /** Waits until a log line holds `fields`. */
+  async untilLogged(fields: Record<string, unknown>): Promise<void> {
+    const wanted = Object.entries(fields);
+    while (
+      !this.lines.some((line) =>
+        wanted.every(([name, value]) => line[name] === value)
+      )
+    ) {
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+  }
+
+  async #addUpstream(id: string): Promise<ScriptedUpstream> {
+    const upstream = await startUpstream(id);
+    this.upstreams.push(upstream);
+    return upstream;
+  }
+}
--- a/src/ingress/body_filter.ts
+++ b/src/ingress/body_filter.ts
@@ -2,6 +2,7 @@
  * Reads the body of a request within the configured bound, so that it can be
  * sent more than once.
  */
+import { mayServeWhileStopping } from "../policy/stop_plan.ts";
 import { readBody } from "../transport/http_server.ts";
 import type {
   IngressExchange,
@@ -10,10 +11,18 @@
 } from "./ingress_exchange.ts";
 import { refuseForNow } from "./refusals.ts";
 
+/** How far the stop of this router has gone. */
+export interface StopProgress {
+  /** Time since the router was asked to stop, in milliseconds. */
+  readonly stoppingMs: number;
+  /** Time until the process ends, in milliseconds. */
+  readonly lifetimeMs: number;
+}
+
 /** Options of the filter. */
 export interface RequestBodyFilterOptions {
-  /** Time for which this router still answers, in milliseconds. */
-  readonly getLifetimeMs: () => number;
+  /** How far a stop has gone; undefined while there is none. */
+  readonly getStop: () => StopProgress | undefined;
   readonly clock: () => number;
 }
 
@@ -37,11 +46,14 @@
       return { kind: "refused", refusal: body.val };
     }
     exchange.body = body.val;
-    const lifetimeMs = this.#options.getLifetimeMs();
-    if (exchange.answerBy - this.#options.clock() > lifetimeMs) {
+    const stop = this.#options.getStop();
+    const remainingMs = exchange.answerBy - this.#options.clock();
+    if (
+      stop !== undefined && !mayServeWhileStopping({ ...stop, remainingMs })
+    ) {
       return refuseForNow(exchange, {
         code: "router-stopping",
-        detail: `This router stops in ${Math.round(lifetimeMs)} ms.`,
+        detail: `This router stops in ${Math.round(stop.lifetimeMs)} ms.`,
         cause: "this-router",
         closes: true,
       });
--- a/src/ingress/ingress_exchange.ts
+++ b/src/ingress/ingress_exchange.ts
@@ -58,6 +58,8 @@
     readonly status: number;
     readonly headers: Record<string, string | string[]>;
     readonly body: Buffer;
+    /** False where the answer ended with its connection. */
+    readonly isFramed: boolean;
   }
   /** The answer has been written, or broken off, by the filter itself. */
   | { readonly kind: "streamed"; readonly end: "complete" | "broken" }
--- a/src/ingress/ingress_server.ts
+++ b/src/ingress/ingress_server.ts
@@ -3,7 +3,7 @@
  * came of it.
  */
 import type { Buffer } from "node:buffer";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { createRefusal } from "../diagnostics.ts";
 import type { FilterChain } from "../filters/exchange.ts";
 import type { Log } from "../log.ts";
@@ -11,6 +11,7 @@
 import type { RouteTable } from "../policy/route_table.ts";
 import { createCountedHandler, type InFlight } from "../transport/in_flight.ts";
 import { renderProblem } from "../transport/problem.ts";
+import { endWithConnection } from "../transport/unframed_answer.ts";
 import type { IngressExchange, IngressOutcome } from "./ingress_exchange.ts";
 import type { IngressMetrics } from "./ingress_metrics.ts";
 import { refuseForNow } from "./refusals.ts";
@@ -23,8 +24,8 @@
   readonly metrics: IngressMetrics;
   readonly inFlight: InFlight;
   readonly getTable: () => RouteTable | undefined;
-  /** Time for which this router still answers, in milliseconds. */
-  readonly getLifetimeMs: () => number;
+  /** Whether this router has begun to stop. */
+  readonly isStopping: () => boolean;
 }
 
 /** Time that a caller is assumed to wait where it doesn't say, milliseconds. */
@@ -89,7 +90,7 @@
       answerBy: arrivedAt + DEFAULT_DEADLINE_MS,
       trace: [],
     };
-    if (options.getLifetimeMs() !== Infinity) {
+    if (options.isStopping()) {
       response.setHeader("connection", "close");
     }
     const outcome = await run(exchange);
@@ -103,10 +104,14 @@
     outcome: IngressOutcome,
   ): void {
     if (response.destroyed) return;
-    if (options.getLifetimeMs() !== Infinity && !response.headersSent) {
+    if (options.isStopping() && !response.headersSent) {
       response.setHeader("connection", "close");
     }
-    if (outcome.kind === "whole") {
+    if (outcome.kind === "whole" && !outcome.isFramed) {
+      endWithConnection(response);
+      response.writeHead(outcome.status, outcome.headers);
+      response.end(outcome.body);
+    } else if (outcome.kind === "whole") {
       writeWhole(response, outcome);
     } else if (outcome.kind === "refused") {
       const { refusal, closes = false } = outcome;
@@ -171,9 +176,3 @@
   });
   response.end(answer.body);
 }
-
-/** Applies the callers' limits of a configuration to a server. */
-export function applyIdleTimeout(server: Server, idleTimeoutMs: number): void {
-  // Callers reuse a connection until shortly before the limit.
-  server.keepAliveTimeout = idleTimeoutMs;
-}
--- a/src/ingress/stream_relay.ts
+++ b/src/ingress/stream_relay.ts
@@ -4,6 +4,7 @@
  */
 import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
+import { endWithConnection } from "../transport/unframed_answer.ts";
 import { EventOrder } from "../policy/event_order.ts";
 import type { StreamEvent } from "../transport/event_stream.ts";
 
@@ -19,6 +20,7 @@
   readonly #order: EventOrder;
   readonly #clock: () => number;
   #isBegun = false;
+  #isFramed = true;
   #count = 0;
   #lastPassedAt: number | undefined;
   #longestPauseMs = 0;
@@ -60,10 +62,23 @@
     return this.#longestPauseMs;
   }
 
+  /** Whether the caller can tell the end of the answer from a break. */
+  get isFramed(): boolean {
+    return this.#isFramed;
+  }
+
   /** Writes the head, once. */
-  begin(status: number, headers: Record<string, string | string[]>): void {
+  begin(
+    status: number,
+    { headers, isFramed }: {
+      headers: Record<string, string | string[]>;
+      isFramed: boolean;
+    },
+  ): void {
     if (this.#isBegun) return;
     this.#isBegun = true;
+    this.#isFramed = isFramed;
+    if (!isFramed) endWithConnection(this.#response);
     this.#response.writeHead(status, headers);
   }
 
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -23,6 +23,8 @@
   readonly status: number;
   readonly headers: Record<string, string | string[]>;
   readonly body: Buffer;
+  /** False where the answer ended with its connection and may be cut short. */
+  readonly isFramed: boolean;
 }
 
 /** How a try ended. */
@@ -60,6 +62,12 @@
 /** Larger answers are not held in memory. */
 const MAX_WHOLE_ANSWER_BYTES = 16_777_216;
 
+/** Whether the end of an answer can be told from its bytes. */
+function isFramed(headers: IncomingHttpHeaders): boolean {
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
@@ -158,7 +166,6 @@
 
   #passEvents(chunk: Buffer): void {
     const { relay } = this.#options;
-    const { status, headers } = this.#head!;
     let events;
     try {
       events = this.#splitter.push(chunk);
@@ -167,7 +174,7 @@
       return;
     }
     if (events.length === 0) return;
-    relay.begin(status, copyAnswerHeaders(headers));
+    this.#beginStream();
     const isInOrder = relay.pass(events, {
       pause: () => this.#exchange.pause(),
       resume: () => this.#exchange.resume(),
@@ -196,11 +203,24 @@
       this.#end({ kind: "ended", end: "no-answer", detail });
       return;
     }
-    const { status, headers } = this.#head!;
-    this.#options.relay.begin(status, copyAnswerHeaders(headers));
+    this.#beginStream();
+    if (!isFramed(this.#head!.headers) && this.#options.relay.isFramed) {
+      // Its end can't be told from a break, and the caller would not see one.
+      const detail = "the stream ended with its connection";
+      this.#end({ kind: "ended", end: "no-answer", detail });
+      return;
+    }
     this.#end({ kind: "stream-complete" });
   }
 
+  #beginStream(): void {
+    const { status, headers } = this.#head!;
+    this.#options.relay.begin(status, {
+      headers: copyAnswerHeaders(headers),
+      isFramed: isFramed(headers),
+    });
+  }
+
   #classify(): TryResult {
     const { status, headers, traits } = this.#head!;
     const detail = `status ${status}`;
@@ -211,7 +231,12 @@
     const body = this.#chunks.length === 1
       ? this.#chunks[0]!
       : Buffer.concat(this.#chunks);
-    const answer = { status, headers: copyAnswerHeaders(headers), body };
+    const answer = {
+      status,
+      headers: copyAnswerHeaders(headers),
+      body,
+      isFramed: isFramed(headers),
+    };
     if (status < FIRST_FAILURE_STATUS) return { kind: "answered", answer };
     return { kind: "ended", end: "failed", detail, answer };
   }
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -5,7 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
-import { Client, type Dispatcher } from "undici";
+import { buildConnector, Client, type Dispatcher } from "undici";
 
 /** A request to an upstream. */
 export interface UpstreamRequest {
@@ -74,18 +74,30 @@
   readonly client: Client;
   readonly address: string;
   isClosed = false;
+  /** Whether the connection was reset rather than closed. */
+  hasFailed = false;
   idleSince = 0;
   isFresh = true;
 
   constructor(address: string, connectTimeoutMs: number, idleMs: number) {
     this.address = address;
+    const connect = buildConnector({
+      timeout: connectTimeoutMs,
+      keepAlive: true,
+      keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
+    });
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect: {
-        timeout: connectTimeoutMs,
-        keepAlive: true,
-        keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
-      },
+      connect: (options, callback) =>
+        connect(options, (...[error, socket]) => {
+          if (error !== null) {
+            callback(error, null);
+            return;
+          }
+          // Undici takes a reset for the end of an answer without a length.
+          socket.prependListener("error", () => this.hasFailed = true);
+          callback(null, socket);
+        }),
       // The deadline of a request is its caller's, not the connection's.
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -121,6 +133,7 @@
     connection.isFresh = false;
     this.#busy.add(connection);
     const handler = new ExchangeHandler(listener, {
+      hasFailed: () => connection.hasFailed,
       onDone: (isReusable) => this.#release(connection, isReusable),
     });
     connection.client.dispatch({
@@ -198,15 +211,20 @@
 /** Turns undici's events into those of an `AnswerListener`. */
 class ExchangeHandler implements Dispatcher.DispatchHandler {
   readonly #listener: AnswerListener;
+  readonly #hasFailed: () => boolean;
   readonly #onDone: (isReusable: boolean) => void;
   #controller: Dispatcher.DispatchController | undefined;
   #isEnded = false;
 
   constructor(
     listener: AnswerListener,
-    { onDone }: { onDone: (isReusable: boolean) => void },
+    { hasFailed, onDone }: {
+      hasFailed: () => boolean;
+      onDone: (isReusable: boolean) => void;
+    },
   ) {
     this.#listener = listener;
+    this.#hasFailed = hasFailed;
     this.#onDone = onDone;
   }
 
@@ -233,6 +251,11 @@
   onResponseEnd(): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
+    if (this.#hasFailed()) {
+      this.#onDone(false);
+      this.#listener.onFailure("broken", "the connection was reset");
+      return;
+    }
     // Undici closes the connection in this turn if the answer asks for it.
     setImmediate(() => this.#onDone(true));
     this.#listener.onEnd();
--- /dev/null
+++ b/src/transport/upstream_connections_test.ts
@@ -0,0 +1,125 @@
+import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import {
+  createUpstreamConnections,
+  type UpstreamConnections,
+} from "./upstream_connections.ts";
+
+interface Upstream {
+  readonly address: string;
+  readonly connections: number;
+  close(): void;
+}
+
+/** Answers each request that arrives with `answer`. */
+async function startUpstream(
+  answer: (socket: Socket, count: number) => void,
+): Promise<Upstream> {
+  const sockets = new Set<Socket>();
+  let connections = 0;
+  const server = createServer((socket) => {
+    connections++;
+    sockets.add(socket);
+    let count = 0;
+    socket.on("data", () => answer(socket, ++count));
+    socket.on("error", () => {});
+    socket.on("close", () => sockets.delete(socket));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${port}`,
+    get connections() {
+      return connections;
+    },
+    close() {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+    },
+  };
+}
+
+function send(connections: UpstreamConnections, address: string) {
+  return new Promise<string>((resolve) => {
+    const chunks: Buffer[] = [];
+    connections.send({
+      address,
+      method: "GET",
+      path: "/",
+      headers: [],
+      body: undefined,
+      maxIdleMs: 1_000,
+    }, {
+      onHead: (status) => chunks.push(Buffer.from(`${status} `)),
+      onData: (chunk) => chunks.push(Buffer.from(chunk)),
+      onEnd: () => resolve(Buffer.concat(chunks).toString()),
+      onFailure: (failure, detail) => resolve(`${failure}: ${detail}`),
+    });
+  });
+}
+
+async function withUpstream(
+  answer: (socket: Socket, count: number) => void,
+  check: (
+    upstream: Upstream,
+    connections: UpstreamConnections,
+  ) => Promise<void>,
+): Promise<void> {
+  const upstream = await startUpstream(answer);
+  const connections = createUpstreamConnections({
+    clock: () => performance.now(),
+  });
+  try {
+    await check(upstream, connections);
+  } finally {
+    await connections.close();
+    upstream.close();
+  }
+}
+
+const WHOLE = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+const UNFRAMED = "HTTP/1.1 200 OK\r\n\r\npart";
+
+test("an answer without a length that is reset on its way is not whole", async () => {
+  await withUpstream((socket) => {
+    socket.write(UNFRAMED);
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  }, async ({ address }, connections) => {
+    expect(await send(connections, address)).toBe(
+      "broken: the connection was reset",
+    );
+  });
+});
+
+test("an answer without a length that is closed is whole", async () => {
+  await withUpstream(
+    (socket) => void socket.end(UNFRAMED),
+    async ({ address }, connections) => {
+      expect(await send(connections, address)).toBe("200 part");
+    },
+  );
+});
+
+test("a connection is reused, but not after bytes that belong to no request", async () => {
+  await withUpstream((socket, count) => {
+    socket.write(count === 2 ? WHOLE + WHOLE : WHOLE);
+  }, async (upstream, connections) => {
+    for (let request = 0; request < 3; request++) {
+      expect(await send(connections, upstream.address)).toBe("200 ok");
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    expect(upstream.connections).toBe(2);
+  });
+});
+
+test("a request that finds no connection was not sent", async () => {
+  const upstream = await startUpstream(() => {});
+  upstream.close();
+  const connections = createUpstreamConnections({
+    clock: () => performance.now(),
+  });
+  expect(await send(connections, upstream.address)).toMatch(/^not-sent: /);
+  await connections.close();
+});
