Refuse late in a stop what might outlast the process

After the balancer's time only what must end in time is taken. At the end callers' connections close first, so that nothing is tried again at another upstream.

--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -243,6 +243,8 @@
       this.#inFlight.idle(),
       sleep(this.#getStop()!.lifetimeMs),
     ]);
+    // What is left ends here, and must not be tried at another upstream.
+    this.#callers.closeAllConnections();
     for (const { name, cause } of await this.#lifeCycle.close()) {
       log.warn("A resource failed to close.", { name, cause: String(cause) });
     }
--- a/src/policy/stop_plan.ts
+++ b/src/policy/stop_plan.ts
@@ -3,7 +3,7 @@
  *
  * The balancer goes on sending for some seconds. What comes in that time is
  * served, since the grace time is longer than nearly every answer; what comes
- * later is served if it ends before the process does.
+ * later is served if it must end before the process does.
  */
 
 /** What the decision depends on. */
@@ -21,13 +21,16 @@
  * milliseconds: it asks once a second and believes the second answer.
  */
 export const BALANCER_DRAIN_MS = 3_000;
-/** Time that an answer takes, nearly always, in milliseconds. */
-const USUAL_ANSWER_MS = 3_500;
+/**
+ * Time from a caller's sending to the router's decision, in milliseconds: a
+ * link and a turn of the event loop.
+ */
+const ARRIVAL_MARGIN_MS = 100;
 
 /** Whether a request that has just come is still served here. */
 export function mayServeWhileStopping(
   { stoppingMs, lifetimeMs, remainingMs }: StopInput,
 ): boolean {
-  if (stoppingMs <= BALANCER_DRAIN_MS) return true;
-  return Math.min(remainingMs, USUAL_ANSWER_MS) < lifetimeMs;
+  if (stoppingMs <= BALANCER_DRAIN_MS - ARRIVAL_MARGIN_MS) return true;
+  return remainingMs < lifetimeMs;
 }
--- /dev/null
+++ b/src/policy/stop_plan_test.ts
@@ -0,0 +1,15 @@
+import { mayServeWhileStopping } from "./stop_plan.ts";
+
+test("a router that stops serves what the balancer still sends", () => {
+  expect(mayServeWhileStopping({
+    stoppingMs: 2_500,
+    lifetimeMs: 5_000,
+    remainingMs: 15_000,
+  })).toBe(true);
+});
+
+test("later it takes only what ends before the process does", () => {
+  const late = { stoppingMs: 3_500, lifetimeMs: 4_000 };
+  expect(mayServeWhileStopping({ ...late, remainingMs: 12_000 })).toBe(false);
+  expect(mayServeWhileStopping({ ...late, remainingMs: 800 })).toBe(true);
+});
