--- a/src/config/ingress_settings.ts
+++ b/src/config/ingress_settings.ts
@@ -37,6 +37,8 @@
     callers: AddressSchema,
     /** Where the balancer asks whether the router is ready. */
     ready: AddressSchema,
+    /** Where the router hears other routers, in datagrams. */
+    peers: AddressSchema,
     /** Where counters and histograms are read. */
     metrics: AddressSchema,
   }, strict),
--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -6,6 +6,7 @@
 import type { Log } from "../log.ts";
 import type {
   MetadataStore,
+  Registration,
   StoreSnapshot,
 } from "../platform/metadata_store.ts";
 import { Confirmation } from "../policy/confirmation.ts";
@@ -29,8 +30,8 @@
   ageAt(now: Instant): number;
   /** Whether API keys may still be trusted. */
   isTrustedAt(now: Instant): boolean;
-  /** Names of the routers of the fleet, this one included. */
-  routers(): readonly string[];
+  /** Addresses of the routers of the fleet by name, this one included. */
+  routers(): ReadonlyMap<string, string>;
 }
 
 /** Follows the store. */
@@ -41,8 +42,8 @@
 
 /** Options of the controller. */
 export interface RoutingOptions {
-  /** Name of this router. */
-  readonly self: string;
+  /** What this router says of itself. */
+  readonly self: Registration;
   readonly store: MetadataStore;
   readonly now: () => Instant;
   readonly log: Log;
@@ -79,7 +80,7 @@
   readonly directory = new UpstreamDirectory();
   readonly #options: RoutingOptions;
   readonly #confirmation: Confirmation;
-  readonly #routers = new Set<string>();
+  readonly #routers = new Map<string, string>();
   readonly #poller: Task<Message>;
   readonly #registrar: Task<Message>;
   #table: RouteTable | undefined;
@@ -139,8 +140,8 @@
     return this.#confirmation.isTrustedAt(now);
   }
 
-  routers(): readonly string[] {
-    return [...this.#routers];
+  routers(): ReadonlyMap<string, string> {
+    return this.#routers;
   }
 
   async #poll(): Promise<void> {
@@ -233,7 +234,7 @@
       if (domainsOut.has(failureDomain)) continue;
       this.#apply({ kind: "domain-back", failureDomain });
     }
-    for (const name of this.#routers) {
+    for (const name of [...this.#routers.keys()]) {
       if (!routers.has(name)) this.#apply({ kind: "router-gone", name });
     }
     this.#revision = revision;
@@ -270,11 +271,11 @@
         this.#bringBack(change.failureDomain, steady);
         break;
       case "router":
-        this.#routers.add(change.name);
+        this.#routers.set(change.name, change.address);
         this.#options.onRouters?.(this.#routers.size);
         break;
       case "router-gone":
-        if (change.name !== self) this.#routers.delete(change.name);
+        if (change.name !== self.name) this.#routers.delete(change.name);
         this.#options.onRouters?.(this.#routers.size);
         break;
       case "unreadable":
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -16,6 +16,10 @@
   createRoutingController,
   type RoutingController,
 } from "../control/routing_controller.ts";
+import {
+  createLoadExchange,
+  type LoadExchange,
+} from "../control/load_exchange.ts";
 import { createTaskSystem, type TaskSystem } from "../control/task.ts";
 import { createFilterChain } from "../filters/exchange.ts";
 import {
@@ -40,6 +44,7 @@
 import { createMetadataStore } from "../platform/metadata_store.ts";
 import { READY_PATH } from "../platform/names.ts";
 import { BALANCER_DRAIN_MS } from "../policy/stop_plan.ts";
+import { PeerLoads } from "../policy/peer_loads.ts";
 import { findUnreadyReason } from "../policy/readiness.ts";
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import { createRetryBudget, type RetryBudget } from "../policy/retry_budget.ts";
@@ -119,6 +124,8 @@
   readonly #routing: RoutingController;
   readonly #placement: Placement;
   readonly #connections;
+  readonly #peerLoads = new PeerLoads();
+  readonly #loadExchange: LoadExchange;
   readonly #callers: Server;
   readonly #loopDelay = monitorEventLoopDelay();
   #stopBegunAt: number | undefined;
@@ -159,7 +166,7 @@
     });
     this.#lifeCycle.own("metadata store", () => store.close());
     this.#routing = createRoutingController({
-      self: router.name,
+      self: { name: router.name, address: settings.listen.peers },
       store,
       now: readClocks,
       log: this.#logs("config"),
@@ -188,6 +195,16 @@
       hash,
       clock: readSteadyClock,
       coldFactor: bounds.coldFactor,
+      peerLoads: this.#peerLoads,
+    });
+    this.#loadExchange = createLoadExchange({
+      self: router.name,
+      address: settings.listen.peers,
+      clock: readSteadyClock,
+      log: this.#logs("peers"),
+      getRouters: () => this.#routing.routers(),
+      getOwnLoads: () => this.#placement.listOwnLoads(),
+      peerLoads: this.#peerLoads,
     });
     this.#callers = this.#createCallerServer(hash);
   }
@@ -196,6 +213,8 @@
     const { listen: addresses, router } = this.#settings;
     this.#routing.open();
     this.#lifeCycle.own("routing", () => this.#routing.close());
+    await this.#loadExchange.open();
+    this.#lifeCycle.own("load exchange", () => this.#loadExchange.close());
     await listen(this.#callers, addresses.callers);
     await this.#openServer(addresses.ready, (request, response) => {
       const isReadyPath = request.url === READY_PATH;
@@ -217,7 +236,7 @@
 
   reload({ bounds }: IngressSettings): void {
     this.#bounds = bounds;
-    this.#shareRetries(this.#routing.routers().length);
+    this.#shareRetries(this.#routing.routers().size);
     this.#logs("daemon").info("The settings were read again.", { bounds });
   }
 
@@ -353,7 +372,7 @@
     const ageMs = this.#routing.ageAt(readClocks());
     metrics.configurationAgeSeconds.set(ageMs / MS_PER_SECOND);
     metrics.upstreams.set(this.#routing.directory.size);
-    metrics.routers.set(this.#routing.routers().length);
+    metrics.routers.set(this.#routing.routers().size);
     metrics.logLinesDropped.set(this.#writer.dropped);
     const delay = this.#loopDelay.percentile(99) / NS_PER_SECOND;
     metrics.eventLoopDelaySeconds.set(delay);
--- a/src/daemon/testing/local_ingress.ts
+++ b/src/daemon/testing/local_ingress.ts
@@ -183,6 +183,7 @@
       listen: {
         callers: await findFreeAddress(),
         ready: await findFreeAddress(),
+        peers: await findFreeAddress(),
         metrics: await findFreeAddress(),
       },
       store: { address: this.store.address },
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -66,6 +66,11 @@
   }
 }
 
+/** Rounds an estimate for the log. */
+function round(value: number): number {
+  return Math.round(value * 10) / 10;
+}
+
 /** How waiting for a try ended. */
 type Waited =
   | TryResult
@@ -167,7 +172,8 @@
     const record: TryRecord = {
       upstream,
       reason: place.reason,
-      load: Math.round(place.load * 10) / 10,
+      load: round(place.load),
+      ...(place.bound !== undefined && { bound: round(place.bound) }),
       isReused: attempt.isReused,
     };
     this.#exchange.trace.push(record);
--- a/src/ingress/ingress_exchange.ts
+++ b/src/ingress/ingress_exchange.ts
@@ -39,6 +39,8 @@
   readonly reason: string;
   /** Estimated load that the choice was made by. */
   readonly load: number;
+  /** Load up to which the upstream could be chosen. */
+  readonly bound?: number;
   readonly isReused?: boolean;
   end?: string;
   detail?: string;
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -4,7 +4,8 @@
  */
 import type { RoutingView } from "../control/routing_controller.ts";
 import { ColdAllowance } from "../policy/cold_allowance.ts";
-import type { Hash } from "../policy/rendezvous.ts";
+import type { LoadCounts, PeerLoads } from "../policy/peer_loads.ts";
+import { type Hash, rankByRendezvous } from "../policy/rendezvous.ts";
 import type { Candidate, UpstreamChoice } from "../policy/upstream_choice.ts";
 import { chooseUpstream } from "../policy/upstream_choice.ts";
 import type { KnownUpstream } from "../policy/upstream_directory.ts";
@@ -26,6 +27,7 @@
   readonly random?: () => number;
   /** Factor on what a cold upstream is said to bear. */
   readonly coldFactor: number;
+  readonly peerLoads: PeerLoads;
 }
 
 /** A request to place. */
@@ -69,7 +71,7 @@
 
   /** Finds a place for a request. */
   find(request: PlacementRequest): Place | NoPlace {
-    const { routing, clock, hash, random } = this.#options;
+    const { routing, clock, random } = this.#options;
     const now = clock();
     this.#prune(now);
     const usable = routing.directory.listUsable(request.service.name, now);
@@ -77,10 +79,8 @@
     const fresh = usable.filter(({ entry }) => !request.excluded.has(entry.id));
     const candidates = this.#rate(request.service, { known: fresh, now });
     const choice = chooseUpstream(candidates, {
-      key: request.service.isEngine
-        ? getSharedPart(request.promptParts)
-        : undefined,
-      hash,
+      ranking: this.#rank(request, candidates),
+      meanLoad: this.#getMeanLoad(request.service, now),
       random,
     });
     if (choice === undefined) return "upstreams-full";
@@ -89,6 +89,11 @@
     return { ...choice, entry, load };
   }
 
+  /** Requests of this router by upstream. */
+  listOwnLoads(): LoadCounts {
+    return this.#loads.listOwn();
+  }
+
   noteSent(upstream: string): void {
     this.#loads.noteSent(upstream);
     this.#cold.noteSent(upstream, this.#options.clock());
@@ -112,12 +117,35 @@
     this.#health.forget(upstream);
   }
 
+  /** Ranks upstreams for a prompt; undefined where there is none. */
+  #rank(
+    { service, promptParts }: PlacementRequest,
+    candidates: readonly Candidate[],
+  ): string[] | undefined {
+    const key = getSharedPart(promptParts);
+    if (!service.isEngine || key === undefined) return undefined;
+    const names = candidates.map(({ id }) => id);
+    return rankByRendezvous(key, names, { hash: this.#options.hash });
+  }
+
+  #getMeanLoad({ name }: RoutedService, now: number): number {
+    const living = this.#options.routing.directory.listLiving(name);
+    const loads = this.#estimate(living, now);
+    const total = loads.reduce((sum, load) => sum + load, 0);
+    return living.length === 0 ? 0 : total / living.length;
+  }
+
+  #estimate(upstreams: readonly string[], now: number): number[] {
+    const foreignOf = this.#getForeignLoads(now);
+    return this.#loads.estimate(upstreams, { now, foreignOf });
+  }
+
   #rate(
     service: RoutedService,
     { known, now }: { known: readonly KnownUpstream[]; now: number },
   ): Candidate[] {
     const ids = known.map(({ entry }) => entry.id);
-    const loads = this.#loads.estimate(ids, now);
+    const loads = this.#estimate(ids, now);
     const suspects = this.#health.findSuspects(ids, now);
     return known.map(({ entry, coldUntil }, index) => ({
       id: entry.id,
@@ -128,12 +156,21 @@
     }));
   }
 
+  /** Loads of the other routers; undefined where too few are heard. */
+  #getForeignLoads(now: number): ((upstream: string) => number) | undefined {
+    const { routing, peerLoads, self } = this.#options;
+    const others = [...routing.routers().keys()]
+      .filter((name) => name !== self).length;
+    if (!peerLoads.isCovering(others, now)) return undefined;
+    return (upstream) => peerLoads.sumAt(upstream, { others, now });
+  }
+
   #hasColdRoom(service: RoutedService, upstream: string): boolean {
     if (service.coldRequestsPerSecond === 0) return true;
     const { routing, clock, coldFactor } = this.#options;
     return this.#cold.hasRoom(upstream, {
       bound: { perSecond: service.coldRequestsPerSecond * coldFactor },
-      routers: routing.routers(),
+      routers: [...routing.routers().keys()],
       now: clock(),
     });
   }
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -169,7 +169,9 @@
   }
   const name = tail(key, KEYS.routers);
   if (name !== undefined) {
-    return { kind: value === undefined ? "router-gone" : "router", name };
+    if (value === undefined) return { kind: "router-gone", name };
+    const address = getAddress(asFields(parseValue(value), "router"));
+    return { kind: "router", name, address };
   }
   const id = tail(key, KEYS.upstreams);
   if (id === undefined) return undefined;
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -38,12 +38,19 @@
   /** The changes since then are no longer kept; a snapshot is needed. */
   | { readonly kind: "compacted" };
 
+/** What a router says of itself in the store. */
+export interface Registration {
+  readonly name: string;
+  /** Where it hears other routers, `ip:port`. */
+  readonly address: string;
+}
+
 /** The platform's metadata store, as the router uses it. */
 export interface MetadataStore {
   readAll(): Promise<Result<StoreSnapshot, PlatformFailure>>;
   poll(after: number): Promise<Result<StorePoll, PlatformFailure>>;
   /** Registers this router under a lease; the value is the lease's id. */
-  register(name: string): Promise<Result<string, PlatformFailure>>;
+  register(router: Registration): Promise<Result<string, PlatformFailure>>;
   /** Renews the lease; false where it had lapsed. */
   renew(lease: string): Promise<Result<boolean, PlatformFailure>>;
   /** Ends the lease and with it the registration. */
@@ -164,13 +171,15 @@
     });
   }
 
-  async register(name: string): Promise<Result<string, PlatformFailure>> {
+  async register(
+    { name, address }: Registration,
+  ): Promise<Result<string, PlatformFailure>> {
     const granted = await this.#post(STORE_PATHS.lease, {
       ttlMs: this.#options.registrationMs,
     });
     if (granted.err) return granted;
     const lease = Number(asFields(granted.val, "lease")["lease"]);
-    const value = Buffer.from("{}").toString("base64");
+    const value = Buffer.from(JSON.stringify({ address })).toString("base64");
     const written = await this.#post(STORE_PATHS.transaction, {
       expectRev: [],
       writes: [{ key: KEYS.routers + name, value, lease }],
--- /dev/null
+++ b/src/policy/peer_loads_test.ts
@@ -0,0 +1,37 @@
+import { PeerLoads } from "./peer_loads.ts";
+import { PeerRotation } from "./peer_rotation.ts";
+
+test("counts of all routers add up, and those not heard are made up for", () => {
+  const loads = new PeerLoads();
+  loads.take("r1", { counts: { up: 3 }, sequence: 1 }, 0);
+  loads.take("r2", { counts: { up: 5, other: 1 }, sequence: 1 }, 0);
+  expect(loads.sumAt("up", { others: 2, now: 100 })).toBe(8);
+  expect(loads.sumAt("up", { others: 4, now: 100 })).toBe(16);
+  expect(loads.isCovering(4, 100)).toBe(true);
+  expect(loads.isCovering(5, 100)).toBe(false);
+});
+
+test("a message that was overtaken or is old does not count", () => {
+  const loads = new PeerLoads({ maxAgeMs: 1_000 });
+  loads.take("r1", { counts: { up: 3 }, sequence: 2 }, 0);
+  loads.take("r1", { counts: { up: 9 }, sequence: 1 }, 10);
+  expect(loads.sumAt("up", { others: 1, now: 10 })).toBe(3);
+  expect(loads.sumAt("up", { others: 1, now: 1_001 })).toBe(0);
+  expect(loads.isCovering(1, 1_001)).toBe(false);
+});
+
+test("a router that starts anew is heard although its sequence fell", () => {
+  const loads = new PeerLoads({ maxAgeMs: 1_000 });
+  loads.take("r1", { counts: { up: 3 }, sequence: 100 }, 0);
+  loads.take("r1", { counts: { up: 1 }, sequence: 1 }, 1_500);
+  expect(loads.sumAt("up", { others: 1, now: 1_500 })).toBe(1);
+});
+
+test("each peer is told once before any is told again", () => {
+  const peers = ["a", "b", "c", "d", "e"];
+  const rotation = new PeerRotation({ fanOut: 2 });
+  const told = [1, 2, 3, 4, 5].flatMap(() => rotation.next(peers));
+  expect(told).toEqual([...peers, ...peers]);
+  expect(new PeerRotation({ fanOut: 8 }).next(peers)).toEqual(peers);
+  expect(new PeerRotation({ fanOut: 8 }).next([])).toEqual([]);
+});
--- a/src/policy/upstream_choice.ts
+++ b/src/policy/upstream_choice.ts
@@ -1,13 +1,11 @@
 /**
  * Chooses the upstream of a request: consistent hashing with bounded loads.
  *
- * Every router ranks the upstreams of a prompt's last shared part alike, so
- * that requests about one subject meet where it is cached. The first in rank
- * whose load is within the bound takes the request. Requests without a prompt
+ * Every router ranks the upstreams for a prompt alike, so that requests about
+ * one subject meet where it is cached. The first in rank whose load is within
+ * the bound takes the request. Requests without a prompt
  * go where the load per slot is least.
  */
-import { type Hash, rankByRendezvous } from "./rendezvous.ts";
-
 /** An upstream that may get the request. */
 export interface Candidate {
   readonly id: string;
@@ -26,19 +24,25 @@
 export interface UpstreamChoice {
   readonly id: string;
   readonly reason: ChoiceReason;
+  /** Load up to which it could be chosen in rank order. */
+  readonly bound?: number;
 }
 
 /** What a choice needs beside the candidates. */
 export interface ChoiceOptions {
-  /** Names what the request shares with others; undefined if nothing. */
-  readonly key: string | undefined;
-  readonly hash: Hash;
+  /** Upstreams by where the prompt is cached; undefined without a prompt. */
+  readonly ranking: readonly string[] | undefined;
+  /**
+   * Mean load of all upstreams of the service that live, also of those that may
+   * get no request.
+   */
+  readonly meanLoad: number;
   /** Uniform in [0, 1). */
   readonly random: () => number;
   readonly bound?: LoadBound;
 }
 
-/** Load up to which an upstream takes a request out of rank order. */
+/** Load up to which an upstream takes a request in rank order. */
 export interface LoadBound {
   /** Factor on the mean load of the service. */
   readonly factor: number;
@@ -60,37 +64,26 @@
     const id = findLeastLoaded(open, options.random)?.id;
     return id === undefined ? undefined : { id, reason: "suspect" };
   }
-  if (options.key === undefined) return chooseLeastLoaded(sound, options);
-  return chooseInRank({ candidates, sound, key: options.key }, options);
-}
-
-function chooseLeastLoaded(
-  sound: readonly Candidate[],
-  { random }: ChoiceOptions,
-): UpstreamChoice {
-  const { id } = findLeastLoaded(sound, random)!;
-  return { id, reason: "least-loaded" };
+  return chooseInRank(sound, options) ?? {
+    id: findLeastLoaded(sound, options.random)!.id,
+    reason: "least-loaded",
+  };
 }
 
+/** The first in rank within the bound; undefined without a ranking or room. */
 function chooseInRank(
-  { candidates, sound, key }: {
-    candidates: readonly Candidate[];
-    sound: readonly Candidate[];
-    key: string;
-  },
-  { hash, random, bound = DEFAULT_LOAD_BOUND }: ChoiceOptions,
-): UpstreamChoice {
-  const total = candidates.reduce((sum, { load }) => sum + load, 0);
-  const most = bound.factor * total / candidates.length + bound.slack;
+  sound: readonly Candidate[],
+  { ranking = [], meanLoad, bound = DEFAULT_LOAD_BOUND }: ChoiceOptions,
+): UpstreamChoice | undefined {
+  const most = bound.factor * meanLoad + bound.slack;
   const byId = new Map(sound.map((each) => [each.id, each]));
-  const names = candidates.map(({ id }) => id);
-  const ranking = rankByRendezvous(key, names, { hash });
   for (const [rank, id] of ranking.entries()) {
     const candidate = byId.get(id);
     if (candidate === undefined || candidate.load + 1 > most) continue;
-    return { id, reason: rank === 0 ? "home" : "next-in-rank" };
+    const reason = rank === 0 ? "home" : "next-in-rank";
+    return { id, reason, bound: most };
   }
-  return chooseLeastLoaded(sound, { key, hash, random });
+  return undefined;
 }
 
 /** The candidate with the least load per slot; ties fall at random. */
--- /dev/null
+++ b/src/policy/upstream_choice_test.ts
@@ -0,0 +1,72 @@
+import { type Candidate, chooseUpstream } from "./upstream_choice.ts";
+
+function createCandidate(
+  id: string,
+  fields: Partial<Candidate> = {},
+): Candidate {
+  return {
+    id,
+    load: 0,
+    slots: 8,
+    hasColdRoom: true,
+    isSuspect: false,
+    ...fields,
+  };
+}
+
+const IDLE = { meanLoad: 0, random: () => 0.5 };
+
+test("the first in rank takes a request while its load is within the bound", () => {
+  const ranking = ["a", "b", "c"];
+  const candidates = ["a", "b", "c"].map((id) => createCandidate(id));
+  expect(chooseUpstream(candidates, { ...IDLE, ranking }))
+    .toMatchObject({ id: "a", reason: "home" });
+  candidates[0] = createCandidate("a", { load: 20 });
+  expect(chooseUpstream(candidates, { ...IDLE, meanLoad: 10, ranking }))
+    .toMatchObject({ id: "b", reason: "next-in-rank" });
+});
+
+test("the bound counts upstreams that get no work as part of the mean", () => {
+  // Two of four upstreams are out of service: the mean load is 5, not 10.
+  const candidates = [
+    createCandidate("a", { load: 12 }),
+    createCandidate("b", { load: 8 }),
+  ];
+  const ranking = ["a", "b"];
+  expect(chooseUpstream(candidates, { ...IDLE, meanLoad: 5, ranking }))
+    .toMatchObject({ id: "b" });
+});
+
+test("without a prompt the least load per slot takes it", () => {
+  const candidates = [
+    createCandidate("a", { load: 6, slots: 12 }),
+    createCandidate("b", { load: 5, slots: 6 }),
+  ];
+  expect(chooseUpstream(candidates, { ...IDLE, ranking: undefined }))
+    .toMatchObject({ id: "a", reason: "least-loaded" });
+});
+
+test("suspects and cold upstreams without room are passed over", () => {
+  const ranking = ["a", "b", "c"];
+  const candidates = [
+    createCandidate("a", { isSuspect: true }),
+    createCandidate("b", { hasColdRoom: false }),
+    createCandidate("c"),
+  ];
+  expect(chooseUpstream(candidates, { ...IDLE, ranking }))
+    .toMatchObject({ id: "c" });
+  expect(chooseUpstream(candidates.slice(0, 2), { ...IDLE, ranking }))
+    .toEqual({ id: "a", reason: "suspect" });
+  expect(chooseUpstream(candidates.slice(1, 2), { ...IDLE, ranking }))
+    .toBeUndefined();
+});
+
+test("beyond the bound everywhere, the least load takes it", () => {
+  const candidates = [
+    createCandidate("a", { load: 30 }),
+    createCandidate("b", { load: 20 }),
+  ];
+  const ranking = ["a", "b"];
+  expect(chooseUpstream(candidates, { ...IDLE, meanLoad: 5, ranking }))
+    .toMatchObject({ id: "b", reason: "least-loaded" });
+});
--- a/src/policy/upstream_directory.ts
+++ b/src/policy/upstream_directory.ts
@@ -137,6 +137,13 @@
     return known !== undefined && this.#isUsable(known, now);
   }
 
+  /** Names of all upstreams of `service` that live. */
+  listLiving(service: string): string[] {
+    return [...this.#known.values()]
+      .filter(({ entry }) => entry.service === service)
+      .map(({ entry }) => entry.id);
+  }
+
   /** Upstreams of `service` that may get a request now. */
   listUsable(service: string, now: number): KnownUpstream[] {
     const usable: KnownUpstream[] = [];
--- a/src/policy/upstream_loads.ts
+++ b/src/policy/upstream_loads.ts
@@ -1,9 +1,10 @@
 /**
  * Estimates how many requests each upstream holds.
  *
- * A router knows its own requests exactly and those of the others only from
- * the load that upstreams state on their answers. What others had at that time
- * fades into their mean, since they end while no answer says so.
+ * A router knows its own requests exactly. Those of the others it knows from
+ * what they tell, or, where too few of them are heard, from the load that
+ * upstreams state on their answers. What others had at that time fades into
+ * their mean, since they end while no answer says so.
  */
 import type { UpstreamLoad } from "../routing/types.ts";
 
@@ -45,9 +46,30 @@
     return this.#loads.get(upstream)?.own ?? 0;
   }
 
-  /** Estimates the requests at each of `upstreams`. */
-  estimate(upstreams: readonly string[], now: number): number[] {
+  /** Own requests by upstream, for those that have any. */
+  listOwn(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const [upstream, { own }] of this.#loads) {
+      if (own > 0) counts[upstream] = own;
+    }
+    return counts;
+  }
+
+  /**
+   * Estimates the requests at each of `upstreams`. Where `foreignOf` is given,
+   * it tells those of the other routers.
+   */
+  estimate(
+    upstreams: readonly string[],
+    { now, foreignOf }: {
+      now: number;
+      foreignOf?: ((upstream: string) => number) | undefined;
+    },
+  ): number[] {
     const loads = upstreams.map((each) => this.#get(each));
+    if (foreignOf !== undefined) {
+      return loads.map(({ own }, index) => own + foreignOf(upstreams[index]!));
+    }
     const foreign = loads.reduce((sum, each) => sum + each.foreign, 0);
     const mean = loads.length === 0 ? 0 : foreign / loads.length;
     return loads.map((each) => {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -101,7 +101,12 @@
   | { readonly kind: "upstream-gone"; readonly id: string }
   | { readonly kind: "domain-out"; readonly failureDomain: string }
   | { readonly kind: "domain-back"; readonly failureDomain: string }
-  | { readonly kind: "router"; readonly name: string }
+  | {
+    readonly kind: "router";
+    readonly name: string;
+    /** Where it hears other routers, `ip:port`. */
+    readonly address: string;
+  }
   | { readonly kind: "router-gone"; readonly name: string }
   | {
     readonly kind: "unreadable";
