--- a/src/policy/upstream_choice.ts
+++ b/src/policy/upstream_choice.ts
@@ -51,7 +51,7 @@
 }
 
 /** Below the platform's limit of twice the mean and 3, as counts are late. */
-export const DEFAULT_LOAD_BOUND: LoadBound = { factor: 1.8, slack: 2 };
+export const DEFAULT_LOAD_BOUND: LoadBound = { factor: 2, slack: 2 };
 
 /** Chooses among `candidates`; undefined if none may get the request. */
 export function chooseUpstream(
