Copy a prompt's cache from its home where another upstream takes it

Half of what is read again follows requests that go to an upstream that isn't the home of their subject: the home is beyond its bound, new, or leaving. Upstreams of a failure domain that is out are no source.

--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -250,13 +250,14 @@
 
   #apply(change: StoreChange): void {
     const { log, now, self } = this.#options;
-    const { steady } = now();
+    const instant = now();
+    const { steady } = instant;
     switch (change.kind) {
       case "configuration":
         this.#takeConfiguration(change.configuration);
         break;
       case "upstream":
-        this.#takeUpstream(change.entry, steady);
+        this.#takeUpstream(change.entry, instant);
         break;
       case "upstream-gone":
         log.info("An upstream's entry is gone.", { upstream: change.id });
@@ -296,7 +297,7 @@
     this.#options.onConfiguration?.(configuration);
   }
 
-  #takeUpstream(entry: UpstreamEntry, now: number): void {
+  #takeUpstream(entry: UpstreamEntry, now: Instant): void {
     const { log, onNewUpstream } = this.#options;
     const previous = this.directory.find(entry.id)?.entry;
     const isNew = this.directory.put(entry, now);
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -173,6 +173,7 @@
       upstream,
       reason: place.reason,
       load: round(place.load),
+      ...(place.copyFrom !== undefined && { copyFrom: place.copyFrom }),
       ...(place.bound !== undefined && { bound: round(place.bound) }),
       isReused: attempt.isReused,
     };
@@ -234,7 +235,7 @@
     placement.noteHealth(entry.id, "failed");
   }
 
-  #renderRequest({ entry }: Place) {
+  #renderRequest({ entry, copyFrom }: Place) {
     const { request, traits, workspace, body } = this.#exchange;
     const lastEventId = this.#relay.lastEventId;
     return {
@@ -246,6 +247,7 @@
         remainingMs: this.#remainingMs(),
         workspace: workspace?.name,
         priority: workspace?.priority ?? this.#route.priority,
+        copyFrom,
         lastEventId: lastEventId === traits.lastEventId
           ? undefined
           : lastEventId,
--- a/src/ingress/ingress_exchange.ts
+++ b/src/ingress/ingress_exchange.ts
@@ -41,6 +41,8 @@
   readonly load: number;
   /** Load up to which the upstream could be chosen. */
   readonly bound?: number;
+  /** Where the upstream copies the prompt's cache from. */
+  readonly copyFrom?: string;
   readonly isReused?: boolean;
   end?: string;
   detail?: string;
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -3,6 +3,7 @@
  * among them.
  */
 import type { RoutingView } from "../control/routing_controller.ts";
+import { findCacheSource } from "../policy/cache_source.ts";
 import { ColdAllowance } from "../policy/cold_allowance.ts";
 import type { LoadCounts, PeerLoads } from "../policy/peer_loads.ts";
 import { type Hash, rankByRendezvous } from "../policy/rendezvous.ts";
@@ -42,6 +43,8 @@
 export interface Place extends UpstreamChoice {
   readonly entry: UpstreamEntry;
   readonly load: number;
+  /** `ip:port` of an upstream to copy the prompt's cache from. */
+  readonly copyFrom: string | undefined;
 }
 
 /** Why there is no place. */
@@ -79,14 +82,15 @@
     const fresh = usable.filter(({ entry }) => !request.excluded.has(entry.id));
     const candidates = this.#rate(request.service, { known: fresh, now });
     const choice = chooseUpstream(candidates, {
-      ranking: this.#rank(request, candidates),
+      ranking: this.#rank(request, candidates.map(({ id }) => id)),
       meanLoad: this.#getMeanLoad(request.service, now),
       random,
     });
     if (choice === undefined) return "upstreams-full";
     const { entry } = fresh.find(({ entry }) => entry.id === choice.id)!;
     const { load } = candidates.find(({ id }) => id === choice.id)!;
-    return { ...choice, entry, load };
+    const copyFrom = this.#findCopy(request, { target: choice.id, now });
+    return { ...choice, entry, load, copyFrom };
   }
 
   /** Requests of this router by upstream. */
@@ -120,16 +124,36 @@
   /** Ranks upstreams for a prompt; undefined where there is none. */
   #rank(
     { service, promptParts }: PlacementRequest,
-    candidates: readonly Candidate[],
+    names: readonly string[],
   ): string[] | undefined {
     const key = getSharedPart(promptParts);
     if (!service.isEngine || key === undefined) return undefined;
-    const names = candidates.map(({ id }) => id);
     return rankByRendezvous(key, names, { hash: this.#options.hash });
   }
 
+  #findCopy(
+    request: PlacementRequest,
+    { target, now }: { target: string; now: number },
+  ): string | undefined {
+    const { directory } = this.#options.routing;
+    const living = directory.listLiving(request.service.name);
+    const ids = living.map(({ entry }) => entry.id);
+    const ranking = this.#rank(request, ids);
+    if (ranking === undefined) return undefined;
+    const suspects = this.#health.findSuspects(ids, now);
+    const holders = ranking.map((id) => {
+      const { entry, startedAt } = directory.find(id)!;
+      const isReachable = directory.isInService(entry.failureDomain) &&
+        !suspects.has(id) && !request.excluded.has(id);
+      return { id, ageMs: now - startedAt, isReachable };
+    });
+    const source = findCacheSource(holders, target);
+    return source && directory.find(source)?.entry.address;
+  }
+
   #getMeanLoad({ name }: RoutedService, now: number): number {
-    const living = this.#options.routing.directory.listLiving(name);
+    const living = this.#options.routing.directory.listLiving(name)
+      .map(({ entry }) => entry.id);
     const loads = this.#estimate(living, now);
     const total = loads.reduce((sum, load) => sum + load, 0);
     return living.length === 0 ? 0 : total / living.length;
--- a/src/platform/message_headers.ts
+++ b/src/platform/message_headers.ts
@@ -88,6 +88,8 @@
   /** Rank of the request; 0 goes first. */
   readonly priority: number;
   readonly lastEventId: number | undefined;
+  /** `ip:port` of an upstream that has the prompt cached. */
+  readonly copyFrom: string | undefined;
 }
 
 function getConnectionHeaders(headers: IncomingHttpHeaders): Set<string> {
@@ -114,6 +116,7 @@
   pairs.push(HEADERS.expectedUpstream, own.upstream);
   pairs.push(HEADERS.priority, String(Math.min(MAX_PRIORITY, own.priority)));
   if (own.workspace !== undefined) pairs.push(HEADERS.workspace, own.workspace);
+  if (own.copyFrom !== undefined) pairs.push(HEADERS.copyFrom, own.copyFrom);
   if (own.lastEventId !== undefined) {
     pairs.push(HEADERS.lastEventId, String(own.lastEventId));
   }
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -17,6 +17,8 @@
   notRun: "x-not-executed",
   priority: "x-request-priority",
   authorization: "authorization",
+  /** Address of an upstream from which to copy the prompt's cache. */
+  copyFrom: "kv-fetch",
 } as const;
 
 /** Headers that only the system sets; callers' values are dropped. */
@@ -31,7 +33,7 @@
   "x-hold",
   "x-kv-backup",
   "kv-from",
-  "kv-fetch",
+  HEADERS.copyFrom,
 ]);
 
 /** Path on which the balancer asks whether the router is ready. */
--- a/src/policy/upstream_directory.ts
+++ b/src/policy/upstream_directory.ts
@@ -5,18 +5,21 @@
  * of upstreams that live may lapse; they are back within a known time of its
  * return. What is missing is therefore used on until then, and is gone after.
  */
-import type { UpstreamEntry } from "../routing/types.ts";
+import type { Instant, UpstreamEntry } from "../routing/types.ts";
 
 /** An upstream as the router knows it. */
 export interface KnownUpstream {
   readonly entry: UpstreamEntry;
   /** Steady time until which it is cold, in milliseconds. */
   readonly coldUntil: number;
+  /** Steady time of its start, as far as it is known, in milliseconds. */
+  readonly startedAt: number;
 }
 
 interface Known extends KnownUpstream {
   entry: UpstreamEntry;
   coldUntil: number;
+  startedAt: number;
   /** Steady time after which a missing entry counts as gone. */
   goneAt: number;
   /** Whether another upstream was met at its address. */
@@ -57,12 +60,15 @@
   }
 
   /** Takes an entry that was written; true if it names a new process. */
-  put(entry: UpstreamEntry, now: number): boolean {
+  put(entry: UpstreamEntry, { steady: now, wall }: Instant): boolean {
     const known = this.#known.get(entry.id);
     const isNew = known === undefined || known.entry.bornAt !== entry.bornAt;
     const stated = now + entry.coldLeftMs;
     this.#known.set(entry.id, {
       entry,
+      startedAt: isNew
+        ? now - Math.max(0, wall - (entry.bornAt ?? wall))
+        : known.startedAt,
       coldUntil: isNew ? stated : Math.max(stated, known.coldUntil),
       goneAt: Infinity,
       isMisdirected: false,
@@ -131,17 +137,21 @@
     return this.#known.size;
   }
 
+  /** Whether a failure domain is in service. */
+  isInService(failureDomain: string): boolean {
+    return !this.#domainsOut.has(failureDomain);
+  }
+
   /** Whether `id` may get a request now; read again right before a send. */
   isUsable(id: string, now: number): boolean {
     const known = this.#known.get(id);
     return known !== undefined && this.#isUsable(known, now);
   }
 
-  /** Names of all upstreams of `service` that live. */
-  listLiving(service: string): string[] {
+  /** All upstreams of `service` that live, whether or not they get work. */
+  listLiving(service: string): KnownUpstream[] {
     return [...this.#known.values()]
-      .filter(({ entry }) => entry.service === service)
-      .map(({ entry }) => entry.id);
+      .filter(({ entry }) => entry.service === service);
   }
 
   /** Upstreams of `service` that may get a request now. */
