--- /dev/null
+++ b/src/policy/attempt_plan_test.ts
@@ -0,0 +1,54 @@
+import { AttemptPlan, type NextStep, type TryEnd } from "./attempt_plan.ts";
+import type { RouteKind } from "../routing/types.ts";
+
+const GRANTED = { tryRetry: () => true };
+const KINDS: readonly RouteKind[] = ["idempotent", "non-idempotent", "stream"];
+const ENDS: readonly TryEnd[] = ["not-sent", "refused", "failed", "no-answer"];
+
+test("what follows the first and the second try of each kind", () => {
+  const rows: Record<string, NextStep[]> = {};
+  for (const kind of KINDS) {
+    for (const end of ENDS) {
+      const plan = new AttemptPlan({
+        kind,
+        isResumable: false,
+        maxAttempts: 2,
+      });
+      rows[`${kind}, ${end}`] = [
+        plan.next(end, GRANTED),
+        plan.next(end, GRANTED),
+      ];
+    }
+  }
+  expect(rows).toMatchSnapshot();
+});
+
+test("a stream that may be resumed is repeated like idempotent work", () => {
+  const plan = new AttemptPlan({
+    kind: "stream",
+    isResumable: true,
+    maxAttempts: 2,
+  });
+  expect(plan.next("no-answer", GRANTED)).toBe("try-again");
+  expect(plan.next("refused", GRANTED)).toBe("fail");
+});
+
+test("without a retry in the budget the first end is the last", () => {
+  const plan = new AttemptPlan({
+    kind: "idempotent",
+    isResumable: false,
+    maxAttempts: 3,
+  });
+  expect(plan.next("refused", { tryRetry: () => false })).toBe("refuse");
+});
+
+test("the budget is not asked where no other try would follow", () => {
+  const plan = new AttemptPlan({
+    kind: "non-idempotent",
+    isResumable: false,
+    maxAttempts: 2,
+  });
+  const tryRetry = jest.fn(() => true);
+  expect(plan.next("no-answer", { tryRetry })).toBe("fail");
+  expect(tryRetry).not.toHaveBeenCalled();
+});
--- /dev/null
+++ b/src/policy/upstream_directory_test.ts
@@ -0,0 +1,90 @@
+import type { UpstreamEntry } from "../routing/types.ts";
+import { UpstreamDirectory } from "./upstream_directory.ts";
+
+function createEntry(fields: Partial<UpstreamEntry> = {}): UpstreamEntry {
+  return {
+    id: "up",
+    service: "svc",
+    address: "10.0.0.1:80",
+    failureDomain: "east",
+    slots: 4,
+    state: "ready",
+    coldLeftMs: 0,
+    bornAt: 1,
+    ...fields,
+  };
+}
+
+const AT_0 = { steady: 0, wall: 0 };
+
+test("an upstream that leaves or is gone gets nothing more", () => {
+  const directory = new UpstreamDirectory();
+  directory.put(createEntry(), AT_0);
+  expect(directory.isUsable("up", 0)).toBe(true);
+  directory.put(createEntry({ state: "leaving" }), AT_0);
+  expect(directory.isUsable("up", 0)).toBe(false);
+  directory.put(createEntry({ id: "other" }), AT_0);
+  directory.remove("other", 0);
+  expect(directory.isUsable("other", 0)).toBe(false);
+});
+
+test("an entry that is missing after an outage is gone only when it stays away", () => {
+  const directory = new UpstreamDirectory({ returnMs: 2_000 });
+  directory.put(createEntry(), AT_0);
+  directory.put(createEntry({ id: "other" }), AT_0);
+  directory.noteStoreAway();
+  directory.noteStoreAnswered(10_000);
+  directory.remove("up", 10_100);
+  directory.remove("other", 10_100);
+  expect(directory.isUsable("up", 11_900)).toBe(true);
+  directory.put(createEntry(), { steady: 11_950, wall: 0 });
+  expect(directory.isUsable("up", 12_500)).toBe(true);
+  expect(directory.isUsable("other", 12_000)).toBe(false);
+});
+
+test("an upstream that said it leaves is gone at once after an outage", () => {
+  const directory = new UpstreamDirectory();
+  directory.put(createEntry({ state: "leaving" }), AT_0);
+  directory.noteStoreAway();
+  directory.noteStoreAnswered(100);
+  directory.remove("up", 200);
+  expect(directory.size).toBe(0);
+});
+
+test("a listing without an entry removes it", () => {
+  const directory = new UpstreamDirectory();
+  directory.put(createEntry(), AT_0);
+  directory.put(createEntry({ id: "other" }), AT_0);
+  directory.retainOnly(new Set(["other"]), 0);
+  expect(directory.listUsable("svc", 0).map(({ entry }) => entry.id))
+    .toEqual(["other"]);
+});
+
+test("a failure domain that is out gets nothing and is back cold", () => {
+  const directory = new UpstreamDirectory();
+  directory.put(createEntry(), AT_0);
+  directory.takeOut("east");
+  expect(directory.listUsable("svc", 0)).toEqual([]);
+  directory.bringBack("east");
+  directory.noteDomainRestarted("east", 2_400);
+  const [known] = directory.listUsable("svc", 0);
+  expect(known?.coldUntil).toBe(2_400);
+});
+
+test("a new process under a known name is new and as cold as it says", () => {
+  const directory = new UpstreamDirectory();
+  expect(directory.put(createEntry(), AT_0)).toBe(true);
+  expect(directory.put(createEntry({ coldLeftMs: 5 }), AT_0)).toBe(false);
+  const reborn = createEntry({ bornAt: 2, coldLeftMs: 3_000 });
+  expect(directory.put(reborn, { steady: 100, wall: 100 })).toBe(true);
+  expect(directory.find("up")?.coldUntil).toBe(3_100);
+});
+
+test("an address that another upstream answers at is not used again", () => {
+  const directory = new UpstreamDirectory();
+  directory.put(createEntry(), AT_0);
+  directory.noteMisdirected("up");
+  expect(directory.isUsable("up", 0)).toBe(false);
+  directory.put(createEntry(), AT_0);
+  expect(directory.isUsable("up", 0)).toBe(true);
+});
--- /dev/null
+++ b/src/policy/upstream_health_test.ts
@@ -0,0 +1,50 @@
+import { UpstreamHealth } from "./upstream_health.ts";
+
+const NAMES = ["a", "b", "c"];
+
+function note(
+  health: UpstreamHealth,
+  name: string,
+  { answered = 0, failed = 0 }: { answered?: number; failed?: number },
+): void {
+  for (let each = 0; each < answered; each++) {
+    health.noteEnd(name, "answered", 0);
+  }
+  for (let each = 0; each < failed; each++) health.noteEnd(name, "failed", 0);
+}
+
+test("an upstream that fails far more than its peers is avoided", () => {
+  const health = new UpstreamHealth();
+  note(health, "a", { answered: 10, failed: 1 });
+  note(health, "b", { answered: 4, failed: 6 });
+  note(health, "c", { answered: 10 });
+  expect([...health.findSuspects(NAMES, 0)]).toEqual(["b"]);
+});
+
+test("failures that all have in common make no suspect", () => {
+  const health = new UpstreamHealth();
+  for (const name of NAMES) note(health, name, { answered: 5, failed: 5 });
+  expect(health.findSuspects(NAMES, 0).size).toBe(0);
+});
+
+test("what can't be reached is avoided for a time that doubles", () => {
+  const health = new UpstreamHealth();
+  health.noteEnd("a", "unreachable", 0);
+  expect(health.findSuspects(NAMES, 399).has("a")).toBe(true);
+  expect(health.findSuspects(NAMES, 400).has("a")).toBe(false);
+  health.noteEnd("a", "unreachable", 400);
+  expect(health.findSuspects(NAMES, 1_199).has("a")).toBe(true);
+  health.noteEnd("a", "answered", 1_200);
+  expect(health.findSuspects(NAMES, 1_200).has("a")).toBe(false);
+});
+
+test("old failures fade, and a new process starts without any", () => {
+  const health = new UpstreamHealth();
+  note(health, "a", { failed: 6 });
+  note(health, "b", { answered: 10 });
+  expect(health.findSuspects(NAMES, 0).has("a")).toBe(true);
+  expect(health.findSuspects(NAMES, 10_000).has("a")).toBe(false);
+  note(health, "c", { failed: 6 });
+  health.forget("c");
+  expect(health.findSuspects(NAMES, 0).has("c")).toBe(false);
+});
