Keep idle connections to upstreams for 9 s

Upstreams state an idle time of 10 s; connections were closed after 4 s, and not used after 0.4 s for work that may run once. Now 9 s, and 2 s for such work.

--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -41,9 +41,9 @@
  * only, in milliseconds: the upstream may be closing it, and then nobody can
  * tell whether the request has run.
  */
-const MAX_IDLE_ONCE_MS = 400;
+const MAX_IDLE_ONCE_MS = 2_000;
 /** The same for work that may be repeated. */
-const MAX_IDLE_REPEATABLE_MS = 3_500;
+const MAX_IDLE_REPEATABLE_MS = 8_500;
 /** Silence of a plain service in latency objectives before another is tried. */
 const PLAIN_PATIENCE = 2;
 /** Callers abandon a stream after two seconds without an event. */
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -62,7 +62,7 @@
 
 /** Within the objective of a plain call, so that another try is possible. */
 const CONNECT_TIMEOUT_MS = 400;
-const IDLE_MS = 4_000;
+const IDLE_MS = 9_000;
 /** Stated idle times are shortened by this, for the request on its way. */
 const IDLE_MARGIN_MS = 400;
 /** Probes tell a connection that has gone silent. */
