Tell a request's story from logs, and take no attempt for a wrong address

cflow trace and cflow failures read the routers' JSON lines. The first use showed plans refused after a 421: such an answer used up the one attempt of the route, though it came from another upstream and nothing ran. It now takes no attempt.

--- a/src/cli/command_table.ts
+++ b/src/cli/command_table.ts
@@ -3,6 +3,7 @@
  */
 import type { Command } from "@oclif/core";
 import { Explain, History, Status } from "./commands/inspection.ts";
+import { Failures, Trace } from "./commands/logs.ts";
 import {
   ManifestApply,
   ManifestCheck,
@@ -31,4 +32,6 @@
   "status": Status,
   "explain": Explain,
   "history": History,
+  "trace": Trace,
+  "failures": Failures,
 };
--- /dev/null
+++ b/src/cli/commands/logs.ts
@@ -0,0 +1,67 @@
+/**
+ * The commands that read routers' logs: `trace` and `failures`.
+ */
+import { readFile } from "node:fs/promises";
+import process from "node:process";
+import { text as readText } from "node:stream/consumers";
+import { Args, Flags } from "@oclif/core";
+import { BaseCommand } from "../base_command.ts";
+import { CommandFailure } from "../command_failure.ts";
+import {
+  countFailures,
+  formatFailures,
+  formatStory,
+  type LogLine,
+  parseLog,
+  tellStory,
+} from "../log_reading.ts";
+
+const logFlag = Flags.string({
+  description: "file with logs of routers; standard input without it",
+  helpValue: "FILE",
+  multiple: true,
+});
+
+async function readLogs(files: readonly string[] = []): Promise<LogLine[]> {
+  if (files.length === 0) return parseLog(await readText(process.stdin));
+  try {
+    const texts = await Promise.all(
+      files.map((file) => readFile(file, "utf8")),
+    );
+    return texts.flatMap(parseLog);
+  } catch (cause) {
+    throw new CommandFailure("bad-input", (cause as Error).message);
+  }
+}
+
+/** `cflow trace REQUEST --log FILE`. */
+export class Trace extends BaseCommand {
+  static override summary = "Tell from logs what became of a request.";
+  static override args = {
+    request: Args.string({ required: true, description: "id of the request" }),
+  };
+  static override flags = { log: logFlag };
+
+  async run() {
+    const { args: { request }, flags } = await this.parse(Trace);
+    const story = tellStory(await readLogs(flags.log), request);
+    if (story.length === 0) {
+      throw new CommandFailure("refused", `no line is about ${request}`);
+    }
+    this.log(formatStory(story));
+    return { story };
+  }
+}
+
+/** `cflow failures --log FILE`. */
+export class Failures extends BaseCommand {
+  static override summary = "Add up from logs what was not answered, and why.";
+  static override flags = { log: logFlag };
+
+  async run() {
+    const { flags } = await this.parse(Failures);
+    const failures = countFailures(await readLogs(flags.log));
+    this.log(formatFailures(failures));
+    return { failures };
+  }
+}
--- /dev/null
+++ b/src/cli/log_reading_test.ts
@@ -0,0 +1,68 @@
+import {
+  countFailures,
+  formatFailures,
+  formatStory,
+  parseLog,
+  tellStory,
+} from "./log_reading.ts";
+
+function render(fields: Record<string, unknown>): string {
+  return JSON.stringify({
+    at: "2026-01-01T00:00:10.000Z",
+    level: "info",
+    router: "r1",
+    message: "config: Something.",
+    ...fields,
+  });
+}
+
+const LOG = [
+  "some text of a supervisor",
+  "  12.5 r1 " + render({
+    at: "2026-01-01T00:00:02.000Z",
+    message: "config: An upstream has changed.",
+    upstream: "up-1",
+    state: "leaving",
+  }),
+  render({ message: "config: An upstream has changed.", upstream: "up-9" }),
+  render({ router: "r2", message: "config: The metadata store is lost." }),
+  render({
+    at: "2026-01-01T00:00:11.000Z",
+    level: "warn",
+    message: "route: Not answered.",
+    requestId: "abc",
+    outcome: "upstream-failed",
+    detail: "read ECONNRESET.",
+    tries: [{ upstream: "up-1", end: "no-answer", detail: "read ECONNRESET" }],
+  }),
+  render({
+    at: "2026-01-01T00:00:12.000Z",
+    level: "warn",
+    message: "route: Not answered.",
+    requestId: "def",
+    outcome: "upstream-failed",
+    tries: [{ upstream: "up-1", end: "no-answer", detail: "read ECONNRESET" }],
+  }),
+  render({
+    at: "2026-01-01T00:00:12.500Z",
+    level: "warn",
+    message: "route: Not answered.",
+    requestId: "ghi",
+    outcome: "configuration-unconfirmed",
+    detail: "The configuration of this router is 4000 ms old.",
+    tries: [],
+  }),
+  '{"at":"2026-01-01T00:00:13.000Z","level":"in',
+].join("\n");
+
+test("a story holds the request and what its router knew of its upstreams", () => {
+  expect(formatStory(tellStory(parseLog(LOG), "abc"))).toMatchSnapshot();
+});
+
+test("failures are added up by outcome, upstream and cause", () => {
+  expect(formatFailures(countFailures(parseLog(LOG)))).toMatchSnapshot();
+});
+
+test("a request that no line names has no story", () => {
+  expect(tellStory(parseLog(LOG), "none")).toEqual([]);
+});
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -219,7 +219,7 @@
       return;
     }
     if (waited.kind !== "ended") return;
-    if (waited.isMisdirected === true) {
+    if (waited.end === "misdirected") {
       routing.directory.noteMisdirected(entry.id);
       connections.dropIdle(entry.address);
       return;
--- a/src/ingress/ingress_server.ts
+++ b/src/ingress/ingress_server.ts
@@ -30,6 +30,7 @@
 
 /** Time that a caller is assumed to wait where it doesn't say, milliseconds. */
 const DEFAULT_DEADLINE_MS = 1_000;
+const FIRST_FAILURE_STATUS = 500;
 
 function getPath(target: string): string {
   const end = target.search(/[?#]/);
@@ -139,7 +140,8 @@
     const kind = route?.kind ?? "none";
     metrics.requests.inc({ route: kind, outcome: label });
     metrics.seconds.observe({ route: kind }, ms / 1_000);
-    const isWell = outcome.kind === "whole" ||
+    const isWell =
+      (outcome.kind === "whole" && outcome.status < FIRST_FAILURE_STATUS) ||
       (outcome.kind === "streamed" && outcome.end === "complete");
     const line = {
       requestId: traits.requestId,
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -38,7 +38,6 @@
     readonly detail: string;
     /** The upstream's own failure, where it may be passed on. */
     readonly answer?: WholeAnswer;
-    readonly isMisdirected?: boolean;
     /** No byte came for longer than a sound upstream takes. */
     readonly isSilent?: boolean;
   };
@@ -225,7 +224,7 @@
     const { status, headers, traits } = this.#head!;
     const detail = `status ${status}`;
     if (status === STATUS_MISDIRECTED) {
-      return { kind: "ended", end: "refused", detail, isMisdirected: true };
+      return { kind: "ended", end: "misdirected", detail };
     }
     if (traits.isNotRun) return { kind: "ended", end: "refused", detail };
     const body = this.#chunks.length === 1
--- a/src/policy/attempt_plan.ts
+++ b/src/policy/attempt_plan.ts
@@ -8,6 +8,8 @@
 export type TryEnd =
   /** Nothing was written to an upstream. */
   | "not-sent"
+  /** Another upstream answered at the address, and did not run it. */
+  | "misdirected"
   /** The upstream states that it did not run the request. */
   | "refused"
   /** The upstream answered that it failed; the answer can be passed on. */
@@ -33,7 +35,7 @@
   /** The request may have run and there is no answer. */
   | "fail";
 
-/** Tries in a row that may end without a byte sent. */
+/** Tries that may end without having met the upstream they were meant for. */
 const MAX_UNSENT = 3;
 
 /** Follows the tries of one request. */
@@ -68,9 +70,12 @@
    * budget; it is asked only if another try would follow.
    */
   next(end: TryEnd, { tryRetry }: { tryRetry: () => boolean }): NextStep {
-    if (end === "not-sent") {
+    if (end === "not-sent" || end === "misdirected") {
       this.#unsent++;
-      return this.#unsent < MAX_UNSENT ? "try-again" : this.#giveUp(end);
+      // What has arrived somewhere counts as a repeat when it's sent again.
+      const mayRepeat = end === "not-sent" || tryRetry();
+      const isFirst = this.#unsent < MAX_UNSENT;
+      return isFirst && mayRepeat ? "try-again" : this.#giveUp(end);
     }
     this.#sent++;
     if (end !== "refused") this.#mayHaveRun = true;
--- a/src/policy/attempt_plan_test.ts
+++ b/src/policy/attempt_plan_test.ts
@@ -3,7 +3,13 @@
 
 const GRANTED = { tryRetry: () => true };
 const KINDS: readonly RouteKind[] = ["idempotent", "non-idempotent", "stream"];
-const ENDS: readonly TryEnd[] = ["not-sent", "refused", "failed", "no-answer"];
+const ENDS: readonly TryEnd[] = [
+  "not-sent",
+  "misdirected",
+  "refused",
+  "failed",
+  "no-answer",
+];
 
 test("what follows the first and the second try of each kind", () => {
   const rows: Record<string, NextStep[]> = {};
@@ -33,6 +39,16 @@
   expect(plan.next("refused", GRANTED)).toBe("fail");
 });
 
+test("an address of another upstream takes no attempt from the request", () => {
+  const plan = new AttemptPlan({
+    kind: "stream",
+    isResumable: false,
+    maxAttempts: 1,
+  });
+  expect(plan.next("misdirected", GRANTED)).toBe("try-again");
+  expect(plan.next("no-answer", GRANTED)).toBe("fail");
+});
+
 test("without a retry in the budget the first end is the last", () => {
   const plan = new AttemptPlan({
     kind: "idempotent",
