--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -121,7 +121,7 @@
       }
       if (waited.kind === "stream-complete") {
         this.#relay.end();
-        return { kind: "streamed", end: "complete" };
+        return this.#endStream("complete");
       }
       const outcome = this.#follow(waited);
       if (outcome !== undefined) return outcome;
@@ -304,7 +304,12 @@
 
   #breakOff(): IngressOutcome {
     this.#relay.breakOff();
-    return { kind: "streamed", end: "broken" };
+    return this.#endStream("broken");
+  }
+
+  #endStream(end: "complete" | "broken"): IngressOutcome {
+    const { arrivedAt } = this.#exchange;
+    return { kind: "streamed", end, timing: this.#relay.getTiming(arrivedAt) };
   }
 }
 
--- a/src/ingress/ingress_exchange.ts
+++ b/src/ingress/ingress_exchange.ts
@@ -49,6 +49,15 @@
   ms?: number;
 }
 
+/** How the events of a stream came. */
+export interface StreamTiming {
+  readonly events: number;
+  /** From the arrival of the request to the first event, milliseconds. */
+  readonly firstMs: number | undefined;
+  /** Longest time between two events, in milliseconds. */
+  readonly longestPauseMs: number;
+}
+
 /** What came of a request. */
 export type IngressOutcome =
   | {
@@ -66,7 +75,11 @@
     readonly isFramed: boolean;
   }
   /** The answer has been written, or broken off, by the filter itself. */
-  | { readonly kind: "streamed"; readonly end: "complete" | "broken" }
+  | {
+    readonly kind: "streamed";
+    readonly end: "complete" | "broken";
+    readonly timing: StreamTiming;
+  }
   | { readonly kind: "caller-left" };
 
 /** A filter of the ingress. */
--- a/src/ingress/ingress_server.ts
+++ b/src/ingress/ingress_server.ts
@@ -31,6 +31,14 @@
 /** Time that a caller is assumed to wait where it doesn't say, milliseconds. */
 const DEFAULT_DEADLINE_MS = 1_000;
 const FIRST_FAILURE_STATUS = 500;
+const MS_PER_SECOND = 1_000;
+
+/** Names an outcome in logs and metrics. */
+function getLabel(outcome: IngressOutcome): string {
+  if (outcome.kind === "refused") return outcome.refusal.code;
+  if (outcome.kind === "streamed") return `stream-${outcome.end}`;
+  return outcome.kind;
+}
 
 function getPath(target: string): string {
   const end = target.search(/[?#]/);
@@ -131,33 +139,33 @@
   function report(exchange: IngressExchange, outcome: IngressOutcome): void {
     const { route, traits, trace, table } = exchange;
     const ms = Math.round(clock() - exchange.arrivedAt);
-    const name = route?.name ?? "none";
-    const label = outcome.kind === "refused"
-      ? outcome.refusal.code
-      : outcome.kind === "streamed"
-      ? `stream-${outcome.end}`
-      : outcome.kind;
+    const label = getLabel(outcome);
     const kind = route?.kind ?? "none";
     metrics.requests.inc({ route: kind, outcome: label });
-    metrics.seconds.observe({ route: kind }, ms / 1_000);
+    metrics.seconds.observe({ route: kind }, ms / MS_PER_SECOND);
     const isWell =
       (outcome.kind === "whole" && outcome.status < FIRST_FAILURE_STATUS) ||
       (outcome.kind === "streamed" && outcome.end === "complete");
+    const firstMs = outcome.kind === "streamed" ? outcome.timing.firstMs : ms;
+    const isLate = isWell && (firstMs ?? 0) > (route?.objectiveMs ?? Infinity);
     const line = {
       requestId: traits.requestId,
-      route: name,
+      route: route?.name ?? "none",
       version: table.configuration.version,
       outcome: label,
       ...(outcome.kind === "whole" && { status: outcome.status }),
+      ...(outcome.kind === "streamed" && outcome.timing),
       ...(outcome.kind === "refused" && {
         ran: outcome.refusal.ran,
         detail: outcome.refusal.detail,
         retryAfterMs: outcome.refusal.retryAfterMs,
       }),
+      ...(isLate && { objectiveMs: route?.objectiveMs }),
       ms,
       tries: trace,
     };
-    if (isWell) log.info("Answered.", line);
+    if (isLate) log.info("Answered late.", line);
+    else if (isWell) log.info("Answered.", line);
     else log.warn("Not answered.", line);
   }
 
--- a/src/ingress/stream_relay.ts
+++ b/src/ingress/stream_relay.ts
@@ -6,6 +6,7 @@
 import type { ServerResponse } from "node:http";
 import { endWithConnection } from "../transport/unframed_answer.ts";
 import { EventOrder } from "../policy/event_order.ts";
+import type { StreamTiming } from "./ingress_exchange.ts";
 import type { StreamEvent } from "../transport/event_stream.ts";
 
 /** Holds an upstream back while the caller reads slowly. */
@@ -47,19 +48,15 @@
     return this.#order.lastId;
   }
 
-  /** Events that were passed on. */
-  get count(): number {
-    return this.#count;
-  }
-
-  /** Monotonic time of the first event, milliseconds. */
-  get firstAt(): number | undefined {
-    return this.#firstAt;
-  }
-
-  /** Longest time between two events, in milliseconds. */
-  get longestPauseMs(): number {
-    return this.#longestPauseMs;
+  /** How the events came, for a request that came at `arrivedAt`. */
+  getTiming(arrivedAt: number): StreamTiming {
+    return {
+      events: this.#count,
+      firstMs: this.#firstAt === undefined
+        ? undefined
+        : Math.round(this.#firstAt - arrivedAt),
+      longestPauseMs: Math.round(this.#longestPauseMs),
+    };
   }
 
   /** Whether the caller can tell the end of the answer from a break. */
--- a/src/policy/retry_after.ts
+++ b/src/policy/retry_after.ts
@@ -32,5 +32,5 @@
   { remainingMs, random }: { remainingMs: number; random: () => number },
 ): number {
   const wait = WAIT_MS[cause] * (0.5 + random());
-  return Math.max(0, Math.min(wait, remainingMs * MAX_SHARE));
+  return Math.max(0, Math.round(Math.min(wait, remainingMs * MAX_SHARE)));
 }
