--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -10,7 +10,6 @@
 } from "node:http";
 import { createServer } from "node:http";
 import { monitorEventLoopDelay, performance } from "node:perf_hooks";
-import process from "node:process";
 import type { IngressSettings } from "../config/ingress_settings.ts";
 import {
   createRoutingController,
@@ -40,7 +39,7 @@
 import { Placement } from "../ingress/placement.ts";
 import { RouteFilter } from "../ingress/route_filter.ts";
 import { createLogFactory, type LogFactory } from "../log.ts";
-import { createLogWriter, type LogWriter } from "../log_writer.ts";
+import { createStdoutLogWriter, type LogWriter } from "../log_writer.ts";
 import { createMetadataStore } from "../platform/metadata_store.ts";
 import { READY_PATH } from "../platform/names.ts";
 import { BALANCER_DRAIN_MS } from "../policy/stop_plan.ts";
@@ -137,18 +136,9 @@
     const { router, bounds, store: { address } } = settings;
     this.#settings = settings;
     this.#bounds = bounds;
-    this.#writer = createLogWriter({
-      stream: process.stdout,
-      clock: readSteadyClock,
+    this.#writer = createStdoutLogWriter({
+      router: router.name,
       linesPerSecond: settings.log.linesPerS,
-      renderDropped: (count) =>
-        JSON.stringify({
-          at: new Date().toISOString(),
-          level: "warn",
-          router: router.name,
-          message: "daemon: Log lines were dropped.",
-          count,
-        }),
     });
     this.#logs = logs ?? createLogFactory({
       router: router.name,
--- a/src/log.ts
+++ b/src/log.ts
@@ -1,8 +1,8 @@
 /**
  * Structured logs with a fixed prefix for each part of the daemon.
  */
-import process from "node:process";
 import { Logger } from "tslog";
+import { createStdoutLogWriter } from "./log_writer.ts";
 
 /** Part of the daemon that a log line comes from. */
 export type Part =
@@ -50,14 +50,23 @@
   error: 5,
 };
 
-function writeToStderr(line: string): void {
-  process.stderr.write(line + "\n");
+/** Lines a second beyond which lines are dropped and counted. */
+const LINES_PER_SECOND = 2_000;
+
+function createDefaultWrite(router: string): (line: string) => void {
+  const linesPerSecond = LINES_PER_SECOND;
+  const writer = createStdoutLogWriter({ router, linesPerSecond });
+  return (line) => writer.write(line);
 }
 
 /** Creates the factory from which each part takes its log. */
 export function createLogFactory(
-  { router, level = "info", format = "json", write = writeToStderr }:
-    LogOptions,
+  {
+    router,
+    level = "info",
+    format = "json",
+    write = createDefaultWrite(router),
+  }: LogOptions,
 ): LogFactory {
   const root = new Logger<Record<string, unknown>>({
     type: format === "json" ? "hidden" : "pretty",
--- a/src/log_writer.ts
+++ b/src/log_writer.ts
@@ -4,6 +4,8 @@
  * Lines beyond a rate, or beyond what the reader has left unread, are dropped
  * and counted; the next line that goes out is preceded by the count.
  */
+import { performance } from "node:perf_hooks";
+import process from "node:process";
 import type { Writable } from "node:stream";
 
 /** Options of a writer. */
@@ -75,3 +77,22 @@
     },
   };
 }
+
+/** Creates a writer of JSON lines to standard output. */
+export function createStdoutLogWriter(
+  { router, linesPerSecond }: { router: string; linesPerSecond: number },
+): LogWriter {
+  return createLogWriter({
+    stream: process.stdout,
+    clock: () => performance.now(),
+    linesPerSecond,
+    renderDropped: (count) =>
+      JSON.stringify({
+        at: new Date().toISOString(),
+        level: "warn",
+        router,
+        message: "daemon: Log lines were dropped.",
+        count,
+      }),
+  });
+}
