Derive the pause between polls from the bounds that depend on it

The pause is now three tenths of the tightest bound: 600 ms where leaving upstreams have 2 s, 900 ms where they have 3 s.

--- a/src/config/ingress_settings.ts
+++ b/src/config/ingress_settings.ts
@@ -55,6 +55,10 @@
     retrySlack: RatioSchema,
     /** Factor on the requests that a cold upstream is said to bear. */
     coldFactor: RatioSchema,
+    /** Use of a leaving upstream after the store has said so. */
+    drainMs: TimeSchema,
+    /** Use of an older configuration after a newer one was written. */
+    applyMs: TimeSchema,
     /** Interval of an upstream's writes to the store. */
     heartbeatMs: TimeSchema,
   }, strict),
@@ -96,6 +100,8 @@
     retryWindowS: 10,
     retrySlack: 0,
     coldFactor: 1,
+    drainMs: 2_000,
+    applyMs: 2_000,
     heartbeatMs: 1_200,
   },
   limits: { maxConnections: 2_000 },
--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -50,6 +50,8 @@
   readonly tasks: TaskSystem;
   /** Bound on the use of a key after it was taken away, in milliseconds. */
   readonly revocationMs: number;
+  /** Pause between two polls of the store, in milliseconds. */
+  readonly pollPauseMs: number;
   /** Interval of an upstream's writes, in milliseconds. */
   readonly heartbeatMs: number;
   /** Called after the configuration has changed. */
@@ -62,11 +64,6 @@
   readonly onCall?: (isAnswered: boolean) => void;
 }
 
-/**
- * Pause between two polls, in milliseconds. A poll, its pause and a lost call
- * stay well within the bound on leaving upstreams (2 s).
- */
-const POLL_PAUSE_MS = 600;
 /** Pause after a call that failed, in milliseconds. */
 const RETRY_PAUSE_MS = 250;
 /** Pause between two renewals of the registration, in milliseconds. */
@@ -148,7 +145,7 @@
     let pauseMs = RETRY_PAUSE_MS;
     try {
       const isAnswered = await this.#readChanges();
-      if (isAnswered) pauseMs = POLL_PAUSE_MS;
+      if (isAnswered) pauseMs = this.#options.pollPauseMs;
     } finally {
       if (!this.#isClosed) {
         this.#pollTimer = setTimeout(
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -44,6 +44,7 @@
 import { READY_PATH } from "../platform/names.ts";
 import { BALANCER_DRAIN_MS } from "../policy/stop_plan.ts";
 import { PeerLoads } from "../policy/peer_loads.ts";
+import { getPollPause } from "../policy/poll_pause.ts";
 import { findUnreadyReason } from "../policy/readiness.ts";
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import { createRetryBudget, type RetryBudget } from "../policy/retry_budget.ts";
@@ -162,6 +163,7 @@
       log: this.#logs("config"),
       tasks: this.#tasks,
       revocationMs: bounds.revocationMs,
+      pollPauseMs: getPollPause(bounds),
       heartbeatMs: bounds.heartbeatMs,
       onConfiguration: (configuration) => this.#configured(configuration),
       onNewUpstream: ({ id, address }) => {
