--- /dev/null
+++ b/src/daemon/ingress_store_test.ts
@@ -0,0 +1,127 @@
+import {
+  answerWhole,
+  API_KEY,
+  type ArrivedRequest,
+  LocalIngress,
+} from "./testing/local_ingress.ts";
+
+/** Short, so that the tests are. */
+const REVOCATION_MS = 3_500;
+
+let fleet: LocalIngress;
+let count = 0;
+
+beforeEach(async () => {
+  fleet = await new LocalIngress().start({
+    bounds: { revocationMs: REVOCATION_MS, graceS: 1 },
+  });
+});
+
+afterEach(async () => {
+  await fleet.close();
+});
+
+function ask(fields: { path?: string; key?: string } = {}) {
+  return fleet.ask({ id: `id-${++count}`, ...fields });
+}
+
+test(
+  "a router that the store does not answer refuses keyed requests in time",
+  async () => {
+    fleet.store.faults.isSilent = true;
+    await fleet.untilReady(503);
+    const answer = await ask();
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers["retry-after"])).toBeGreaterThan(0);
+    expect(answer.headers.connection).toBe("close");
+    expect(fleet.arrived).toEqual([]);
+    fleet.store.faults.isSilent = false;
+    await fleet.untilReady(200);
+    expect((await ask()).status).toBe(200);
+  },
+  20_000,
+);
+
+test("the same where the store turns the router away", async () => {
+  fleet.store.faults.refuseWith = 429;
+  await fleet.untilReady(503);
+  await fleet.untilLogged({ message: "config: The metadata store is lost." });
+  expect((await ask()).status).toBe(503);
+}, 20_000);
+
+test(
+  "a key taken away while the watch hears nothing is refused in time",
+  async () => {
+    fleet.store.faults.isDeaf = true;
+    fleet.putConfiguration({ keys: ["new"] });
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    fleet.store.faults.isDeaf = false;
+    fleet.store.compact();
+    await fleet.untilLogged({ version: 2 });
+    expect((await ask({ key: API_KEY })).status).toBe(401);
+  },
+  20_000,
+);
+
+test(
+  "entries that lapse while the store is away stay in use until it is back",
+  async () => {
+    fleet.store.faults.refuseWith = 503;
+    await fleet.untilLogged({ message: "config: The metadata store is lost." });
+    for (const { id } of fleet.upstreams) fleet.store.remove(`servers/${id}`);
+    fleet.store.faults.refuseWith = undefined;
+    await fleet.untilLogged({
+      message: "config: The metadata store is regained.",
+    });
+    expect((await ask()).status).toBe(200);
+    fleet.putUpstream(fleet.upstreams[0]!);
+    await new Promise((resolve) => setTimeout(resolve, 3_000));
+    fleet.script((request: ArrivedRequest) => answerWhole(request));
+    const arrivedBefore = fleet.upstreams[1]!.arrived.length;
+    for (let request = 0; request < 4; request++) {
+      expect((await ask()).status).toBe(200);
+    }
+    expect(fleet.upstreams[1]!.arrived).toHaveLength(arrivedBefore);
+  },
+  20_000,
+);
+
+test(
+  "a failure domain that is out and a leaving upstream get nothing",
+  async () => {
+    const [first, second] = fleet.upstreams;
+    fleet.putUpstream(first!, { state: "draining", seq: 2 });
+    await fleet.untilLogged({ upstream: first!.id, state: "leaving" });
+    for (let request = 0; request < 4; request++) await ask();
+    expect(first!.arrived).toEqual([]);
+    expect(second!.arrived).toHaveLength(4);
+    fleet.store.put("op/evacuate/east", {});
+    await fleet.untilLogged({ failureDomain: "east", kind: "domain-out" });
+    expect((await ask()).status).toBe(503);
+    fleet.store.remove("op/evacuate/east");
+    await fleet.untilLogged({ failureDomain: "east", kind: "domain-back" });
+    expect((await ask()).status).toBe(200);
+  },
+  20_000,
+);
+
+test("items that can't be read hurt nothing else", async () => {
+  fleet.store.put("servers/forged", "no json");
+  fleet.store.put("servers/strange", { service: "svc", state: 3 });
+  fleet.store.put("op/config", { version: 99 });
+  await fleet.untilLogged({ key: "op/config" });
+  expect((await ask()).status).toBe(200);
+}, 20_000);
+
+test(
+  "a stop tells the balancer, serves on and closes what it answers",
+  async () => {
+    const stopped = fleet.daemon.stop();
+    await fleet.untilReady(503);
+    const answer = await ask();
+    expect(answer).toMatchObject({ status: 200, text: "ok" });
+    expect(answer.headers.connection).toBe("close");
+    await stopped;
+  },
+  20_000,
+);
