--- a/src/config/ingress_settings.ts
+++ b/src/config/ingress_settings.ts
@@ -6,6 +6,7 @@
 import {
   AddressSchema,
   type Defaults,
+  LogLevelSchema,
   readSections,
   type SettingFault,
 } from "./ini_sections.ts";
@@ -70,15 +71,7 @@
     }),
   }, strict),
   log: Type.Object({
-    level: Type.Union(
-      [
-        Type.Literal("debug"),
-        Type.Literal("info"),
-        Type.Literal("warn"),
-        Type.Literal("error"),
-      ],
-      { description: "one of debug, info, warn, error" },
-    ),
+    level: LogLevelSchema,
     /** Lines a second; what is beyond is dropped and counted. */
     linesPerS: Type.Integer({
       minimum: 1,
--- a/src/config/ini_sections.ts
+++ b/src/config/ini_sections.ts
@@ -66,6 +66,17 @@
   description: "an address, ip:port",
 });
 
+/** Schema of the least severity that is logged. */
+export const LogLevelSchema = Type.Union(
+  [
+    Type.Literal("debug"),
+    Type.Literal("info"),
+    Type.Literal("warn"),
+    Type.Literal("error"),
+  ],
+  { description: "one of debug, info, warn, error" },
+);
+
 /** Reads `text` by `schema`; lists every fault in the order of the lines. */
 export function readSections<S extends TObject>(
   text: string,
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -8,6 +8,7 @@
   AddressSchema,
   type Clash,
   type Defaults,
+  LogLevelSchema,
   readSections,
   type SettingFault,
 } from "./ini_sections.ts";
@@ -103,15 +104,7 @@
     holdDownMs: WaitSchema,
   }, strict),
   log: Type.Object({
-    level: Type.Union(
-      [
-        Type.Literal("debug"),
-        Type.Literal("info"),
-        Type.Literal("warn"),
-        Type.Literal("error"),
-      ],
-      { description: "one of debug, info, warn, error" },
-    ),
+    level: LogLevelSchema,
     format: Type.Union([Type.Literal("json"), Type.Literal("pretty")], {
       description: "one of json, pretty",
     }),
--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -191,6 +191,8 @@
 
   #lost(failure: PlatformFailure): false {
     const { log, now, onCall } = this.#options;
+    // The end of the client is no loss of the store.
+    if (this.#isClosed) return false;
     onCall?.(false);
     this.directory.noteStoreAway();
     if (this.#isReachable) {
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -288,7 +288,6 @@
         retries: this.#retries,
         clock: readSteadyClock,
         hash,
-        log: this.#logs("route"),
         onTry: (service, end) => this.#metrics.tries.inc({ service, end }),
       }),
     ]);
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -3,7 +3,6 @@
  * another where that is allowed, and passes the answer on.
  */
 import { createRefusal } from "../diagnostics.ts";
-import type { Log } from "../log.ts";
 import type { RoutingView } from "../control/routing_controller.ts";
 import { encodeUpstreamHeaders } from "../platform/message_headers.ts";
 import { AttemptPlan } from "../policy/attempt_plan.ts";
@@ -31,7 +30,6 @@
   readonly retries: RetryBudget;
   readonly clock: () => number;
   readonly hash: Hash;
-  readonly log: Log;
   /** Counts the end of a try. */
   readonly onTry: (service: string, end: string) => void;
 }
@@ -316,7 +314,6 @@
 function createUnknownService(name: string): RoutedService {
   return {
     name,
-    maxConnections: Infinity,
     coldStartMs: 0,
     coldRequestsPerSecond: 0,
     isEngine: false,
--- a/src/ingress/ingress_server.ts
+++ b/src/ingress/ingress_server.ts
@@ -2,7 +2,6 @@
  * Serves callers: reads a request, runs it through the filters and writes what
  * came of it.
  */
-import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createRefusal } from "../diagnostics.ts";
 import type { FilterChain } from "../filters/exchange.ts";
@@ -10,6 +9,7 @@
 import { decodeRequest } from "../platform/message_headers.ts";
 import type { RouteTable } from "../policy/route_table.ts";
 import { createCountedHandler, type InFlight } from "../transport/in_flight.ts";
+import { writeWhole } from "../transport/http_server.ts";
 import { renderProblem } from "../transport/problem.ts";
 import { endWithConnection } from "../transport/unframed_answer.ts";
 import type { IngressExchange, IngressOutcome } from "./ingress_exchange.ts";
@@ -121,7 +121,9 @@
       response.writeHead(outcome.status, outcome.headers);
       response.end(outcome.body);
     } else if (outcome.kind === "whole") {
-      writeWhole(response, outcome);
+      const length = String(outcome.body.length);
+      const headers = { ...outcome.headers, "content-length": length };
+      writeWhole(response, { ...outcome, headers });
     } else if (outcome.kind === "refused") {
       const { refusal, closes = false } = outcome;
       // A close with unread bytes would reset the connection under the answer.
@@ -171,18 +173,3 @@
 
   return createCountedHandler(serve, { inFlight, log });
 }
-
-function writeWhole(
-  response: ServerResponse,
-  answer: {
-    status: number;
-    headers: Record<string, string | string[]>;
-    body: Buffer;
-  },
-): void {
-  response.writeHead(answer.status, {
-    ...answer.headers,
-    "content-length": String(answer.body.length),
-  });
-  response.end(answer.body);
-}
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -71,7 +71,6 @@
   const fields = asFields(value, "service");
   return {
     name: getText(fields, "name"),
-    maxConnections: tryNumber(fields, "maxConns") ?? Infinity,
     coldStartMs: (tryNumber(fields, "coldStartS") ?? 0) * MS_PER_SECOND,
     coldRequestsPerSecond: tryNumber(fields, "coldPerS") ?? 0,
     isEngine: fields["engine"] !== undefined,
--- a/src/platform/message_headers.ts
+++ b/src/platform/message_headers.ts
@@ -8,21 +8,9 @@
   RequestTraits,
   UpstreamLoad,
 } from "../routing/types.ts";
+import { HOP_BY_HOP_HEADERS } from "../transport/hop_by_hop.ts";
 import { HEADERS, SYSTEM_HEADERS } from "./names.ts";
 
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-connection",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-  "content-length",
-  "expect",
-]);
 const BEARER = /^Bearer +(\S+)$/i;
 const MAX_PRIORITY = 9;
 
@@ -106,7 +94,7 @@
   const pairs: string[] = [];
   for (let index = 0; index < request.rawHeaders.length; index += 2) {
     const name = request.rawHeaders[index]!.toLowerCase();
-    if (HOP_BY_HOP.has(name) || named.has(name)) continue;
+    if (HOP_BY_HOP_HEADERS.has(name) || named.has(name)) continue;
     if (SYSTEM_HEADERS.has(name)) continue;
     if (name === HEADERS.lastEventId && own.lastEventId !== undefined) continue;
     pairs.push(request.rawHeaders[index]!, request.rawHeaders[index + 1]!);
@@ -130,7 +118,9 @@
   const named = getConnectionHeaders(headers);
   const copy: Record<string, string | string[]> = {};
   for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || HOP_BY_HOP.has(name) || named.has(name)) {
+    if (
+      value === undefined || HOP_BY_HOP_HEADERS.has(name) || named.has(name)
+    ) {
       continue;
     }
     copy[name] = value;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -40,8 +40,6 @@
 /** A service that requests are routed to. */
 export interface RoutedService {
   readonly name: string;
-  /** Connections that one upstream accepts from all routers together. */
-  readonly maxConnections: number;
   /** How long an upstream is cold after its start, in milliseconds. */
   readonly coldStartMs: number;
   /** Requests a second that a cold upstream bears; 0 where there is no bound. */
--- a/src/transport/forward_headers.ts
+++ b/src/transport/forward_headers.ts
@@ -3,23 +3,12 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Exchange } from "../filters/exchange.ts";
+import { HOP_BY_HOP_HEADERS } from "./hop_by_hop.ts";
 
 /** Header that proves a forwarded request comes from a router of the fleet. */
 export const FORWARD_TOKEN_HEADER = "x-cf-token";
 
-const HOP_BY_HOP = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-  "host",
-  "content-length",
-  "expect",
-]);
+const NOT_COPIED = new Set([...HOP_BY_HOP_HEADERS, "host"]);
 const PRIVATE_PREFIX = "x-cf-";
 
 /** What the owner needs to know beside the request itself. */
@@ -41,7 +30,7 @@
 ): Record<string, string> {
   const copy: Record<string, string> = {};
   for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || HOP_BY_HOP.has(name)) continue;
+    if (value === undefined || NOT_COPIED.has(name)) continue;
     if (name.startsWith(PRIVATE_PREFIX) || name === "authorization") continue;
     copy[name] = Array.isArray(value) ? value.join(", ") : value;
   }
@@ -110,7 +99,7 @@
   const copy: Record<string, string | string[]> = {};
   for (const [name, value] of Object.entries(headers)) {
     if (value === undefined || name === "x-load") continue;
-    if (HOP_BY_HOP.has(name) && name !== "content-length") continue;
+    if (NOT_COPIED.has(name) && name !== "content-length") continue;
     copy[name] = value;
   }
   return copy;
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -137,7 +137,8 @@
   await writeStream(response, outcome.body);
 }
 
-function writeWhole(
+/** Writes an answer that is whole; its headers hold the length. */
+export function writeWhole(
   response: ServerResponse,
   answer: {
     status: number;
