Say of a request that was given up under way that it may have run

Cause: a request that passed its deadline during its first try was answered 504 with ran "no", in its body and in the log, since only tries that had ended were counted; it had been sent. The status promised nothing, the words did. Ruled out: refusals (503), which are decided on tries that have ended. The plan of a request's tries now notes one that is given up. Both tests failed before: ran was "no", and the plan knew no try under way.

--- a/src/daemon/ingress_answers_test.ts
+++ b/src/daemon/ingress_answers_test.ts
@@ -210,6 +210,8 @@
     deadlineMs: 150,
   });
   expect(answer.status).toBe(504);
+  // It was sent, so that nobody can say that it did not run.
+  expect(JSON.parse(answer.text)).toMatchObject({ ran: "unknown" });
   await closed;
 });
 
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -113,7 +113,10 @@
       if (typeof place === "string") return this.#endWithout(place);
       const waited = await this.#tryAt(place);
       if (waited.kind === "caller-left") return { kind: "caller-left" };
-      if (waited.kind === "timed-out") return this.#timeOut();
+      if (waited.kind === "timed-out") {
+        this.#plan.abandon();
+        return this.#timeOut();
+      }
       if (waited.kind === "answered") {
         return { kind: "whole", ...waited.answer };
       }
@@ -295,7 +298,7 @@
     const refusal = createRefusal(
       "deadline-passed",
       "No answer came in time.",
-      { ran: this.#plan.sent === 0 ? "no" : "unknown" },
+      { ran: this.#plan.isNotRun ? "no" : "unknown" },
     );
     return { kind: "refused", refusal };
   }
--- a/src/policy/attempt_plan.ts
+++ b/src/policy/attempt_plan.ts
@@ -85,6 +85,11 @@
     return this.#giveUp(end);
   }
 
+  /** Notes that a try is given up before it has ended: it may have run. */
+  abandon(): void {
+    this.#mayHaveRun = true;
+  }
+
   #giveUp(end: TryEnd): NextStep {
     if (end === "failed") return "pass-on";
     return this.isNotRun ? "refuse" : "fail";
--- a/src/policy/attempt_plan_test.ts
+++ b/src/policy/attempt_plan_test.ts
@@ -58,6 +58,18 @@
   expect(plan.next("refused", { tryRetry: () => false })).toBe("refuse");
 });
 
+test("a try that is given up while it is under way may have run", () => {
+  const plan = new AttemptPlan({
+    kind: "non-idempotent",
+    isResumable: false,
+    maxAttempts: 2,
+  });
+  expect(plan.next("refused", GRANTED)).toBe("try-again");
+  expect(plan.isNotRun).toBe(true);
+  plan.abandon();
+  expect(plan.isNotRun).toBe(false);
+});
+
 test("the budget is not asked where no other try would follow", () => {
   const plan = new AttemptPlan({
     kind: "non-idempotent",
