Trim work that each event, each placement and each tenth of a second did again

Found by reading: the head of a stream's answer was copied for every event, to be dropped after the first; a placement ranked the upstreams twice and, for each upstream, went through what every peer had told, twice; the monitor of the event loop woke the process a hundred times a second. The head is now read once, a placement ranks once and adds the peers up in one pass, and the delay of the event loop is that of the look at readiness, which runs anyway: the gauge is the largest delay since the metrics were read, not the 99th percentile. Choices and their reasons stay: a part of a rendezvous ranking is the ranking of the part.

The calls in peer_loads_test.ts follow the new method, the expected counts are as they were.

--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -9,7 +9,7 @@
   ServerResponse,
 } from "node:http";
 import { createServer } from "node:http";
-import { monitorEventLoopDelay, performance } from "node:perf_hooks";
+import { performance } from "node:perf_hooks";
 import type { IngressSettings } from "../config/ingress_settings.ts";
 import {
   createRoutingController,
@@ -82,7 +82,6 @@
 /** Share of the fleet's retry budget that is used; counts are per router. */
 const RETRY_SHARE = 0.9;
 const MS_PER_SECOND = 1_000;
-const NS_PER_SECOND = 1e9;
 const STATUS_OK = 200;
 const STATUS_UNAVAILABLE = 503;
 
@@ -127,7 +126,9 @@
   readonly #peerLoads = new PeerLoads();
   readonly #loadExchange: LoadExchange;
   readonly #callers: Server;
-  readonly #loopDelay = monitorEventLoopDelay();
+  /** Largest delay of a look since the metrics were read, in milliseconds. */
+  #loopDelayMs = 0;
+  #lookTimer: NodeJS.Timeout | undefined;
   #stopBegunAt: number | undefined;
   #unreadyReason: string | undefined = "no-configuration";
 
@@ -216,9 +217,8 @@
     await this.#openServer(addresses.metrics, (request, response) => {
       void this.#answerMetrics(request, response);
     });
-    const timer = setInterval(() => this.#noteReadiness(), READINESS_LOOK_MS);
-    this.#lifeCycle.own("readiness", () => clearInterval(timer));
-    this.#loopDelay.enable();
+    this.#look(readSteadyClock() + READINESS_LOOK_MS);
+    this.#lifeCycle.own("readiness", () => clearTimeout(this.#lookTimer));
     this.#logs("daemon").info("The router has started.", {
       router: router.name,
       failureDomain: router.failureDomain,
@@ -345,6 +345,16 @@
     });
   }
 
+  /** Looks at `dueAt`, and again and again; a look that is late tells how. */
+  #look(dueAt: number): void {
+    this.#lookTimer = setTimeout(() => {
+      const now = readSteadyClock();
+      this.#loopDelayMs = Math.max(this.#loopDelayMs, now - dueAt);
+      this.#noteReadiness();
+      this.#look(now + READINESS_LOOK_MS);
+    }, dueAt - readSteadyClock());
+  }
+
   #noteReadiness(): void {
     const reason = this.#findUnreadyReason();
     if (reason === this.#unreadyReason) return;
@@ -365,8 +375,8 @@
     metrics.upstreams.set(this.#routing.directory.size);
     metrics.routers.set(this.#routing.routers().size);
     metrics.logLinesDropped.set(this.#writer.dropped);
-    const delay = this.#loopDelay.percentile(99) / NS_PER_SECOND;
-    metrics.eventLoopDelaySeconds.set(delay);
+    metrics.eventLoopDelaySeconds.set(this.#loopDelayMs / MS_PER_SECOND);
+    this.#loopDelayMs = 0;
     const text = await registry.metrics();
     response.writeHead(STATUS_OK, { "content-type": registry.contentType });
     response.end(text);
--- a/src/ingress/ingress_metrics.ts
+++ b/src/ingress/ingress_metrics.ts
@@ -88,7 +88,7 @@
     ),
     eventLoopDelaySeconds: createGauge(
       "event_loop_delay_seconds",
-      "99th percentile of the delay of the event loop.",
+      "Largest delay of a timer since the metrics were read.",
     ),
   };
 }
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -59,6 +59,11 @@
   return (parts.at(-2) ?? parts.at(-1))?.id;
 }
 
+function getMean(values: readonly number[]): number {
+  const total = values.reduce((sum, value) => sum + value, 0);
+  return values.length === 0 ? 0 : total / values.length;
+}
+
 /** See the module. */
 export class Placement {
   readonly #options: Required<PlacementOptions>;
@@ -80,16 +85,30 @@
     const usable = routing.directory.listUsable(request.service.name, now);
     if (usable.length === 0) return "no-upstream";
     const fresh = usable.filter(({ entry }) => !request.excluded.has(entry.id));
-    const candidates = this.#rate(request.service, { known: fresh, now });
+    const living = routing.directory.listLiving(request.service.name)
+      .map(({ entry }) => entry.id);
+    const foreign = this.#getForeignLoads(now);
+    const candidates = this.#rate(request.service, {
+      known: fresh,
+      now,
+      foreign,
+    });
+    const ranking = this.#rank(request, living);
+    const mayTake = new Set(candidates.map(({ id }) => id));
     const choice = chooseUpstream(candidates, {
-      ranking: this.#rank(request, candidates.map(({ id }) => id)),
-      meanLoad: this.#getMeanLoad(request.service, now),
+      // Of rendezvous hashing a part of the ranking is the ranking of the part.
+      ranking: ranking?.filter((id) => mayTake.has(id)),
+      meanLoad: getMean(this.#loads.estimate(living, { now, foreign })),
       random,
     });
     if (choice === undefined) return "upstreams-full";
     const { entry } = fresh.find(({ entry }) => entry.id === choice.id)!;
     const { load } = candidates.find(({ id }) => id === choice.id)!;
-    const copyFrom = this.#findCopy(request, { target: choice.id, now });
+    const copyFrom = this.#findCopy(request, {
+      ranking,
+      target: choice.id,
+      now,
+    });
     return { ...choice, entry, load, copyFrom };
   }
 
@@ -132,44 +151,36 @@
   }
 
   #findCopy(
-    request: PlacementRequest,
-    { target, now }: { target: string; now: number },
+    { excluded }: PlacementRequest,
+    { ranking, target, now }: {
+      ranking: readonly string[] | undefined;
+      target: string;
+      now: number;
+    },
   ): string | undefined {
-    const { directory } = this.#options.routing;
-    const living = directory.listLiving(request.service.name);
-    const ids = living.map(({ entry }) => entry.id);
-    const ranking = this.#rank(request, ids);
     if (ranking === undefined) return undefined;
-    const suspects = this.#health.findSuspects(ids, now);
+    const { directory } = this.#options.routing;
+    const suspects = this.#health.findSuspects(ranking, now);
     const holders = ranking.map((id) => {
       const { entry, startedAt } = directory.find(id)!;
       const isReachable = directory.isInService(entry.failureDomain) &&
-        !suspects.has(id) && !request.excluded.has(id);
+        !suspects.has(id) && !excluded.has(id);
       return { id, ageMs: now - startedAt, isReachable };
     });
     const source = findCacheSource(holders, target);
     return source && directory.find(source)?.entry.address;
   }
 
-  #getMeanLoad({ name }: RoutedService, now: number): number {
-    const living = this.#options.routing.directory.listLiving(name)
-      .map(({ entry }) => entry.id);
-    const loads = this.#estimate(living, now);
-    const total = loads.reduce((sum, load) => sum + load, 0);
-    return living.length === 0 ? 0 : total / living.length;
-  }
-
-  #estimate(upstreams: readonly string[], now: number): number[] {
-    const foreignOf = this.#getForeignLoads(now);
-    return this.#loads.estimate(upstreams, { now, foreignOf });
-  }
-
   #rate(
     service: RoutedService,
-    { known, now }: { known: readonly KnownUpstream[]; now: number },
+    { known, now, foreign }: {
+      known: readonly KnownUpstream[];
+      now: number;
+      foreign: ReadonlyMap<string, number> | undefined;
+    },
   ): Candidate[] {
     const ids = known.map(({ entry }) => entry.id);
-    const loads = this.#estimate(ids, now);
+    const loads = this.#loads.estimate(ids, { now, foreign });
     const suspects = this.#health.findSuspects(ids, now);
     return known.map(({ entry, coldUntil }, index) => ({
       id: entry.id,
@@ -181,12 +192,12 @@
   }
 
   /** Loads of the other routers; undefined where too few are heard. */
-  #getForeignLoads(now: number): ((upstream: string) => number) | undefined {
+  #getForeignLoads(now: number): ReadonlyMap<string, number> | undefined {
     const { routing, peerLoads, self } = this.#options;
-    const others = [...routing.routers().keys()]
-      .filter((name) => name !== self).length;
+    const routers = routing.routers();
+    const others = routers.size - (routers.has(self) ? 1 : 0);
     if (!peerLoads.isCovering(others, now)) return undefined;
-    return (upstream) => peerLoads.sumAt(upstream, { others, now });
+    return peerLoads.sum({ others, now });
   }
 
   #hasColdRoom(service: RoutedService, upstream: string): boolean {
--- a/src/ingress/stream_relay.ts
+++ b/src/ingress/stream_relay.ts
@@ -64,7 +64,7 @@
     return this.#isFramed;
   }
 
-  /** Writes the head, once. */
+  /** Writes the head, before the first event. */
   begin(
     status: number,
     { headers, isFramed }: {
@@ -72,7 +72,6 @@
       isFramed: boolean;
     },
   ): void {
-    if (this.#isBegun) return;
     this.#isBegun = true;
     this.#isFramed = isFramed;
     if (!isFramed) endWithConnection(this.#response);
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -213,8 +213,10 @@
   }
 
   #beginStream(): void {
+    const { relay } = this.#options;
+    if (relay.isBegun) return;
     const { status, headers } = this.#head!;
-    this.#options.relay.begin(status, {
+    relay.begin(status, {
       headers: copyAnswerHeaders(headers),
       isFramed: isFramed(headers),
     });
--- a/src/policy/peer_loads.ts
+++ b/src/policy/peer_loads.ts
@@ -54,29 +54,27 @@
 
   /** Whether enough of `others` routers are heard to trust the sum. */
   isCovering(others: number, now: number): boolean {
-    return others > 0 && this.#countFresh(now) >= others * LEAST_COVERAGE;
+    const fresh = this.#listFresh(now).length;
+    return others > 0 && fresh >= others * LEAST_COVERAGE;
   }
 
-  /** Requests of the `others` routers at `upstream`, estimated. */
-  sumAt(
-    upstream: string,
+  /** Requests of the `others` routers by upstream, estimated. */
+  sum(
     { others, now }: { others: number; now: number },
-  ): number {
-    let sum = 0;
-    let fresh = 0;
-    for (const { counts, at } of this.#told.values()) {
-      if (now - at > this.#maxAgeMs) continue;
-      fresh++;
-      sum += counts[upstream] ?? 0;
+  ): ReadonlyMap<string, number> {
+    const fresh = this.#listFresh(now);
+    const weight = Math.max(1, others / fresh.length);
+    const sums = new Map<string, number>();
+    for (const { counts } of fresh) {
+      for (const [upstream, count] of Object.entries(counts)) {
+        sums.set(upstream, (sums.get(upstream) ?? 0) + count * weight);
+      }
     }
-    return fresh === 0 ? 0 : sum * Math.max(1, others / fresh);
+    return sums;
   }
 
-  #countFresh(now: number): number {
-    let fresh = 0;
-    for (const { at } of this.#told.values()) {
-      if (now - at <= this.#maxAgeMs) fresh++;
-    }
-    return fresh;
+  #listFresh(now: number): Told[] {
+    return [...this.#told.values()]
+      .filter(({ at }) => now - at <= this.#maxAgeMs);
   }
 }
--- a/src/policy/peer_loads_test.ts
+++ b/src/policy/peer_loads_test.ts
@@ -1,12 +1,19 @@
 import { PeerLoads } from "./peer_loads.ts";
 import { PeerRotation } from "./peer_rotation.ts";
 
+function sumAt(
+  loads: PeerLoads,
+  options: { others: number; now: number },
+): number {
+  return loads.sum(options).get("up") ?? 0;
+}
+
 test("counts of all routers add up, and those not heard are made up for", () => {
   const loads = new PeerLoads();
   loads.take("r1", { counts: { up: 3 }, sequence: 1 }, 0);
   loads.take("r2", { counts: { up: 5, other: 1 }, sequence: 1 }, 0);
-  expect(loads.sumAt("up", { others: 2, now: 100 })).toBe(8);
-  expect(loads.sumAt("up", { others: 4, now: 100 })).toBe(16);
+  expect(sumAt(loads, { others: 2, now: 100 })).toBe(8);
+  expect(sumAt(loads, { others: 4, now: 100 })).toBe(16);
   expect(loads.isCovering(4, 100)).toBe(true);
   expect(loads.isCovering(5, 100)).toBe(false);
 });
@@ -15,8 +22,8 @@
   const loads = new PeerLoads({ maxAgeMs: 1_000 });
   loads.take("r1", { counts: { up: 3 }, sequence: 2 }, 0);
   loads.take("r1", { counts: { up: 9 }, sequence: 1 }, 10);
-  expect(loads.sumAt("up", { others: 1, now: 10 })).toBe(3);
-  expect(loads.sumAt("up", { others: 1, now: 1_001 })).toBe(0);
+  expect(sumAt(loads, { others: 1, now: 10 })).toBe(3);
+  expect(sumAt(loads, { others: 1, now: 1_001 })).toBe(0);
   expect(loads.isCovering(1, 1_001)).toBe(false);
 });
 
@@ -24,7 +31,7 @@
   const loads = new PeerLoads({ maxAgeMs: 1_000 });
   loads.take("r1", { counts: { up: 3 }, sequence: 100 }, 0);
   loads.take("r1", { counts: { up: 1 }, sequence: 1 }, 1_500);
-  expect(loads.sumAt("up", { others: 1, now: 1_500 })).toBe(1);
+  expect(sumAt(loads, { others: 1, now: 1_500 })).toBe(1);
 });
 
 test("each peer is told once before any is told again", () => {
--- a/src/policy/upstream_loads.ts
+++ b/src/policy/upstream_loads.ts
@@ -56,19 +56,21 @@
   }
 
   /**
-   * Estimates the requests at each of `upstreams`. Where `foreignOf` is given,
-   * it tells those of the other routers.
+   * Estimates the requests at each of `upstreams`. Where `foreign` is given, it
+   * holds those of the other routers, if they have any.
    */
   estimate(
     upstreams: readonly string[],
-    { now, foreignOf }: {
+    { now, foreign: told }: {
       now: number;
-      foreignOf?: ((upstream: string) => number) | undefined;
+      foreign?: ReadonlyMap<string, number> | undefined;
     },
   ): number[] {
     const loads = upstreams.map((each) => this.#get(each));
-    if (foreignOf !== undefined) {
-      return loads.map(({ own }, index) => own + foreignOf(upstreams[index]!));
+    if (told !== undefined) {
+      return loads.map(({ own }, index) =>
+        own + (told.get(upstreams[index]!) ?? 0)
+      );
     }
     const foreign = loads.reduce((sum, each) => sum + each.foreign, 0);
     const mean = loads.length === 0 ? 0 : foreign / loads.length;
