Give each shared piece of the ingress one place, and no failure a silent end

Found by reading the change. Written twice: binding a server (three places), the refusal of a missing route or key, sleep, and the decoding of a request's headers, which each refusal did again. parseAddress moves out of the peers' connection, so that the ingress no longer loads JSON-RPC at its start. UpstreamHealth no longer hides the global Record.

Silent ends: a request before the first configuration had no line in the log, a registration that failed had none, and a port for the routers' datagrams that was taken kept the start waiting for ever. The first two have tests, which ran into their time limit before; the third has none.

--- a/src/control/load_exchange.ts
+++ b/src/control/load_exchange.ts
@@ -9,7 +9,7 @@
 import type { Log } from "../log.ts";
 import type { LoadCounts, PeerLoads } from "../policy/peer_loads.ts";
 import { PeerRotation } from "../policy/peer_rotation.ts";
-import { parseAddress } from "../transport/peer_connection.ts";
+import { parseAddress } from "../transport/address.ts";
 
 /** Options of the exchange. */
 export interface LoadExchangeOptions {
@@ -39,10 +39,11 @@
   readonly counts: LoadCounts;
 }
 
-/** A tenth of the time that most requests take. */
+/** A tenth of the time that most requests take, in milliseconds. */
 const INTERVAL_MS = 200;
-/** Keeps a router below 4 KB/s at 100 bytes a message. */
+/** Peers told each time: a fleet of nine and below is told whole. */
 const FAN_OUT = 8;
+/** Above any service of the two-year size that one router sends to at a time. */
 const MAX_UPSTREAMS = 1_000;
 
 function isLoadCounts(value: unknown): value is LoadCounts {
@@ -88,8 +89,10 @@
   open(): Promise<void> {
     const { address, intervalMs } = this.#options;
     const { host, port } = parseAddress(address);
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
+      this.#socket.once("error", reject);
       this.#socket.bind(port, host, () => {
+        this.#socket.off("error", reject);
         this.#timer = setInterval(() => this.#tell(), intervalMs);
         resolve();
       });
--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -64,9 +64,9 @@
   readonly onCall?: (isAnswered: boolean) => void;
 }
 
-/** Pause after a call that failed, in milliseconds. */
+/** Pause after a call that failed, in milliseconds; a few calls fit a bound. */
 const RETRY_PAUSE_MS = 250;
-/** Pause between two renewals of the registration, in milliseconds. */
+/** Pause between two renewals, in milliseconds: three before it lapses. */
 const RENEWAL_MS = 2_500;
 /** Heartbeats after which a domain's upstreams have said whether they are cold. */
 const COLD_WORD_HEARTBEATS = 2;
@@ -326,12 +326,14 @@
     try {
       if (this.#lease !== undefined) {
         const renewed = await store.renew(this.#lease);
-        if (renewed.err || renewed.val) return;
+        if (renewed.err) return this.#registrationFailed(renewed.val);
+        if (renewed.val) return;
         log.warn("The registration has lapsed.", { lease: this.#lease });
         this.#lease = undefined;
       }
       const registered = await store.register(self);
-      if (registered.ok) this.#lease = registered.val;
+      if (registered.err) return this.#registrationFailed(registered.val);
+      this.#lease = registered.val;
     } finally {
       if (!this.#isClosed) {
         this.#renewTimer = setTimeout(
@@ -341,6 +343,12 @@
       }
     }
   }
+
+  #registrationFailed({ message }: PlatformFailure): void {
+    // The end of the client is no refusal of the store.
+    if (this.#isClosed) return;
+    this.#options.log.warn("The registration failed.", { cause: message });
+  }
 }
 
 /** Creates the controller; `open` starts it. */
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,6 +3,7 @@
  */
 import { randomBytes, randomUUID } from "node:crypto";
 import { performance } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Server } from "node:http";
 import type { Upstream } from "../config/manifest.ts";
 import { createConfigurationStore } from "../config/configuration_store.ts";
@@ -631,7 +632,3 @@
     return routers.length > 0;
   }
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -10,6 +10,7 @@
 } from "node:http";
 import { createServer } from "node:http";
 import { performance } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { IngressSettings } from "../config/ingress_settings.ts";
 import {
   createRoutingController,
@@ -49,9 +50,9 @@
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import { createRetryBudget, type RetryBudget } from "../policy/retry_budget.ts";
 import type { Instant, RoutingConfiguration } from "../routing/types.ts";
+import { bindServer } from "../transport/address.ts";
 import { answerClientErrors } from "../transport/client_error.ts";
 import { createInFlight } from "../transport/in_flight.ts";
-import { parseAddress } from "../transport/peer_connection.ts";
 import { createUpstreamConnections } from "../transport/upstream_connections.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
 
@@ -78,8 +79,9 @@
 /** Limits of callers before the first configuration, in milliseconds. */
 const HEADER_TIMEOUT_MS = 3_000;
 const IDLE_TIMEOUT_MS = 15_000;
+/** Above the limit of any configuration seen (16 KiB); fixed at the start. */
 const MAX_HEADER_BYTES = 32_768;
-/** Share of the fleet's retry budget that is used; counts are per router. */
+/** Share of the fleet's retry budget that is used; routers count apart. */
 const RETRY_SHARE = 0.9;
 const MS_PER_SECOND = 1_000;
 const STATUS_OK = 200;
@@ -103,13 +105,6 @@
   return performance.now();
 }
 
-function listen(server: Server, address: string): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(parseAddress(address), () => resolve());
-  });
-}
-
 class IngressRouterDaemon implements IngressDaemon {
   readonly #settings: IngressSettings;
   #bounds: IngressSettings["bounds"];
@@ -208,7 +203,7 @@
     this.#lifeCycle.own("routing", () => this.#routing.close());
     await this.#loadExchange.open();
     this.#lifeCycle.own("load exchange", () => this.#loadExchange.close());
-    await listen(this.#callers, addresses.callers);
+    await bindServer(this.#callers, addresses.callers);
     await this.#openServer(addresses.ready, (request, response) => {
       const isReadyPath = request.url === READY_PATH;
       const isReady = this.#findUnreadyReason() === undefined;
@@ -318,7 +313,7 @@
     handle: RequestListener,
   ): Promise<void> {
     const server = createServer(handle);
-    await listen(server, address);
+    await bindServer(server, address);
     this.#lifeCycle.own(`server ${address}`, () => {
       server.closeAllConnections();
       server.close();
@@ -387,7 +382,3 @@
   response.writeHead(status, { "content-length": "0" });
   response.end();
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/src/daemon/ingress_store_test.ts
+++ b/src/daemon/ingress_store_test.ts
@@ -125,3 +125,22 @@
   },
   20_000,
 );
+
+test(
+  "a request before the first configuration is refused and has its line",
+  async () => {
+    const unready = new LocalIngress();
+    await unready.start({ hasConfiguration: false });
+    const answer = await unready.ask({ id: "early" });
+    expect(answer.status).toBe(503);
+    expect(JSON.parse(answer.text)).toMatchObject({ ran: "no" });
+    await unready.untilLogged({ requestId: "early", outcome: "not-ready" });
+    await unready.close();
+  },
+  20_000,
+);
+
+test("a registration that the store refuses is told", async () => {
+  fleet.store.faults.refuseWith = 503;
+  await fleet.untilLogged({ message: "config: The registration failed." });
+}, 20_000);
--- a/src/daemon/testing/local_ingress.ts
+++ b/src/daemon/testing/local_ingress.ts
@@ -158,6 +158,8 @@
 export interface LocalIngressOptions {
   readonly upstreams?: number;
   readonly bounds?: Partial<IngressSettings["bounds"]>;
+  /** Whether the store holds a configuration; the router is ready then. */
+  readonly hasConfiguration?: boolean;
 }
 
 /** See the module. */
@@ -169,12 +171,13 @@
   settings!: IngressSettings;
   #version = 1;
 
-  /** Starts everything and waits until the router is ready. */
+  /** Starts everything and waits until the router has said how ready it is. */
   async start(
-    { upstreams = 2, bounds = {} }: LocalIngressOptions = {},
+    { upstreams = 2, bounds = {}, hasConfiguration = true }:
+      LocalIngressOptions = {},
   ): Promise<this> {
     await this.store.open();
-    this.putConfiguration();
+    if (hasConfiguration) this.putConfiguration();
     for (let index = 0; index < upstreams; index++) {
       this.putUpstream(await this.#addUpstream(`up-${index}`));
     }
@@ -198,7 +201,7 @@
         write: (line) => this.lines.push(JSON.parse(line)),
       }),
     });
-    await this.untilReady(200);
+    await this.untilReady(hasConfiguration ? 200 : 503);
     return this;
   }
 
--- a/src/ingress/ingress_server.ts
+++ b/src/ingress/ingress_server.ts
@@ -33,6 +33,11 @@
 const FIRST_FAILURE_STATUS = 500;
 const MS_PER_SECOND = 1_000;
 
+/** What the log says of a request; without a table before the first one. */
+type ReportedExchange =
+  & Pick<IngressExchange, "traits" | "arrivedAt" | "trace">
+  & Partial<Pick<IngressExchange, "route" | "table">>;
+
 /** Names an outcome in logs and metrics. */
 function getLabel(outcome: IngressOutcome): string {
   if (outcome.kind === "refused") return outcome.refusal.code;
@@ -49,13 +54,11 @@
 export function createIngressHandler(options: IngressHandlerOptions) {
   const { clock, log, metrics, inFlight } = options;
 
-  function refuseEarly(
-    request: IncomingMessage,
+  function refuseUnready(
     arrivedAt: number,
+    deadlineMs: number,
   ): IngressOutcome {
-    const { deadlineMs = DEFAULT_DEADLINE_MS } = decodeRequest(request.headers);
-    const answerBy = arrivedAt + deadlineMs;
-    return refuseForNow({ arrivedAt, answerBy }, {
+    return refuseForNow({ arrivedAt, answerBy: arrivedAt + deadlineMs }, {
       code: "not-ready",
       detail: "This router has no configuration yet.",
       cause: "this-router",
@@ -83,16 +86,19 @@
   ): Promise<void> {
     const arrivedAt = clock();
     response.on("error", () => response.destroy());
+    const traits = decodeRequest(request.headers);
+    const { requestId, deadlineMs = DEFAULT_DEADLINE_MS } = traits;
     const table = options.getTable();
     if (table === undefined) {
-      write(request, response, refuseEarly(request, arrivedAt));
-      metrics.requests.inc({ route: "none", outcome: "not-ready" });
+      const outcome = refuseUnready(arrivedAt, deadlineMs);
+      write({ request, response, requestId }, outcome);
+      report({ traits, arrivedAt, trace: [] }, outcome);
       return;
     }
     const exchange: IngressExchange = {
       request,
       response,
-      traits: decodeRequest(request.headers),
+      traits,
       path: getPath(request.url ?? "/"),
       arrivedAt,
       table,
@@ -103,13 +109,16 @@
       response.setHeader("connection", "close");
     }
     const outcome = await run(exchange);
-    write(request, response, outcome);
+    write({ request, response, requestId }, outcome);
     report(exchange, outcome);
   }
 
   function write(
-    request: IncomingMessage,
-    response: ServerResponse,
+    { request, response, requestId }: {
+      request: IncomingMessage;
+      response: ServerResponse;
+      requestId: string;
+    },
     outcome: IngressOutcome,
   ): void {
     if (response.destroyed) return;
@@ -130,7 +139,6 @@
       if (closes && request.complete) {
         response.setHeader("connection", "close");
       }
-      const { requestId } = decodeRequest(request.headers);
       writeWhole(
         response,
         renderProblem(refusal, requestId, { hasFractions: true }),
@@ -138,9 +146,11 @@
     }
   }
 
-  function report(exchange: IngressExchange, outcome: IngressOutcome): void {
-    const { route, traits, trace, table } = exchange;
-    const ms = Math.round(clock() - exchange.arrivedAt);
+  function report(
+    { route, traits, trace, table, arrivedAt }: ReportedExchange,
+    outcome: IngressOutcome,
+  ): void {
+    const ms = Math.round(clock() - arrivedAt);
     const label = getLabel(outcome);
     const kind = route?.kind ?? "none";
     metrics.requests.inc({ route: kind, outcome: label });
@@ -153,7 +163,7 @@
     const line = {
       requestId: traits.requestId,
       route: route?.name ?? "none",
-      version: table.configuration.version,
+      version: table?.configuration.version,
       outcome: label,
       ...(outcome.kind === "whole" && { status: outcome.status }),
       ...(outcome.kind === "streamed" && outcome.timing),
--- a/src/ingress/key_filter.ts
+++ b/src/ingress/key_filter.ts
@@ -2,15 +2,13 @@
  * Names the workspace of a request by its API key.
  */
 import type { RoutingView } from "../control/routing_controller.ts";
-import { createRefusal } from "../diagnostics.ts";
 import type { Instant } from "../routing/types.ts";
 import type {
   IngressExchange,
   IngressFilter,
   IngressOutcome,
 } from "./ingress_exchange.ts";
-import { refuseUnconfirmed } from "./refusals.ts";
-import { MAX_AGE_OF_ABSENCE_MS } from "./route_filter.ts";
+import { refuseAbsent, refuseUnconfirmed } from "./refusals.ts";
 
 /**
  * Refuses requests without a known key, and all keyed requests while the
@@ -41,11 +39,12 @@
       ? undefined
       : exchange.table.findWorkspace(apiKey);
     if (workspace === undefined) {
-      if (apiKey !== undefined && ageMs > MAX_AGE_OF_ABSENCE_MS) {
-        return refuseUnconfirmed(exchange, ageMs);
-      }
-      const detail = "Send a workspace's API key as a bearer token.";
-      return { kind: "refused", refusal: createRefusal("unknown-key", detail) };
+      return refuseAbsent(exchange, {
+        // A request without any key is wrong under every configuration.
+        ageMs: apiKey === undefined ? 0 : ageMs,
+        code: "unknown-key",
+        detail: "Send a workspace's API key as a bearer token.",
+      });
     }
     exchange.workspace = workspace;
     return await next();
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -50,6 +50,7 @@
 /** Why there is no place. */
 export type NoPlace = "no-upstream" | "upstreams-full";
 
+/** Pause between two looks for what is forgotten, in milliseconds. */
 const PRUNE_MS = 5_000;
 
 /** Names what a prompt shares with others: the part before its own. */
--- a/src/ingress/refusals.ts
+++ b/src/ingress/refusals.ts
@@ -24,6 +24,26 @@
   return { kind: "refused", refusal, closes };
 }
 
+/**
+ * Age up to which a missing route or key counts as missing, in milliseconds;
+ * an older configuration may lack one that operators have just added. Above a
+ * pause between polls and a poll that waits, below the bound on applying one.
+ */
+const MAX_AGE_OF_ABSENCE_MS = 1_500;
+
+/** Refuses what the configuration lacks, if it is recent enough to say so. */
+export function refuseAbsent(
+  exchange: IngressExchange,
+  { ageMs, code, detail }: {
+    ageMs: number;
+    code: DiagnosticCode;
+    detail: string;
+  },
+): IngressOutcome {
+  if (ageMs > MAX_AGE_OF_ABSENCE_MS) return refuseUnconfirmed(exchange, ageMs);
+  return { kind: "refused", refusal: createRefusal(code, detail) };
+}
+
 /** Refuses because the configuration is too old to decide by. */
 export function refuseUnconfirmed(
   exchange: IngressExchange,
--- a/src/ingress/route_filter.ts
+++ b/src/ingress/route_filter.ts
@@ -2,20 +2,13 @@
  * Finds the route of a request.
  */
 import type { RoutingView } from "../control/routing_controller.ts";
-import { createRefusal } from "../diagnostics.ts";
 import type { Instant } from "../routing/types.ts";
 import type {
   IngressExchange,
   IngressFilter,
   IngressOutcome,
 } from "./ingress_exchange.ts";
-import { refuseUnconfirmed } from "./refusals.ts";
-
-/**
- * Age up to which a missing route or key counts as missing, in milliseconds;
- * an older configuration may lack one that operators have just added.
- */
-export const MAX_AGE_OF_ABSENCE_MS = 1_500;
+import { refuseAbsent } from "./refusals.ts";
 
 /** Refuses a request that no route takes; sets when it must be answered. */
 export class RouteFilter implements IngressFilter {
@@ -35,15 +28,11 @@
     const host = exchange.request.headers.host ?? "";
     const route = exchange.table.findRoute(host, exchange.path);
     if (route === undefined) {
-      const ageMs = this.#routing.ageAt(this.#now());
-      if (ageMs > MAX_AGE_OF_ABSENCE_MS) {
-        return refuseUnconfirmed(exchange, ageMs);
-      }
-      const detail = `No route takes ${exchange.path}.`;
-      return {
-        kind: "refused",
-        refusal: createRefusal("unknown-route", detail),
-      };
+      return refuseAbsent(exchange, {
+        ageMs: this.#routing.ageAt(this.#now()),
+        code: "unknown-route",
+        detail: `No route takes ${exchange.path}.`,
+      });
     }
     exchange.route = route;
     const { deadlineMs = Infinity } = exchange.traits;
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -178,14 +178,17 @@
       ttlMs: this.#options.registrationMs,
     });
     if (granted.err) return granted;
-    const lease = Number(asFields(granted.val, "lease")["lease"]);
+    const lease = this.#decode(() =>
+      getNumber(asFields(granted.val, "lease"), "lease")
+    );
+    if (lease.err) return lease;
     const value = Buffer.from(JSON.stringify({ address })).toString("base64");
     const written = await this.#post(STORE_PATHS.transaction, {
       expectRev: [],
-      writes: [{ key: KEYS.routers + name, value, lease }],
+      writes: [{ key: KEYS.routers + name, value, lease: lease.val }],
       remove: [],
     });
-    return written.map(() => String(lease));
+    return written.map(() => String(lease.val));
   }
 
   async renew(lease: string): Promise<Result<boolean, PlatformFailure>> {
--- a/src/policy/upstream_health.ts
+++ b/src/policy/upstream_health.ts
@@ -9,7 +9,7 @@
 /** How a request at an upstream ended. */
 export type RequestEnd = "answered" | "failed" | "unreachable";
 
-interface Record {
+interface EndCounts {
   /** Ends and failures, fading. */
   ends: number;
   failures: number;
@@ -27,12 +27,14 @@
 const SUSPECT_SHARE = 0.3;
 /** How much more than its peers it must fail. */
 const SUSPECT_FACTOR = 2;
+/** The time of a connection attempt, in milliseconds. */
 const FIRST_AVOIDANCE_MS = 400;
+/** Most upstreams that went down are back or gone by then, in milliseconds. */
 const MAX_AVOIDANCE_MS = 3_200;
 
 /** See the module. */
 export class UpstreamHealth {
-  readonly #records = new Map<string, Record>();
+  readonly #records = new Map<string, EndCounts>();
 
   noteEnd(upstream: string, end: RequestEnd, now: number): void {
     const record = this.#fade(upstream, now);
@@ -79,7 +81,7 @@
     return suspects;
   }
 
-  #fade(upstream: string, now: number): Record {
+  #fade(upstream: string, now: number): EndCounts {
     let record = this.#records.get(upstream);
     if (record === undefined) {
       record = {
--- /dev/null
+++ b/src/transport/address.ts
@@ -0,0 +1,24 @@
+/**
+ * Addresses in the form `ip:port`, and servers that listen on them.
+ */
+import type { Server } from "node:net";
+
+/** Splits `ip:port`. */
+export function parseAddress(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(":");
+  return {
+    host: address.slice(0, colon),
+    port: Number(address.slice(colon + 1)),
+  };
+}
+
+/** Listens at `address`; resolves once `server` is bound. */
+export function bindServer<S extends Server>(
+  server: S,
+  address: string,
+): Promise<S> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(parseAddress(address), () => resolve(server));
+  });
+}
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -14,8 +14,8 @@
 import { Err, Ok, type Result } from "ts-results";
 import { createRefusal, type Refusal } from "../diagnostics.ts";
 import type { Outcome } from "../filters/exchange.ts";
+import { bindServer } from "./address.ts";
 import { answerClientErrors } from "./client_error.ts";
-import { parseAddress } from "./peer_connection.ts";
 import { renderProblem } from "./problem.ts";
 
 /** Bounds on what a client may send. */
@@ -51,10 +51,7 @@
   }, options.handle);
   server.maxConnections = limits.maxConnections;
   answerClientErrors(server);
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(parseAddress(address), () => resolve(server));
-  });
+  return bindServer(server, address);
 }
 
 /** Ends a server whose requests have all been answered. */
--- a/src/transport/peer_connection.ts
+++ b/src/transport/peer_connection.ts
@@ -11,6 +11,7 @@
   JSONRPCServer,
   JSONRPCServerAndClient,
 } from "json-rpc-2.0";
+import { bindServer, parseAddress } from "./address.ts";
 import { readFrames, writeFrame } from "./frames.ts";
 import {
   createNonce,
@@ -203,15 +204,6 @@
   }
 }
 
-/** Splits `ip:port`. */
-export function parseAddress(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(":");
-  return {
-    host: address.slice(0, colon),
-    port: Number(address.slice(colon + 1)),
-  };
-}
-
 /** An attempt to reach a peer; `close` gives it up. */
 export interface PeerDial {
   close(): void;
@@ -262,8 +254,5 @@
   const server = createServer((socket) => {
     new SocketPeer(socket, options).serveHandshake();
   });
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(parseAddress(address), () => resolve(server));
-  });
+  return bindServer(server, address);
 }
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -62,12 +62,15 @@
 
 /** Within the objective of a plain call, so that another try is possible. */
 const CONNECT_TIMEOUT_MS = 400;
+/** Below the 10 s that upstreams state, in milliseconds. */
 const IDLE_MS = 9_000;
 /** Stated idle times are shortened by this, for the request on its way. */
 const IDLE_MARGIN_MS = 400;
 /** Probes tell a connection that has gone silent. */
 const KEEP_ALIVE_PROBE_MS = 1_000;
+/** To one upstream: what a router of a small fleet has in flight there. */
 const MAX_IDLE_CONNECTIONS = 8;
+/** Pause between two looks for idle connections to close, in milliseconds. */
 const SWEEP_MS = 1_000;
 
 class Connection {
--- a/testing/metadata_store.ts
+++ b/testing/metadata_store.ts
@@ -9,6 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import { closeServer, listen, readJson, sendJson } from "./kv_http.ts";
 
 /** Faults of the stand-in; each stays until it is changed. */
@@ -213,7 +214,3 @@
     this.#events.push(item);
   }
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
