Let a few relays read the store and gather loads for a large fleet

Change: in fleets of more than nine routers some relays, chosen by rendezvous hashing from those registered, poll the store. The others ask a relay, in one datagram, for changes that matter since a revision, with their age, and for the loads of the fleet. A router that the store turns away hears from one that it serves. A relay that is silent or whose word is old is left for another, and past an age each router asks the store itself.

--- /dev/null
+++ b/src/control/peer_exchange_test.ts
@@ -0,0 +1,288 @@
+import { Err, Ok, type Result } from "ts-results/result";
+import { findFreeAddress } from "../../testing/free_address.ts";
+import { createLogFactory } from "../log.ts";
+import type {
+  MetadataStore,
+  Registration,
+  StorePoll,
+  StoreSnapshot,
+} from "../platform/metadata_store.ts";
+import { PeerLoads } from "../policy/peer_loads.ts";
+import { getStorePace } from "../policy/poll_pause.ts";
+import { RelayPlan } from "../policy/relay_plan.ts";
+import { type Hash, loadHash } from "../policy/rendezvous.ts";
+import type { Instant, StoreChange, UpstreamEntry } from "../routing/types.ts";
+import { PlatformFailure } from "../store/key_value.ts";
+import { createPeerExchange, type PeerExchange } from "./peer_exchange.ts";
+import {
+  createRoutingController,
+  type RoutingController,
+} from "./routing_controller.ts";
+import { createTaskSystem, type TaskSystem } from "./task.ts";
+
+/** A fleet in which three routers are relays. */
+const ROUTERS = 12;
+/** The tightest bounds that a deployment has. */
+const BOUND_MS = 2_000;
+const REVOCATION_MS = 5_000;
+const PACE = getStorePace({ drainMs: BOUND_MS, applyMs: BOUND_MS });
+
+const UPSTREAM: UpstreamEntry = {
+  id: "up",
+  service: "svc",
+  address: "10.0.0.1:80",
+  failureDomain: "east",
+  slots: 4,
+  state: "ready",
+  coldLeftMs: 0,
+  bornAt: 1,
+};
+
+function readClocks(): Instant {
+  return { steady: performance.now(), wall: Date.now() };
+}
+
+function createConfiguration(version: number): StoreChange {
+  return {
+    kind: "configuration",
+    configuration: {
+      version,
+      routes: [],
+      services: [],
+      limits: {
+        maxHeaderBytes: 1,
+        maxBodyBytes: 1,
+        headerTimeoutMs: 1,
+        idleTimeoutMs: 1,
+      },
+      workspaces: undefined,
+    },
+  };
+}
+
+interface LoggedChange {
+  readonly revision: number;
+  readonly change: StoreChange;
+}
+
+/** The store as all routers see it; turns the named ones away. */
+class SharedStore {
+  readonly refused = new Set<string>();
+  readonly polls = new Map<string, number>();
+  readonly #log: LoggedChange[] = [];
+  #revision = 100;
+
+  put(change: StoreChange): void {
+    this.#log.push({ revision: ++this.#revision, change });
+  }
+
+  countPolls(): number {
+    return [...this.polls.values()].reduce((sum, count) => sum + count, 0);
+  }
+
+  createClient(router: string): MetadataStore {
+    const refuse = () => Err(new PlatformFailure("unavailable", "turned away"));
+    const respond = <T>(get: () => T): Promise<Result<T, PlatformFailure>> =>
+      Promise.resolve(this.refused.has(router) ? refuse() : Ok(get()));
+    return {
+      readAll: () =>
+        respond((): StoreSnapshot => ({
+          changes: this.#log.map(({ change }) => change),
+          revision: this.#revision,
+          sentAt: readClocks(),
+        })),
+      poll: (after: number) => {
+        this.polls.set(router, (this.polls.get(router) ?? 0) + 1);
+        return respond((): StorePoll => ({
+          kind: "changes",
+          changes: this.#log
+            .filter(({ revision }) => revision > after)
+            .map(({ change }) => change),
+          revision: this.#revision,
+          sentAt: readClocks(),
+        }));
+      },
+      register: ({ name, address }: Registration) => {
+        this.put({ kind: "router", name, address });
+        return respond(() => name);
+      },
+      renew: () => respond(() => true),
+      deregister: () => respond(() => undefined),
+      close: () => Promise.resolve(),
+    };
+  }
+}
+
+interface Member {
+  readonly name: string;
+  readonly plan: RelayPlan;
+  readonly routing: RoutingController;
+  readonly exchange: PeerExchange;
+  readonly peerLoads: PeerLoads;
+}
+
+let hash: Hash;
+let tasks: TaskSystem;
+let store: SharedStore;
+let members: Member[];
+
+async function startMember(name: string): Promise<Member> {
+  const address = await findFreeAddress();
+  const plan = new RelayPlan({ self: name, hash, ...PACE });
+  const peerLoads = new PeerLoads();
+  const log = createLogFactory({ router: name, level: "error" })("config");
+  const routing = createRoutingController({
+    self: { name, address },
+    store: store.createClient(name),
+    now: readClocks,
+    log,
+    tasks: createTaskSystem(),
+    revocationMs: REVOCATION_MS,
+    pace: PACE,
+    plan,
+    heartbeatMs: 1_200,
+  });
+  const exchange = createPeerExchange({
+    self: name,
+    address,
+    now: readClocks,
+    log,
+    plan,
+    keeper: routing,
+    getOwnLoads: () => ({ up: 1 }),
+    peerLoads,
+    ...PACE,
+  });
+  routing.open();
+  await exchange.open();
+  return { name, plan, routing, exchange, peerLoads };
+}
+
+async function stopMember({ routing, exchange }: Member): Promise<void> {
+  exchange.close();
+  await routing.close();
+}
+
+async function until(
+  isDone: () => boolean,
+  { withinMs }: { withinMs: number },
+): Promise<void> {
+  const deadline = Date.now() + withinMs;
+  while (!isDone()) {
+    if (Date.now() > deadline) {
+      throw new Error(`not done within ${withinMs} ms`);
+    }
+    await sleep(10);
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+function listLeftBy(id: string): string[] {
+  return members
+    .filter(({ routing }) => !routing.directory.isUsable(id, performance.now()))
+    .map(({ name }) => name);
+}
+
+function isTrusted({ routing }: Member): boolean {
+  return routing.isTrustedAt(readClocks());
+}
+
+beforeEach(async () => {
+  hash = await loadHash();
+  tasks = createTaskSystem();
+  store = new SharedStore();
+  store.put(createConfiguration(1));
+  store.put({ kind: "upstream", entry: UPSTREAM });
+  members = [];
+  for (let index = 0; index < ROUTERS; index++) {
+    members.push(await startMember(`router-${index}`));
+  }
+  await until(
+    () =>
+      members.every(({ routing }) => routing.routers().size === ROUTERS) &&
+      members.filter(({ plan }) => plan.isRelay).length === 3,
+    { withinMs: 5_000 },
+  );
+});
+
+afterEach(async () => {
+  await Promise.all(members.map(stopMember));
+  tasks.close();
+});
+
+test(
+  "few routers read the store, and all know what changes in it",
+  async () => {
+    store.polls.clear();
+    await sleep(1_500);
+    const followers = members.filter(({ plan }) => !plan.isRelay);
+    expect(followers.filter(({ name }) => store.polls.has(name))).toEqual([]);
+    expect(members.every(isTrusted)).toBe(true);
+    store.put({ kind: "upstream", entry: { ...UPSTREAM, state: "leaving" } });
+    await until(() => listLeftBy("up").length === ROUTERS, {
+      withinMs: BOUND_MS,
+    });
+  },
+  20_000,
+);
+
+test("a configuration reaches all, from the store itself", async () => {
+  store.put(createConfiguration(2));
+  await until(
+    () =>
+      members.every(({ routing }) =>
+        routing.table()?.configuration.version === 2
+      ),
+    { withinMs: BOUND_MS },
+  );
+}, 20_000);
+
+test("each router knows the loads of the fleet", async () => {
+  await sleep(1_500);
+  for (const { peerLoads } of members) {
+    const now = performance.now();
+    expect(peerLoads.isCovering(ROUTERS - 1, now)).toBe(true);
+    const sum = peerLoads.sum({ others: ROUTERS - 1, now }).get("up");
+    expect(sum).toBe(ROUTERS - 1);
+  }
+}, 20_000);
+
+test(
+  "routers that the store turns away hear from one that it serves",
+  async () => {
+    const relays = members.filter(({ plan }) => plan.isRelay);
+    const [served] = relays;
+    for (const { name } of members) {
+      if (name !== served!.name) store.refused.add(name);
+    }
+    await sleep(REVOCATION_MS);
+    expect(members.filter((each) => !isTrusted(each))).toEqual([]);
+    store.put({ kind: "domain-out", failureDomain: "east" });
+    await until(() => listLeftBy("up").length === ROUTERS, {
+      withinMs: BOUND_MS,
+    });
+  },
+  20_000,
+);
+
+test("no key is trusted once the store answers nobody", async () => {
+  for (const { name } of members) store.refused.add(name);
+  await until(() => members.every((each) => !isTrusted(each)), {
+    withinMs: REVOCATION_MS,
+  });
+}, 20_000);
+
+test("relays that die without a word are replaced in time", async () => {
+  const relays = members.filter(({ plan }) => plan.isRelay).slice(0, 2);
+  for (const relay of relays) await stopMember(relay);
+  members = members.filter((member) => !relays.includes(member));
+  const sentAt = Date.now();
+  store.put({ kind: "upstream-gone", id: "up" });
+  await until(() => listLeftBy("up").length === ROUTERS - 2, {
+    withinMs: BOUND_MS,
+  });
+  expect(Date.now() - sentAt).toBeLessThan(BOUND_MS);
+}, 20_000);
--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -9,16 +9,21 @@
   Registration,
   StoreSnapshot,
 } from "../platform/metadata_store.ts";
+import { ChangeJournal } from "../policy/change_journal.ts";
 import { Confirmation } from "../policy/confirmation.ts";
+import type { StorePace } from "../policy/poll_pause.ts";
+import type { RelayPlan } from "../policy/relay_plan.ts";
 import { RouteTable } from "../policy/route_table.ts";
 import { UpstreamDirectory } from "../policy/upstream_directory.ts";
 import type {
   Instant,
   RoutingConfiguration,
   StoreChange,
+  StoreWord,
   UpstreamEntry,
 } from "../routing/types.ts";
 import type { PlatformFailure } from "../store/key_value.ts";
+import type { WordKeeper } from "./peer_exchange.ts";
 import type { Task, TaskSystem } from "./task.ts";
 
 /** What the router believes; one writer, read in the moment of a decision. */
@@ -35,7 +40,7 @@
 }
 
 /** Follows the store. */
-export interface RoutingController extends RoutingView {
+export interface RoutingController extends RoutingView, WordKeeper {
   open(): void;
   close(): Promise<void>;
 }
@@ -50,8 +55,8 @@
   readonly tasks: TaskSystem;
   /** Bound on the use of a key after it was taken away, in milliseconds. */
   readonly revocationMs: number;
-  /** Pause between two polls of the store, in milliseconds. */
-  readonly pollPauseMs: number;
+  readonly pace: StorePace;
+  readonly plan: RelayPlan;
   /** Interval of an upstream's writes, in milliseconds. */
   readonly heartbeatMs: number;
   /** Called after the configuration has changed. */
@@ -66,6 +71,12 @@
 
 /** Pause after a call that failed, in milliseconds; a few calls fit a bound. */
 const RETRY_PAUSE_MS = 250;
+/** The same while other routers tell what the store says, in milliseconds. */
+const RELAYED_RETRY_PAUSE_MS = 1_000;
+/**
+ * Changes told in one answer: some 6 KB. Who has missed more reads the store.
+ */
+const MOST_TOLD_CHANGES = 24;
 /** Pause between two renewals, in milliseconds: three before it lapses. */
 const RENEWAL_MS = 2_500;
 /** Heartbeats after which a domain's upstreams have said whether they are cold. */
@@ -81,6 +92,9 @@
   readonly #poller: Task<Message>;
   readonly #registrar: Task<Message>;
   #table: RouteTable | undefined;
+  readonly #journal = new ChangeJournal();
+  /** Whether the store holds more than other routers have told. */
+  #isBehind = false;
   #revision: number | undefined;
   #lease: string | undefined;
   #isReachable = true;
@@ -141,12 +155,65 @@
     return this.#routers;
   }
 
+  get revision(): number | undefined {
+    return this.#revision;
+  }
+
+  getWord(after: number): StoreWord | undefined {
+    const now = this.#options.now();
+    const { revision } = this.#journal;
+    const changes = this.#journal.since(after, now.steady);
+    const ageMs = this.ageAt(now);
+    if (changes === undefined || changes.length > MOST_TOLD_CHANGES) {
+      return undefined;
+    }
+    if (revision === undefined || !Number.isFinite(ageMs)) return undefined;
+    const returnedAt = this.directory.storeReturnedAt;
+    return {
+      revision,
+      changes,
+      version: this.#table!.configuration.version,
+      ageMs: Math.ceil(ageMs),
+      storeBackMs: returnedAt === undefined
+        ? undefined
+        : Math.floor(now.steady - returnedAt),
+    };
+  }
+
+  takeWord(word: StoreWord, sentAt: Instant): void {
+    const { revision, changes, version, ageMs, storeBackMs } = word;
+    const { steady } = this.#options.now();
+    if (this.#revision === undefined || this.#table === undefined) return;
+    if (storeBackMs !== undefined) {
+      this.directory.noteStoreReturnedAt(steady - storeBackMs);
+    }
+    if (version > this.#table.configuration.version) {
+      // A configuration is too large to be told; the store tells it, and the
+      // changes around it, from the revision that is known here.
+      this.#isBehind = true;
+      this.#poller.send("poll");
+      return;
+    }
+    if (revision > this.#revision) {
+      for (const change of changes) this.#apply(change);
+      this.#advance(revision);
+    }
+    this.#confirmation.confirm({
+      steady: sentAt.steady - ageMs,
+      wall: sentAt.wall - ageMs,
+    });
+  }
+
   async #poll(): Promise<void> {
-    let pauseMs = RETRY_PAUSE_MS;
+    clearTimeout(this.#pollTimer);
+    const { plan, pace } = this.#options;
+    let pauseMs = plan.isRelay ? this.#getRelayPause() : pace.askMs;
     try {
+      if (!this.#needsStore()) return;
       const isAnswered = await this.#readChanges();
-      if (isAnswered) pauseMs = this.#options.pollPauseMs;
+      if (!isAnswered) pauseMs = this.#getRetryPause();
     } finally {
+      clearTimeout(this.#pollTimer);
       if (!this.#isClosed) {
         this.#pollTimer = setTimeout(
           () => this.#poller.send("poll"),
@@ -156,6 +223,32 @@
     }
   }
 
+  /** Others hear of a change later than a relay does. */
+  #getRelayPause(): number {
+    const { plan, pace } = this.#options;
+    const isTelling = this.#routers.size > plan.relays.length + 1;
+    return isTelling ? pace.relayPauseMs : pace.pollPauseMs;
+  }
+
+  #getRetryPause(): number {
+    const { now, pace } = this.#options;
+    const isTold = this.#revision !== undefined &&
+      this.ageAt(now()) <= pace.ownPollMs;
+    return isTold ? RELAYED_RETRY_PAUSE_MS : RETRY_PAUSE_MS;
+  }
+
+  #needsStore(): boolean {
+    const { plan, pace, now } = this.#options;
+    return plan.isRelay || this.#revision === undefined || this.#isBehind ||
+      this.ageAt(now()) > pace.ownPollMs;
+  }
+
+  /** Notes that all changes up to `revision` are known. */
+  #advance(revision: number): void {
+    this.#revision = revision;
+    this.#journal.advance(revision, this.#options.now().steady);
+  }
+
   /** Reads what is new; false where the store must be asked again soon. */
   async #readChanges(): Promise<boolean> {
     const { store } = this.#options;
@@ -177,9 +270,16 @@
       return false;
     }
     const { changes, revision, sentAt } = poll.val;
-    for (const change of changes) this.#apply(change);
-    this.#revision = revision;
+    // While the poll was under way another router may have told later changes;
+    // only configurations are never told.
+    const isOvertaken = revision < this.#revision;
+    for (const change of changes) {
+      if (isOvertaken && change.kind !== "configuration") continue;
+      this.#apply(change);
+    }
     if (sentAt !== undefined) {
+      if (!isOvertaken) this.#advance(revision);
+      this.#isBehind = false;
       this.#confirmation.confirm(sentAt);
       return true;
     }
@@ -228,7 +328,9 @@
       if (change.kind === "router") routers.add(change.name);
       this.#apply(change);
     }
-    this.directory.retainOnly(upstreams, now().steady);
+    for (const id of this.directory.retainOnly(upstreams, now().steady)) {
+      this.#journal.note({ kind: "upstream-gone", id });
+    }
     for (const failureDomain of this.directory.domainsOut) {
       if (domainsOut.has(failureDomain)) continue;
       this.#apply({ kind: "domain-back", failureDomain });
@@ -236,7 +338,8 @@
     for (const name of [...this.#routers.keys()]) {
       if (!routers.has(name)) this.#apply({ kind: "router-gone", name });
     }
-    this.#revision = revision;
+    this.#advance(revision);
+    this.#isBehind = false;
     // A snapshot without a configuration confirms none.
     if (this.#table !== undefined) this.#confirmation.confirm(sentAt);
     log.info("Took a snapshot of the store.", {
@@ -261,22 +364,25 @@
       case "upstream-gone":
         log.info("An upstream's entry is gone.", { upstream: change.id });
         this.directory.remove(change.id, steady);
+        this.#journal.note(change);
         break;
       case "domain-out":
         log.info("A failure domain is out of service.", { ...change });
         this.directory.takeOut(change.failureDomain);
+        this.#journal.note(change);
         break;
       case "domain-back":
         log.info("A failure domain is back in service.", { ...change });
         this.#bringBack(change.failureDomain, steady);
+        this.#journal.note(change);
         break;
       case "router":
         this.#routers.set(change.name, change.address);
-        this.#options.onRouters?.(this.#routers.size);
+        this.#routersChanged(change);
         break;
       case "router-gone":
         if (change.name !== self.name) this.#routers.delete(change.name);
-        this.#options.onRouters?.(this.#routers.size);
+        this.#routersChanged(change);
         break;
       case "unreadable":
         log.warn("An item of the store can't be read.", { ...change });
@@ -284,6 +390,13 @@
     }
   }
 
+  #routersChanged(change: StoreChange): void {
+    const { plan, onRouters } = this.#options;
+    this.#journal.note(change);
+    plan.setRouters(this.#routers.keys());
+    onRouters?.(this.#routers.size);
+  }
+
   #takeConfiguration(configuration: RoutingConfiguration): void {
     const previous = this.#table?.configuration.version;
     if (previous !== undefined && configuration.version <= previous) return;
@@ -299,6 +412,9 @@
   #takeUpstream(entry: UpstreamEntry, now: Instant): void {
     const { log, onNewUpstream } = this.#options;
     const previous = this.directory.find(entry.id)?.entry;
+    if (this.directory.isChange(entry, now)) {
+      this.#journal.note({ kind: "upstream", entry });
+    }
     const isNew = this.directory.put(entry, now);
     if (isNew) onNewUpstream?.(entry);
     const isCold = entry.coldLeftMs > 0;
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -17,9 +17,9 @@
   type RoutingController,
 } from "../control/routing_controller.ts";
 import {
-  createLoadExchange,
-  type LoadExchange,
-} from "../control/load_exchange.ts";
+  createPeerExchange,
+  type PeerExchange,
+} from "../control/peer_exchange.ts";
 import { createTaskSystem, type TaskSystem } from "../control/task.ts";
 import { createFilterChain } from "../filters/exchange.ts";
 import {
@@ -45,7 +45,8 @@
 import { READY_PATH } from "../platform/names.ts";
 import { BALANCER_DRAIN_MS } from "../policy/stop_plan.ts";
 import { PeerLoads } from "../policy/peer_loads.ts";
-import { getPollPause } from "../policy/poll_pause.ts";
+import { getStorePace } from "../policy/poll_pause.ts";
+import { RelayPlan } from "../policy/relay_plan.ts";
 import { findUnreadyReason } from "../policy/readiness.ts";
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import { createRetryBudget, type RetryBudget } from "../policy/retry_budget.ts";
@@ -119,7 +120,7 @@
   readonly #placement: Placement;
   readonly #connections;
   readonly #peerLoads = new PeerLoads();
-  readonly #loadExchange: LoadExchange;
+  readonly #peerExchange: PeerExchange;
   readonly #callers: Server;
   /** Largest delay of a look since the metrics were read, in milliseconds. */
   #loopDelayMs = 0;
@@ -152,6 +153,8 @@
       now: readClocks,
     });
     this.#lifeCycle.own("metadata store", () => store.close());
+    const pace = getStorePace(bounds);
+    const plan = new RelayPlan({ self: router.name, hash, ...pace });
     this.#routing = createRoutingController({
       self: { name: router.name, address: settings.listen.peers },
       store,
@@ -159,7 +162,8 @@
       log: this.#logs("config"),
       tasks: this.#tasks,
       revocationMs: bounds.revocationMs,
-      pollPauseMs: getPollPause(bounds),
+      pace,
+      plan,
       heartbeatMs: bounds.heartbeatMs,
       onConfiguration: (configuration) => this.#configured(configuration),
       onNewUpstream: ({ id, address }) => {
@@ -185,14 +189,16 @@
       coldFactor: bounds.coldFactor,
       peerLoads: this.#peerLoads,
     });
-    this.#loadExchange = createLoadExchange({
+    this.#peerExchange = createPeerExchange({
       self: router.name,
       address: settings.listen.peers,
-      clock: readSteadyClock,
+      now: readClocks,
       log: this.#logs("peers"),
-      getRouters: () => this.#routing.routers(),
+      plan,
+      keeper: this.#routing,
       getOwnLoads: () => this.#placement.listOwnLoads(),
       peerLoads: this.#peerLoads,
+      ...pace,
     });
     this.#callers = this.#createCallerServer(hash);
   }
@@ -201,8 +207,8 @@
     const { listen: addresses, router } = this.#settings;
     this.#routing.open();
     this.#lifeCycle.own("routing", () => this.#routing.close());
-    await this.#loadExchange.open();
-    this.#lifeCycle.own("load exchange", () => this.#loadExchange.close());
+    await this.#peerExchange.open();
+    this.#lifeCycle.own("peer exchange", () => this.#peerExchange.close());
     await bindServer(this.#callers, addresses.callers);
     await this.#openServer(addresses.ready, (request, response) => {
       const isReadyPath = request.url === READY_PATH;
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -221,7 +221,7 @@
     }
     if (waited.kind !== "ended") return;
     if (waited.end === "misdirected") {
-      routing.directory.noteMisdirected(entry.id);
+      routing.directory.noteMisdirected(entry.id, clock());
       connections.dropIdle(entry.address);
       return;
     }
--- a/src/policy/peer_loads.ts
+++ b/src/policy/peer_loads.ts
@@ -6,9 +6,25 @@
 /** Requests in flight at upstreams, by the upstream's id. */
 export type LoadCounts = Readonly<Record<string, number>>;
 
+/** What a router tells of loads. */
+export interface ToldLoads {
+  readonly counts: LoadCounts;
+  /** Grows with each message of a router. */
+  readonly sequence: number;
+  /** Routers whose requests are counted; 1 if absent. */
+  readonly routers?: number;
+}
+
+/** A sum of loads over some routers. */
+export interface LoadSum {
+  readonly counts: LoadCounts;
+  readonly routers: number;
+}
+
 interface Told {
   readonly counts: LoadCounts;
   readonly sequence: number;
+  readonly routers: number;
   readonly at: number;
 }
 
@@ -38,13 +54,13 @@
    */
   take(
     router: string,
-    { counts, sequence }: { counts: LoadCounts; sequence: number },
+    { counts, sequence, routers = 1 }: ToldLoads,
     now: number,
   ): void {
     const last = this.#told.get(router);
-    const isFresh = last !== undefined && now - last.at <= this.#maxAgeMs;
+    const isFresh = last !== undefined && this.#isFresh(last, now);
     if (isFresh && sequence <= last.sequence) return;
-    this.#told.set(router, { counts, sequence, at: now });
+    this.#told.set(router, { counts, sequence, routers, at: now });
   }
 
   /** Forgets a router that is gone. */
@@ -52,10 +68,29 @@
     this.#told.delete(router);
   }
 
+  /** Forgets all, when routers begin to speak for others or cease to. */
+  clear(): void {
+    this.#told.clear();
+  }
+
   /** Whether enough of `others` routers are heard to trust the sum. */
   isCovering(others: number, now: number): boolean {
-    const fresh = this.#listFresh(now).length;
-    return others > 0 && fresh >= others * LEAST_COVERAGE;
+    const heard = countRouters(this.#listFresh(now));
+    return others > 0 && heard >= others * LEAST_COVERAGE;
+  }
+
+  /** Adds up what was told by routers whose name `isIncluded`. */
+  add(now: number, isIncluded: (router: string) => boolean): LoadSum {
+    const fresh = [...this.#told]
+      .filter(([router, told]) =>
+        isIncluded(router) && this.#isFresh(told, now)
+      )
+      .map(([, told]) => told);
+    const sums = sumCounts(fresh, 1);
+    return {
+      counts: Object.fromEntries(sums),
+      routers: countRouters(fresh),
+    };
   }
 
   /** Requests of the `others` routers by upstream, estimated. */
@@ -63,18 +98,32 @@
     { others, now }: { others: number; now: number },
   ): ReadonlyMap<string, number> {
     const fresh = this.#listFresh(now);
-    const weight = Math.max(1, others / fresh.length);
-    const sums = new Map<string, number>();
-    for (const { counts } of fresh) {
-      for (const [upstream, count] of Object.entries(counts)) {
-        sums.set(upstream, (sums.get(upstream) ?? 0) + count * weight);
-      }
-    }
-    return sums;
+    return sumCounts(fresh, Math.max(1, others / countRouters(fresh)));
   }
 
   #listFresh(now: number): Told[] {
     return [...this.#told.values()]
-      .filter(({ at }) => now - at <= this.#maxAgeMs);
+      .filter((told) => this.#isFresh(told, now));
+  }
+
+  #isFresh({ at }: Told, now: number): boolean {
+    return now - at <= this.#maxAgeMs;
+  }
+}
+
+function countRouters(told: readonly Told[]): number {
+  return told.reduce((sum, { routers }) => sum + routers, 0);
+}
+
+function sumCounts(
+  told: readonly Told[],
+  weight: number,
+): Map<string, number> {
+  const sums = new Map<string, number>();
+  for (const { counts } of told) {
+    for (const [upstream, count] of Object.entries(counts)) {
+      sums.set(upstream, (sums.get(upstream) ?? 0) + count * weight);
+    }
   }
+  return sums;
 }
--- a/src/policy/peer_loads_test.ts
+++ b/src/policy/peer_loads_test.ts
@@ -42,3 +42,17 @@
   expect(new PeerRotation({ fanOut: 8 }).next(peers)).toEqual(peers);
   expect(new PeerRotation({ fanOut: 8 }).next([])).toEqual([]);
 });
+
+test("what a relay tells counts for all that it speaks for", () => {
+  const loads = new PeerLoads();
+  loads.take("r1", { counts: { up: 6 }, sequence: 1, routers: 3 }, 0);
+  loads.take("r2", { counts: { up: 2 }, sequence: 1 }, 0);
+  expect(loads.isCovering(8, 0)).toBe(true);
+  expect(loads.isCovering(9, 0)).toBe(false);
+  expect(sumAt(loads, { others: 4, now: 0 })).toBe(8);
+  expect(sumAt(loads, { others: 8, now: 0 })).toBe(16);
+  expect(loads.add(0, (name) => name !== "r1")).toEqual({
+    counts: { up: 2 },
+    routers: 1,
+  });
+});
--- a/src/policy/poll_pause_test.ts
+++ b/src/policy/poll_pause_test.ts
@@ -1,4 +1,4 @@
-import { getPollPause } from "./poll_pause.ts";
+import { getPollPause, getStorePace } from "./poll_pause.ts";
 
 test("the tightest bound decides how often the store is asked", () => {
   expect(getPollPause({ drainMs: 2_000, applyMs: 2_000 })).toBe(600);
@@ -6,3 +6,14 @@
   expect(getPollPause({ drainMs: 100, applyMs: 5_000 })).toBe(100);
   expect(getPollPause({ drainMs: 60_000, applyMs: 60_000 })).toBe(1_000);
 });
+
+test("with polls and questions lost, the bound is kept", () => {
+  for (const drainMs of [1_000, 2_000, 3_000, 10_000]) {
+    const pace = getStorePace({ drainMs, applyMs: drainMs });
+    const latest = 2 * pace.relayPauseMs + 3 * pace.askMs;
+    expect(latest).toBeLessThanOrEqual(drainMs * 0.8);
+    expect(pace.staleMs).toBeGreaterThan(pace.relayPauseMs + pace.askMs);
+    expect(pace.ownPollMs).toBeGreaterThan(pace.staleMs);
+  }
+  expect(getStorePace({ drainMs: 3_000, applyMs: 5_000 })).toMatchSnapshot();
+});
--- /dev/null
+++ b/src/policy/relay_plan_test.ts
@@ -0,0 +1,74 @@
+import { type Hash, loadHash } from "./rendezvous.ts";
+import { listRelays, RelayPlan } from "./relay_plan.ts";
+
+let hash: Hash;
+
+beforeAll(async () => {
+  hash = await loadHash();
+});
+
+function nameRouters(count: number): string[] {
+  return Array.from({ length: count }, (_, index) => `router-${index}`);
+}
+
+function createPlan(self: string, routers: readonly string[]): RelayPlan {
+  const plan = new RelayPlan({ self, hash, staleMs: 1_500 });
+  plan.setRouters(routers);
+  return plan;
+}
+
+test("a small fleet reads the store by itself, a larger one by few", () => {
+  const counts = [1, 6, 9, 10, 83, 330].map((size) =>
+    listRelays(nameRouters(size), { hash }).length
+  );
+  expect(counts).toEqual([1, 6, 9, 3, 5, 10]);
+});
+
+test("all routers name the same relays and spread over them", () => {
+  const names = nameRouters(83);
+  const relays = listRelays(names, { hash });
+  const asked = new Map<string, number>();
+  for (const name of names) {
+    const plan = createPlan(name, names);
+    expect(plan.isRelay).toBe(relays.includes(name));
+    const relay = plan.next(0)!;
+    expect(relay).not.toBe(name);
+    expect(relays).toContain(relay);
+    asked.set(relay, (asked.get(relay) ?? 0) + 1);
+  }
+  expect(Math.max(...asked.values())).toBeLessThan(2 * 83 / relays.length);
+});
+
+test("a relay that does not answer twice is left for some seconds", () => {
+  const names = nameRouters(20);
+  const self = names.find((name) => !createPlan(name, names).isRelay)!;
+  const plan = createPlan(self, names);
+  const first = plan.next(0)!;
+  plan.noteMissed(first, 0);
+  expect(plan.next(0)).toBe(first);
+  plan.noteMissed(first, 400);
+  const second = plan.next(400);
+  expect(second).not.toBe(first);
+  expect(plan.next(3_400)).toBe(first);
+});
+
+test("a relay whose word is old is left, and the last one is asked on", () => {
+  const names = nameRouters(12);
+  const self = names.find((name) => !createPlan(name, names).isRelay)!;
+  const plan = createPlan(self, names);
+  const relays = new Set<string>();
+  for (let round = 0; round < 3; round++) {
+    const relay = plan.next(0)!;
+    relays.add(relay);
+    plan.noteAnswer(relay, { ageMs: 1_600, now: 0 });
+  }
+  expect(relays.size).toBe(3);
+  expect(relays).toContain(plan.next(0));
+  expect(plan.next(0)).toBeDefined();
+});
+
+test("a router alone asks nobody", () => {
+  const plan = createPlan("router-1", []);
+  expect(plan.isRelay).toBe(true);
+  expect(plan.next(0)).toBeUndefined();
+});
--- a/src/policy/upstream_directory.ts
+++ b/src/policy/upstream_directory.ts
@@ -5,6 +5,7 @@
  * of upstreams that live may lapse; they are back within a known time of its
  * return. What is missing is therefore used on until then, and is gone after.
  */
+import { isDeepStrictEqual } from "node:util";
 import type { Instant, UpstreamEntry } from "../routing/types.ts";
 
 /** An upstream as the router knows it. */
@@ -22,8 +23,8 @@
   startedAt: number;
   /** Steady time after which a missing entry counts as gone. */
   goneAt: number;
-  /** Whether another upstream was met at its address. */
-  isMisdirected: boolean;
+  /** Steady time until which another upstream is taken to be at its address. */
+  misdirectedUntil: number;
 }
 
 /** Options of a directory. */
@@ -32,6 +33,10 @@
   readonly returnMs?: number;
 }
 
+/** Longer than the entry of an upstream that is gone stays, in milliseconds. */
+const MISDIRECTED_MS = 5_000;
+/** More than a heartbeat's way to the store differs, in milliseconds. */
+const COLD_CHANGE_MS = 300;
 /** Letter 2 of the users: back within about two seconds. */
 const RETURN_MS = 2_000;
 
@@ -59,6 +64,27 @@
     this.#returnedAt = now;
   }
 
+  /** Steady time at which the store answered again; undefined if never lost. */
+  get storeReturnedAt(): number | undefined {
+    return this.#returnedAt === -Infinity ? undefined : this.#returnedAt;
+  }
+
+  /** Notes that the store answered another router again at `at`. */
+  noteStoreReturnedAt(at: number): void {
+    this.#returnedAt = Math.max(this.#returnedAt, at);
+  }
+
+  /** Whether a written entry says more than that its upstream lives. */
+  isChange(entry: UpstreamEntry, { steady: now }: Instant): boolean {
+    const known = this.#known.get(entry.id);
+    if (known === undefined || known.goneAt !== Infinity) return true;
+    const coldLeftMs = Math.max(0, known.coldUntil - now);
+    if (entry.coldLeftMs > coldLeftMs + COLD_CHANGE_MS) return true;
+    const { coldLeftMs: _, ...rest } = entry;
+    const { coldLeftMs: __, ...knownRest } = known.entry;
+    return !isDeepStrictEqual(rest, knownRest);
+  }
+
   /** Takes an entry that was written; true if it names a new process. */
   put(entry: UpstreamEntry, { steady: now, wall }: Instant): boolean {
     const known = this.#known.get(entry.id);
@@ -71,7 +97,7 @@
         : known.startedAt,
       coldUntil: isNew ? stated : Math.max(stated, known.coldUntil),
       goneAt: Infinity,
-      isMisdirected: false,
+      misdirectedUntil: -Infinity,
     });
     return isNew;
   }
@@ -88,17 +114,20 @@
     known.goneAt = until;
   }
 
-  /** Notes which entries a complete listing of the store holds. */
-  retainOnly(ids: ReadonlySet<string>, now: number): void {
-    for (const id of [...this.#known.keys()]) {
-      if (!ids.has(id)) this.remove(id, now);
-    }
+  /**
+   * Notes which entries a complete listing of the store holds; returns those
+   * that it lacks.
+   */
+  retainOnly(ids: ReadonlySet<string>, now: number): string[] {
+    const missing = [...this.#known.keys()].filter((id) => !ids.has(id));
+    for (const id of missing) this.remove(id, now);
+    return missing;
   }
 
   /** Notes that another upstream answers at the address of `id`. */
-  noteMisdirected(id: string): void {
+  noteMisdirected(id: string, now: number): void {
     const known = this.#known.get(id);
-    if (known !== undefined) known.isMisdirected = true;
+    if (known !== undefined) known.misdirectedUntil = now + MISDIRECTED_MS;
   }
 
   /** Notes that `id` may have started anew without saying so yet. */
@@ -165,8 +194,8 @@
   }
 
   #isUsable(known: Known, now: number): boolean {
-    if (known.entry.state !== "ready" || known.isMisdirected) return false;
-    if (now >= known.goneAt) return false;
+    if (known.entry.state !== "ready") return false;
+    if (now < known.misdirectedUntil || now >= known.goneAt) return false;
     return !this.#domainsOut.has(known.entry.failureDomain);
   }
 }
--- a/src/policy/upstream_directory_test.ts
+++ b/src/policy/upstream_directory_test.ts
@@ -83,8 +83,23 @@
 test("an address that another upstream answers at is not used again", () => {
   const directory = new UpstreamDirectory();
   directory.put(createEntry(), AT_0);
-  directory.noteMisdirected("up");
+  directory.noteMisdirected("up", 0);
   expect(directory.isUsable("up", 0)).toBe(false);
   directory.put(createEntry(), AT_0);
   expect(directory.isUsable("up", 0)).toBe(true);
 });
+
+test("a heartbeat that says nothing new is told apart from a change", () => {
+  const directory = new UpstreamDirectory();
+  const cold = createEntry({ id: "a", coldLeftMs: 3_000 });
+  expect(directory.isChange(cold, { steady: 0, wall: 0 })).toBe(true);
+  directory.put(cold, { steady: 0, wall: 0 });
+  const later = { steady: 1_200, wall: 1_200 };
+  expect(directory.isChange({ ...cold, coldLeftMs: 1_900 }, later)).toBe(false);
+  expect(directory.isChange({ ...cold, coldLeftMs: 3_000 }, later)).toBe(true);
+  expect(directory.isChange({ ...cold, state: "leaving" }, later)).toBe(true);
+  expect(directory.isChange({ ...cold, bornAt: 77 }, later)).toBe(true);
+  directory.noteStoreReturnedAt(1_200);
+  directory.remove("a", 1_200);
+  expect(directory.isChange({ ...cold, coldLeftMs: 1_800 }, later)).toBe(true);
+});
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -112,6 +112,20 @@
     readonly reason: string;
   };
 
+/** What a router tells another of the metadata store. */
+export interface StoreWord {
+  /** Revision that the changes lead to. */
+  readonly revision: number;
+  /** All changes after the revision that was asked for, but configurations. */
+  readonly changes: readonly StoreChange[];
+  /** Version of the configuration at that revision. */
+  readonly version: number;
+  /** Time since this was the store's state for certain, in milliseconds. */
+  readonly ageMs: number;
+  /** Time since the store answered again after an outage, in milliseconds. */
+  readonly storeBackMs: number | undefined;
+}
+
 /** One part of a prompt, shared between requests or the request's own. */
 export interface PromptPart {
   readonly id: string;
