Soak a fleet with a metadata store under faults drawn by seed

Routers run as processes from the bundle; the stand-ins of the store and of upstreams that register themselves lie behind relays with faults; routers are killed, stopped and paused by signals. It shares the schedule, the relays and the arrivals with make chaos.

Faults of the soak itself on the way: overlapping faults of one router, a cold bound on upstreams that have none, relay ports taken by other connections.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,11 @@
 KEEP ?=
 SEED ?= 1
 MINUTES ?= 1
+SEEDS ?= 1
+SECONDS_EACH ?= 20
+ROUTERS ?= 6
 
-.PHONY: install build check test demo soak chaos measure slopes
+.PHONY: install build check test demo soak chaos store-chaos measure slopes
 
 node_modules: package.json package-lock.json
 	npm ci
@@ -30,6 +33,11 @@
 chaos: build
 	node dist/bench/chaos_main.js --seed $(SEED) --minutes $(MINUTES)
 
+# Faults drawn by seed on a fleet with a metadata store.
+store-chaos: build
+	node deploy/build.mjs
+	node dist/bench/store_chaos_main.js --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS_EACH) --routers $(ROUTERS)
+
 measure: build
 	node dist/bench/measure_main.js
 
--- /dev/null
+++ b/bench/store_chaos_calls.ts
@@ -0,0 +1,168 @@
+/** Callers of a fleet with a metadata store; they check what they get. */
+import { Buffer } from "node:buffer";
+import { Agent, type IncomingMessage, request as sendRequest } from "node:http";
+import { performance } from "node:perf_hooks";
+import { EventSplitter } from "../src/transport/event_stream.ts";
+import {
+  countEvents,
+  renderEvent,
+  signAnswer,
+} from "../testing/registered_upstream.ts";
+import type { Call, CallEnd, CallKind } from "./store_chaos_evidence.ts";
+
+/** A router as callers know it. */
+export interface CalledRouter {
+  readonly name: string;
+  /** `ip:port`. */
+  readonly address: string;
+}
+
+/** A request to send. */
+export interface CallOptions {
+  readonly requestId: string;
+  readonly kind: CallKind;
+  readonly router: CalledRouter;
+  readonly key: string;
+  /** What the prompt shares with others. */
+  readonly subject: string;
+}
+
+interface Ended {
+  readonly end: CallEnd;
+  readonly detail: string;
+}
+
+export const CALLED_HOST = "chats.example";
+const TIME_LIMIT_MS = 4_000;
+const STATUS_OK = 200;
+const STATUS_UNAUTHORIZED = 401;
+const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Sends requests on connections that are kept open. */
+export class Callers {
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 200 });
+
+  async call(options: CallOptions): Promise<Call> {
+    const fromMs = performance.now();
+    const { end, detail } = await this.#send(options);
+    const { requestId, kind, key, router: { name: router } } = options;
+    const toMs = performance.now();
+    return { requestId, kind, router, key, fromMs, toMs, end, detail };
+  }
+
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  #send(options: CallOptions): Promise<Ended> {
+    const { requestId, kind, router, key, subject } = options;
+    const [host, port] = router.address.split(":");
+    const isPost = kind !== "read";
+    const body = isPost ? JSON.stringify({ requestId }) : "";
+    return new Promise((resolve) => {
+      const request = sendRequest({
+        agent: this.#agent,
+        host,
+        port,
+        method: isPost ? "POST" : "GET",
+        path: `/${kind}/x`,
+        headers: {
+          "host": CALLED_HOST,
+          "authorization": `Bearer ${key}`,
+          "x-attempt-id": requestId,
+          "x-deadline-ms": String(TIME_LIMIT_MS),
+          "x-model": "m",
+          "x-token-counts": "100,50",
+          "x-prompt-prefix": `${subject}:80,${requestId}:20`,
+          "content-length": String(Buffer.byteLength(body)),
+        },
+      });
+      const timer = setTimeout(() => {
+        request.destroy();
+        resolve({ end: "broken", detail: "time limit" });
+      }, TIME_LIMIT_MS);
+      function finish(ended: Ended): void {
+        clearTimeout(timer);
+        resolve(ended);
+      }
+      request.on("error", (cause: NodeJS.ErrnoException) => {
+        const isRefused = cause.code === "ECONNREFUSED";
+        const end = isRefused ? "no-connection" : "broken";
+        finish({ end, detail: cause.code ?? cause.message });
+      });
+      request.on("response", (response) => {
+        void readAnswer(response, options).then(finish);
+      });
+      request.end(body);
+    });
+  }
+}
+
+async function readAnswer(
+  response: IncomingMessage,
+  { requestId, kind }: CallOptions,
+): Promise<Ended> {
+  const chunks: Buffer[] = [];
+  let isBroken = false;
+  try {
+    for await (const chunk of response) chunks.push(chunk as Buffer);
+  } catch {
+    // Judged by how the answer ended.
+    isBroken = true;
+  }
+  const status = response.statusCode ?? 0;
+  const body = Buffer.concat(chunks);
+  const isComplete = response.complete && !isBroken;
+  const signature = response.headers["x-response-stamp"];
+  if (status === STATUS_OK) {
+    if (typeof signature !== "string" || !signature.endsWith(`/${requestId}`)) {
+      return { end: "wrong", detail: `signature ${signature}` };
+    }
+    const isStream = kind === "chat" || kind === "plan";
+    const detail = isStream
+      ? findStreamFault(body, { requestId, isComplete })
+      : findBodyFault(body, { requestId, isComplete, signature });
+    if (detail !== undefined) return { end: "wrong", detail };
+    return { end: isComplete ? "whole" : "broken", detail: "answer cut" };
+  }
+  if (NOT_RUN.has(status)) {
+    return { end: "refused", detail: `${status} ${body.toString()}` };
+  }
+  if (status === STATUS_UNAUTHORIZED) {
+    return { end: "unauthorized", detail: "401" };
+  }
+  return { end: "failed", detail: `${status} ${body.toString()}` };
+}
+
+function findBodyFault(
+  body: Buffer,
+  { requestId, isComplete, signature }: {
+    requestId: string;
+    isComplete: boolean;
+    signature: string;
+  },
+): string | undefined {
+  if (!isComplete) return undefined;
+  const text = body.toString();
+  const upstream = signature.slice(0, -requestId.length - 1);
+  const isOwn = signature === signAnswer(upstream, requestId) &&
+    text === JSON.stringify({ requestId, upstream });
+  return isOwn ? undefined : `body ${text}`;
+}
+
+function findStreamFault(
+  body: Buffer,
+  { requestId, isComplete }: { requestId: string; isComplete: boolean },
+): string | undefined {
+  const splitter = new EventSplitter();
+  const events = splitter.push(body);
+  for (const [index, { id, bytes }] of events.entries()) {
+    const text = bytes.toString();
+    const isNext = id === index + 1 &&
+      text.includes(`data: ${renderEvent(requestId, index + 1)}\n`);
+    if (!isNext) return `event ${index + 1} is ${JSON.stringify(text)}`;
+  }
+  const isAll = events.length === countEvents(requestId);
+  if (isComplete && !isAll) return `complete after event ${events.length}`;
+  return undefined;
+}
--- /dev/null
+++ b/bench/store_chaos_fleet.ts
@@ -0,0 +1,266 @@
+/**
+ * A fleet with a metadata store: routers as processes, and the stand-ins of the
+ * store and the upstreams in this process, behind relays with faults.
+ */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { performance } from "node:perf_hooks";
+import { join } from "node:path";
+import { findFreeAddress, findFreePort } from "../testing/free_address.ts";
+import { MetadataStoreServer } from "../testing/metadata_store.ts";
+import { Processes } from "../testing/processes.ts";
+import {
+  RegisteredUpstream,
+  type UpstreamArrival,
+} from "../testing/registered_upstream.ts";
+import { createRelay, type Relay } from "../testing/relay.ts";
+import { CALLED_HOST, type CalledRouter } from "./store_chaos_calls.ts";
+import type { StoreChaosBounds, Withdrawal } from "./store_chaos_evidence.ts";
+
+/** Options of a fleet. */
+export interface StoreFleetOptions {
+  /** Directory of logs and settings. */
+  readonly directory: string;
+  readonly routers: number;
+  readonly engines: number;
+  readonly plainServices: number;
+  /** The bundle of the daemon. */
+  readonly program?: string;
+}
+
+/** A router and its way to the store. */
+export interface StoreRouter extends CalledRouter {
+  readonly storeLink: Relay;
+  readonly settingsFile: string;
+}
+
+/** Bounds of the users' small deployments. */
+export const STORE_CHAOS_BOUNDS: StoreChaosBounds = {
+  drainMs: 2_000,
+  evacuateMs: 5_000,
+  revokeMs: 5_000,
+  contactMs: 3_000,
+  coldPerSecond: 17,
+};
+const COLD_PER_SECOND = 8;
+const COLD_START_S = 2;
+const MS_PER_SECOND = 1_000;
+const COLD_FACTOR = 1.5;
+const GRACE_S = 8;
+/** Past the grace time, so that a stop that takes too long shows. */
+const KILL_AFTER_MS = 9_000;
+const MOST_KEYS = 3;
+const FAILURE_DOMAINS = ["east", "west", "south"];
+const PROGRAM = "target/corianderflowd.js";
+
+/** See the module. */
+export class StoreFleet {
+  readonly store = new MetadataStoreServer();
+  readonly routers: StoreRouter[] = [];
+  readonly upstreams: RegisteredUpstream[] = [];
+  readonly arrivals: UpstreamArrival[] = [];
+  readonly withdrawals: Withdrawal[] = [];
+  readonly #options: Required<StoreFleetOptions>;
+  readonly #processes: Processes;
+  #version = 0;
+  #keys: string[] = [];
+
+  constructor(options: StoreFleetOptions) {
+    this.#options = { program: PROGRAM, ...options };
+    this.#processes = new Processes({
+      logDirectory: options.directory,
+      graceMs: KILL_AFTER_MS,
+    });
+  }
+
+  /** A key that has been in force everywhere for a while, and stays so. */
+  get key(): string {
+    return this.#keys.at(-2) ?? this.#keys.at(-1)!;
+  }
+
+  async open(): Promise<this> {
+    mkdirSync(this.#options.directory, { recursive: true });
+    await this.store.open();
+    this.configure({ addKey: "key-0" });
+    await this.#startUpstreams("engine", this.#options.engines);
+    await this.#startUpstreams("plain", this.#options.plainServices);
+    for (let index = 0; index < this.#options.routers; index++) {
+      this.routers.push(await this.#prepareRouter(index));
+    }
+    await Promise.all(this.routers.map((router) => this.start(router)));
+    return this;
+  }
+
+  async close(): Promise<(number | null)[]> {
+    const codes = await Promise.all(
+      this.routers.map(({ name }) => this.#processes.stop(name)),
+    );
+    for (const upstream of this.upstreams) await upstream.close();
+    for (const { storeLink } of this.routers) await storeLink.close();
+    await this.store.close();
+    return codes;
+  }
+
+  /** Starts a router and waits until it is ready. */
+  async start({ name, settingsFile }: StoreRouter): Promise<void> {
+    await this.#processes.start(this.#options.program, [], {
+      name,
+      env: { CORIANDERFLOW_SETTINGS: settingsFile },
+      addressField: "callers",
+    });
+  }
+
+  /** Stops a router as planned; the exit code tells whether it ended itself. */
+  stop({ name }: StoreRouter): Promise<number | null> {
+    return this.#processes.stop(name);
+  }
+
+  signal({ name }: StoreRouter, signal: NodeJS.Signals): void {
+    this.#processes.signal(name, signal);
+  }
+
+  /** Writes a new version with another key, and without the oldest of four. */
+  configure({ addKey }: { addKey: string }): void {
+    const keys = [...this.#keys, addKey];
+    const dropped = keys.length > MOST_KEYS ? keys.shift() : undefined;
+    this.#keys = keys;
+    this.store.put("op/config", renderConfiguration(++this.#version, keys));
+    if (dropped !== undefined) {
+      this.noteWithdrawn({ what: "key", name: dropped });
+    }
+  }
+
+  noteWithdrawn(
+    { what, name, untilMs = Infinity }: Pick<Withdrawal, "what" | "name"> & {
+      untilMs?: number;
+    },
+  ): void {
+    const atMs = performance.now();
+    this.withdrawals.push({ what, name, atMs, untilMs });
+  }
+
+  async #startUpstreams(service: string, count: number): Promise<void> {
+    for (let index = 0; index < count; index++) {
+      const upstream = new RegisteredUpstream({
+        name: `${service}-${index}`,
+        service,
+        failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!,
+        coldMs: service === "engine" ? COLD_START_S * MS_PER_SECOND : 0,
+        store: this.store,
+        onArrival: (arrival) => this.arrivals.push(arrival),
+      });
+      await upstream.start({ isCold: false });
+      this.upstreams.push(upstream);
+    }
+  }
+
+  async #prepareRouter(index: number): Promise<StoreRouter> {
+    const name = `router-${index}`;
+    const storeLink = await createRelay({
+      target: this.store.address,
+      port: await findFreePort(),
+    });
+    const address = await findFreeAddress();
+    const settingsFile = join(this.#options.directory, `${name}.ini`);
+    writeFileSync(
+      settingsFile,
+      renderSettings({
+        name,
+        failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!,
+        callers: address,
+        ready: await findFreeAddress(),
+        peers: await findFreeAddress(),
+        metrics: await findFreeAddress(),
+        store: storeLink.address,
+      }),
+    );
+    return { name, address, storeLink, settingsFile };
+  }
+}
+
+function renderSettings(
+  { name, failureDomain, callers, ready, peers, metrics, store }: Record<
+    string,
+    string
+  >,
+): string {
+  const { drainMs, revokeMs } = STORE_CHAOS_BOUNDS;
+  return `[router]
+name = ${name}
+failure_domain = ${failureDomain}
+[listen]
+callers = ${callers}
+ready = ${ready}
+peers = ${peers}
+metrics = ${metrics}
+[store]
+address = ${store}
+[bounds]
+revocation_ms = ${revokeMs}
+drain_ms = ${drainMs}
+grace_s = ${GRACE_S}
+retry_slack = 50
+cold_factor = ${COLD_FACTOR}
+heartbeat_ms = 400
+[log]
+lines_per_s = 2000
+`;
+}
+
+function renderConfiguration(version: number, keys: readonly string[]) {
+  const route = {
+    host: CALLED_HOST,
+    timeoutMs: 4_000,
+    goalMs: 400,
+    priority: 1,
+    public: false,
+    resumable: false,
+    sticky: false,
+  };
+  const engine = { ...route, kind: "stream", service: "engine", sticky: true };
+  return {
+    version,
+    routes: [
+      {
+        ...route,
+        name: "read",
+        prefix: "/read/",
+        kind: "idempotent",
+        service: "plain",
+        maxAttempts: 3,
+      },
+      {
+        ...route,
+        name: "book",
+        prefix: "/book/",
+        kind: "non_idempotent",
+        service: "plain",
+        maxAttempts: 3,
+      },
+      {
+        ...engine,
+        name: "chat",
+        prefix: "/chat/",
+        resumable: true,
+        maxAttempts: 3,
+      },
+      { ...engine, name: "plan", prefix: "/plan/", maxAttempts: 2 },
+    ],
+    services: [
+      {
+        name: "engine",
+        maxConns: 500,
+        coldStartS: COLD_START_S,
+        coldPerS: COLD_PER_SECOND,
+        engine: {},
+      },
+      { name: "plain", maxConns: 500, coldStartS: 0, coldPerS: 0 },
+    ],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 100_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    tenants: [{ name: "workspace", apiKeys: keys, priority: 1 }],
+  };
+}
--- /dev/null
+++ b/bench/store_chaos_main.ts
@@ -0,0 +1,90 @@
+/**
+ * Runs a fleet with a metadata store under load while faults of a seeded
+ * schedule hit it, and judges what came of it.
+ *
+ * `node dist/bench/store_chaos_main.js [--seed N] [--seeds N] [--seconds S]
+ * [--routers N]` exits with 0 only if everything held on every seed. Logs are
+ * in `out/store-chaos-<seed>`.
+ */
+import { rmSync } from "node:fs";
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { createChaosSchedule } from "../testing/chaos_schedule.ts";
+import type { Call } from "./store_chaos_evidence.ts";
+import { StoreFleet } from "./store_chaos_fleet.ts";
+import {
+  getStoreChaosTargets,
+  runStoreChaos,
+  STORE_CHAOS_KINDS,
+} from "./store_chaos_run.ts";
+import { judgeStoreChaos } from "./store_chaos_verdict.ts";
+
+const MS_PER_SECOND = 1_000;
+
+const { values } = parseArgs({
+  strict: true,
+  options: {
+    seed: { type: "string", default: "1" },
+    seeds: { type: "string", default: "1" },
+    seconds: { type: "string", default: "20" },
+    routers: { type: "string", default: "6" },
+  },
+});
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+function renderEnds(calls: readonly Call[]): string {
+  const counts = new Map<string, number>();
+  for (const { end } of calls) counts.set(end, (counts.get(end) ?? 0) + 1);
+  return [...counts].map(([end, count]) => `${count} ${end}`).join(", ");
+}
+
+/** Runs one seed; true if everything held. */
+async function runSeed(seed: number): Promise<boolean> {
+  const directory = `out/store-chaos-${seed}`;
+  rmSync(directory, { recursive: true, force: true });
+  const fleet = new StoreFleet({
+    directory,
+    routers: Number(values.routers),
+    engines: 4,
+    plainServices: 3,
+  });
+  await fleet.open();
+  const durationMs = Number(values.seconds) * MS_PER_SECOND;
+  const schedule = createChaosSchedule({
+    seed,
+    durationMs,
+    targets: getStoreChaosTargets(fleet),
+    kinds: STORE_CHAOS_KINDS,
+    maxForMs: durationMs / 2,
+    meanGapMs: MS_PER_SECOND,
+  });
+  const evidence = await runStoreChaos({ fleet, schedule, seed, durationMs });
+  const faults = judgeStoreChaos(evidence);
+  const { calls, recovery } = evidence;
+  print(
+    `Seed ${seed}: ${schedule.length} faults; ${renderEnds(calls)}; ` +
+      `after them ${renderEnds(recovery)}; ` +
+      (faults.length === 0 ? "all held." : `${faults.length} did not hold.`),
+  );
+  for (const { promise, requestId, detail } of faults) {
+    print(`  ${promise}: ${requestId} ${detail}`);
+  }
+  if (faults.length > 0) {
+    for (const { kind, target, fromMs, toMs } of evidence.windows) {
+      print(`  ${kind} ${target} ${fromMs.toFixed()} to ${toMs.toFixed()}`);
+    }
+  }
+  return faults.length === 0;
+}
+
+async function main(): Promise<void> {
+  const first = Number(values.seed);
+  for (let seed = first; seed < first + Number(values.seeds); seed++) {
+    if (!await runSeed(seed)) process.exitCode = 1;
+  }
+}
+
+void main();
--- a/testing/free_address.ts
+++ b/testing/free_address.ts
@@ -25,3 +25,9 @@
     if (await isFree(port)) return `127.0.0.1:${port}`;
   }
 }
+
+/** Finds a free port of loopback; each call gives another one. */
+export async function findFreePort(): Promise<number> {
+  const address = await findFreeAddress();
+  return Number(address.split(":")[1]);
+}
--- a/testing/metadata_store.ts
+++ b/testing/metadata_store.ts
@@ -22,6 +22,8 @@
   isDeaf: boolean;
   /** Delay of each answer, in milliseconds. */
   delayMs: number;
+  /** Share of calls that take effect and whose connection then ends. */
+  lostShare: number;
 }
 
 interface StoredItem {
@@ -54,11 +56,13 @@
     refuseWith: undefined,
     isDeaf: false,
     delayMs: 0,
+    lostShare: 0,
   };
   /** Calls by path since the start. */
   readonly calls = new Map<string, number>();
   readonly #items = new Map<string, StoredItem>();
-  readonly #leases = new Set<number>();
+  /** Leases with the time in which each must be renewed, in milliseconds. */
+  readonly #leases = new Map<number, { ttlMs: number; endsAt: number }>();
   readonly #server: Server;
   #events: StoreEvent[] = [];
   #compactedAt = FIRST_REVISION;
@@ -123,10 +127,22 @@
       ? await this.#answer(url, body as Record<string, unknown>)
       : { status: refuseWith, body: {} };
     if (this.faults.isSilent || response.destroyed) return;
+    if (Math.random() < this.faults.lostShare) {
+      response.destroy();
+      return;
+    }
     sendJson(response, reply.status, reply.body);
   }
 
+  /** Ends leases that were not renewed in time. */
+  #lapse(): void {
+    for (const [lease, { endsAt }] of [...this.#leases]) {
+      if (performance.now() > endsAt) this.#end(lease);
+    }
+  }
+
   async #answer(url: URL, body: Record<string, unknown>): Promise<Reply> {
+    this.#lapse();
     const path = url.pathname.replace("/corianderflow/", "");
     if (path === "kv-range") return this.#range(url.searchParams);
     if (path === "kv-watch") return await this.#watch(url.searchParams);
@@ -189,13 +205,15 @@
 
   #grant(ttlMs: number): Reply {
     const lease = ++this.#lastLease;
-    this.#leases.add(lease);
+    this.#leases.set(lease, { ttlMs, endsAt: performance.now() + ttlMs });
     return { status: 200, body: { lease, ttlMs } };
   }
 
   #keep(lease: number): Reply {
-    const isHeld = this.#leases.has(lease);
-    return { status: isHeld ? 200 : 404, body: { ttlMs: 1 } };
+    const held = this.#leases.get(lease);
+    if (held === undefined) return { status: 404, body: {} };
+    held.endsAt = performance.now() + held.ttlMs;
+    return { status: 200, body: { ttlMs: held.ttlMs } };
   }
 
   #end(lease: number): Reply {
--- a/testing/processes.ts
+++ b/testing/processes.ts
@@ -26,6 +26,8 @@
   name?: string;
   /** Added to the environment. */
   env?: Record<string, string>;
+  /** Field of the announcement that holds the address; "listening" if absent. */
+  addressField?: string;
 }
 
 /** A process that runs or has run. */
@@ -108,11 +110,16 @@
       env: { ...process.env, ...options.env },
     });
     const exited = this.#follow(name, { child, log });
-    const announcement = await this.#waitForAnnouncement(name, { child, log });
+    const { addressField = "listening" } = options;
+    const announcement = await this.#waitForAnnouncement(name, {
+      child,
+      log,
+      addressField,
+    });
     return {
       name,
       pid: child.pid ?? 0,
-      address: String(announcement["listening"]),
+      address: String(announcement[addressField]),
       announcement,
       logFile,
       exited,
@@ -166,7 +173,11 @@
 
   #waitForAnnouncement(
     name: string,
-    { child, log }: { child: ChildProcess; log: Log },
+    { child, log, addressField }: {
+      child: ChildProcess;
+      log: Log;
+      addressField: string;
+    },
   ): Promise<Record<string, unknown>> {
     return new Promise((resolve, reject) => {
       let text = "";
@@ -184,7 +195,7 @@
       });
       const read = (part: Buffer) => {
         text += part.toString();
-        const announcement = findAnnouncement(text);
+        const announcement = findAnnouncement(text, addressField);
         if (announcement === undefined) return;
         clearTimeout(timer);
         child.stdout?.off("data", read);
@@ -196,12 +207,15 @@
 }
 
 /** The first whole line that is JSON and says where a process listens. */
-function findAnnouncement(text: string): Record<string, unknown> | undefined {
+function findAnnouncement(
+  text: string,
+  addressField: string,
+): Record<string, unknown> | undefined {
   for (const line of text.split("\n").slice(0, -1)) {
     if (!line.startsWith("{")) continue;
     try {
       const parsed = JSON.parse(line) as Record<string, unknown>;
-      if (typeof parsed["listening"] === "string") return parsed;
+      if (typeof parsed[addressField] === "string") return parsed;
     } catch {
       continue;
     }
--- a/testing/relay.ts
+++ b/testing/relay.ts
@@ -40,6 +40,8 @@
   readonly address: string;
   setFaults(faults: Partial<RelayFaults>): Promise<RelayFaults>;
   getStats(): RelayStats;
+  /** Leads new connections to another far end, `ip:port`. */
+  setTarget(target: string): void;
   close(): Promise<void>;
 }
 
@@ -62,14 +64,18 @@
   };
   #stats: RelayStats = { connections: 0, bytesToTarget: 0, bytesToClient: 0 };
   #links = new Set<Link>();
-  readonly #target: { host: string; port: number };
+  #target = { host: "", port: 0 };
 
   constructor({ target, port = 0 }: RelayOptions) {
-    const [host = "", targetPort] = target.split(":");
-    this.#target = { host, port: Number(targetPort) };
+    this.setTarget(target);
     this.#port = port;
   }
 
+  setTarget(target: string): void {
+    const [host = "", port] = target.split(":");
+    this.#target = { host, port: Number(port) };
+  }
+
   async open(): Promise<void> {
     const server = createServer({ allowHalfOpen: true }, (client) => {
       this.#accept(client);
