Read the store where a relay can't tell, and pass configurations between routers

The asker took the missing word for an old one, went from relay to relay, and read the store only at 1,950 ms.

Change: an answer without a word makes the asker read the store at once; answers hold 48 changes; a router that the store does not answer takes the configuration from the router that told of it.

Ruled out: a lost datagram and a cut router; each question was answered.

Tests that failed before: 'more changes than a message holds are read from the store', 'a configuration reaches routers that the store turns away'.

--- a/src/control/peer_exchange.ts
+++ b/src/control/peer_exchange.ts
@@ -34,8 +34,13 @@
   ageAt(now: Instant): number;
   /** What has happened since a revision; undefined where that isn't known. */
   getWord(after: number): StoreWord | undefined;
-  /** Takes the answer to a question that was sent at `sentAt`. */
-  takeWord(word: StoreWord, sentAt: Instant): void;
+  /** Takes what `router` answered to a question that was sent at `sentAt`. */
+  takeWord(
+    word: StoreWord,
+    from: { readonly sentAt: Instant; readonly router: string },
+  ): void;
+  /** Notes that a relay could not tell what has happened. */
+  noteBehind(): void;
 }
 
 /** Options of the exchange. */
@@ -245,10 +250,15 @@
       if (older === id) break;
     }
     const { steady } = now();
-    const ageMs = word?.ageMs ?? Infinity;
-    plan.noteAnswer(question.relay, { ageMs, now: steady });
     if (!plan.isRelay) peerLoads.take(loads.router, loads, steady);
-    if (word !== undefined) keeper.takeWord(word, question.sentAt);
+    const { relay, sentAt } = question;
+    if (word === undefined) {
+      plan.noteMissed(relay, steady);
+      keeper.noteBehind();
+      return;
+    }
+    plan.noteAnswer(relay, { ageMs: word.ageMs, now: steady });
+    keeper.takeWord(word, { sentAt, router: relay });
   }
 
   #send(bytes: Buffer, router: string): void {
--- a/src/control/peer_exchange_test.ts
+++ b/src/control/peer_exchange_test.ts
@@ -1,3 +1,4 @@
+import type { Server } from "node:http";
 import { Err, Ok, type Result } from "ts-results/result";
 import { findFreeAddress } from "../../testing/free_address.ts";
 import { createLogFactory } from "../log.ts";
@@ -13,6 +14,11 @@
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import type { Instant, StoreChange, UpstreamEntry } from "../routing/types.ts";
 import { PlatformFailure } from "../store/key_value.ts";
+import { bindServer } from "../transport/address.ts";
+import {
+  createConfigurationServer,
+  fetchConfiguration,
+} from "./configuration_relay.ts";
 import { createPeerExchange, type PeerExchange } from "./peer_exchange.ts";
 import {
   createRoutingController,
@@ -25,6 +31,8 @@
 /** The tightest bounds that a deployment has. */
 const BOUND_MS = 2_000;
 const REVOCATION_MS = 5_000;
+/** Calls and messages on loopback, in milliseconds. */
+const CALLS_MS = 300;
 const PACE = getStorePace({ drainMs: BOUND_MS, applyMs: BOUND_MS });
 
 const UPSTREAM: UpstreamEntry = {
@@ -119,6 +127,7 @@
   readonly routing: RoutingController;
   readonly exchange: PeerExchange;
   readonly peerLoads: PeerLoads;
+  readonly server: Server;
 }
 
 let hash: Hash;
@@ -140,8 +149,13 @@
     revocationMs: REVOCATION_MS,
     pace: PACE,
     plan,
+    fetchConfiguration,
     heartbeatMs: 1_200,
   });
+  const server = createConfigurationServer(() =>
+    routing.table()?.configuration
+  );
+  await bindServer(server, address);
   const exchange = createPeerExchange({
     self: name,
     address,
@@ -155,11 +169,14 @@
   });
   routing.open();
   await exchange.open();
-  return { name, plan, routing, exchange, peerLoads };
+  return { name, plan, routing, exchange, peerLoads, server };
 }
 
-async function stopMember({ routing, exchange }: Member): Promise<void> {
+async function stopMember(
+  { routing, exchange, server }: Member,
+): Promise<void> {
   exchange.close();
+  server.close();
   await routing.close();
 }
 
@@ -240,6 +257,36 @@
   );
 }, 20_000);
 
+test("more changes than a message holds are read from the store", async () => {
+  await sleep(PACE.ownPollMs);
+  const ids = Array.from({ length: 200 }, (_, index) => `up-${index}`);
+  for (const id of ids) {
+    store.put({ kind: "upstream", entry: { ...UPSTREAM, id } });
+  }
+  await until(
+    () => members.every(({ routing }) => routing.directory.size > ids.length),
+    { withinMs: PACE.relayPauseMs + 2 * PACE.askMs + CALLS_MS },
+  );
+}, 20_000);
+
+test(
+  "a configuration reaches routers that the store turns away",
+  async () => {
+    const relays = members.filter(({ plan }) => plan.isRelay);
+    for (const { name } of members) {
+      if (name !== relays[0]!.name) store.refused.add(name);
+    }
+    store.put(createConfiguration(2));
+    await sleep(REVOCATION_MS);
+    expect(members.filter((each) => !isTrusted(each))).toEqual([]);
+    const versions = members.map(({ routing }) =>
+      routing.table()?.configuration.version
+    );
+    expect(new Set(versions)).toEqual(new Set([2]));
+  },
+  20_000,
+);
+
 test("each router knows the loads of the fleet", async () => {
   await sleep(1_500);
   for (const { peerLoads } of members) {
--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -23,6 +23,7 @@
   UpstreamEntry,
 } from "../routing/types.ts";
 import type { PlatformFailure } from "../store/key_value.ts";
+import type { FetchConfiguration } from "./configuration_relay.ts";
 import type { WordKeeper } from "./peer_exchange.ts";
 import type { Task, TaskSystem } from "./task.ts";
 
@@ -57,6 +58,7 @@
   readonly revocationMs: number;
   readonly pace: StorePace;
   readonly plan: RelayPlan;
+  readonly fetchConfiguration: FetchConfiguration;
   /** Interval of an upstream's writes, in milliseconds. */
   readonly heartbeatMs: number;
   /** Called after the configuration has changed. */
@@ -74,9 +76,9 @@
 /** The same while other routers tell what the store says, in milliseconds. */
 const RELAYED_RETRY_PAUSE_MS = 1_000;
 /**
- * Changes told in one answer: some 6 KB. Who has missed more reads the store.
+ * Changes told in one answer: some 10 KB. Who has missed more reads the store.
  */
-const MOST_TOLD_CHANGES = 24;
+const MOST_TOLD_CHANGES = 48;
 /** Pause between two renewals, in milliseconds: three before it lapses. */
 const RENEWAL_MS = 2_500;
 /** Heartbeats after which a domain's upstreams have said whether they are cold. */
@@ -95,6 +97,8 @@
   readonly #journal = new ChangeJournal();
   /** Whether the store holds more than other routers have told. */
   #isBehind = false;
+  /** Router that has a newer configuration. */
+  #newerAt: string | undefined;
   #revision: number | undefined;
   #lease: string | undefined;
   #isReachable = true;
@@ -180,7 +184,16 @@
     };
   }
 
-  takeWord(word: StoreWord, sentAt: Instant): void {
+  noteBehind(): void {
+    if (this.#isBehind) return;
+    this.#isBehind = true;
+    this.#poller.send("poll");
+  }
+
+  takeWord(
+    word: StoreWord,
+    { sentAt, router }: { sentAt: Instant; router: string },
+  ): void {
     const { revision, changes, version, ageMs, storeBackMs } = word;
     const { steady } = this.#options.now();
     if (this.#revision === undefined || this.#table === undefined) return;
@@ -190,8 +203,8 @@
     if (version > this.#table.configuration.version) {
       // A configuration is too large to be told; the store tells it, and the
       // changes around it, from the revision that is known here.
-      this.#isBehind = true;
-      this.#poller.send("poll");
+      this.#newerAt = router;
+      this.noteBehind();
       return;
     }
     if (revision > this.#revision) {
@@ -210,6 +223,7 @@
     let pauseMs = plan.isRelay ? this.#getRelayPause() : pace.askMs;
     try {
       if (!this.#needsStore()) return;
+      if (!this.#isReachable) await this.#fetchNewer();
       const isAnswered = await this.#readChanges();
       if (!isAnswered) pauseMs = this.#getRetryPause();
     } finally {
@@ -243,6 +257,23 @@
       this.ageAt(now()) > pace.ownPollMs;
   }
 
+  /** Takes a newer configuration from the router that has it. */
+  async #fetchNewer(): Promise<void> {
+    const { fetchConfiguration, log } = this.#options;
+    const router = this.#newerAt;
+    const address = router && this.#routers.get(router);
+    this.#newerAt = undefined;
+    if (address === undefined) return;
+    const fetched = await fetchConfiguration(address);
+    if (fetched.err) {
+      const cause = fetched.val.message;
+      log.warn("A router did not pass its configuration.", { router, cause });
+      return;
+    }
+    this.#takeConfiguration(fetched.val);
+    this.#isBehind = false;
+  }
+
   /** Notes that all changes up to `revision` are known. */
   #advance(revision: number): void {
     this.#revision = revision;
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -2,16 +2,15 @@
  * Wires a router that finds its fleet in a metadata store and places requests
  * at the ingress; owns its start and its stop.
  */
-import type {
-  IncomingMessage,
-  RequestListener,
-  Server,
-  ServerResponse,
-} from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { IngressSettings } from "../config/ingress_settings.ts";
+import {
+  createConfigurationServer,
+  fetchConfiguration,
+} from "../control/configuration_relay.ts";
 import {
   createRoutingController,
   type RoutingController,
@@ -164,6 +163,7 @@
       revocationMs: bounds.revocationMs,
       pace,
       plan,
+      fetchConfiguration,
       heartbeatMs: bounds.heartbeatMs,
       onConfiguration: (configuration) => this.#configured(configuration),
       onNewUpstream: ({ id, address }) => {
@@ -209,15 +209,21 @@
     this.#lifeCycle.own("routing", () => this.#routing.close());
     await this.#peerExchange.open();
     this.#lifeCycle.own("peer exchange", () => this.#peerExchange.close());
+    await this.#openServer(
+      createConfigurationServer(() => this.#routing.table()?.configuration),
+      addresses.peers,
+    );
     await bindServer(this.#callers, addresses.callers);
-    await this.#openServer(addresses.ready, (request, response) => {
+    const readiness = createServer((request, response) => {
       const isReadyPath = request.url === READY_PATH;
       const isReady = this.#findUnreadyReason() === undefined;
       answer(response, isReadyPath && isReady ? STATUS_OK : STATUS_UNAVAILABLE);
     });
-    await this.#openServer(addresses.metrics, (request, response) => {
+    await this.#openServer(readiness, addresses.ready);
+    const metrics = createServer((request, response) => {
       void this.#answerMetrics(request, response);
     });
+    await this.#openServer(metrics, addresses.metrics);
     this.#look(readSteadyClock() + READINESS_LOOK_MS);
     this.#lifeCycle.own("readiness", () => clearTimeout(this.#lookTimer));
     this.#logs("daemon").info("The router has started.", {
@@ -314,11 +320,7 @@
     return server;
   }
 
-  async #openServer(
-    address: string,
-    handle: RequestListener,
-  ): Promise<void> {
-    const server = createServer(handle);
+  async #openServer(server: Server, address: string): Promise<void> {
     await bindServer(server, address);
     this.#lifeCycle.own(`server ${address}`, () => {
       server.closeAllConnections();
