--- a/src/config/ini_sections.ts
+++ b/src/config/ini_sections.ts
@@ -3,6 +3,7 @@
  * in camel case in the result; every fault names its section, key and line.
  */
 import { type Static, type TObject, Type } from "@sinclair/typebox";
+import { Value } from "@sinclair/typebox/value";
 import { Ajv, type ErrorObject } from "ajv";
 import { parse } from "ini";
 import { Err, Ok, type Result } from "ts-results/result";
@@ -85,22 +86,67 @@
   const lines = parseLines(text);
   const faults = findLineFaults(lines, schema);
   const sections = collectValues(lines, { schema, defaults });
+  const typed = toTyped(sections, schema);
+  if (!Value.Check(schema, typed)) {
+    faults.push(
+      ...findValueFaults(sections, schema).map((error) =>
+        toFault(error, lines)
+      ),
+    );
+  }
+  const clashes = findClashes?.(typed as Static<S>) ?? [];
+  faults.push(...clashes.map((clash) => locateClash(clash, lines)));
+  if (faults.length === 0) return Ok(typed as Static<S>);
+  faults.sort((left, right) => left.line - right.line);
+  return Err(faults.map((fault) => ({ fileName, ...fault })));
+}
+
+/**
+ * Describes what is wrong with values. A schema takes long to compile, so that
+ * this is done only for values that are known to be faulty.
+ */
+function findValueFaults(sections: unknown, schema: TObject): ErrorObject[] {
   const validate = new Ajv({
     allErrors: true,
     coerceTypes: true,
     verbose: true,
-    // The schemas are the program's own; checking them takes most of a start.
     validateSchema: false,
     meta: false,
-  }).compile<Static<S>>(schema);
+  }).compile(schema);
   validate(sections);
-  const errors = (validate.errors ?? []).filter(isWholeError);
-  faults.push(...errors.map((error) => toFault(error, lines)));
-  const clashes = findClashes?.(sections as Static<S>) ?? [];
-  faults.push(...clashes.map((clash) => locateClash(clash, lines)));
-  if (faults.length === 0) return Ok(sections as Static<S>);
-  faults.sort((left, right) => left.line - right.line);
-  return Err(faults.map((fault) => ({ fileName, ...fault })));
+  return (validate.errors ?? []).filter(isWholeError);
+}
+
+/** Turns texts into the numbers and flags that the schema asks for. */
+function toTyped(sections: object, schema: TObject): Record<string, unknown> {
+  return mapValues(sections, (section, name) => {
+    const { properties = {} } = (schema.properties[name] ?? {}) as {
+      properties?: Record<string, { type?: string }>;
+    };
+    return mapValues(
+      section as object,
+      (value, key) => toType(value, properties[key]?.type),
+    );
+  });
+}
+
+function mapValues(
+  fields: object,
+  map: (value: unknown, name: string) => unknown,
+): Record<string, unknown> {
+  return Object.fromEntries(
+    Object.entries(fields).map(([name, value]) => [name, map(value, name)]),
+  );
+}
+
+function toType(value: unknown, type: string | undefined): unknown {
+  if (typeof value !== "string") return value;
+  if (type === "boolean" && value === "true") return true;
+  if (type === "boolean" && value === "false") return false;
+  const isNumber = type === "number" || type === "integer";
+  if (!isNumber || value.trim() === "") return value;
+  const number = Number(value);
+  return Number.isNaN(number) ? value : number;
 }
 
 /** Writes a fault as one line of text. */
