--- a/deploy/loader.cjs
+++ b/deploy/loader.cjs
@@ -1,7 +1,7 @@
 /**
- * Starts the bundle beside this file from its code cache, which takes a third
- * of the time that compiling it does. V8 ignores a cache of other flags or of
- * another version.
+ * Starts the bundle beside this file from its code cache, which saves a sixth of
+ * the processor time of a start. V8 ignores a cache of other flags or of another
+ * version.
  */
 const { existsSync, readFileSync } = require("node:fs");
 const { join } = require("node:path");
