Teach the stand-ins prompts that crash upstreams, and streams without framing

A stand-in upstream crashes 50 ms after the head of its answer to a request whose prompt holds a crashing part, closes all connections, refuses new ones and starts again after 1.5 s. A quarter of its streams end with their connection, with neither length nor chunks.

--- a/bench/store_chaos_calls.ts
+++ b/bench/store_chaos_calls.ts
@@ -25,6 +25,8 @@
   readonly key: string;
   /** Name of the prompt prefix that requests share. */
   readonly subject: string;
+  /** Ids of further parts of the prompt, before the request's own. */
+  readonly parts?: readonly string[];
 }
 
 interface CallResult {
@@ -55,7 +57,8 @@
   }
 
   #send(options: CallOptions): Promise<CallResult> {
-    const { requestId, kind, router, key, subject } = options;
+    const { requestId, kind, router, key, subject, parts = [] } = options;
+    const prompt = [subject, ...parts].map((part) => `${part}:80`).join();
     const [host, port] = router.address.split(":");
     const isPost = kind !== "read";
     const body = isPost ? JSON.stringify({ requestId }) : "";
@@ -73,7 +76,7 @@
           "x-deadline-ms": String(CALL_TIMEOUT_MS),
           "x-model": "m",
           "x-token-counts": "100,50",
-          "x-prompt-prefix": `${subject}:80,${requestId}:20`,
+          "x-prompt-prefix": `${prompt},${requestId}:20`,
           "content-length": String(Buffer.byteLength(body)),
         },
       });
@@ -112,7 +115,10 @@
   }
   const status = response.statusCode ?? 0;
   const body = Buffer.concat(chunks);
-  const isComplete = response.complete && !isBroken;
+  // Without framing, nothing tells an answer that was cut off from a whole one.
+  const isFramed = response.headers["transfer-encoding"] !== undefined ||
+    response.headers["content-length"] !== undefined;
+  const isComplete = isFramed && response.complete && !isBroken;
   const signature = response.headers["x-response-stamp"];
   if (status === STATUS_OK) {
     if (typeof signature !== "string" || !signature.endsWith(`/${requestId}`)) {
@@ -123,8 +129,11 @@
       ? findStreamError(body, { requestId, isComplete })
       : findBodyError(body, { requestId, isComplete, signature });
     if (detail !== undefined) return { end: "wrong", detail };
+    const isWhole = isFramed || !isStream
+      ? isComplete
+      : hasAllEvents(body, requestId);
     return {
-      end: isComplete ? "whole" : "broken",
+      end: isWhole ? "whole" : "broken",
       detail: "response ended early",
     };
   }
@@ -167,9 +176,12 @@
       return `unexpected event ${index + 1}: ${JSON.stringify(text)}`;
     }
   }
-  const hasAllEvents = events.length === getEventCount(requestId);
-  if (isComplete && !hasAllEvents) {
+  if (isComplete && events.length !== getEventCount(requestId)) {
     return `response complete after only ${events.length} events`;
   }
   return undefined;
 }
+
+function hasAllEvents(body: Buffer, requestId: string): boolean {
+  return new EventSplitter().push(body).length === getEventCount(requestId);
+}
--- a/bench/store_chaos_fleet.ts
+++ b/bench/store_chaos_fleet.ts
@@ -12,6 +12,7 @@
 import {
   RegisteredUpstream,
   type UpstreamArrival,
+  type UpstreamCrash,
 } from "../testing/registered_upstream.ts";
 import { createRelay, type Relay } from "../testing/relay.ts";
 import { ROUTE_HOST, type RouterEndpoint } from "./store_chaos_calls.ts";
@@ -63,6 +64,9 @@
   readonly upstreams: RegisteredUpstream[] = [];
   readonly arrivals: UpstreamArrival[] = [];
   readonly withdrawals: Withdrawal[] = [];
+  /** Ids of the prompt parts that crash the engines that answer them. */
+  readonly crashingParts = new Set<string>();
+  readonly crashes: UpstreamCrash[] = [];
   readonly #options: Required<StoreFleetOptions>;
   readonly #processes: Processes;
   #version = 0;
@@ -200,6 +204,8 @@
         coldMs: service === "engine" ? COLD_START_S * MS_PER_SECOND : 0,
         store: this.store,
         onArrival: (arrival) => this.arrivals.push(arrival),
+        crashingParts: this.crashingParts,
+        onCrash: (crash) => this.crashes.push(crash),
       });
       await upstream.start({ isCold: false });
       this.upstreams.push(upstream);
--- a/testing/registered_upstream.ts
+++ b/testing/registered_upstream.ts
@@ -10,6 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { makeCloseDelimited } from "../src/transport/close_delimited_response.ts";
 import { findFreePort } from "./free_address.ts";
 import { closeServer, listen, readJson } from "./stand_in_http.ts";
 import type { MetadataStoreServer } from "./metadata_store.ts";
@@ -29,6 +30,8 @@
   readonly isResumed: boolean;
   readonly isCold: boolean;
   readonly workspace: string;
+  /** Ids of the parts of the prompt, in order. */
+  readonly promptParts: readonly string[];
 }
 
 /** Options of an upstream. */
@@ -40,6 +43,23 @@
   readonly coldMs: number;
   readonly store: MetadataStoreServer;
   readonly onArrival: (arrival: UpstreamArrival) => void;
+  /**
+   * Ids of prompt parts that crash each upstream that begins to answer a
+   * request with them; the set may change while the upstream runs.
+   */
+  readonly crashingParts?: ReadonlySet<string>;
+  /** Called when the process has crashed. */
+  readonly onCrash?: (crash: UpstreamCrash) => void;
+}
+
+/** The end of an upstream's process under a request. */
+export interface UpstreamCrash {
+  readonly upstream: string;
+  readonly requestId: string;
+  /** Part of the prompt that caused it. */
+  readonly part: string;
+  /** Time on the monotonic clock, in milliseconds. */
+  readonly atMs: number;
 }
 
 /** Maximum number of concurrent requests. */
@@ -51,6 +71,12 @@
 const EVENT_INTERVAL_MS = 20;
 /** Time that a draining upstream still serves requests. */
 const DRAIN_MS = 3_500;
+/** Time from the head of an answer to the crash, in milliseconds. */
+const CRASH_DELAY_MS = 50;
+/** Time until a crashed upstream starts again, in milliseconds. */
+const RESTART_MS = 1_500;
+/** Every such request's stream ends with its connection, without framing. */
+const UNFRAMED_SHARE = 4;
 const STATUS_MISDIRECTED = 421;
 const STATUS_FULL = 503;
 
@@ -67,6 +93,16 @@
   return `${upstream}/${requestId}`;
 }
 
+/** Returns the ids of the prompt parts that a header lists. */
+function parsePromptParts(header: string | string[] | undefined): string[] {
+  return String(header ?? "").split(",").map((part) => part.split(":")[0]!);
+}
+
+/** Whether the stream of a request is sent with neither length nor chunks. */
+function isUnframed(requestId: string): boolean {
+  return getEventCount(requestId) % UNFRAMED_SHARE === 0;
+}
+
 /** Returns the data of an event. */
 export function formatEventData(requestId: string, id: number): string {
   return `${requestId}#${id}`;
@@ -74,7 +110,7 @@
 
 /** A stand-in upstream; callers connect through a relay that injects faults. */
 export class RegisteredUpstream {
-  readonly #options: RegisteredUpstreamOptions;
+  readonly #options: Required<RegisteredUpstreamOptions>;
   #server: Server | undefined;
   #relay!: Relay;
   #incarnation = 0;
@@ -87,9 +123,14 @@
   #state: "ready" | "draining" = "ready";
   #heartbeatTimer: NodeJS.Timeout | undefined;
   #expiryTimer: NodeJS.Timeout | undefined;
+  #restartTimer: NodeJS.Timeout | undefined;
 
   constructor(options: RegisteredUpstreamOptions) {
-    this.#options = options;
+    this.#options = {
+      crashingParts: new Set(),
+      onCrash: () => {},
+      ...options,
+    };
   }
 
   get name(): string {
@@ -122,7 +163,10 @@
       // An ephemeral port could be taken while the relay does not listen.
       const port = await findFreePort();
       this.#relay = await createRelay({ target: address, port });
-    } else this.#relay.setTarget(address);
+    } else {
+      this.#relay.setTarget(address);
+      await this.#relay.setFaults({ cut: false });
+    }
     this.#sendHeartbeat();
   }
 
@@ -163,10 +207,20 @@
   async close(): Promise<void> {
     clearTimeout(this.#heartbeatTimer);
     clearTimeout(this.#expiryTimer);
+    clearTimeout(this.#restartTimer);
     await this.#closeServer();
     await this.#relay.close();
   }
 
+  /** Ends the process with all of its connections; it starts again later. */
+  async #crash(requestId: string, part: string): Promise<void> {
+    const crash = { upstream: this.id, requestId, part };
+    this.#options.onCrash({ ...crash, atMs: performance.now() });
+    this.#restartTimer = setTimeout(() => void this.start(), RESTART_MS);
+    // Removes the entry if it expires before the upstream starts again.
+    await Promise.all([this.kill(), this.#relay.setFaults({ cut: true })]);
+  }
+
   async #closeServer(): Promise<void> {
     const server = this.#server;
     this.#server = undefined;
@@ -217,6 +271,7 @@
     const isMisdirected = request.headers["x-expect-instance"] !== this.id;
     const isRun = !isMisdirected && this.#runningRequests < SLOTS;
     const lastEventId = Number(request.headers["last-event-id"] ?? 0);
+    const promptParts = parsePromptParts(request.headers["x-prompt-prefix"]);
     this.#options.onArrival({
       requestId,
       upstream: this.id,
@@ -226,6 +281,7 @@
       isResumed: lastEventId > 0,
       isCold: performance.now() < this.#coldUntilMs,
       workspace: String(request.headers["x-tenant"] ?? ""),
+      promptParts,
     });
     if (!isRun) {
       const status = isMisdirected ? STATUS_MISDIRECTED : STATUS_FULL;
@@ -249,7 +305,14 @@
       );
       const load = `${this.#runningRequests},0,${SLOTS}`;
       response.setHeader("x-runner-load", load);
-      if (
+      const part = promptParts.slice(0, -1)
+        .find((id) => this.#options.crashingParts.has(id));
+      if (part !== undefined) {
+        response.writeHead(200, { "content-type": "text/event-stream" });
+        response.flushHeaders();
+        await sleep(CRASH_DELAY_MS);
+        if (this.#server === server) await this.#crash(requestId, part);
+      } else if (
         request.url!.startsWith("/read") || request.url!.startsWith("/book")
       ) {
         response.end(JSON.stringify({ requestId, upstream: this.id }));
@@ -264,6 +327,7 @@
     { requestId, lastEventId }: { requestId: string; lastEventId: number },
   ): Promise<void> {
     response.setHeader("content-type", "text/event-stream");
+    if (isUnframed(requestId)) makeCloseDelimited(response);
     const last = getEventCount(requestId);
     for (let id = lastEventId + 1; id <= last; id++) {
       if (response.destroyed) return;
