--- /dev/null
+++ b/bench/prompt_crashes_test.ts
@@ -0,0 +1,127 @@
+/**
+ * Requests with one part in their prompts that crash each engine which answers
+ * them, on fleets of router processes; needs a build.
+ */
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Random } from "./load/random.ts";
+import { Callers } from "./store_chaos_calls.ts";
+import type { Call } from "./store_chaos_evidence.ts";
+import { StoreFleet } from "./store_chaos_fleet.ts";
+
+const PROGRAM = "dist/src/daemon/main.js";
+const PART = "crashing-part";
+const FIRST_PART = "first-part";
+const ENGINES = 12;
+const SOUND_SUBJECTS = 20;
+const SOUND_PER_SECOND = 40;
+const CRASHING_PER_SECOND = 8;
+const BEFORE_MS = 2_000;
+const CRASHING_MS = 14_000;
+/** Crashes after which the fleet has to know the part. */
+const KNOWN_AFTER_CRASHES = 5;
+/** Time from the last of these until every router has to act on it. */
+const CONTACT_MS = 3_000;
+/** Requests with the part that may reach an engine after that. */
+const MAX_LATER_ARRIVALS = 3;
+const TEST_TIMEOUT_MS = 120_000;
+
+interface CrashRun {
+  readonly fleet: StoreFleet;
+  readonly sound: readonly Call[];
+  readonly crashing: readonly Call[];
+}
+
+/** Sends sound and crashing requests at any router. */
+async function runCrashes(
+  { routers, seed }: { routers: number; seed: number },
+): Promise<CrashRun> {
+  const directory = mkdtempSync(join(tmpdir(), "prompt-crashes-"));
+  const fleet = new StoreFleet({
+    directory,
+    routers,
+    engines: ENGINES,
+    plainServices: 1,
+    program: PROGRAM,
+  });
+  await fleet.open();
+  const callers = new Callers();
+  const random = new Random(seed);
+  const sound: Promise<Call>[] = [];
+  const crashing: Promise<Call>[] = [];
+  let count = 0;
+  function call(subject: string, parts: string[], prefix: string) {
+    return callers.call({
+      requestId: `${prefix}-${seed}-${++count}`,
+      kind: random.pick(["chat", "plan"]),
+      router: random.pick(fleet.routers),
+      key: fleet.key,
+      subject,
+      parts,
+    });
+  }
+  function sendSound(): void {
+    const session = random.nextInteger({ min: 1, max: SOUND_SUBJECTS });
+    sound.push(call(FIRST_PART, [`session-${session}`], "sound"));
+  }
+  function sendCrashing(): void {
+    crashing.push(call(FIRST_PART, [PART], "crashing"));
+  }
+  const soundTimer = setInterval(sendSound, 1_000 / SOUND_PER_SECOND);
+  await sleep(BEFORE_MS);
+  fleet.crashingParts.add(PART);
+  const crashTimer = setInterval(sendCrashing, 1_000 / CRASHING_PER_SECOND);
+  await sleep(CRASHING_MS);
+  clearInterval(crashTimer);
+  clearInterval(soundTimer);
+  const run = {
+    fleet,
+    sound: await Promise.all(sound),
+    crashing: await Promise.all(crashing),
+  };
+  callers.close();
+  await fleet.close();
+  rmSync(directory, { recursive: true });
+  return run;
+}
+
+/**
+ * Returns the crashing requests that were sent, and reached an engine, after
+ * the fleet had to know the part.
+ */
+function listLaterArrivals({ fleet, crashing }: CrashRun): string[] {
+  const crash = fleet.crashes[KNOWN_AFTER_CRASHES - 1];
+  const knownAtMs = (crash?.atMs ?? Infinity) + CONTACT_MS;
+  const later = new Set(
+    crashing.filter(({ fromMs }) => fromMs > knownAtMs)
+      .map(({ requestId }) => requestId),
+  );
+  return fleet.arrivals.filter(({ requestId }) => later.has(requestId))
+    .map(({ requestId }) => requestId);
+}
+
+/** Returns the share of sound requests from `fromMs` on that were served. */
+function getServedShare(sound: readonly Call[], fromMs: number): number {
+  const sent = sound.filter((call) => call.fromMs >= fromMs);
+  return sent.filter(({ end }) => end === "whole").length / sent.length;
+}
+
+// Guards against prompts that crash engine after engine, because each router
+// sends the next one on to an engine that still runs.
+test.each([
+  { routers: 6, seed: 1 },
+  { routers: 12, seed: 2 },
+])(
+  "a prompt part that crashes engines is kept from them by $routers routers, and sound requests are served",
+  async ({ routers, seed }) => {
+    const run = await runCrashes({ routers, seed });
+    const later = listLaterArrivals(run);
+    expect(later.length).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
+    const lastCrash = run.fleet.crashes.at(-1)!;
+    const recoveredAtMs = lastCrash.atMs + 2 * CONTACT_MS;
+    expect(getServedShare(run.sound, recoveredAtMs)).toBeGreaterThan(0.9);
+  },
+  TEST_TIMEOUT_MS,
+);
