Log the prompt parts of requests that are not answered

Without them the log can't tell whether requests that were lost at an upstream that ended have a part in common. At most eight parts a line.

--- a/src/ingress/ingress_server.ts
+++ b/src/ingress/ingress_server.ts
@@ -15,6 +15,7 @@
 import { writeBufferedResponse } from "../transport/http_server.ts";
 import { renderProblem } from "../transport/problem.ts";
 import { makeCloseDelimited } from "../transport/close_delimited_response.ts";
+import type { RequestTraits } from "../routing/types.ts";
 import type { IngressExchange, IngressOutcome } from "./ingress_exchange.ts";
 import type { IngressMetrics } from "./ingress_metrics.ts";
 import { refuseRetryable } from "./refusals.ts";
@@ -46,6 +47,9 @@
 const DEFAULT_DEADLINE_MS = 1_000;
 const MIN_SERVER_ERROR_STATUS = 500;
 const MS_PER_SECOND = 1_000;
+/** Prompt parts of a request that are logged, and length of their ids. */
+const MAX_LOGGED_PARTS = 8;
+const MAX_LOGGED_PART_LENGTH = 32;
 
 /**
  * Parts of a request that are logged; there is no table before the first
@@ -68,6 +72,12 @@
   return end < 0 ? target : target.slice(0, end);
 }
 
+/** Returns the ids of the first prompt parts, shortened for the log. */
+function listLoggedParts({ promptParts }: RequestTraits): string[] {
+  return promptParts.slice(0, MAX_LOGGED_PARTS)
+    .map(({ id }) => id.slice(0, MAX_LOGGED_PART_LENGTH));
+}
+
 /** Creates the handler of requests from callers. */
 export function createIngressHandler(options: IngressHandlerOptions) {
   const { clock, log, metrics, inFlight } = options;
@@ -198,7 +208,7 @@
     };
     if (isLate) log.info("Answered late.", line);
     else if (isSuccess) log.info("Answered.", line);
-    else log.warn("Not answered.", line);
+    else log.warn("Not answered.", { ...line, parts: listLoggedParts(traits) });
   }
 
   return createCountedHandler(serve, { inFlight, log });
