Keep prompts that crash upstreams away from the upstreams that still run

Callers saw most requests of the engine service fail for as long as requests with one part in their prompts came: each of these ended the upstream that began to answer it, and with it 5 to 45 other requests.

Cause: a router blamed an upstream's end on the upstream alone. It sent the request, and the next of its kind, on to another upstream, and what one router had seen was worth nothing to the others.

Now the end of a process (its address refuses connections) counts against every part of the prompts that it had begun to answer, and an answer, or half a second of one, clears the parts of its prompt. Both go to the other routers with the loads.

--- a/src/control/peer_exchange.ts
+++ b/src/control/peer_exchange.ts
@@ -20,6 +20,8 @@
 import {
   type AskMessage,
   type AskResponse,
+  type FindingsReport,
+  isEmptyReport,
   type LoadsMessage,
   parsePeerMessage,
 } from "./peer_messages.ts";
@@ -51,6 +53,14 @@
   recordMissedChanges(): void;
 }
 
+/** What a router learns from requests and other routers have to act on. */
+export interface SharedFindings {
+  /** Returns what other routers may not know. */
+  createReport(): FindingsReport;
+  /** Merges what another router knows. */
+  receiveReport(report: FindingsReport): void;
+}
+
 /** Options of `createPeerExchange`. */
 export interface PeerExchangeOptions {
   readonly self: string;
@@ -65,6 +75,8 @@
   /** Returns the upstreams that this router can't connect to. */
   readonly getUnreachable?: () => readonly string[];
   readonly peerLoads: PeerLoads;
+  /** What the routers have learned about upstreams from requests. */
+  readonly findings?: SharedFindings;
   /** Interval of the requests to a relay, in milliseconds. */
   readonly askMs: number;
   /**
@@ -97,6 +109,11 @@
 /** A response to an older request is too old to be of use. */
 const MAX_PENDING_REQUESTS = 4;
 
+const NO_FINDINGS: SharedFindings = {
+  createReport: () => ({}),
+  receiveReport: () => {},
+};
+
 class DatagramPeerExchange implements PeerExchange {
   readonly #options: Required<PeerExchangeOptions>;
   readonly #socket: Socket;
@@ -192,9 +209,16 @@
         received.unreachable,
         countOnce(getUnreachable()),
       ),
+      ...this.#createFindings(),
     };
   }
 
+  /** Returns the findings for a message, which lacks the field without any. */
+  #createFindings(): Pick<LoadsMessage, "findings"> {
+    const findings = this.#options.findings.createReport();
+    return isEmptyReport(findings) ? {} : { findings };
+  }
+
   #requestUpdate(): void {
     const { self, now, plan, keeper, getOwnLoads, getUnreachable } =
       this.#options;
@@ -208,6 +232,7 @@
       sequence: ++this.#sequence,
       counts: getOwnLoads(),
       unreachable: countOnce(getUnreachable()),
+      ...this.#createFindings(),
       after: keeper.revision,
       era: keeper.era,
     };
@@ -266,6 +291,7 @@
     const { router } = loads;
     if (router === self || !keeper.routers().has(router)) return;
     peerLoads.recordLoads(router, loads, now().steady);
+    this.#receiveFindings(loads);
     if (message.kind === "ask") this.#respond(message.id, message.ask);
   }
 
@@ -290,6 +316,7 @@
     }
     const { steady } = now();
     if (!plan.isRelay) peerLoads.recordLoads(loads.router, loads, steady);
+    this.#receiveFindings(loads);
     const { relay, sentAt } = pending;
     if (word === undefined) {
       plan.recordMissedAnswer(relay, steady);
@@ -306,6 +333,10 @@
     keeper.receiveStoreUpdate(word, { sentAt, router: relay });
   }
 
+  #receiveFindings({ findings }: LoadsMessage): void {
+    if (findings !== undefined) this.#options.findings.receiveReport(findings);
+  }
+
   #send(bytes: Buffer, router: string): void {
     const address = this.#options.keeper.routers().get(router);
     if (address === undefined) return;
@@ -332,6 +363,7 @@
 ): PeerExchange {
   return new DatagramPeerExchange({
     getUnreachable: () => [],
+    findings: NO_FINDINGS,
     publishMs: PUBLISH_INTERVAL_MS,
     fanOut: FAN_OUT,
     ...options,
--- a/src/control/peer_messages.ts
+++ b/src/control/peer_messages.ts
@@ -11,12 +11,26 @@
   isJSONRPCResponse,
   type JSONRPCID,
 } from "json-rpc-2.0";
+import {
+  MAX_PART_CRASHES,
+  MAX_REPORTED_PARTS,
+  type PartCrash,
+  type PartReport,
+} from "../policy/prompt_quarantine.ts";
 import type { LoadCounts, RouterLoads } from "../policy/peer_loads.ts";
 import type { StoreChange, StoreUpdate } from "../routing/types.ts";
 
+/** What a router has learned about upstreams from requests. */
+export interface FindingsReport {
+  /** Prompt parts under which upstreams ended, or that one has answered. */
+  readonly promptParts?: readonly PartReport[];
+}
+
 /** Loads of `router` alone, or of the routers whose loads it has added up. */
 export interface LoadsMessage extends RouterLoads {
   readonly router: string;
+  /** Absent if there is nothing to tell. */
+  readonly findings?: FindingsReport;
 }
 
 /** Request to a relay for loads and changes; it carries the sender's loads. */
@@ -57,6 +71,10 @@
  * time, at the size planned for in two years.
  */
 const MAX_UPSTREAMS = 12_000;
+/** Length of the keys of prompt parts and upstreams; they are 16 digits. */
+const MAX_KEY_LENGTH = 32;
+/** Exceeds the time for which any finding is kept, in milliseconds. */
+const MAX_AGE_MS = 3_600_000;
 const CHANGE_KINDS: ReadonlySet<unknown> = new Set<StoreChange["kind"]>([
   "upstream",
   "upstream-gone",
@@ -84,11 +102,54 @@
   return counts.length <= MAX_UPSTREAMS && counts.every(isCount);
 }
 
+function isAge(value: unknown): boolean {
+  return isCount(value) && value <= MAX_AGE_MS;
+}
+
+function isBoundedList(
+  value: unknown,
+  { max, isItem }: { max: number; isItem: (item: unknown) => boolean },
+): boolean {
+  return Array.isArray(value) && value.length <= max && value.every(isItem);
+}
+
+function isKey(value: unknown): boolean {
+  return typeof value === "string" && value.length <= MAX_KEY_LENGTH;
+}
+
+function isPartCrash(value: unknown): value is PartCrash {
+  return isObject(value) && isKey(value["upstream"]) &&
+    isAge(value["sentAgeMs"]) && isAge(value["ageMs"]);
+}
+
+function isPartReport(value: unknown): value is PartReport {
+  return isObject(value) && isKey(value["part"]) &&
+    (value["clearedAgeMs"] === undefined || isAge(value["clearedAgeMs"])) &&
+    isBoundedList(value["crashes"], {
+      max: MAX_PART_CRASHES,
+      isItem: isPartCrash,
+    });
+}
+
+function isFindingsReport(value: unknown): value is FindingsReport {
+  return isObject(value) && (value["promptParts"] === undefined ||
+    isBoundedList(value["promptParts"], {
+      max: MAX_REPORTED_PARTS,
+      isItem: isPartReport,
+    }));
+}
+
+/** Whether a report holds nothing, so that it need not be sent. */
+export function isEmptyReport({ promptParts = [] }: FindingsReport): boolean {
+  return promptParts.length === 0;
+}
+
 function isLoadsMessage(value: unknown): value is LoadsMessage {
   return isObject(value) && typeof value["router"] === "string" &&
     isCount(value["sequence"]) && isOptionalCount(value["routers"]) &&
     (value["unreachable"] === undefined ||
       isLoadCounts(value["unreachable"])) &&
+    (value["findings"] === undefined || isFindingsReport(value["findings"])) &&
     isLoadCounts(value["counts"]);
 }
 
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -25,6 +25,7 @@
   RequestBodyFilter,
   type StopProgress,
 } from "../ingress/body_filter.ts";
+import { CrashWatch } from "../ingress/crash_watch.ts";
 import {
   ForwardFilter,
   type UpstreamNotice,
@@ -129,6 +130,7 @@
   readonly #routing: RoutingController;
   readonly #placement: Placement;
   readonly #connections;
+  readonly #crashes: CrashWatch;
   readonly #peerLoads = new PeerLoads();
   readonly #peerExchange: PeerExchange;
   readonly #callers: Server;
@@ -207,6 +209,12 @@
       coldFactor: bounds.coldFactor,
       peerLoads: this.#peerLoads,
     });
+    this.#crashes = new CrashWatch({
+      hash,
+      clock: readSteadyClock,
+      connections: this.#connections,
+      log: this.#logs("route"),
+    });
     this.#peerExchange = createPeerExchange({
       self: router.name,
       address: settings.listen.peers,
@@ -217,6 +225,11 @@
       getOwnLoads: () => this.#placement.listOwnLoads(),
       getUnreachable: () => this.#placement.listUnreachable(),
       peerLoads: this.#peerLoads,
+      findings: {
+        createReport: () => ({ promptParts: this.#crashes.createReports() }),
+        receiveReport: ({ promptParts = [] }) =>
+          this.#crashes.receiveReports(promptParts),
+      },
       ...pace,
     });
     this.#callers = this.#createCallerServer(hash);
@@ -325,6 +338,7 @@
         routing: this.#routing,
         placement: this.#placement,
         connections: this.#connections,
+        crashes: this.#crashes,
         retries: this.#retryBudget,
         clock: readSteadyClock,
         hash,
@@ -436,6 +450,7 @@
     const ageMs = this.#routing.ageAt(readClocks());
     metrics.configurationAgeSeconds.set(ageMs / MS_PER_SECOND);
     metrics.upstreams.set(this.#routing.directory.size);
+    metrics.promptPartsQuarantined.set(this.#crashes.quarantinedCount);
     metrics.routers.set(this.#routing.routers().size);
     metrics.logLinesDropped.set(this.#logWriter.droppedLines);
     metrics.eventLoopDelaySeconds.set(
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -8,6 +8,7 @@
 import { AttemptPlan } from "../policy/attempt_plan.ts";
 import type { Hash } from "../policy/rendezvous.ts";
 import { pickTarget } from "../policy/route_table.ts";
+import type { QuarantinedPart } from "../policy/prompt_quarantine.ts";
 import type { RetryBudget } from "../policy/retry_budget.ts";
 import type {
   ResponseTraits,
@@ -22,6 +23,7 @@
   IngressOutcome,
   TryRecord,
 } from "./ingress_exchange.ts";
+import type { CrashWatch } from "./crash_watch.ts";
 import {
   getSharedPartId,
   type Placement,
@@ -41,6 +43,7 @@
   readonly routing: RoutingView;
   readonly placement: Placement;
   readonly connections: UpstreamConnections;
+  readonly crashes: CrashWatch;
   readonly retries: RetryBudget;
   /** Reads the monotonic clock, in milliseconds. */
   readonly clock: () => number;
@@ -82,6 +85,10 @@
 /** Time before the deadline below which no try can succeed, in milliseconds. */
 const MIN_REMAINING_MS = 10;
 
+/** Length to which the id of a prompt part is cut in the detail of a refusal. */
+const MAX_DETAIL_PART_LENGTH = 32;
+const MIN_REDIRECT_STATUS = 300;
+
 /** Sends requests to upstreams; the last filter, so it never calls `next`. */
 export class ForwardFilter implements IngressFilter {
   readonly name = "forward";
@@ -97,6 +104,20 @@
   }
 }
 
+/** Whether an upstream has certainly answered a request to its end. */
+function isProvenWhole(tryOutcome: TryOutcome): boolean {
+  if (tryOutcome.kind === "stream-complete") return tryOutcome.isFramed;
+  return tryOutcome.kind === "answered" && tryOutcome.answer.isFramed &&
+    tryOutcome.answer.status < MIN_REDIRECT_STATUS;
+}
+
+/** Whether the upstream may have ended while it had the request. */
+function isPossibleCrash(tryOutcome: TryOutcome): boolean {
+  if (tryOutcome.kind === "ended") return tryOutcome.isCutOff === true;
+  return tryOutcome.kind === "stream-complete" && !tryOutcome.isFramed ||
+    tryOutcome.kind === "answered" && !tryOutcome.answer.isFramed;
+}
+
 /** Rounds an estimated load for the log. */
 function roundToTenth(value: number): number {
   return Math.round(value * 10) / 10;
@@ -138,6 +159,10 @@
     retries.recordRequest(clock());
     for (;;) {
       if (this.#getRemainingMs() < MIN_REMAINING_MS) return this.#endTimedOut();
+      const part = this.#options.crashes.find(
+        this.#exchange.traits.promptParts,
+      );
+      if (part !== undefined) return this.#endQuarantined(part);
       const place = placement.find({
         service: this.#service,
         promptParts: this.#exchange.traits.promptParts,
@@ -192,19 +217,22 @@
   }
 
   async #tryUpstream(place: PlacementResult): Promise<TryOutcome> {
-    const { placement, connections, onTry, clock } = this.#options;
+    const { placement, connections, crashes, onTry, clock } = this.#options;
+    const { promptParts } = this.#exchange.traits;
     const upstream = place.entry.id;
     const sentAt = clock();
     placement.recordSent(upstream);
     this.#excluded.add(upstream);
     const attempt = new UpstreamTry({
       connections,
+      clock,
       request: this.#createRequest(place),
       requestId: this.#exchange.traits.requestId,
       relay: this.#relay,
       silenceTimeoutMs: this.#getSilenceTimeoutMs(),
       mayReplaceTry: () => this.#mayReplaceTry(),
       isSuspect: () => placement.isSuspect(upstream, this.#service),
+      onSurvival: () => crashes.recordAnswer(promptParts),
       onLoad: (load) => placement.recordReportedLoad(upstream, load),
       onNotice: (status, traits) => this.#recordNotice(place, status, traits),
     });
@@ -223,10 +251,33 @@
     record.end = tryOutcome.kind === "ended" ? tryOutcome.end : tryOutcome.kind;
     if (tryOutcome.kind === "ended") record.detail = tryOutcome.detail;
     onTry(this.#service.name, record.end);
-    this.#recordOutcome(place, tryOutcome);
+    const hasEnded = !attempt.hasSurvived &&
+      await this.#checkCrash(place, { tryOutcome, sentAt });
+    if (hasEnded) record.hasUpstreamEnded = true;
+    this.#recordOutcome(place, { tryOutcome, hasEnded });
     return tryOutcome;
   }
 
+  /**
+   * Records what the end of a try says of the prompt's parts: that an upstream
+   * survived them, or ended under them. Returns whether it ended.
+   */
+  async #checkCrash(
+    { entry }: PlacementResult,
+    { tryOutcome, sentAt }: { tryOutcome: TryOutcome; sentAt: number },
+  ): Promise<boolean> {
+    const { crashes } = this.#options;
+    const { promptParts: parts, requestId } = this.#exchange.traits;
+    // The last part belongs to the request alone.
+    if (parts.length < 2) return false;
+    if (isProvenWhole(tryOutcome)) {
+      crashes.recordAnswer(parts);
+      return false;
+    }
+    if (!isPossibleCrash(tryOutcome)) return false;
+    return await crashes.recordLost({ requestId, entry, parts, sentAt });
+  }
+
   /**
    * Waits until the try ends, the caller disconnects or the deadline passes,
    * then cancels a try that is still running.
@@ -254,7 +305,10 @@
     });
   }
 
-  #recordOutcome({ entry }: PlacementResult, tryOutcome: TryOutcome): void {
+  #recordOutcome(
+    { entry }: PlacementResult,
+    { tryOutcome, hasEnded }: { tryOutcome: TryOutcome; hasEnded: boolean },
+  ): void {
     const { placement, routing, connections, clock } = this.#options;
     if (
       tryOutcome.kind === "answered" || tryOutcome.kind === "stream-complete"
@@ -271,7 +325,7 @@
     // An upstream that asks for a pause is sound.
     if (tryOutcome.isPause === true) return;
     if (tryOutcome.isSilent === true) connections.closeIdle(entry.address);
-    if (tryOutcome.end === "not-sent") {
+    if (tryOutcome.end === "not-sent" || hasEnded) {
       placement.recordHealth(entry.id, "unreachable");
       // An unreachable upstream may be restarting, so it counts as cold.
       const coldUntil = clock() + this.#service.coldStartMs;
@@ -370,6 +424,27 @@
     });
   }
 
+  /** Refuses a request whose prompt crashes upstreams. */
+  #endQuarantined(
+    { id, crashes, remainingMs }: QuarantinedPart,
+  ): IngressOutcome {
+    if (this.#relay.isStarted) return this.#abortStream();
+    const detail = `${crashes} upstreams have ended under prompts with part ` +
+      `${id.slice(0, MAX_DETAIL_PART_LENGTH)}.`;
+    if (!this.#plan.isNotRun) {
+      const refusal = createRefusal("upstream-failed", detail, {
+        ran: "unknown",
+      });
+      return { kind: "refused", refusal };
+    }
+    return refuseRetryable(this.#exchange, {
+      code: "prompt-quarantined",
+      detail,
+      cause: "prompt-quarantined",
+      earliestMs: remainingMs,
+    });
+  }
+
   #endTimedOut(): IngressOutcome {
     if (this.#relay.isStarted) return this.#abortStream();
     const refusal = createRefusal(
--- a/src/ingress/ingress_exchange.ts
+++ b/src/ingress/ingress_exchange.ts
@@ -52,6 +52,8 @@
   /** How the try ended. */
   end?: string;
   detail?: string;
+  /** Set if the process of the upstream ended during the try. */
+  hasUpstreamEnded?: boolean;
   /** Duration of the try, in milliseconds. */
   ms?: number;
 }
--- a/src/ingress/ingress_metrics.ts
+++ b/src/ingress/ingress_metrics.ts
@@ -16,6 +16,7 @@
   readonly configurationAgeSeconds: Gauge;
   readonly upstreams: Gauge;
   readonly routers: Gauge;
+  readonly promptPartsQuarantined: Gauge;
   readonly logLinesDropped: Gauge;
   readonly eventLoopDelaySeconds: Gauge;
 }
@@ -90,6 +91,10 @@
     ),
     upstreams: createGauge("upstreams", "Upstreams that are known."),
     routers: createGauge("routers", "Routers that are registered."),
+    promptPartsQuarantined: createGauge(
+      "prompt_parts_quarantined",
+      "Prompt parts that crash upstreams.",
+    ),
     logLinesDropped: createGauge(
       "log_lines_dropped",
       "Log lines that were dropped to bound the volume.",
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -31,13 +31,19 @@
 export type TryResult =
   | { readonly kind: "answered"; readonly answer: WholeResponse }
   /** The stream was forwarded to its end. */
-  | { readonly kind: "stream-complete" }
+  | {
+    readonly kind: "stream-complete";
+    /** False if the connection's close ended it, which may be a cut-off. */
+    readonly isFramed: boolean;
+  }
   | {
     readonly kind: "ended";
     readonly end: TryFailure;
     readonly detail: string;
     /** Error response of the upstream, if it may be forwarded to the caller. */
     readonly answer?: WholeResponse;
+    /** Whether the upstream closed the connection before a whole response. */
+    readonly isCutOff?: boolean;
     /** Whether the try was given up because no data arrived for too long. */
     readonly isSilent?: boolean;
     /** Whether the upstream asked for a pause. */
@@ -55,12 +61,19 @@
    * milliseconds; Infinity to wait without a limit.
    */
   readonly silenceTimeoutMs: number;
+  /** Reads the monotonic clock, in milliseconds. */
+  readonly clock: () => number;
   /** Whether the upstream should be avoided by now. */
   isSuspect(): boolean;
   /** Whether another try may replace this one, which receives no data. */
   mayReplaceTry(): boolean;
   /** Called with the load that the upstream reports in its response. */
   onLoad(load: UpstreamLoad): void;
+  /**
+   * Called once when the upstream has gone on sending a successful response for
+   * SURVIVAL_MS, so that it can't crash from beginning it.
+   */
+  onSurvival(): void;
   /**
    * Called with the status and the traits of each response head, also if the
    * response is refused or belongs to another request.
@@ -79,6 +92,11 @@
 const SUSPECT_SILENCE_MS = 400;
 /** Interval of these checks, in milliseconds; half of that time. */
 const SUSPECT_CHECK_INTERVAL_MS = 200;
+/**
+ * Time from the first data of a response, in milliseconds, in which an upstream
+ * that its request crashes has ended.
+ */
+const SURVIVAL_MS = 500;
 /** Largest response, other than a stream, that is held in memory. */
 const MAX_WHOLE_RESPONSE_BYTES = 16_777_216;
 
@@ -104,6 +122,9 @@
   #silenceTimer: NodeJS.Timeout | undefined;
   #suspectTimer: NodeJS.Timeout | undefined;
   #sizeInBytes = 0;
+  #firstDataAt: number | undefined;
+  #hasSurvived = false;
+  #eventCount = 0;
   #isDone = false;
   #head: {
     status: number;
@@ -121,7 +142,7 @@
       onEnd: () => this.#onEnd(),
       onFailure: (failure, detail) => {
         const end = failure === "not-sent" ? "not-sent" : "no-answer";
-        this.#end({ kind: "ended", end, detail });
+        this.#end({ kind: "ended", end, detail, isCutOff: end !== "not-sent" });
       },
     });
     this.#startSilenceTimer();
@@ -132,6 +153,11 @@
     return this.#exchange.isReused;
   }
 
+  /** Whether the upstream went on with a response for SURVIVAL_MS. */
+  get hasSurvived(): boolean {
+    return this.#hasSurvived;
+  }
+
   /** Closes the connection, so that the upstream drops the request. */
   cancel(): void {
     if (this.#isDone) return;
@@ -200,6 +226,7 @@
   #onData(chunk: Buffer): void {
     if (this.#isDone || this.#head === undefined) return;
     this.#silenceTimer?.refresh();
+    this.#recordData();
     if (this.#head.isStream) {
       this.#forwardEvents(chunk);
       return;
@@ -215,6 +242,14 @@
     this.#chunks.push(chunk);
   }
 
+  #recordData(): void {
+    const now = this.#options.clock();
+    this.#firstDataAt ??= now;
+    if (this.#hasSurvived || now - this.#firstDataAt < SURVIVAL_MS) return;
+    this.#hasSurvived = true;
+    if (isSuccess(this.#head!.status)) this.#options.onSurvival();
+  }
+
   #forwardEvents(chunk: Buffer): void {
     const { relay } = this.#options;
     let events;
@@ -225,6 +260,7 @@
       return;
     }
     if (events.length === 0) return;
+    this.#eventCount += events.length;
     this.#startStream();
     const isInOrder = relay.forward(events, {
       pause: () => this.#exchange.pause(),
@@ -242,6 +278,7 @@
         kind: "ended",
         end: "no-answer",
         detail: "no head",
+        isCutOff: true,
       });
       return;
     }
@@ -255,18 +292,24 @@
   #endStream(): void {
     if (this.#splitter.hasIncompleteEvent) {
       const detail = "the stream ended within an event";
-      this.#end({ kind: "ended", end: "no-answer", detail });
+      this.#end({ kind: "ended", end: "no-answer", detail, isCutOff: true });
+      return;
+    }
+    const isFramedStream = isFramed(this.#head!.headers);
+    if (!isFramedStream && this.#eventCount === 0) {
+      const detail = "the stream ended without an event";
+      this.#end({ kind: "ended", end: "no-answer", detail, isCutOff: true });
       return;
     }
     this.#startStream();
-    if (!isFramed(this.#head!.headers) && this.#options.relay.isFramed) {
+    if (!isFramedStream && this.#options.relay.isFramed) {
       // The end of this response may be a cut-off, which the caller can't
       // detect in the framed response that was started before.
       const detail = "the stream ended with its connection";
-      this.#end({ kind: "ended", end: "no-answer", detail });
+      this.#end({ kind: "ended", end: "no-answer", detail, isCutOff: true });
       return;
     }
-    this.#end({ kind: "stream-complete" });
+    this.#end({ kind: "stream-complete", isFramed: isFramedStream });
   }
 
   #startStream(): void {
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -70,11 +70,21 @@
    * become unresponsive or the process of the upstream is new.
    */
   closeIdle(address: string): void;
+  /**
+   * Whether `address` refuses connections, as when the process there has ended.
+   * False if that can't be found out in time.
+   */
+  isRefusing(address: string): Promise<boolean>;
   close(): Promise<void>;
 }
 
 /** Shorter than the time objective of a plain request, to allow a retry. */
 const CONNECT_TIMEOUT_MS = 400;
+/**
+ * Time to find out whether an address refuses connections, which its host does
+ * at once; a request may wait for it.
+ */
+const REFUSAL_TIMEOUT_MS = 100;
 /** Below the idle timeout of 10 s that upstreams announce. */
 const IDLE_TIMEOUT_MS = 9_000;
 /**
@@ -125,6 +135,16 @@
   });
 }
 
+async function checkRefusal(address: string): Promise<boolean> {
+  try {
+    const socket = await openSocket(address, REFUSAL_TIMEOUT_MS);
+    socket.destroy();
+    return false;
+  } catch (cause) {
+    return (cause as NodeJS.ErrnoException).code === "ECONNREFUSED";
+  }
+}
+
 class Connection {
   readonly client: Client;
   readonly address: string;
@@ -166,6 +186,8 @@
   readonly #options: Required<UpstreamConnectionsOptions>;
   readonly #idle = new Map<string, Connection[]>();
   readonly #busy = new Set<Connection>();
+  /** Checks in progress, by address. */
+  readonly #refusalChecks = new Map<string, Promise<boolean>>();
   readonly #sweeper: NodeJS.Timeout;
 
   constructor(options: Required<UpstreamConnectionsOptions>) {
@@ -206,6 +228,15 @@
     this.#idle.delete(address);
   }
 
+  isRefusing(address: string): Promise<boolean> {
+    const pending = this.#refusalChecks.get(address);
+    if (pending !== undefined) return pending;
+    const check = checkRefusal(address)
+      .finally(() => this.#refusalChecks.delete(address));
+    this.#refusalChecks.set(address, check);
+    return check;
+  }
+
   async close(): Promise<void> {
     clearInterval(this.#sweeper);
     for (const address of [...this.#idle.keys()]) this.closeIdle(address);
