Reset the caller's connection when a stream without framing is cut off

A stream with neither a length nor chunks ends with its connection. The router passed on one that the upstream had reset, or that ended inside an event, by closing the caller's connection after the last whole event, so that it looked complete. Two new tests failed before (isReset false in place of true) and pass 3 of 3 times.

--- a/src/daemon/ingress_answers_test.ts
+++ b/src/daemon/ingress_answers_test.ts
@@ -189,6 +189,65 @@
   expect(fleet.arrived).toHaveLength(1);
 });
 
+const UNFRAMED_STREAM = "content-type: text/event-stream\r\n" +
+  "connection: close\r\n\r\n";
+
+function sendUnframedEvent({ socket }: ReceivedRequest, id: number): void {
+  socket.write(`id: ${id}\ndata: d${id}\n\n`);
+}
+
+/** Begins a stream that ends with its connection. */
+function beginUnframedStream(request: ReceivedRequest): void {
+  request.socket.write(createSignedHead(request, { more: UNFRAMED_STREAM }));
+  sendUnframedEvent(request, 1);
+}
+
+// Guards against a stream without framing that was reset and reaches the caller
+// as one that came to its end.
+test("a stream without framing that is reset is reset at the caller", async () => {
+  scriptInOrder(beginUnframedStream);
+  const answer = await fleet.ask({ id: nextId(), path: "/plan/x" }, {
+    onChunk: createResetAfter("d1"),
+  });
+  expect(answer.text).toContain("d1");
+  expect(answer.isReset).toBe(true);
+});
+
+test("a stream without framing ends at the caller with its connection", async () => {
+  scriptInOrder((request) => {
+    beginUnframedStream(request);
+    sendUnframedEvent(request, 2);
+    request.socket.end();
+  });
+  const answer = await fleet.ask({ id: nextId(), path: "/plan/x" });
+  expect(answer.text).toBe("id: 1\ndata: d1\n\nid: 2\ndata: d2\n\n");
+  expect(answer.isReset).toBe(false);
+});
+
+test("a stream without framing that ends inside an event is broken off", async () => {
+  scriptInOrder((request) => {
+    beginUnframedStream(request);
+    request.socket.end("id: 2\ndata: d");
+  });
+  const answer = await fleet.ask({ id: nextId(), path: "/plan/x" });
+  expect(answer.isReset).toBe(true);
+});
+
+// Guards against an upstream that ends before its first event, whose empty
+// answer without framing looks like a whole stream.
+test("a stream without framing that has no event is tried elsewhere", async () => {
+  scriptInOrder((request) => {
+    request.socket.end(createSignedHead(request, { more: UNFRAMED_STREAM }));
+  }, (request) => {
+    beginStream(request);
+    sendEvent(request, 1);
+    endStream(request);
+  });
+  const answer = await fleet.ask({ id: nextId(), path: "/chat/x" });
+  expect(answer.text).toContain("d1");
+  expect(fleet.arrived).toHaveLength(2);
+});
+
 test("a caller that disconnects ends its request at the upstream", async () => {
   const closed = new Promise<void>((resolve) => {
     fleet.script((request) => {
--- a/src/daemon/testing/local_ingress.ts
+++ b/src/daemon/testing/local_ingress.ts
@@ -150,6 +150,8 @@
   readonly text: string;
   /** Whether the answer was received completely according to its framing. */
   readonly isComplete: boolean;
+  /** Whether the connection was reset before the end. */
+  readonly isReset: boolean;
 }
 
 /** A request of a caller. */
@@ -339,19 +341,23 @@
   ): Promise<CallerResponse> {
     const answer = await this.open(request);
     const chunks: Buffer[] = [];
+    let isReset = false;
     try {
       for await (const chunk of answer) {
         chunks.push(chunk as Buffer);
         onChunk(Buffer.concat(chunks).toString());
       }
     } catch {
-      // `complete` is false for an answer that was cut off.
+      // `complete` is false for a framed answer that was cut off.
+      isReset = true;
     }
     return {
       status: answer.statusCode ?? 0,
       headers: answer.headers,
       text: Buffer.concat(chunks).toString(),
       isComplete: answer.complete,
+      // Node reports a response without framing that was reset as complete.
+      isReset: isReset || Boolean(answer.socket?.errored),
     };
   }
 
--- a/src/ingress/stream_relay.ts
+++ b/src/ingress/stream_relay.ts
@@ -104,8 +104,12 @@
     this.#response.end();
   }
 
-  /** Aborts the connection, so that the response can't be taken as complete. */
+  /**
+   * Aborts the connection, so that the response can't be taken as complete.
+   * Without framing, only a reset tells the caller that it is not.
+   */
   abort(): void {
+    if (!this.#isFramed) this.#response.socket?.resetAndDestroy();
     this.#response.destroy();
   }
 
