Add crashing prompts to the store's chaos run

A fault kind in which callers send 8 requests a second with a part that crashes engines, beside all other faults, and a check that the part reaches engines at most three times more later than 3 s after the fifth crash, through routers that no fault affected.

--- a/bench/chaos_faults.ts
+++ b/bench/chaos_faults.ts
@@ -171,6 +171,7 @@
         );
       case "watches-silent":
         return this.#createKeyValueAction({ silentWatches: true }, undefined);
+      case "prompt-crashes":
       case "store-restored":
         throw new RangeError(`${kind}: this fleet has no metadata store`);
       case "operators-race":
--- a/bench/store_chaos_evidence.ts
+++ b/bench/store_chaos_evidence.ts
@@ -3,7 +3,10 @@
  * upstreams and operators.
  */
 import type { ChaosEvent } from "../testing/chaos_schedule.ts";
-import type { UpstreamArrival } from "../testing/registered_upstream.ts";
+import type {
+  UpstreamArrival,
+  UpstreamCrash,
+} from "../testing/registered_upstream.ts";
 
 /**
  * Kinds of requests: a `read` may be repeated, a `book` or `plan` must run at
@@ -67,6 +70,10 @@
   readonly revokeMs: number;
   /** Time without faults after which the bounds apply to a router again. */
   readonly faultFreeMs: number;
+  /** Crashes under a prompt part after which the routers must avoid it. */
+  readonly maxPartCrashes: number;
+  /** Requests with the part that may reach an engine after `faultFreeMs`. */
+  readonly maxLaterArrivals: number;
   /** Maximum number of requests that a cold upstream may get in any second. */
   readonly maxColdRequestsPerSecond: number;
 }
@@ -76,6 +83,9 @@
   readonly calls: readonly Call[];
   /** Requests sent after the faults, which must be served. */
   readonly recovery: readonly Call[];
+  /** Requests with a prompt part that crashes engines. */
+  readonly crashing: readonly Call[];
+  readonly crashes: readonly UpstreamCrash[];
   readonly arrivals: readonly UpstreamArrival[];
   readonly windows: readonly FaultWindow[];
   readonly withdrawals: readonly Withdrawal[];
--- a/bench/store_chaos_fleet.ts
+++ b/bench/store_chaos_fleet.ts
@@ -41,6 +41,8 @@
   evacuateMs: 5_000,
   revokeMs: 5_000,
   faultFreeMs: 3_000,
+  maxPartCrashes: 5,
+  maxLaterArrivals: 3,
   maxColdRequestsPerSecond: 17,
 };
 const COLD_PER_SECOND = 8;
--- a/bench/store_chaos_main.ts
+++ b/bench/store_chaos_main.ts
@@ -15,7 +15,7 @@
 import {
   getStoreChaosTargets,
   runStoreChaos,
-  STORE_RESTORE_KINDS,
+  STORE_SOAK_KINDS,
 } from "./store_chaos_run.ts";
 import { findStoreChaosViolations } from "./store_chaos_verdict.ts";
 
@@ -57,15 +57,16 @@
     seed,
     durationMs,
     targets: getStoreChaosTargets(fleet),
-    kinds: STORE_RESTORE_KINDS,
+    kinds: STORE_SOAK_KINDS,
     maxFaultMs: durationMs / 2,
     meanGapMs: MS_PER_SECOND,
   });
   const evidence = await runStoreChaos({ fleet, schedule, seed, durationMs });
   const violations = findStoreChaosViolations(evidence);
-  const { calls, recovery } = evidence;
+  const { calls, recovery, crashes } = evidence;
   print(
     `Seed ${seed}: ${schedule.length} faults; ${renderOutcomeCounts(calls)}; ` +
+      `${crashes.length} engine crashes; ` +
       `after the faults ${renderOutcomeCounts(recovery)}; ` +
       (violations.length === 0
         ? "all checks passed."
--- a/bench/store_chaos_run.ts
+++ b/bench/store_chaos_run.ts
@@ -56,9 +56,16 @@
   ...STORE_CHAOS_KINDS,
   "store-restored",
 ] as const satisfies readonly ChaosKind[];
-type StoreChaosKind = typeof STORE_RESTORE_KINDS[number];
+
+/** All of these, and prompts that crash engines. */
+export const STORE_SOAK_KINDS = [
+  ...STORE_RESTORE_KINDS,
+  "prompt-crashes",
+] as const satisfies readonly ChaosKind[];
+type StoreChaosKind = typeof STORE_SOAK_KINDS[number];
 
 const REQUESTS_PER_SECOND = 40;
+const CRASHING_REQUESTS_PER_SECOND = 8;
 const SUBJECT_COUNT = 30;
 const CALL_KINDS: readonly CallKind[] = [
   "read",
@@ -121,6 +128,8 @@
   /** Settles when the latest fault at a target has ended, by target. */
   readonly #lastFaultByTarget = new Map<string, Promise<void>>();
   #requestCount = 0;
+  readonly #crashing: Promise<Call>[] = [];
+  #crashingPartCount = 0;
 
   constructor(options: StoreChaosOptions) {
     this.#options = options;
@@ -151,6 +160,8 @@
     return {
       calls,
       recovery,
+      crashing: await Promise.all(this.#crashing),
+      crashes: fleet.crashes,
       arrivals: fleet.arrivals,
       windows: this.#windows,
       withdrawals: fleet.withdrawals,
@@ -172,9 +183,7 @@
         // About a tenth of the calls use the key that was withdrawn last, as
         // callers do that have not yet switched to a new one.
         key: this.#random.nextBoolean(0.1) ? this.#getWithdrawnKey(key) : key,
-        subject: `subject-${
-          this.#random.nextInteger({ min: 1, max: SUBJECT_COUNT })
-        }`,
+        subject: this.#pickSubject(),
       }));
     }, { random: this.#random, rate, startMs, endMs: startMs + durationMs });
     return await Promise.all(calls);
@@ -263,6 +272,8 @@
         await this.#injectStoreFault({ refusalStatus: 503 }, durationMs);
         fleet.store.returnToCopy();
         return await fleet.writeAgain();
+      case "prompt-crashes":
+        return await this.#sendCrashingRequests(durationMs);
       case "failure-domain-out": {
         fleet.takeOut(target);
         const untilMs = performance.now() + durationMs;
@@ -277,6 +288,34 @@
     }
   }
 
+  /** Sends requests with a new prompt part that crashes engines. */
+  async #sendCrashingRequests(durationMs: number): Promise<void> {
+    const { fleet, seed } = this.#options;
+    const part = `crashing-${++this.#crashingPartCount}`;
+    fleet.crashingParts.add(part);
+    const startMs = performance.now();
+    await runArrivals(() => {
+      this.#crashing.push(this.#callers.call({
+        requestId: `${part}-${seed}-${++this.#requestCount}`,
+        kind: this.#random.pick(["chat", "plan"]),
+        router: this.#random.pick(fleet.routers),
+        key: fleet.key,
+        subject: this.#pickSubject(),
+        parts: [part],
+      }));
+    }, {
+      random: this.#random,
+      rate: CRASHING_REQUESTS_PER_SECOND,
+      startMs,
+      endMs: startMs + durationMs,
+    });
+  }
+
+  #pickSubject(): string {
+    const index = this.#random.nextInteger({ min: 1, max: SUBJECT_COUNT });
+    return `subject-${index}`;
+  }
+
   async #injectRouterFault(
     kind: "router-killed" | "router-stopped" | "router-paused",
     target: string,
--- a/bench/store_chaos_test.ts
+++ b/bench/store_chaos_test.ts
@@ -16,6 +16,7 @@
   runStoreChaos,
   STORE_CHAOS_KINDS,
   STORE_RESTORE_KINDS,
+  STORE_SOAK_KINDS,
 } from "./store_chaos_run.ts";
 import { findStoreChaosViolations } from "./store_chaos_verdict.ts";
 
@@ -74,3 +75,15 @@
   },
   TEST_TIMEOUT_MS,
 );
+
+test(
+  "a fleet with relays meets them while prompts crash engines",
+  async () => {
+    const evidence = await runFaults(41, STORE_SOAK_KINDS);
+    expect(evidence.windows.map(({ kind }) => kind)).toContain(
+      "prompt-crashes",
+    );
+    expect(findStoreChaosViolations(evidence)).toEqual([]);
+  },
+  TEST_TIMEOUT_MS,
+);
--- a/bench/store_chaos_verdict.ts
+++ b/bench/store_chaos_verdict.ts
@@ -39,6 +39,7 @@
 /** Faults after which a connection to an upstream may break. */
 const UPSTREAM_FAULTS: ReadonlySet<ChaosKind> = new Set([
   "engine-killed",
+  "prompt-crashes",
   "engine-leaving",
   "link-silent",
   "link-cut",
@@ -56,7 +57,7 @@
   evidence: StoreChaosEvidence,
 ): StoreChaosViolation[] {
   const routers = new Map(
-    [...evidence.calls, ...evidence.recovery]
+    [...evidence.calls, ...evidence.recovery, ...evidence.crashing]
       .map(({ requestId, router }) => [requestId, router]),
   );
   return [
@@ -67,15 +68,16 @@
     ...checkUnauthorizedCalls(evidence),
     ...checkColdStarts(evidence),
     ...checkForwardedRequests(evidence),
+    ...checkCrashingParts(evidence, routers),
     ...checkStops(evidence),
     ...checkRecovery(evidence),
   ];
 }
 
 function checkAnswers(
-  { calls, recovery }: StoreChaosEvidence,
+  { calls, recovery, crashing }: StoreChaosEvidence,
 ): StoreChaosViolation[] {
-  return [...calls, ...recovery]
+  return [...calls, ...recovery, ...crashing]
     .filter(({ end }) => end === "wrong")
     .map(({ requestId, detail }) => ({
       promise: "answers are whole and their own",
@@ -85,7 +87,7 @@
 }
 
 function checkRuns(
-  { calls, recovery, arrivals }: StoreChaosEvidence,
+  { calls, recovery, crashing, arrivals }: StoreChaosEvidence,
 ): StoreChaosViolation[] {
   const runs = new Map<string, UpstreamArrival[]>();
   for (const arrival of arrivals.filter(({ isRun }) => isRun)) {
@@ -93,7 +95,8 @@
     runs.set(requestId, [...runs.get(requestId) ?? [], arrival]);
   }
   const violations: StoreChaosViolation[] = [];
-  for (const { requestId, kind, end, detail } of [...calls, ...recovery]) {
+  const all = [...calls, ...recovery, ...crashing];
+  for (const { requestId, kind, end, detail } of all) {
     const ran = runs.get(requestId) ?? [];
     if ((kind === "book" || kind === "plan") && ran.length > 1) {
       const upstreams = ran.map(({ upstream }) => upstream).join(", ");
@@ -256,6 +259,41 @@
   }));
 }
 
+/**
+ * A prompt part under which several engines have crashed is kept from engines
+ * by each router that could know it.
+ */
+function checkCrashingParts(
+  evidence: StoreChaosEvidence,
+  routers: ReadonlyMap<string, string>,
+): StoreChaosViolation[] {
+  const { crashes, crashing, arrivals, bounds } = evidence;
+  const sentAtMs = new Map(
+    crashing.map(({ requestId, fromMs }) => [requestId, fromMs]),
+  );
+  const parts = new Set(crashes.map(({ part }) => part));
+  return [...parts].flatMap((part) => {
+    const own = crashes.filter((each) => each.part === part);
+    const crash = own[bounds.maxPartCrashes - 1];
+    if (crash === undefined) return [];
+    const knownAtMs = crash.atMs + bounds.faultFreeMs;
+    const later = arrivals.filter(({ promptParts, requestId, atMs }) =>
+      promptParts.includes(part) && sentAtMs.get(requestId)! > knownAtMs &&
+      isUnaffected(evidence, {
+        router: routers.get(requestId) ?? "",
+        fromMs: crash.atMs,
+        toMs: atMs,
+      })
+    );
+    if (later.length <= bounds.maxLaterArrivals) return [];
+    return [{
+      promise: "a crashing prompt is contained",
+      requestId: later[0]!.requestId,
+      detail: `${part} reached engines ${later.length} times more`,
+    }];
+  });
+}
+
 function checkStops({ stops }: StoreChaosEvidence): StoreChaosViolation[] {
   return stops.filter(({ exitCode }) => exitCode !== 0)
     .map(({ router, exitCode }) => ({
--- a/bench/store_chaos_verdict_test.ts
+++ b/bench/store_chaos_verdict_test.ts
@@ -39,6 +39,8 @@
   const violations = findStoreChaosViolations({
     calls: [],
     recovery: [],
+    crashing: [],
+    crashes: [],
     arrivals: [],
     windows: [],
     withdrawals: [],
@@ -47,6 +49,8 @@
       evacuateMs: 5_000,
       revokeMs: 5_000,
       faultFreeMs: 3_000,
+      maxPartCrashes: 2,
+      maxLaterArrivals: 1,
       maxColdRequestsPerSecond: 2,
     },
     stops: [],
@@ -151,3 +155,36 @@
     }),
   ).toEqual([]);
 });
+
+test("a prompt part that goes on reaching engines after crashes is found", () => {
+  const crashes = [0, 100, 200].map((atMs) => ({
+    upstream: `up-${atMs}`,
+    requestId: "first",
+    part: "bad",
+    atMs,
+  }));
+  const promptParts = ["subject", "bad", "own"];
+  function find(fromMs: number, windows: readonly FaultWindow[] = []) {
+    const ids = ["r-1", "r-2"];
+    return findViolations({
+      crashes,
+      windows,
+      crashing: ids.map((requestId) =>
+        createCall({ requestId, fromMs, end: "failed", kind: "chat" })
+      ),
+      arrivals: ids.map((requestId) =>
+        createArrival({ requestId, promptParts, atMs: fromMs + 10 })
+      ),
+    });
+  }
+  expect(find(3_101)).toEqual(["a crashing prompt is contained"]);
+  expect(find(3_099)).toEqual([]);
+  const target = "router-0";
+  const window = {
+    kind: "router-killed",
+    target,
+    fromMs: 0,
+    toMs: 50,
+  } as const;
+  expect(find(3_101, [window])).toEqual([]);
+});
--- a/testing/chaos_schedule.ts
+++ b/testing/chaos_schedule.ts
@@ -37,6 +37,8 @@
   | "watches-silent"
   /** The metadata store is down and comes back from an older copy. */
   | "store-restored"
+  /** Callers send requests with a prompt part that crashes engines. */
+  | "prompt-crashes"
   /** Two operators commit conflicting changes at the same time. */
   | "operators-race"
   | "failure-domain-out"
@@ -83,7 +85,7 @@
 
 /** Targets and range of durations of a kind of fault. */
 interface FaultSpec {
-  readonly targets: keyof ChaosTargets | "platform";
+  readonly targets: keyof ChaosTargets | "platform" | "callers";
   readonly durationRangeMs: { readonly min: number; readonly max: number };
 }
 
@@ -109,6 +111,7 @@
   hosts: 2,
   failureDomains: 1,
   platform: 1,
+  callers: 1,
 } as const;
 
 const FAULT_SPECS: Readonly<Record<ChaosKind, FaultSpec>> = {
@@ -187,6 +190,10 @@
     targets: "platform",
     durationRangeMs: { min: 200, max: 3_000 },
   },
+  "prompt-crashes": {
+    targets: "callers",
+    durationRangeMs: { min: 5_000, max: 12_000 },
+  },
   "operators-race": {
     targets: "failureDomains",
     durationRangeMs: { min: 500, max: 2_000 },
@@ -204,6 +211,7 @@
 /** Kinds that exist only in a fleet with a metadata store. */
 const METADATA_STORE_KINDS: ReadonlySet<ChaosKind> = new Set([
   "store-restored",
+  "prompt-crashes",
 ]);
 const DEFAULT_KINDS = (Object.keys(FAULT_SPECS) as ChaosKind[])
   .filter((kind) => !METADATA_STORE_KINDS.has(kind));
@@ -272,8 +280,8 @@
   targets: FaultSpec["targets"],
   { atMs, random, draft, options }: DrawContext & { readonly atMs: number },
 ): string | undefined {
-  const names = targets === "platform"
-    ? ["platform"]
+  const names = targets === "platform" || targets === "callers"
+    ? [targets]
     : options.targets[targets];
   const idle = names.filter((name) =>
     (draft.busyUntilMs.get(`${targets}/${name}`) ?? 0) <= atMs
--- a/testing/registered_upstream.ts
+++ b/testing/registered_upstream.ts
@@ -124,6 +124,8 @@
   #heartbeatTimer: NodeJS.Timeout | undefined;
   #expiryTimer: NodeJS.Timeout | undefined;
   #restartTimer: NodeJS.Timeout | undefined;
+  /** Whether the relay refuses connections because the process has crashed. */
+  #hasCrashed = false;
 
   constructor(options: RegisteredUpstreamOptions) {
     this.#options = {
@@ -148,6 +150,7 @@
 
   /** Starts a new process at the same address, with a new id and cold. */
   async start({ isCold = true } = {}): Promise<void> {
+    clearTimeout(this.#restartTimer);
     this.#incarnation++;
     this.#startedAtMs = Date.now();
     this.#sequence = 0;
@@ -163,16 +166,16 @@
       // An ephemeral port could be taken while the relay does not listen.
       const port = await findFreePort();
       this.#relay = await createRelay({ target: address, port });
-    } else {
-      this.#relay.setTarget(address);
-      await this.#relay.setFaults({ cut: false });
-    }
+    } else this.#relay.setTarget(address);
+    if (this.#hasCrashed) await this.#relay.setFaults({ cut: false });
+    this.#hasCrashed = false;
     this.#sendHeartbeat();
   }
 
   /** Ends the process without deregistering; its entry expires later. */
   async kill(): Promise<void> {
     clearTimeout(this.#heartbeatTimer);
+    clearTimeout(this.#restartTimer);
     const key = `servers/${this.id}`;
     const expiryMs = EXPIRY_HEARTBEATS * HEARTBEAT_MS;
     this.#expiryTimer = setTimeout(
@@ -216,9 +219,10 @@
   async #crash(requestId: string, part: string): Promise<void> {
     const crash = { upstream: this.id, requestId, part };
     this.#options.onCrash({ ...crash, atMs: performance.now() });
+    this.#hasCrashed = true;
+    const ended = [this.kill(), this.#relay.setFaults({ cut: true })];
     this.#restartTimer = setTimeout(() => void this.start(), RESTART_MS);
-    // Removes the entry if it expires before the upstream starts again.
-    await Promise.all([this.kill(), this.#relay.setFaults({ cut: true })]);
+    await Promise.all(ended);
   }
 
   async #closeServer(): Promise<void> {
