--- a/bench/store_chaos_verdict_test.ts
+++ b/bench/store_chaos_verdict_test.ts
@@ -29,6 +29,7 @@
     isRun: true,
     isResumed: false,
     isCold: false,
+    limitPerSecond: undefined,
     promptParts: [],
     workspace: "workspace",
     ...fields,
--- /dev/null
+++ b/bench/upstream_limits_test.ts
@@ -0,0 +1,121 @@
+/**
+ * Engines that name in their answers how many requests a second they take from
+ * all routers together, on fleets of router processes; needs a build.
+ */
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { UpstreamArrival } from "../testing/registered_upstream.ts";
+import { Random } from "./load/random.ts";
+import { Callers } from "./store_chaos_calls.ts";
+import type { Call } from "./store_chaos_evidence.ts";
+import { StoreFleet } from "./store_chaos_fleet.ts";
+
+const PROGRAM = "dist/src/daemon/main.js";
+const ENGINES = 6;
+const LIMITED_ENGINES = 4;
+const REQUESTS_PER_SECOND = 90;
+const SUBJECTS = 30;
+const BEFORE_MS = 2_000;
+const LIMITED_MS = 12_000;
+const AFTER_MS = 5_000;
+/** Time from a limit's first naming until it has to be kept. */
+const CONTACT_MS = 3_000;
+const WINDOW_MS = 4_000;
+const MS_PER_SECOND = 1_000;
+/** The limit may be exceeded by this factor and number, in each window. */
+const TOLERATED_FACTOR = 1.5;
+const TOLERATED_REQUESTS = 5;
+const TEST_TIMEOUT_MS = 120_000;
+
+interface LimitRun {
+  readonly arrivals: readonly UpstreamArrival[];
+  readonly calls: readonly Call[];
+  readonly limitedIds: readonly string[];
+}
+
+async function runLimits(
+  { routers, limitPerSecond, seed }: {
+    routers: number;
+    limitPerSecond: number;
+    seed: number;
+  },
+): Promise<LimitRun> {
+  const directory = mkdtempSync(join(tmpdir(), "upstream-limits-"));
+  const fleet = new StoreFleet({
+    directory,
+    routers,
+    engines: ENGINES,
+    plainServices: 1,
+    program: PROGRAM,
+  });
+  await fleet.open();
+  const callers = new Callers();
+  const random = new Random(seed);
+  const calls: Promise<Call>[] = [];
+  const timer = setInterval(() => {
+    calls.push(callers.call({
+      requestId: `${seed}-${calls.length}`,
+      kind: random.pick(["chat", "plan"]),
+      router: random.pick(fleet.routers),
+      key: fleet.key,
+      subject: `subject-${random.nextInteger({ min: 1, max: SUBJECTS })}`,
+    }));
+  }, MS_PER_SECOND / REQUESTS_PER_SECOND);
+  const limited = fleet.upstreams.slice(0, LIMITED_ENGINES);
+  await sleep(BEFORE_MS);
+  for (const upstream of limited) upstream.limitPerSecond = limitPerSecond;
+  await sleep(LIMITED_MS);
+  for (const upstream of limited) upstream.limitPerSecond = undefined;
+  await sleep(AFTER_MS);
+  clearInterval(timer);
+  const ended = await Promise.all(calls);
+  callers.close();
+  await fleet.close();
+  rmSync(directory, { recursive: true });
+  const limitedIds = limited.map(({ id }) => id);
+  return { arrivals: fleet.arrivals, calls: ended, limitedIds };
+}
+
+/** Returns the most requests that a limited upstream got in any window. */
+function findPeak(arrivals: readonly UpstreamArrival[]): number {
+  const limited = arrivals.filter(({ limitPerSecond }) =>
+    limitPerSecond !== undefined
+  );
+  const knownAtMs = limited[0]!.atMs + CONTACT_MS;
+  const times = limited.map(({ atMs }) => atMs)
+    .filter((atMs) => atMs >= knownAtMs);
+  return Math.max(
+    0,
+    ...times.map((from) =>
+      times.filter((at) => at >= from && at < from + WINDOW_MS).length
+    ),
+  );
+}
+
+// Guards against routers that each take the limit of an upstream for their own,
+// or do not know it.
+test.each([
+  { routers: 6, limitPerSecond: 2.5, seed: 1 },
+  { routers: 12, limitPerSecond: 1, seed: 2 },
+])(
+  "$routers routers together keep the limit that engines name, and end it when they name none",
+  async (options) => {
+    const { arrivals, calls, limitedIds } = await runLimits(options);
+    const allowed = options.limitPerSecond * WINDOW_MS / MS_PER_SECOND *
+        TOLERATED_FACTOR + TOLERATED_REQUESTS;
+    const lastMs = arrivals.at(-1)!.atMs;
+    for (const id of limitedIds) {
+      const own = arrivals.filter(({ upstream }) => upstream === id);
+      expect(findPeak(own)).toBeLessThanOrEqual(allowed);
+      const freed = own.filter(({ atMs, limitPerSecond }) =>
+        limitPerSecond === undefined && atMs > lastMs - MS_PER_SECOND * 2
+      );
+      expect(freed.length).toBeGreaterThan(2 * options.limitPerSecond + 3);
+    }
+    const served = calls.filter(({ end }) => end === "whole").length;
+    expect(served / calls.length).toBeGreaterThan(0.9);
+  },
+  TEST_TIMEOUT_MS,
+);
--- a/testing/registered_upstream.ts
+++ b/testing/registered_upstream.ts
@@ -30,6 +30,8 @@
   readonly isResumed: boolean;
   readonly isCold: boolean;
   readonly workspace: string;
+  /** Limit that the upstream named at that time; undefined for none. */
+  readonly limitPerSecond: number | undefined;
   /** Ids of the parts of the prompt, in order. */
   readonly promptParts: readonly string[];
 }
@@ -120,6 +122,8 @@
   /** Number of consecutive heartbeats that the store did not accept. */
   #missedHeartbeats = 0;
   #coldUntilMs = -Infinity;
+  /** Requests a second that the upstream names in its answers, if set. */
+  limitPerSecond: number | undefined;
   #state: "ready" | "draining" = "ready";
   #heartbeatTimer: NodeJS.Timeout | undefined;
   #expiryTimer: NodeJS.Timeout | undefined;
@@ -285,8 +289,12 @@
       isResumed: lastEventId > 0,
       isCold: performance.now() < this.#coldUntilMs,
       workspace: String(request.headers["x-tenant"] ?? ""),
+      limitPerSecond: this.limitPerSecond,
       promptParts,
     });
+    if (this.limitPerSecond !== undefined) {
+      response.setHeader("server-limit", String(this.limitPerSecond));
+    }
     if (!isRun) {
       const status = isMisdirected ? STATUS_MISDIRECTED : STATUS_FULL;
       response.writeHead(status, {
