Share the rates that upstreams name between the routers

An upstream in need that named how many requests a second it takes from all routers together got several times as many: no router read the statement, and each would have taken the whole rate for its own.

Now each router keeps what answers state, and the routers tell each other with their loads, so that one acts on a limit before it has had such an answer itself. As many routers as the rate has requests a second, and two more, share it equally; each sends one request at a time, so that hundreds of routers add up to no burst. A limit ends with an answer without one to a request that was sent later, with a new process, or after 10 s without a statement. If only limited upstreams are left, callers are refused at once with the time until one has room.

--- a/src/control/peer_messages.ts
+++ b/src/control/peer_messages.ts
@@ -18,12 +18,18 @@
   type PartReport,
 } from "../policy/prompt_quarantine.ts";
 import type { LoadCounts, RouterLoads } from "../policy/peer_loads.ts";
+import {
+  MAX_REPORTED_RATES,
+  type RateReport,
+} from "../policy/upstream_rates.ts";
 import type { StoreChange, StoreUpdate } from "../routing/types.ts";
 
 /** What a router has learned about upstreams from requests. */
 export interface FindingsReport {
   /** Prompt parts under which upstreams ended, or that one has answered. */
   readonly promptParts?: readonly PartReport[];
+  /** Limits that upstreams have stated. */
+  readonly rates?: readonly RateReport[];
 }
 
 /** Loads of `router` alone, or of the routers whose loads it has added up. */
@@ -131,17 +137,27 @@
     });
 }
 
+function isRateReport(value: unknown): value is RateReport {
+  if (!isObject(value) || typeof value["upstream"] !== "string") return false;
+  const { rate, ageMs } = value;
+  const isRate = rate === "none" || typeof rate === "number" && rate >= 0;
+  return isRate && isAge(ageMs);
+}
+
 function isFindingsReport(value: unknown): value is FindingsReport {
-  return isObject(value) && (value["promptParts"] === undefined ||
-    isBoundedList(value["promptParts"], {
-      max: MAX_REPORTED_PARTS,
-      isItem: isPartReport,
-    }));
+  if (!isObject(value)) return false;
+  const { promptParts = [], rates = [] } = value;
+  return isBoundedList(promptParts, {
+    max: MAX_REPORTED_PARTS,
+    isItem: isPartReport,
+  }) && isBoundedList(rates, { max: MAX_REPORTED_RATES, isItem: isRateReport });
 }
 
 /** Whether a report holds nothing, so that it need not be sent. */
-export function isEmptyReport({ promptParts = [] }: FindingsReport): boolean {
-  return promptParts.length === 0;
+export function isEmptyReport(
+  { promptParts = [], rates = [] }: FindingsReport,
+): boolean {
+  return promptParts.length === 0 && rates.length === 0;
 }
 
 function isLoadsMessage(value: unknown): value is LoadsMessage {
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -28,6 +28,7 @@
 import { CrashWatch } from "../ingress/crash_watch.ts";
 import {
   ForwardFilter,
+  type NoticeDetails,
   type UpstreamNotice,
 } from "../ingress/forward_filter.ts";
 import type {
@@ -95,6 +96,29 @@
  * counts its retries separately.
  */
 const RETRY_BUDGET_SHARE = 0.9;
+/** Log line of each notice. */
+const NOTICE_LINES: Readonly<
+  Record<UpstreamNotice, { level: "info" | "warn"; message: string }>
+> = {
+  "leaving": {
+    level: "info",
+    message: "An upstream states that it is leaving.",
+  },
+  "pause": { level: "info", message: "An upstream asks for a pause." },
+  "long-pause": {
+    level: "warn",
+    message: "An upstream asks for a pause that is too long.",
+  },
+  "limit": { level: "info", message: "An upstream limits its requests." },
+  "limit-ended": {
+    level: "info",
+    message: "An upstream no longer limits its requests.",
+  },
+  "bad-limit": {
+    level: "warn",
+    message: "An upstream states a limit that can't be read.",
+  },
+};
 const MS_PER_SECOND = 1_000;
 const STATUS_OK = 200;
 const STATUS_UNAVAILABLE = 503;
@@ -226,9 +250,14 @@
       getUnreachable: () => this.#placement.listUnreachable(),
       peerLoads: this.#peerLoads,
       findings: {
-        createReport: () => ({ promptParts: this.#crashes.createReports() }),
-        receiveReport: ({ promptParts = [] }) =>
-          this.#crashes.receiveReports(promptParts),
+        createReport: () => ({
+          promptParts: this.#crashes.createReports(),
+          rates: this.#placement.createRateReports(),
+        }),
+        receiveReport: ({ promptParts = [], rates = [] }) => {
+          this.#crashes.receiveReports(promptParts);
+          this.#placement.receiveRateReports(rates);
+        },
       },
       ...pace,
     });
@@ -369,21 +398,10 @@
     return server;
   }
 
-  #recordNotice(
-    kind: UpstreamNotice,
-    details: { readonly upstream: string; readonly pauseMs?: number },
-  ): void {
+  #recordNotice(kind: UpstreamNotice, details: NoticeDetails): void {
     this.#metrics.upstreamNotices.inc({ kind });
-    const log = this.#logs("route");
-    if (kind === "leaving") {
-      log.info("An upstream states that it is leaving.", { ...details });
-    } else if (kind === "pause") {
-      log.info("An upstream asks for a pause.", { ...details });
-    } else {
-      log.warn("An upstream asks for a pause that is too long.", {
-        ...details,
-      });
-    }
+    const { level, message } = NOTICE_LINES[kind];
+    this.#logs("route")[level](message, { ...details });
   }
 
   async #openServer(server: Server, address: string): Promise<void> {
@@ -450,6 +468,7 @@
     const ageMs = this.#routing.ageAt(readClocks());
     metrics.configurationAgeSeconds.set(ageMs / MS_PER_SECOND);
     metrics.upstreams.set(this.#routing.directory.size);
+    metrics.upstreamsLimited.set(this.#placement.limitedCount);
     metrics.promptPartsQuarantined.set(this.#crashes.quarantinedCount);
     metrics.routers.set(this.#routing.routers().size);
     metrics.logLinesDropped.set(this.#logWriter.droppedLines);
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -51,17 +51,29 @@
   /** Called when a try of `service` has ended, with how it ended. */
   readonly onTry: (service: string, end: string) => void;
   /** Called when an upstream states something of itself in an answer. */
-  readonly onNotice: (
-    kind: UpstreamNotice,
-    details: { readonly upstream: string; readonly pauseMs?: number },
-  ) => void;
+  readonly onNotice: (kind: UpstreamNotice, details: NoticeDetails) => void;
 }
 
 /**
- * What an upstream states of itself: that it is leaving, or that it wants no
- * request for a time, which may be longer than is granted.
+ * What an upstream states of itself: that it is leaving, that it wants no
+ * request for a time, which may be longer than is granted, or that it takes
+ * only so many requests a second, and when that ends.
  */
-export type UpstreamNotice = "leaving" | "pause" | "long-pause";
+export type UpstreamNotice =
+  | "leaving"
+  | "pause"
+  | "long-pause"
+  | "limit"
+  | "limit-ended"
+  | "bad-limit";
+
+/** What a notice says, for the log. */
+export interface NoticeDetails {
+  readonly upstream: string;
+  readonly pauseMs?: number;
+  /** Requests a second. */
+  readonly rate?: number;
+}
 
 /**
  * Longest idle time of a connection that is reused for a request that must not
@@ -234,7 +246,8 @@
       isSuspect: () => placement.isSuspect(upstream, this.#service),
       onSurvival: () => crashes.recordAnswer(promptParts),
       onLoad: (load) => placement.recordReportedLoad(upstream, load),
-      onNotice: (status, traits) => this.#recordNotice(place, status, traits),
+      onNotice: (status, traits) =>
+        this.#recordNotice(place, { status, traits, sentAt }),
     });
     const record: TryRecord = {
       upstream,
@@ -338,9 +351,13 @@
   /** Records what an upstream says of itself in the head of a response. */
   #recordNotice(
     { entry }: PlacementResult,
-    status: number,
-    { isLeaving, pauseMs }: ResponseTraits,
+    { status, traits, sentAt }: {
+      status: number;
+      traits: ResponseTraits;
+      sentAt: number;
+    },
   ): void {
+    const { isLeaving, pauseMs, rate } = traits;
     const { routing, placement, onNotice } = this.#options;
     if (status === STATUS_MISDIRECTED) {
       // Another upstream has answered; the statement is about that one.
@@ -349,6 +366,7 @@
       return;
     }
     if (isLeaving) this.#recordLeaving(entry);
+    this.#recordRate(entry, { rate, sentAt });
     if (pauseMs !== undefined) {
       const request = placement.recordPause(entry.id, pauseMs);
       onNotice(request === "shortened" ? "long-pause" : "pause", {
@@ -358,6 +376,20 @@
     }
   }
 
+  #recordRate(
+    { id }: UpstreamEntry,
+    { rate, sentAt }: Pick<ResponseTraits, "rate"> & { sentAt: number },
+  ): void {
+    const { placement, onNotice } = this.#options;
+    if (rate === undefined) {
+      onNotice("bad-limit", { upstream: id });
+      return;
+    }
+    if (!placement.recordRate(id, { rate, sentAt })) return;
+    if (rate === "none") onNotice("limit-ended", { upstream: id });
+    else onNotice("limit", { upstream: id, rate });
+  }
+
   #recordLeaving({ id, bornAt }: UpstreamEntry): void {
     const { routing, clock, onNotice } = this.#options;
     const isNew = routing.directory.recordLeaving(id, { bornAt, now: clock() });
@@ -406,7 +438,7 @@
   }
 
   #endWithoutUpstream(
-    { reason, pauseMs }: PlacementFailure,
+    { reason, waitMs }: PlacementFailure,
   ): IngressOutcome {
     if (this.#relay.isStarted) return this.#abortStream();
     if (!this.#plan.isNotRun) {
@@ -420,7 +452,7 @@
       code: "no-capacity",
       detail: `Service ${this.#service.name} has no upstream to take it.`,
       cause: reason,
-      earliestMs: pauseMs,
+      earliestMs: waitMs,
     });
   }
 
--- a/src/ingress/ingress_metrics.ts
+++ b/src/ingress/ingress_metrics.ts
@@ -16,6 +16,7 @@
   readonly configurationAgeSeconds: Gauge;
   readonly upstreams: Gauge;
   readonly routers: Gauge;
+  readonly upstreamsLimited: Gauge;
   readonly promptPartsQuarantined: Gauge;
   readonly logLinesDropped: Gauge;
   readonly eventLoopDelaySeconds: Gauge;
@@ -59,7 +60,9 @@
     }),
     upstreamNotices: new Counter({
       name: "corianderflow_upstream_notices_total",
-      help: "Answers in which an upstream is leaving or asks for a pause.",
+      help:
+        "Answers in which an upstream is leaving, asks for a pause, or begins " +
+        "or ends a limit of requests.",
       labelNames: ["kind"],
       registers,
     }),
@@ -91,6 +94,10 @@
     ),
     upstreams: createGauge("upstreams", "Upstreams that are known."),
     routers: createGauge("routers", "Routers that are registered."),
+    upstreamsLimited: createGauge(
+      "upstreams_limited",
+      "Upstreams that state how many requests a second they take.",
+    ),
     promptPartsQuarantined: createGauge(
       "prompt_parts_quarantined",
       "Prompt parts that crash upstreams.",
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -17,9 +17,11 @@
   type PauseRequest,
   UpstreamPauses,
 } from "../policy/upstream_pauses.ts";
+import { type RateReport, UpstreamRates } from "../policy/upstream_rates.ts";
 import type {
   PromptPart,
   RoutedService,
+  StatedRate,
   UpstreamEntry,
   UpstreamLoad,
 } from "../routing/types.ts";
@@ -63,10 +65,10 @@
 export interface PlacementFailure {
   readonly reason: "no-upstream" | "upstreams-full" | "upstreams-paused";
   /**
-   * Time until the first pause of the upstreams ends, in milliseconds; only if
-   * all have asked for one.
+   * Time until an upstream takes a request again, in milliseconds; only if that
+   * is known from the pauses or limits that the upstreams have stated.
    */
-  readonly pauseMs?: number;
+  readonly waitMs?: number;
 }
 
 /** Shortest time between two removals of outdated records, in milliseconds. */
@@ -94,12 +96,14 @@
   readonly #loads = new UpstreamLoads();
   readonly #health = new UpstreamHealth();
   readonly #pauses = new UpstreamPauses();
+  readonly #rates: UpstreamRates;
   readonly #cold: ColdAllowance;
   #prunedAt = 0;
 
   constructor(options: PlacementOptions) {
     this.#options = { random: Math.random, ...options };
     this.#cold = new ColdAllowance(options);
+    this.#rates = new UpstreamRates(options);
   }
 
   /** Chooses an upstream, or says why there is none. */
@@ -112,8 +116,8 @@
     const pausesMs = usable.map(({ entry }) =>
       this.#pauses.getRemaining(entry.id, now)
     );
-    const pauseMs = Math.min(...pausesMs);
-    if (pauseMs > 0) return { reason: "upstreams-paused", pauseMs };
+    const waitMs = Math.min(...pausesMs);
+    if (waitMs > 0) return { reason: "upstreams-paused", waitMs };
     const untried = usable.filter(({ entry }, index) =>
       !request.excluded.has(entry.id) && pausesMs[index] === 0
     );
@@ -134,7 +138,7 @@
       meanLoad: getMean(this.#loads.estimate(liveIds, { now, foreign })),
       random,
     });
-    if (choice === undefined) return { reason: "upstreams-full" };
+    if (choice === undefined) return this.#explainFull(untried, now);
     const { entry } = untried.find(({ entry }) => entry.id === choice.id)!;
     const { load } = candidates.find(({ id }) => id === choice.id)!;
     const copyFrom = this.#findCopySource(request, {
@@ -166,8 +170,41 @@
 
   /** Records that a request was sent. */
   recordSent(upstream: string): void {
+    const now = this.#options.clock();
     this.#loads.recordSent(upstream);
-    this.#cold.recordSent(upstream, this.#options.clock());
+    this.#cold.recordSent(upstream, now);
+    this.#rates.recordSent(upstream, now);
+  }
+
+  /**
+   * Records the limit that an upstream states, or that it states none, in the
+   * response to a request sent at `sentAt`. Returns whether that is a change.
+   */
+  recordRate(
+    upstream: string,
+    { rate, sentAt }: { rate: StatedRate; sentAt: number },
+  ): boolean {
+    const now = this.#options.clock();
+    return this.#rates.recordStatement(upstream, { rate, sentAt, now });
+  }
+
+  /** Number of upstreams that have stated a limit. */
+  get limitedCount(): number {
+    return this.#rates.countLimited(this.#options.clock());
+  }
+
+  /** Returns the stated limits that other routers may not know. */
+  createRateReports(): RateReport[] {
+    return this.#rates.createReports(this.#options.clock());
+  }
+
+  /** Merges the limits that another router knows. */
+  receiveRateReports(reports: readonly RateReport[]): void {
+    const { routing, clock } = this.#options;
+    this.#rates.receiveReports(reports, {
+      now: clock(),
+      isKnown: (id) => routing.directory.find(id) !== undefined,
+    });
   }
 
   /** Records the load that an upstream reported in a response. */
@@ -195,6 +232,7 @@
   forget(upstream: string): void {
     this.#health.forget(upstream);
     this.#pauses.forget(upstream);
+    this.#rates.forget(upstream);
   }
 
   /**
@@ -246,7 +284,8 @@
       id: entry.id,
       load: loads[index]!,
       slots: entry.slots,
-      hasColdRoom: now >= coldUntil || this.#hasColdRoom(service, entry.id),
+      hasRoom: this.#hasRateRoom(entry.id, now) &&
+        (now >= coldUntil || this.#hasColdRoom(service, entry.id)),
       isSuspect: suspects.has(entry.id),
     }));
   }
@@ -286,6 +325,28 @@
     return peerLoads.estimateLoads({ others, now });
   }
 
+  #hasRateRoom(upstream: string, now: number): boolean {
+    return this.#rates.hasRoom(upstream, {
+      routers: this.#options.routing.routers(),
+      now,
+    });
+  }
+
+  /** Says when the first of `untried` that has stated a limit has room. */
+  #explainFull(
+    untried: readonly KnownUpstream[],
+    now: number,
+  ): PlacementFailure {
+    const routers = this.#options.routing.routers();
+    const waits = untried
+      .map(({ entry }) => this.#rates.getWait(entry.id, { routers, now }))
+      .filter((waitMs) => waitMs > 0 && Number.isFinite(waitMs));
+    return {
+      reason: "upstreams-full",
+      ...(waits.length > 0 && { waitMs: Math.min(...waits) }),
+    };
+  }
+
   #hasColdRoom(service: RoutedService, upstream: string): boolean {
     if (service.coldRequestsPerSecond === 0) return true;
     const { routing, clock, coldFactor } = this.#options;
@@ -301,6 +362,7 @@
     this.#prunedAt = now;
     this.#cold.prune(now);
     this.#pauses.prune(now);
+    this.#rates.prune(now);
     const { directory } = this.#options.routing;
     this.#loads.prune((id) => directory.find(id) !== undefined);
   }
--- a/src/platform/message_headers.ts
+++ b/src/platform/message_headers.ts
@@ -6,6 +6,7 @@
   PromptPart,
   RequestTraits,
   ResponseTraits,
+  StatedRate,
   UpstreamLoad,
 } from "../routing/types.ts";
 import { HOP_BY_HOP_HEADERS } from "../transport/hop_by_hop.ts";
@@ -65,15 +66,21 @@
 
 const STATUS_UNAVAILABLE = 503;
 const LEAVING = "1";
-const DECIMAL_SECONDS = /^\d+(\.\d+)?$/;
+const DECIMAL = /^\d+(\.\d+)?$/;
 const MS_PER_SECOND = 1_000;
 
 /** Parses seconds, with or without a fraction, into milliseconds. */
 function parseSeconds(text: string | undefined): number | undefined {
-  if (text === undefined || !DECIMAL_SECONDS.test(text)) return undefined;
+  if (text === undefined || !DECIMAL.test(text)) return undefined;
   return Number(text) * MS_PER_SECOND;
 }
 
+/** Parses a limit of requests a second; undefined if it is malformed. */
+function parseRate(text: string | undefined): StatedRate | undefined {
+  if (text === undefined) return "none";
+  return DECIMAL.test(text) ? Number(text) : undefined;
+}
+
 /** Decodes the status and the headers of an upstream's response. */
 export function decodeResponse(
   status: number,
@@ -88,6 +95,7 @@
     pauseMs: status === STATUS_UNAVAILABLE
       ? parseSeconds(getHeader(headers, HEADERS.retryAfter)?.trim())
       : undefined,
+    rate: parseRate(getHeader(headers, HEADERS.rateLimit)?.trim()),
   };
 }
 
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -21,6 +21,8 @@
   notRun: "x-not-executed",
   /** Set to "1" on a response if the upstream is leaving. */
   leaving: "server-leaving",
+  /** Requests a second that the upstream takes from all routers together. */
+  rateLimit: "server-limit",
   /** Time for which the upstream wants no request, in seconds. */
   retryAfter: "retry-after",
   /** On each answer of the store: how often it has returned to a copy. */
--- a/src/policy/upstream_choice.ts
+++ b/src/policy/upstream_choice.ts
@@ -13,8 +13,8 @@
   readonly load: number;
   /** Number of requests that it processes at the same time. */
   readonly slots: number;
-  /** False if it is cold and already received its share for this second. */
-  readonly hasColdRoom: boolean;
+  /** False if it is cold or has named a limit, and has received its share. */
+  readonly hasRoom: boolean;
   /** Whether it fails more often than the others or can't be reached. */
   readonly isSuspect: boolean;
 }
@@ -63,7 +63,7 @@
   candidates: readonly Candidate[],
   options: ChoiceOptions,
 ): UpstreamChoice | undefined {
-  const eligible = candidates.filter(({ hasColdRoom }) => hasColdRoom);
+  const eligible = candidates.filter(({ hasRoom }) => hasRoom);
   const healthy = eligible.filter(({ isSuspect }) => !isSuspect);
   if (healthy.length === 0) {
     const id = findLeastLoaded(eligible, options.random)?.id;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -164,6 +164,12 @@
   readonly lastEventId: number | undefined;
 }
 
+/**
+ * Requests a second that an upstream takes from all routers together, as it
+ * states in a response, or that it states none.
+ */
+export type StatedRate = number | "none";
+
 /** Properties of an upstream's response, decoded from its headers. */
 export interface ResponseTraits {
   /** Id of the request that the upstream responds to. */
@@ -180,6 +186,8 @@
    * milliseconds; only on refusals.
    */
   readonly pauseMs: number | undefined;
+  /** Undefined if the header can't be read. */
+  readonly rate: StatedRate | undefined;
 }
 
 /** Requests at an upstream, as it counted them when it responded. */
