Refuse what exceeds limits once the other upstreams are full

With all but one upstream under a limit, what exceeded the limits went to the one without, which lost it in its queue: 9 to 10 in 100 requests failed at their deadline or after a try without data.

The others now get it only while they have a free slot; the rest is refused at once with the time until a limited upstream has room.

--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -137,6 +137,9 @@
       ranking: ranking?.filter((id) => candidateIds.has(id)),
       meanLoad: getMean(this.#loads.estimate(liveIds, { now, foreign })),
       random,
+      isOverflow: untried.some(({ entry }) =>
+        !this.#hasRateRoom(entry.id, now)
+      ),
     });
     if (choice === undefined) return this.#explainFull(untried, now);
     const { entry } = untried.find(({ entry }) => entry.id === choice.id)!;
--- a/src/policy/upstream_choice.ts
+++ b/src/policy/upstream_choice.ts
@@ -5,6 +5,10 @@
  * requests with a common prefix reach the upstream that caches it. The first
  * upstream in this ranking whose load is within the bound is chosen. Requests
  * without a prompt go to the upstream with the lowest load per slot.
+ *
+ * Load pattern: most upstreams have named a limit, and what exceeds it would all
+ * go to the few that have named none, until these are lost in their queues.
+ * They get it only while they can run it; the rest is refused.
  */
 /** An upstream to which the request may be sent. */
 export interface Candidate {
@@ -41,6 +45,11 @@
   readonly meanLoad: number;
   /** Returns a uniform value in [0, 1). */
   readonly random: () => number;
+  /**
+   * Whether upstreams that have named a limit have no room, so that the others
+   * get their requests. False by default.
+   */
+  readonly isOverflow?: boolean;
   readonly bound?: LoadBound;
 }
 
@@ -63,7 +72,10 @@
   candidates: readonly Candidate[],
   options: ChoiceOptions,
 ): UpstreamChoice | undefined {
-  const eligible = candidates.filter(({ hasRoom }) => hasRoom);
+  const { isOverflow = false } = options;
+  const eligible = candidates.filter(({ hasRoom, load, slots }) =>
+    hasRoom && !(isOverflow && load + 1 > slots)
+  );
   const healthy = eligible.filter(({ isSuspect }) => !isSuspect);
   if (healthy.length === 0) {
     const id = findLeastLoaded(eligible, options.random)?.id;
--- a/src/policy/upstream_choice_test.ts
+++ b/src/policy/upstream_choice_test.ts
@@ -70,3 +70,20 @@
   expect(chooseUpstream(candidates, { ...IDLE, meanLoad: 5, ranking }))
     .toMatchObject({ id: "b", reason: "least-loaded" });
 });
+
+// Guards against an upstream that is lost in its queue because all others have
+// named a limit.
+test("gives what exceeds limits to others only while they can run it", () => {
+  const ranking = ["a", "b"];
+  const candidates = [
+    createCandidate("a", { load: 1, hasRoom: false }),
+    createCandidate("b", { load: 7 }),
+  ];
+  const options = { ...IDLE, ranking, isOverflow: true };
+  expect(chooseUpstream(candidates, options))
+    .toMatchObject({ id: "b", reason: "least-loaded" });
+  candidates[1] = createCandidate("b", { load: 8 });
+  expect(chooseUpstream(candidates, options)).toBeUndefined();
+  expect(chooseUpstream(candidates, { ...options, isOverflow: false }))
+    .toMatchObject({ id: "b" });
+});
