--- a/src/policy/prompt_quarantine.ts
+++ b/src/policy/prompt_quarantine.ts
@@ -68,7 +68,7 @@
 }
 
 /** Limits of a report, which bound what other routers can make this one keep. */
-export const MAX_REPORTED_PARTS = 64;
+export const MAX_REPORTED_PARTS = 32;
 /** Crashes of a part that are kept, the latest ones. */
 export const MAX_PART_CRASHES = 8;
 
--- a/src/policy/prompt_quarantine_test.ts
+++ b/src/policy/prompt_quarantine_test.ts
@@ -159,7 +159,7 @@
       const parts = ids.map((id, index) => id.padEnd(1_000, String(index)));
       quarantine.recordCrash(parts, { upstream: "up-0", sentAt: 0, now });
       return quarantine.size <= 512 &&
-        quarantine.createReports(now).length <= 64;
+        quarantine.createReports(now).length <= 32;
     }),
     { seed: 7, numRuns: 200 },
   );
