--- a/testing/registered_upstream.ts
+++ b/testing/registered_upstream.ts
@@ -237,6 +237,9 @@
 
   #sendHeartbeat(): void {
     const { store } = this.#options;
+    // Another fault may strike an upstream that has crashed.
+    clearTimeout(this.#heartbeatTimer);
+    if (this.#server === undefined) return;
     this.#heartbeatTimer = setTimeout(
       () => this.#sendHeartbeat(),
       HEARTBEAT_MS,
