--- a/bench/prompt_crashes_test.ts
+++ b/bench/prompt_crashes_test.ts
@@ -2,16 +2,11 @@
  * Requests with one part in their prompts that crash each engine which answers
  * them, on fleets of router processes; needs a build.
  */
-import { mkdtempSync, rmSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
-import { Random } from "./load/random.ts";
-import { Callers } from "./store_chaos_calls.ts";
 import type { Call } from "./store_chaos_evidence.ts";
-import { StoreFleet } from "./store_chaos_fleet.ts";
+import type { StoreFleet } from "./store_chaos_fleet.ts";
+import { openTestFleet } from "./testing/test_fleet.ts";
 
-const PROGRAM = "dist/src/daemon/main.js";
 const PART = "crashing-part";
 const FIRST_PART = "first-part";
 const ENGINES = 12;
@@ -38,52 +33,25 @@
 async function runCrashes(
   { routers, seed }: { routers: number; seed: number },
 ): Promise<CrashRun> {
-  const directory = mkdtempSync(join(tmpdir(), "prompt-crashes-"));
-  const fleet = new StoreFleet({
-    directory,
-    routers,
-    engines: ENGINES,
-    plainServices: 1,
-    program: PROGRAM,
-  });
-  await fleet.open();
-  const callers = new Callers();
-  const random = new Random(seed);
-  const sound: Promise<Call>[] = [];
-  const crashing: Promise<Call>[] = [];
-  let count = 0;
-  function call(subject: string, parts: string[], prefix: string) {
-    return callers.call({
-      requestId: `${prefix}-${seed}-${++count}`,
-      kind: random.pick(["chat", "plan"]),
-      router: random.pick(fleet.routers),
-      key: fleet.key,
-      subject,
-      parts,
-    });
-  }
-  function sendSound(): void {
+  const test = await openTestFleet({ routers, engines: ENGINES, seed });
+  const { fleet, random } = test;
+  const sound = test.sendStreams(SOUND_PER_SECOND, () => {
     const session = random.nextInteger({ min: 1, max: SOUND_SUBJECTS });
-    sound.push(call(FIRST_PART, [`session-${session}`], "sound"));
-  }
-  function sendCrashing(): void {
-    crashing.push(call(FIRST_PART, [PART], "crashing"));
-  }
-  const soundTimer = setInterval(sendSound, 1_000 / SOUND_PER_SECOND);
+    return [FIRST_PART, `session-${session}`];
+  });
   await sleep(BEFORE_MS);
   fleet.crashingParts.add(PART);
-  const crashTimer = setInterval(sendCrashing, 1_000 / CRASHING_PER_SECOND);
+  const crashing = test.sendStreams(
+    CRASHING_PER_SECOND,
+    () => [FIRST_PART, PART],
+  );
   await sleep(CRASHING_MS);
-  clearInterval(crashTimer);
-  clearInterval(soundTimer);
   const run = {
     fleet,
-    sound: await Promise.all(sound),
-    crashing: await Promise.all(crashing),
+    crashing: await crashing.stop(),
+    sound: await sound.stop(),
   };
-  callers.close();
-  await fleet.close();
-  rmSync(directory, { recursive: true });
+  await test.close();
   return run;
 }
 
--- /dev/null
+++ b/bench/testing/test_fleet.ts
@@ -0,0 +1,92 @@
+/**
+ * A fleet of router processes with a metadata store for one test, and callers
+ * that send requests to any of its routers.
+ */
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Random } from "../load/random.ts";
+import { Callers } from "../store_chaos_calls.ts";
+import type { Call } from "../store_chaos_evidence.ts";
+import { StoreFleet } from "../store_chaos_fleet.ts";
+
+/** Options of `openTestFleet`. */
+export interface TestFleetOptions {
+  readonly routers: number;
+  readonly engines: number;
+  readonly seed: number;
+}
+
+const PROGRAM = "dist/src/daemon/main.js";
+const MS_PER_SECOND = 1_000;
+
+/** Starts a fleet and waits until its routers are ready. */
+export async function openTestFleet(
+  { routers, engines, seed }: TestFleetOptions,
+): Promise<TestFleet> {
+  const directory = mkdtempSync(join(tmpdir(), "test-fleet-"));
+  const fleet = new StoreFleet({
+    directory,
+    routers,
+    engines,
+    plainServices: 1,
+    program: PROGRAM,
+  });
+  await fleet.open();
+  return new TestFleet(fleet, { directory, seed });
+}
+
+/** A running fleet and its callers. */
+export class TestFleet {
+  readonly fleet: StoreFleet;
+  readonly random: Random;
+  readonly #directory: string;
+  readonly #seed: number;
+  readonly #callers = new Callers();
+  #requestCount = 0;
+
+  constructor(
+    fleet: StoreFleet,
+    { directory, seed }: { directory: string; seed: number },
+  ) {
+    this.fleet = fleet;
+    this.random = new Random(seed);
+    this.#directory = directory;
+    this.#seed = seed;
+  }
+
+  /**
+   * Sends `perSecond` streams a second at any router until `stop` is called,
+   * which resolves with all of them once they have ended. `getPrompt` returns
+   * the ids of the parts that requests share.
+   */
+  sendStreams(
+    perSecond: number,
+    getPrompt: () => readonly [string, ...string[]],
+  ): { stop(): Promise<Call[]> } {
+    const calls: Promise<Call>[] = [];
+    const timer = setInterval(() => {
+      const [subject, ...parts] = getPrompt();
+      calls.push(this.#callers.call({
+        requestId: `${this.#seed}-${++this.#requestCount}`,
+        kind: this.random.pick(["chat", "plan"]),
+        router: this.random.pick(this.fleet.routers),
+        key: this.fleet.key,
+        subject,
+        parts,
+      }));
+    }, MS_PER_SECOND / perSecond);
+    return {
+      stop: () => {
+        clearInterval(timer);
+        return Promise.all(calls);
+      },
+    };
+  }
+
+  async close(): Promise<void> {
+    this.#callers.close();
+    await this.fleet.close();
+    rmSync(this.#directory, { recursive: true });
+  }
+}
--- a/bench/upstream_limits_test.ts
+++ b/bench/upstream_limits_test.ts
@@ -2,17 +2,11 @@
  * Engines that name in their answers how many requests a second they take from
  * all routers together, on fleets of router processes; needs a build.
  */
-import { mkdtempSync, rmSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { UpstreamArrival } from "../testing/registered_upstream.ts";
-import { Random } from "./load/random.ts";
-import { Callers } from "./store_chaos_calls.ts";
 import type { Call } from "./store_chaos_evidence.ts";
-import { StoreFleet } from "./store_chaos_fleet.ts";
+import { openTestFleet } from "./testing/test_fleet.ts";
 
-const PROGRAM = "dist/src/daemon/main.js";
 const ENGINES = 6;
 const LIMITED_ENGINES = 4;
 const REQUESTS_PER_SECOND = 60;
@@ -42,40 +36,22 @@
     seed: number;
   },
 ): Promise<LimitRun> {
-  const directory = mkdtempSync(join(tmpdir(), "upstream-limits-"));
-  const fleet = new StoreFleet({
-    directory,
-    routers,
-    engines: ENGINES,
-    plainServices: 1,
-    program: PROGRAM,
-  });
-  await fleet.open();
-  const callers = new Callers();
-  const random = new Random(seed);
-  const calls: Promise<Call>[] = [];
-  const timer = setInterval(() => {
-    calls.push(callers.call({
-      requestId: `${seed}-${calls.length}`,
-      kind: random.pick(["chat", "plan"]),
-      router: random.pick(fleet.routers),
-      key: fleet.key,
-      subject: `subject-${random.nextInteger({ min: 1, max: SUBJECTS })}`,
-    }));
-  }, MS_PER_SECOND / REQUESTS_PER_SECOND);
+  const test = await openTestFleet({ routers, engines: ENGINES, seed });
+  const { fleet, random } = test;
+  const load = test.sendStreams(
+    REQUESTS_PER_SECOND,
+    () => [`subject-${random.nextInteger({ min: 1, max: SUBJECTS })}`],
+  );
   const limited = fleet.upstreams.slice(0, LIMITED_ENGINES);
   await sleep(BEFORE_MS);
   for (const upstream of limited) upstream.limitPerSecond = limitPerSecond;
   await sleep(LIMITED_MS);
   for (const upstream of limited) upstream.limitPerSecond = undefined;
   await sleep(AFTER_MS);
-  clearInterval(timer);
-  const ended = await Promise.all(calls);
-  callers.close();
-  await fleet.close();
-  rmSync(directory, { recursive: true });
+  const calls = await load.stop();
+  await test.close();
   const limitedIds = limited.map(({ id }) => id);
-  return { arrivals: fleet.arrivals, calls: ended, limitedIds };
+  return { arrivals: fleet.arrivals, calls, limitedIds };
 }
 
 /** Returns the most requests that a limited upstream got in any window. */
