Let a process that runs tests claim several parts of the ports

A soak with 60 routers needs 300 ports and got 90, so that two of its routers were given the same one (EADDRINUSE). A process now claims up to five parts.

--- a/testing/free_address.ts
+++ b/testing/free_address.ts
@@ -4,7 +4,7 @@
  *
  * The ports are below the ephemeral range, because an outgoing connection could
  * otherwise take a port between its selection and its use. Each process that
- * runs tests claims its own part of the ports in a file, since another one could
+ * runs tests claims its own parts of the ports in files, since another one could
  * take a port in that time as well.
  */
 import { mkdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
@@ -21,14 +21,18 @@
 /** Holds a file for each claimed part, with the id of its process. */
 const CLAIM_DIRECTORY = join(tmpdir(), "corianderflow-ports");
 
-let claimedPart: number | undefined;
+/** Parts of one process; enough for a fleet of 80 routers. */
+const MAX_PARTS = 5;
+
+const claimedParts: number[] = [];
 let nextOffset = 0;
 
 /** Finds a free address, `ip:port`; consecutive calls return different ones. */
 export async function findFreeAddress(): Promise<string> {
-  claimedPart ??= claimPart();
   while (true) {
-    const port = FIRST_PORT + claimedPart * PORTS_PER_PART +
+    const index = Math.floor(nextOffset / PORTS_PER_PART) % MAX_PARTS;
+    if (index === claimedParts.length) claimedParts.push(claimPart());
+    const port = FIRST_PORT + claimedParts[index]! * PORTS_PER_PART +
       nextOffset % PORTS_PER_PART;
     nextOffset++;
     if (await isPortFree(port)) return `127.0.0.1:${port}`;
@@ -42,7 +46,7 @@
 }
 
 /**
- * Claims a part of the ports until this process ends.
+ * Claims another part of the ports until this process ends.
  *
  * @throws {RangeError} If running processes have claimed all parts.
  */
@@ -51,7 +55,7 @@
   const first = (process.pid * PART_STEP) % PART_COUNT;
   for (let tries = 0; tries < PART_COUNT; tries++) {
     const part = (first + tries) % PART_COUNT;
-    if (tryClaimPart(part)) return part;
+    if (!claimedParts.includes(part) && tryClaimPart(part)) return part;
   }
   throw new RangeError(
     `all ${PART_COUNT} parts of the ports are claimed in ${CLAIM_DIRECTORY}`,
--- a/testing/free_address_test.ts
+++ b/testing/free_address_test.ts
@@ -23,7 +23,11 @@
   expect(getPart(other.trim())).not.toBe(own);
 });
 
-test("consecutive addresses differ", async () => {
-  const addresses = [await findFreeAddress(), await findFreeAddress()];
-  expect(new Set(addresses).size).toBe(2);
+// Guards against a large fleet that gets the same port for two of its servers.
+test("consecutive addresses differ, also of a large fleet", async () => {
+  const addresses: string[] = [];
+  for (let each = 0; each < 400; each++) {
+    addresses.push(await findFreeAddress());
+  }
+  expect(new Set(addresses).size).toBe(400);
 });
