Log the digest of a request under which an upstream ended

Nothing in the logs told whether the requests under which upstreams ended were the same one: their ids differ, and those to plain services name no prompt parts. The digest covers workspace, method, host, target and body.

--- a/src/ingress/crash_watch.ts
+++ b/src/ingress/crash_watch.ts
@@ -26,6 +26,8 @@
 /** A request whose connection to an upstream broke. */
 export interface LostRequest {
   readonly requestId: string;
+  /** Identifies the same request when it comes again. */
+  readonly digest: string;
   readonly entry: UpstreamEntry;
   readonly parts: readonly PromptPart[];
   /** Monotonic time at which it was sent, in milliseconds. */
@@ -66,7 +68,7 @@
    * still accepts others.
    */
   async recordLost(
-    { requestId, entry, parts, sentAt }: LostRequest,
+    { requestId, digest, entry, parts, sentAt }: LostRequest,
   ): Promise<boolean> {
     const { connections, clock, log } = this.#options;
     const now = clock();
@@ -76,6 +78,7 @@
     log.info("An upstream ended under a request.", {
       upstream: entry.id,
       requestId,
+      digest,
       sentMs: Math.round(now - sentAt),
     });
     this.#logChanges();
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -6,6 +6,7 @@
 import type { RoutingView } from "../control/routing_controller.ts";
 import { encodeUpstreamHeaders } from "../platform/message_headers.ts";
 import { AttemptPlan } from "../policy/attempt_plan.ts";
+import { createRequestDigest } from "../policy/request_digest.ts";
 import type { Hash } from "../policy/rendezvous.ts";
 import { pickTarget } from "../policy/route_table.ts";
 import type { QuarantinedPart } from "../policy/prompt_quarantine.ts";
@@ -288,7 +289,25 @@
       return false;
     }
     if (!isPossibleCrash(tryOutcome)) return false;
-    return await crashes.recordLost({ requestId, entry, parts, sentAt });
+    const digest = this.#createDigest();
+    return await crashes.recordLost({
+      requestId,
+      digest,
+      entry,
+      parts,
+      sentAt,
+    });
+  }
+
+  #createDigest(): string {
+    const { request, workspace, body } = this.#exchange;
+    return createRequestDigest({
+      workspace: workspace?.name,
+      method: request.method ?? "GET",
+      host: request.headers.host ?? "",
+      target: request.url ?? "/",
+      body,
+    });
   }
 
   /**
