--- a/bench/chaos_faults.ts
+++ b/bench/chaos_faults.ts
@@ -172,6 +172,7 @@
       case "watches-silent":
         return this.#createKeyValueAction({ silentWatches: true }, undefined);
       case "prompt-crashes":
+      case "request-crashes":
       case "store-restored":
         throw new RangeError(`${kind}: this fleet has no metadata store`);
       case "operators-race":
--- a/bench/store_chaos_calls.ts
+++ b/bench/store_chaos_calls.ts
@@ -27,6 +27,8 @@
   readonly subject: string;
   /** Ids of further parts of the prompt, before the request's own. */
   readonly parts?: readonly string[];
+  /** JSON body; by default one that no other request has. */
+  readonly body?: string;
 }
 
 interface CallResult {
@@ -61,7 +63,7 @@
     const prompt = [subject, ...parts].map((part) => `${part}:80`).join();
     const [host, port] = router.address.split(":");
     const isPost = kind !== "read";
-    const body = isPost ? JSON.stringify({ requestId }) : "";
+    const { body = isPost ? JSON.stringify({ requestId }) : "" } = options;
     return new Promise((resolve) => {
       const request = sendRequest({
         agent: this.#agent,
--- a/bench/store_chaos_evidence.ts
+++ b/bench/store_chaos_evidence.ts
@@ -42,6 +42,13 @@
   readonly detail: string;
 }
 
+/** A request that crashes each upstream that begins to run it. */
+export interface CrashingCall extends Call {
+  /** What of the request crashes upstreams; see `UpstreamCrash`. */
+  readonly cause: string;
+  readonly causeKind: "part" | "request";
+}
+
 /**
  * An injected fault and the time in which it may have had an effect, on the
  * monotonic clock.
@@ -72,7 +79,9 @@
   readonly faultFreeMs: number;
   /** Crashes under a prompt part after which the routers must avoid it. */
   readonly maxPartCrashes: number;
-  /** Requests with the part that may reach an engine after `faultFreeMs`. */
+  /** The same for a request that comes again as a whole. */
+  readonly maxRequestCrashes: number;
+  /** Requests that may reach an upstream `faultFreeMs` after these crashes. */
   readonly maxLaterArrivals: number;
   /** Maximum number of requests that a cold upstream may get in any second. */
   readonly maxColdRequestsPerSecond: number;
@@ -83,8 +92,8 @@
   readonly calls: readonly Call[];
   /** Requests sent after the faults, which must be served. */
   readonly recovery: readonly Call[];
-  /** Requests with a prompt part that crashes engines. */
-  readonly crashing: readonly Call[];
+  /** Requests that crash upstreams. */
+  readonly crashing: readonly CrashingCall[];
   readonly crashes: readonly UpstreamCrash[];
   readonly arrivals: readonly UpstreamArrival[];
   readonly windows: readonly FaultWindow[];
--- a/bench/store_chaos_fleet.ts
+++ b/bench/store_chaos_fleet.ts
@@ -42,6 +42,7 @@
   revokeMs: 5_000,
   faultFreeMs: 3_000,
   maxPartCrashes: 5,
+  maxRequestCrashes: 3,
   maxLaterArrivals: 3,
   maxColdRequestsPerSecond: 17,
 };
@@ -68,6 +69,8 @@
   readonly withdrawals: Withdrawal[] = [];
   /** Ids of the prompt parts that crash the engines that answer them. */
   readonly crashingParts = new Set<string>();
+  /** JSON bodies of the requests that crash the upstreams that run them. */
+  readonly crashingBodies = new Set<string>();
   readonly crashes: UpstreamCrash[] = [];
   readonly #options: Required<StoreFleetOptions>;
   readonly #processes: Processes;
@@ -207,6 +210,7 @@
         store: this.store,
         onArrival: (arrival) => this.arrivals.push(arrival),
         crashingParts: this.crashingParts,
+        crashingBodies: this.crashingBodies,
         onCrash: (crash) => this.crashes.push(crash),
       });
       await upstream.start({ isCold: false });
--- a/bench/store_chaos_run.ts
+++ b/bench/store_chaos_run.ts
@@ -6,10 +6,11 @@
 import type { RelayFaults } from "../testing/relay.ts";
 import { runArrivals } from "./load/arrivals.ts";
 import { Random } from "./load/random.ts";
-import { Callers } from "./store_chaos_calls.ts";
+import { Callers, type CallOptions } from "./store_chaos_calls.ts";
 import type {
   Call,
   CallKind,
+  CrashingCall,
   FaultWindow,
   StoreChaosEvidence,
 } from "./store_chaos_evidence.ts";
@@ -57,10 +58,11 @@
   "store-restored",
 ] as const satisfies readonly ChaosKind[];
 
-/** All of these, and prompts that crash engines. */
+/** All of these, and prompts and requests that crash upstreams. */
 export const STORE_SOAK_KINDS = [
   ...STORE_RESTORE_KINDS,
   "prompt-crashes",
+  "request-crashes",
 ] as const satisfies readonly ChaosKind[];
 type StoreChaosKind = typeof STORE_SOAK_KINDS[number];
 
@@ -128,8 +130,8 @@
   /** Settles when the latest fault at a target has ended, by target. */
   readonly #lastFaultByTarget = new Map<string, Promise<void>>();
   #requestCount = 0;
-  readonly #crashing: Promise<Call>[] = [];
-  #crashingPartCount = 0;
+  readonly #crashing: Promise<CrashingCall>[] = [];
+  #crashCauseCount = 0;
 
   constructor(options: StoreChaosOptions) {
     this.#options = options;
@@ -273,7 +275,9 @@
         fleet.store.returnToCopy();
         return await fleet.writeAgain();
       case "prompt-crashes":
-        return await this.#sendCrashingRequests(durationMs);
+        return await this.#sendCrashingPrompts(durationMs);
+      case "request-crashes":
+        return await this.#sendCrashingRequest(durationMs);
       case "failure-domain-out": {
         fleet.takeOut(target);
         const untilMs = performance.now() + durationMs;
@@ -289,20 +293,46 @@
   }
 
   /** Sends requests with a new prompt part that crashes engines. */
-  async #sendCrashingRequests(durationMs: number): Promise<void> {
+  #sendCrashingPrompts(durationMs: number): Promise<void> {
+    const cause = `crashing-${++this.#crashCauseCount}`;
+    this.#options.fleet.crashingParts.add(cause);
+    return this.#sendCrashing(() => ({
+      kind: this.#random.pick(["chat", "plan"]),
+      subject: this.#pickSubject(),
+      parts: [cause],
+    }), { cause, causeKind: "part", durationMs });
+  }
+
+  /** Sends one request again and again that crashes the upstreams that run it. */
+  #sendCrashingRequest(durationMs: number): Promise<void> {
+    const cause = JSON.stringify({ crash: ++this.#crashCauseCount });
+    this.#options.fleet.crashingBodies.add(cause);
+    const kind = this.#random.pick(["book", "chat", "plan"] as const);
+    const subject = this.#pickSubject();
+    return this.#sendCrashing(
+      () => ({ kind, subject, body: cause }),
+      { cause, causeKind: "request", durationMs },
+    );
+  }
+
+  async #sendCrashing(
+    createCall: () => Pick<CallOptions, "kind" | "subject" | "parts" | "body">,
+    { cause, causeKind, durationMs }: {
+      cause: string;
+      causeKind: CrashingCall["causeKind"];
+      durationMs: number;
+    },
+  ): Promise<void> {
     const { fleet, seed } = this.#options;
-    const part = `crashing-${++this.#crashingPartCount}`;
-    fleet.crashingParts.add(part);
     const startMs = performance.now();
     await runArrivals(() => {
-      this.#crashing.push(this.#callers.call({
-        requestId: `${part}-${seed}-${++this.#requestCount}`,
-        kind: this.#random.pick(["chat", "plan"]),
+      const call = this.#callers.call({
+        requestId: `crashing-${seed}-${++this.#requestCount}`,
         router: this.#random.pick(fleet.routers),
         key: fleet.key,
-        subject: this.#pickSubject(),
-        parts: [part],
-      }));
+        ...createCall(),
+      });
+      this.#crashing.push(call.then((each) => ({ ...each, cause, causeKind })));
     }, {
       random: this.#random,
       rate: CRASHING_REQUESTS_PER_SECOND,
--- a/bench/store_chaos_verdict.ts
+++ b/bench/store_chaos_verdict.ts
@@ -40,6 +40,7 @@
 const UPSTREAM_FAULTS: ReadonlySet<ChaosKind> = new Set([
   "engine-killed",
   "prompt-crashes",
+  "request-crashes",
   "engine-leaving",
   "link-silent",
   "link-cut",
@@ -68,7 +69,7 @@
     ...checkUnauthorizedCalls(evidence),
     ...checkColdStarts(evidence),
     ...checkForwardedRequests(evidence),
-    ...checkCrashingParts(evidence, routers),
+    ...checkCrashingRequests(evidence, routers),
     ...checkStops(evidence),
     ...checkRecovery(evidence),
   ];
@@ -260,25 +261,31 @@
 }
 
 /**
- * A prompt part under which several engines have crashed is kept from engines
- * by each router that could know it.
+ * Requests under which several upstreams have crashed for the same cause are
+ * kept from upstreams by each router that could know it.
  */
-function checkCrashingParts(
+function checkCrashingRequests(
   evidence: StoreChaosEvidence,
   routers: ReadonlyMap<string, string>,
 ): StoreChaosViolation[] {
   const { crashes, crashing, arrivals, bounds } = evidence;
-  const sentAtMs = new Map(
-    crashing.map(({ requestId, fromMs }) => [requestId, fromMs]),
+  const kinds = new Map(
+    crashing.map(({ cause, causeKind }) => [cause, causeKind]),
   );
-  const parts = new Set(crashes.map(({ part }) => part));
-  return [...parts].flatMap((part) => {
-    const own = crashes.filter((each) => each.part === part);
-    const crash = own[bounds.maxPartCrashes - 1];
+  return [...kinds].flatMap(([cause, kind]) => {
+    const maxCrashes = kind === "part"
+      ? bounds.maxPartCrashes
+      : bounds.maxRequestCrashes;
+    const own = crashes.filter((each) => each.cause === cause);
+    const crash = own[maxCrashes - 1];
     if (crash === undefined) return [];
     const knownAtMs = crash.atMs + bounds.faultFreeMs;
-    const later = arrivals.filter(({ promptParts, requestId, atMs }) =>
-      promptParts.includes(part) && sentAtMs.get(requestId)! > knownAtMs &&
+    const late = new Set(
+      crashing.filter((call) => call.cause === cause && call.fromMs > knownAtMs)
+        .map(({ requestId }) => requestId),
+    );
+    const later = arrivals.filter(({ requestId, atMs }) =>
+      late.has(requestId) &&
       isUnaffected(evidence, {
         router: routers.get(requestId) ?? "",
         fromMs: crash.atMs,
@@ -287,9 +294,9 @@
     );
     if (later.length <= bounds.maxLaterArrivals) return [];
     return [{
-      promise: "a crashing prompt is contained",
+      promise: `a crashing ${kind === "part" ? "prompt" : kind} is contained`,
       requestId: later[0]!.requestId,
-      detail: `${part} reached engines ${later.length} times more`,
+      detail: `${cause} reached upstreams ${later.length} times more`,
     }];
   });
 }
--- a/bench/store_chaos_verdict_test.ts
+++ b/bench/store_chaos_verdict_test.ts
@@ -51,6 +51,7 @@
       revokeMs: 5_000,
       faultFreeMs: 3_000,
       maxPartCrashes: 2,
+      maxRequestCrashes: 3,
       maxLaterArrivals: 1,
       maxColdRequestsPerSecond: 2,
     },
@@ -157,35 +158,59 @@
   ).toEqual([]);
 });
 
-test("a prompt part that goes on reaching engines after crashes is found", () => {
-  const crashes = [0, 100, 200].map((atMs) => ({
-    upstream: `up-${atMs}`,
-    requestId: "first",
-    part: "bad",
-    atMs,
-  }));
-  const promptParts = ["subject", "bad", "own"];
-  function find(fromMs: number, windows: readonly FaultWindow[] = []) {
-    const ids = ["r-1", "r-2"];
-    return findViolations({
-      crashes,
-      windows,
-      crashing: ids.map((requestId) =>
-        createCall({ requestId, fromMs, end: "failed", kind: "chat" })
-      ),
-      arrivals: ids.map((requestId) =>
-        createArrival({ requestId, promptParts, atMs: fromMs + 10 })
-      ),
-    });
-  }
-  expect(find(3_101)).toEqual(["a crashing prompt is contained"]);
-  expect(find(3_099)).toEqual([]);
-  const target = "router-0";
-  const window = {
-    kind: "router-killed",
-    target,
-    fromMs: 0,
-    toMs: 50,
-  } as const;
-  expect(find(3_101, [window])).toEqual([]);
-});
+test.each(
+  [
+    {
+      causeKind: "part",
+      crashCount: 2,
+      promise: "a crashing prompt is contained",
+    },
+    {
+      causeKind: "request",
+      crashCount: 3,
+      promise: "a crashing request is contained",
+    },
+  ] as const,
+)(
+  "a $causeKind that goes on reaching upstreams after crashes is found",
+  ({ causeKind, crashCount, promise }) => {
+    const crashes = [0, 100, 200].slice(0, crashCount).map((atMs) => ({
+      upstream: `up-${atMs}`,
+      requestId: "first",
+      cause: "bad",
+      atMs,
+    }));
+    const knownAtMs = crashes.at(-1)!.atMs + 3_000;
+    function find(
+      fromMs: number,
+      { windows = [], cause = "bad" }: {
+        windows?: readonly FaultWindow[];
+        cause?: string;
+      } = {},
+    ) {
+      const ids = ["r-1", "r-2"];
+      return findViolations({
+        crashes,
+        windows,
+        crashing: ids.map((requestId) => ({
+          ...createCall({ requestId, fromMs, end: "failed", kind: "chat" }),
+          cause,
+          causeKind,
+        })),
+        arrivals: ids.map((requestId) =>
+          createArrival({ requestId, atMs: fromMs + 10 })
+        ),
+      });
+    }
+    expect(find(knownAtMs + 1)).toEqual([promise]);
+    expect(find(knownAtMs - 1)).toEqual([]);
+    expect(find(knownAtMs + 1, { cause: "other" })).toEqual([]);
+    const window = {
+      kind: "router-killed",
+      target: "router-0",
+      fromMs: 0,
+      toMs: 50,
+    } as const;
+    expect(find(knownAtMs + 1, { windows: [window] })).toEqual([]);
+  },
+);
--- a/bench/testing/test_fleet.ts
+++ b/bench/testing/test_fleet.ts
@@ -6,7 +6,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Random } from "../load/random.ts";
-import { Callers } from "../store_chaos_calls.ts";
+import { Callers, type CallOptions } from "../store_chaos_calls.ts";
 import type { Call } from "../store_chaos_evidence.ts";
 import { StoreFleet } from "../store_chaos_fleet.ts";
 
@@ -14,6 +14,8 @@
 export interface TestFleetOptions {
   readonly routers: number;
   readonly engines: number;
+  /** 1 by default. */
+  readonly plainServices?: number;
   readonly seed: number;
 }
 
@@ -22,14 +24,14 @@
 
 /** Starts a fleet and waits until its routers are ready. */
 export async function openTestFleet(
-  { routers, engines, seed }: TestFleetOptions,
+  { routers, engines, plainServices = 1, seed }: TestFleetOptions,
 ): Promise<TestFleet> {
   const directory = mkdtempSync(join(tmpdir(), "test-fleet-"));
   const fleet = new StoreFleet({
     directory,
     routers,
     engines,
-    plainServices: 1,
+    plainServices,
     program: PROGRAM,
   });
   await fleet.open();
@@ -63,17 +65,26 @@
   sendStreams(
     perSecond: number,
     getPrompt: () => readonly [string, ...string[]],
+  ): { stop(): Promise<Call[]> } {
+    return this.sendCalls(perSecond, () => {
+      const [subject, ...parts] = getPrompt();
+      const kind = this.random.pick(["chat", "plan"] as const);
+      return { kind, subject, parts };
+    });
+  }
+
+  /** Sends `perSecond` requests a second in the same way. */
+  sendCalls(
+    perSecond: number,
+    createCall: () => Pick<CallOptions, "kind" | "subject" | "parts" | "body">,
   ): { stop(): Promise<Call[]> } {
     const calls: Promise<Call>[] = [];
     const timer = setInterval(() => {
-      const [subject, ...parts] = getPrompt();
       calls.push(this.#callers.call({
         requestId: `${this.#seed}-${++this.#requestCount}`,
-        kind: this.random.pick(["chat", "plan"]),
         router: this.random.pick(this.fleet.routers),
         key: this.fleet.key,
-        subject,
-        parts,
+        ...createCall(),
       }));
     }, MS_PER_SECOND / perSecond);
     return {
--- a/testing/chaos_schedule.ts
+++ b/testing/chaos_schedule.ts
@@ -39,6 +39,8 @@
   | "store-restored"
   /** Callers send requests with a prompt part that crashes engines. */
   | "prompt-crashes"
+  /** Callers send one request again and again that crashes upstreams. */
+  | "request-crashes"
   /** Two operators commit conflicting changes at the same time. */
   | "operators-race"
   | "failure-domain-out"
@@ -194,6 +196,10 @@
     targets: "callers",
     durationRangeMs: { min: 5_000, max: 12_000 },
   },
+  "request-crashes": {
+    targets: "callers",
+    durationRangeMs: { min: 5_000, max: 12_000 },
+  },
   "operators-race": {
     targets: "failureDomains",
     durationRangeMs: { min: 500, max: 2_000 },
@@ -212,6 +218,7 @@
 const METADATA_STORE_KINDS: ReadonlySet<ChaosKind> = new Set([
   "store-restored",
   "prompt-crashes",
+  "request-crashes",
 ]);
 const DEFAULT_KINDS = (Object.keys(FAULT_SPECS) as ChaosKind[])
   .filter((kind) => !METADATA_STORE_KINDS.has(kind));
--- a/testing/registered_upstream.ts
+++ b/testing/registered_upstream.ts
@@ -50,6 +50,11 @@
    * request with them; the set may change while the upstream runs.
    */
   readonly crashingParts?: ReadonlySet<string>;
+  /**
+   * JSON bodies of requests that crash each upstream that begins to run them;
+   * the set may change while the upstream runs.
+   */
+  readonly crashingBodies?: ReadonlySet<string>;
   /** Called when the process has crashed. */
   readonly onCrash?: (crash: UpstreamCrash) => void;
 }
@@ -58,8 +63,8 @@
 export interface UpstreamCrash {
   readonly upstream: string;
   readonly requestId: string;
-  /** Part of the prompt that caused it. */
-  readonly part: string;
+  /** Part of the prompt, or body of the request, that caused it. */
+  readonly cause: string;
   /** Time on the monotonic clock, in milliseconds. */
   readonly atMs: number;
 }
@@ -134,6 +139,7 @@
   constructor(options: RegisteredUpstreamOptions) {
     this.#options = {
       crashingParts: new Set(),
+      crashingBodies: new Set(),
       onCrash: () => {},
       ...options,
     };
@@ -220,8 +226,8 @@
   }
 
   /** Ends the process with all of its connections; it starts again later. */
-  async #crash(requestId: string, part: string): Promise<void> {
-    const crash = { upstream: this.id, requestId, part };
+  async #crash(requestId: string, cause: string): Promise<void> {
+    const crash = { upstream: this.id, requestId, cause };
     this.#options.onCrash({ ...crash, atMs: performance.now() });
     this.#hasCrashed = true;
     const ended = [this.kill(), this.#relay.setFaults({ cut: true })];
@@ -229,6 +235,16 @@
     await Promise.all(ended);
   }
 
+  /** Returns what of a request crashes the upstream; undefined if nothing. */
+  #findCrashCause(
+    promptParts: readonly string[],
+    body: string,
+  ): string | undefined {
+    const { crashingParts, crashingBodies } = this.#options;
+    if (crashingBodies.has(body)) return body;
+    return promptParts.slice(0, -1).find((id) => crashingParts.has(id));
+  }
+
   async #closeServer(): Promise<void> {
     const server = this.#server;
     this.#server = undefined;
@@ -310,7 +326,7 @@
     }
     this.#runningRequests++;
     try {
-      await readJson(request);
+      const body = JSON.stringify(await readJson(request));
       await sleep(SERVICE_MS);
       if (this.#server !== server || response.destroyed) return;
       response.setHeader("x-attempt-id", requestId);
@@ -320,16 +336,17 @@
       );
       const load = `${this.#runningRequests},0,${SLOTS}`;
       response.setHeader("x-runner-load", load);
-      const part = promptParts.slice(0, -1)
-        .find((id) => this.#options.crashingParts.has(id));
-      if (part !== undefined) {
-        response.writeHead(200, { "content-type": "text/event-stream" });
-        response.flushHeaders();
+      const isPlain = request.url!.startsWith("/read") ||
+        request.url!.startsWith("/book");
+      const cause = this.#findCrashCause(promptParts, body);
+      if (cause !== undefined) {
+        if (!isPlain) {
+          response.writeHead(200, { "content-type": "text/event-stream" });
+          response.flushHeaders();
+        }
         await sleep(CRASH_DELAY_MS);
-        if (this.#server === server) await this.#crash(requestId, part);
-      } else if (
-        request.url!.startsWith("/read") || request.url!.startsWith("/book")
-      ) {
+        if (this.#server === server) await this.#crash(requestId, cause);
+      } else if (isPlain) {
         response.end(JSON.stringify({ requestId, upstream: this.id }));
       } else await this.#streamEvents(response, { requestId, lastEventId });
     } finally {
