Keep a request that crashes upstreams away from those that still run

Callers saw the engine service lose requests for as long as one request came again: it ended each upstream that began to run it, and others were lost there with it. Upstreams of plain services could end in the same way.

Cause: the end of an upstream counted against the parts that prompts share, and each answer to another request with these parts cleared them. Nothing counted against the request itself.

Now a request as a whole is a subject of the same quarantine, known by a digest of workspace, method, host, target and body, and requests without prompt parts are watched too. Quarantined requests explain the crashes of the parts that they share with sound ones. All crashes of a part that had requests of one other workspace refuse it to nobody else.

--- a/bench/store_chaos_test.ts
+++ b/bench/store_chaos_test.ts
@@ -87,3 +87,15 @@
   },
   TEST_TIMEOUT_MS,
 );
+
+test(
+  "a fleet with relays meets them while requests crash upstreams",
+  async () => {
+    const evidence = await runFaults(1919, STORE_SOAK_KINDS);
+    expect(evidence.windows.map(({ kind }) => kind)).toEqual(
+      expect.arrayContaining(["prompt-crashes", "request-crashes"]),
+    );
+    expect(findStoreChaosViolations(evidence)).toEqual([]);
+  },
+  TEST_TIMEOUT_MS,
+);
--- a/src/control/peer_messages.ts
+++ b/src/control/peer_messages.ts
@@ -12,11 +12,12 @@
   type JSONRPCID,
 } from "json-rpc-2.0";
 import {
-  MAX_PART_CRASHES,
-  MAX_REPORTED_PARTS,
-  type PartCrash,
-  type PartReport,
-} from "../policy/prompt_quarantine.ts";
+  MAX_CRASH_WORKSPACES,
+  MAX_REPORTED_SUBJECTS,
+  MAX_SUBJECT_CRASHES,
+  type SubjectCrash,
+  type SubjectReport,
+} from "../policy/crash_quarantine.ts";
 import type { LoadCounts, RouterLoads } from "../policy/peer_loads.ts";
 import {
   MAX_REPORTED_RATES,
@@ -26,8 +27,11 @@
 
 /** What a router has learned about upstreams from requests. */
 export interface FindingsReport {
-  /** Prompt parts under which upstreams ended, or that one has answered. */
-  readonly promptParts?: readonly PartReport[];
+  /**
+   * Prompt parts and whole requests under which upstreams ended, or that one
+   * has answered.
+   */
+  readonly promptParts?: readonly SubjectReport[];
   /** Limits that upstreams have stated. */
   readonly rates?: readonly RateReport[];
 }
@@ -77,7 +81,7 @@
  * time, at the size planned for in two years.
  */
 const MAX_UPSTREAMS = 12_000;
-/** Length of the keys of prompt parts and upstreams; they are 16 digits. */
+/** Exceeds the length of the keys of prompt parts, requests and upstreams. */
 const MAX_KEY_LENGTH = 32;
 /** Exceeds the time for which any finding is kept, in milliseconds. */
 const MAX_AGE_MS = 3_600_000;
@@ -123,17 +127,22 @@
   return typeof value === "string" && value.length <= MAX_KEY_LENGTH;
 }
 
-function isPartCrash(value: unknown): value is PartCrash {
+function isSubjectCrash(value: unknown): value is SubjectCrash {
   return isObject(value) && isKey(value["upstream"]) &&
+    (value["workspaces"] === undefined ||
+      isBoundedList(value["workspaces"], {
+        max: MAX_CRASH_WORKSPACES,
+        isItem: isKey,
+      })) &&
     isAge(value["sentAgeMs"]) && isAge(value["ageMs"]);
 }
 
-function isPartReport(value: unknown): value is PartReport {
+function isSubjectReport(value: unknown): value is SubjectReport {
   return isObject(value) && isKey(value["part"]) &&
     (value["clearedAgeMs"] === undefined || isAge(value["clearedAgeMs"])) &&
     isBoundedList(value["crashes"], {
-      max: MAX_PART_CRASHES,
-      isItem: isPartCrash,
+      max: MAX_SUBJECT_CRASHES,
+      isItem: isSubjectCrash,
     });
 }
 
@@ -148,8 +157,8 @@
   if (!isObject(value)) return false;
   const { promptParts = [], rates = [] } = value;
   return isBoundedList(promptParts, {
-    max: MAX_REPORTED_PARTS,
-    isItem: isPartReport,
+    max: MAX_REPORTED_SUBJECTS,
+    isItem: isSubjectReport,
   }) && isBoundedList(rates, { max: MAX_REPORTED_RATES, isItem: isRateReport });
 }
 
--- a/src/daemon/ingress_crashes_test.ts
+++ b/src/daemon/ingress_crashes_test.ts
@@ -1,6 +1,6 @@
 /**
- * Requests with a prompt part under which upstreams end, as one router handles
- * them.
+ * Requests under which upstreams end, and those with a prompt part that ends
+ * them, as one router handles them.
  */
 import {
   LocalIngress,
@@ -27,7 +27,7 @@
   const prompt = [...parts, id].map((part) => `${part}:10`).join();
   return fleet.ask({
     id,
-    path: "/book/x",
+    path: `/book/${id}`,
     headers: { "x-prompt-prefix": prompt },
   });
 }
@@ -83,3 +83,28 @@
     "corianderflow_prompt_parts_quarantined 1",
   );
 });
+
+// Guards against a request to a plain service that ends upstream after upstream.
+test("a request under which three upstreams ended is refused as not run", async () => {
+  const bad = { path: "/book/seat", method: "POST", body: "deadly" };
+  fleet.script((request) =>
+    request.headers["content-length"] === "6"
+      ? endUpstream(request)
+      : sendCompleteResponse(request)
+  );
+  for (let each = 0; each < 3; each++) {
+    expect((await fleet.ask({ ...bad, id: `bad-${each}` })).status).toBe(502);
+    expect((await fleet.ask({ ...bad, id: "good", body: "good" })).status)
+      .toBe(200);
+  }
+  const arrived = fleet.arrived.length;
+  const answer = await fleet.ask({ ...bad, id: "bad-4" });
+  expect(answer.status).toBe(503);
+  expect(JSON.parse(answer.text)).toMatchObject({
+    type: "urn:corianderflow:request-quarantined",
+    ran: "no",
+  });
+  expect(fleet.arrived).toHaveLength(arrived);
+  expect((await fleet.ask({ ...bad, id: "good", body: "good" })).status)
+    .toBe(200);
+});
--- a/src/diagnostics.ts
+++ b/src/diagnostics.ts
@@ -43,6 +43,7 @@
   "deadline-passed": [504, "The deadline has passed", true],
   "no-capacity": [503, "No upstream can take the request", true],
   "prompt-quarantined": [503, "The prompt crashes upstreams", true],
+  "request-quarantined": [503, "The request crashes upstreams", true],
   "no-owner": [503, "No router that owns the pool can be reached", true],
   "not-ready": [503, "The router is not ready", true],
   "configuration-unconfirmed": [
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -9,7 +9,10 @@
 import { createRequestDigest } from "../policy/request_digest.ts";
 import type { Hash } from "../policy/rendezvous.ts";
 import { pickTarget } from "../policy/route_table.ts";
-import type { QuarantinedPart } from "../policy/prompt_quarantine.ts";
+import type {
+  QuarantinedSubject,
+  RequestSubjects,
+} from "../policy/crash_quarantine.ts";
 import type { RetryBudget } from "../policy/retry_budget.ts";
 import type {
   ResponseTraits,
@@ -151,9 +154,11 @@
   readonly #plan: AttemptPlan;
   readonly #relay: StreamRelay;
   readonly #excluded = new Set<string>();
+  readonly #subjects: RequestSubjects;
+  #digest: string | undefined;
 
   constructor(exchange: IngressExchange, options: ForwardFilterOptions) {
-    const { route, traits, table, response } = exchange;
+    const { route, traits, table, response, workspace } = exchange;
     const key = getSharedPartId(traits.promptParts) ?? traits.requestId;
     const name = pickTarget(route!, key, options);
     this.#exchange = exchange;
@@ -161,6 +166,11 @@
     this.#route = route!;
     this.#service = table.findService(name) ?? createUnknownService(name);
     this.#plan = new AttemptPlan(route!);
+    this.#subjects = {
+      workspace: workspace?.name ?? "",
+      parts: traits.promptParts.map(({ id }) => id),
+      getDigest: () => this.#digest ??= this.#createDigest(),
+    };
     this.#relay = new StreamRelay(response, {
       lastEventId: traits.lastEventId,
       clock: options.clock,
@@ -172,10 +182,8 @@
     retries.recordRequest(clock());
     for (;;) {
       if (this.#getRemainingMs() < MIN_REMAINING_MS) return this.#endTimedOut();
-      const part = this.#options.crashes.find(
-        this.#exchange.traits.promptParts,
-      );
-      if (part !== undefined) return this.#endQuarantined(part);
+      const subject = this.#options.crashes.find(this.#subjects);
+      if (subject !== undefined) return this.#endQuarantined(subject);
       const place = placement.find({
         service: this.#service,
         promptParts: this.#exchange.traits.promptParts,
@@ -231,7 +239,6 @@
 
   async #tryUpstream(place: PlacementResult): Promise<TryOutcome> {
     const { placement, connections, crashes, onTry, clock } = this.#options;
-    const { promptParts } = this.#exchange.traits;
     const upstream = place.entry.id;
     const sentAt = clock();
     placement.recordSent(upstream);
@@ -245,7 +252,7 @@
       silenceTimeoutMs: this.#getSilenceTimeoutMs(),
       mayReplaceTry: () => this.#mayReplaceTry(),
       isSuspect: () => placement.isSuspect(upstream, this.#service),
-      onSurvival: () => crashes.recordAnswer(promptParts),
+      onSurvival: () => crashes.recordAnswer(this.#subjects),
       onLoad: (load) => placement.recordReportedLoad(upstream, load),
       onNotice: (status, traits) =>
         this.#recordNotice(place, { status, traits, sentAt }),
@@ -273,30 +280,22 @@
   }
 
   /**
-   * Records what the end of a try says of the prompt's parts: that an upstream
-   * survived them, or ended under them. Returns whether it ended.
+   * Records what the end of a try says of the request: that an upstream
+   * survived it, or ended under it. Returns whether it ended.
    */
   async #checkCrash(
     { entry }: PlacementResult,
     { tryOutcome, sentAt }: { tryOutcome: TryOutcome; sentAt: number },
   ): Promise<boolean> {
     const { crashes } = this.#options;
-    const { promptParts: parts, requestId } = this.#exchange.traits;
-    // The last part belongs to the request alone.
-    if (parts.length < 2) return false;
+    const { requestId } = this.#exchange.traits;
+    const subjects = this.#subjects;
     if (isProvenWhole(tryOutcome)) {
-      crashes.recordAnswer(parts);
+      crashes.recordAnswer(subjects);
       return false;
     }
     if (!isPossibleCrash(tryOutcome)) return false;
-    const digest = this.#createDigest();
-    return await crashes.recordLost({
-      requestId,
-      digest,
-      entry,
-      parts,
-      sentAt,
-    });
+    return await crashes.recordLost({ requestId, subjects, entry, sentAt });
   }
 
   #createDigest(): string {
@@ -475,13 +474,15 @@
     });
   }
 
-  /** Refuses a request whose prompt crashes upstreams. */
+  /** Refuses a request that crashes upstreams, or whose prompt does. */
   #endQuarantined(
-    { id, crashes, remainingMs }: QuarantinedPart,
+    { kind, id, crashes, remainingMs }: QuarantinedSubject,
   ): IngressOutcome {
     if (this.#relay.isStarted) return this.#abortStream();
-    const detail = `${crashes} upstreams have ended under prompts with part ` +
-      `${id.slice(0, MAX_DETAIL_PART_LENGTH)}.`;
+    const name = id.slice(0, MAX_DETAIL_PART_LENGTH);
+    const detail = kind === "part"
+      ? `${crashes} upstreams have ended under prompts with part ${name}.`
+      : `${crashes} upstreams have ended under request ${name}.`;
     if (!this.#plan.isNotRun) {
       const refusal = createRefusal("upstream-failed", detail, {
         ran: "unknown",
@@ -489,9 +490,9 @@
       return { kind: "refused", refusal };
     }
     return refuseRetryable(this.#exchange, {
-      code: "prompt-quarantined",
+      code: kind === "part" ? "prompt-quarantined" : "request-quarantined",
       detail,
-      cause: "prompt-quarantined",
+      cause: "quarantined",
       earliestMs: remainingMs,
     });
   }
--- a/src/policy/retry_after.ts
+++ b/src/policy/retry_after.ts
@@ -15,8 +15,8 @@
   | "no-upstream"
   /** Every upstream has asked for a pause, which has to end first. */
   | "upstreams-paused"
-  /** A part of the prompt crashes upstreams, and is tried again later. */
-  | "prompt-quarantined";
+  /** The request or its prompt crashes upstreams, and is tried again later. */
+  | "quarantined";
 
 /** Mean wait, in milliseconds. */
 const MEAN_WAIT_MS: Readonly<Record<RefusalCause, number>> = {
@@ -29,8 +29,8 @@
   "no-upstream": 600,
   // Added to the pause, so that its end does not bring all retries at once.
   "upstreams-paused": 150,
-  // Added to the time until the part is tried again, for the same reason.
-  "prompt-quarantined": 150,
+  // Added to the time until such a request is tried again, for the same reason.
+  "quarantined": 150,
 };
 /**
  * Fraction of the caller's remaining time that a wait may take; callers cut
