Log the software version of an upstream, and which stream a request resumes

The logs could not tell whether streams change their version within an answer, or when a caller resumes them at another router. Tries and changes of upstreams now have softwareVersion, requests that resume a stream resumedId.

--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -625,6 +625,7 @@
       failureDomain: entry.failureDomain,
       state: entry.state,
       coldLeftMs: entry.coldLeftMs,
+      softwareVersion: entry.softwareVersion,
       bornAt: entry.bornAt,
     });
   }
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -259,6 +259,7 @@
     });
     const record: TryRecord = {
       upstream,
+      softwareVersion: place.entry.softwareVersion,
       reason: place.reason,
       load: roundToTenth(place.load),
       ...(place.copyFrom !== undefined && { copyFrom: place.copyFrom }),
--- a/src/ingress/ingress_exchange.ts
+++ b/src/ingress/ingress_exchange.ts
@@ -39,6 +39,8 @@
 /** One try at an upstream; its fields are written to the log. */
 export interface TryRecord {
   readonly upstream: string;
+  /** Version of the upstream's software. */
+  readonly softwareVersion?: string;
   /** Why the upstream was chosen. */
   readonly reason: string;
   /** Estimated requests at the upstream when it was chosen. */
--- a/src/ingress/ingress_server.ts
+++ b/src/ingress/ingress_server.ts
@@ -193,6 +193,7 @@
     const line = {
       requestId: traits.requestId,
       route: route?.name ?? "none",
+      ...(traits.resumedId !== undefined && { resumedId: traits.resumedId }),
       version: table?.configuration.version,
       outcome: label,
       ...(outcome.kind === "whole" && { status: outcome.status }),
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -130,8 +130,7 @@
  */
 export function decodeUpstream(id: string, value: unknown): UpstreamEntry {
   const fields = asFields(value, "upstream");
-  // Not used, but a document without them was not written by an upstream.
-  getString(fields, "version");
+  // Not used, but a document without it was not written by an upstream.
   getNumber(fields, "seq");
   const bornAt = tryNumber(fields, "born");
   if (bornAt !== undefined && !Number.isInteger(bornAt)) {
@@ -145,6 +144,7 @@
     slots: Math.max(1, getNumber(fields, "slots")),
     state: decodeState(fields),
     coldLeftMs: getNumber(fields, "coldLeftMs"),
+    softwareVersion: getString(fields, "version"),
     bornAt,
   };
 }
--- a/src/platform/message_headers.ts
+++ b/src/platform/message_headers.ts
@@ -51,6 +51,7 @@
     apiKey: BEARER.exec(authorization)?.[1],
     promptParts: parsePromptParts(getHeader(headers, HEADERS.promptParts)),
     lastEventId: tryParseNumber(getHeader(headers, HEADERS.lastEventId)),
+    resumedId: getHeader(headers, HEADERS.resumedId)?.trim(),
   };
 }
 
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -9,6 +9,8 @@
   deadlineMs: "x-deadline-ms",
   promptParts: "x-prompt-prefix",
   lastEventId: "last-event-id",
+  /** Id of the request that brought the first event of a resumed stream. */
+  resumedId: "resumes",
   /** The upstream's signature of its response. */
   signature: "x-response-stamp",
   /** Name of the workspace, sent to the upstream. */
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -90,6 +90,11 @@
   readonly state: "ready" | "leaving";
   /** Remaining time of the cold start, in milliseconds. */
   readonly coldLeftMs: number;
+  /**
+   * Version of its software; not that of a model's weights. Undefined only in
+   * an update of a router that does not know the field.
+   */
+  readonly softwareVersion?: string;
   /**
    * Wall-clock start time of the process, in milliseconds; undefined if the
    * entry has none. A different value means a new process of the same upstream.
@@ -162,6 +167,11 @@
   readonly promptParts: readonly PromptPart[];
   /** Id of the last event that the caller has, if it resumes a stream. */
   readonly lastEventId: number | undefined;
+  /**
+   * Id of the request that brought the caller the stream's first event, if it
+   * resumes a stream.
+   */
+  readonly resumedId: string | undefined;
 }
 
 /**
