--- a/bench/store_chaos_calls.ts
+++ b/bench/store_chaos_calls.ts
@@ -2,13 +2,23 @@
 import { Buffer } from "node:buffer";
 import { Agent, type IncomingMessage, request as sendRequest } from "node:http";
 import { performance } from "node:perf_hooks";
-import { EventSplitter } from "../src/transport/event_stream.ts";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  EventSplitter,
+  type StreamEvent,
+} from "../src/transport/event_stream.ts";
 import {
   createResponseStamp,
+  EVENT_VERSION_PATTERN,
   formatEventData,
   getEventCount,
 } from "../testing/registered_upstream.ts";
-import type { Call, CallKind, CallOutcome } from "./store_chaos_evidence.ts";
+import type {
+  Call,
+  CallKind,
+  CallOutcome,
+  Resumption,
+} from "./store_chaos_evidence.ts";
 
 /** Name and address of a router. */
 export interface RouterEndpoint {
@@ -31,35 +41,121 @@
   readonly body?: string;
 }
 
+/** Options of `Callers`. */
+export interface CallersOptions {
+  /**
+   * Returns another router for a caller whose stream was cut; callers don't
+   * resume streams without it.
+   */
+  readonly pickRouter?: (current: RouterEndpoint) => RouterEndpoint;
+  /** Counts the upstreams of a software version that take new requests. */
+  readonly countServing?: (version: string) => number;
+}
+
 interface CallResult {
   readonly end: CallOutcome;
   readonly detail: string;
+  /** Events of a stream, in order. */
+  readonly events?: readonly StreamEvent[];
+}
+
+/** One request of a caller for a stream, which may be resumed. */
+interface Attempt {
+  readonly attemptId: string;
+  readonly router: RouterEndpoint;
+  /** Set if the stream is resumed. */
+  readonly resumed?: { readonly id: string; readonly lastEventId: number };
 }
 
 export const ROUTE_HOST = "chats.example";
 const CALL_TIMEOUT_MS = 4_000;
+/** Requests for one stream in which it may be resumed. */
+const MAX_RESUMPTIONS = 3;
+const RESUMPTION_PAUSE_MS = 50;
 const STATUS_OK = 200;
 const STATUS_UNAUTHORIZED = 401;
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** Sends requests over keep-alive connections. */
+/** Sends requests over keep-alive connections, and resumes cut streams. */
 export class Callers {
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 200 });
+  readonly #options: CallersOptions;
+
+  constructor(options: CallersOptions = {}) {
+    this.#options = options;
+  }
 
   async call(options: CallOptions): Promise<Call> {
     const fromMs = performance.now();
-    const { end, detail } = await this.#send(options);
-    const { requestId, kind, key, router: { name: router } } = options;
+    const { requestId, kind, key, router } = options;
+    const first = await this.#send(options, { attemptId: requestId, router });
+    const resumptions: Resumption[] = [];
+    const result = kind === "chat"
+      ? await this.#resume(options, { first, resumptions })
+      : first;
+    const { end, detail, events = [] } = result;
     const toMs = performance.now();
-    return { requestId, kind, router, key, fromMs, toMs, end, detail };
+    return {
+      requestId,
+      kind,
+      router: router.name,
+      key,
+      fromMs,
+      toMs,
+      end,
+      detail,
+      versions: [...new Set(events.map(getEventVersion))],
+      resumptions,
+    };
+  }
+
+  /** Takes up a cut stream at other routers, and adds the events. */
+  async #resume(
+    options: CallOptions,
+    { first, resumptions }: { first: CallResult; resumptions: Resumption[] },
+  ): Promise<CallResult> {
+    const { pickRouter, countServing = () => 0 } = this.#options;
+    const { requestId } = options;
+    let { router } = options;
+    let result = first;
+    const events = [...first.events ?? []];
+    if (pickRouter === undefined || events.length === 0) return first;
+    for (let each = 1; each <= MAX_RESUMPTIONS; each++) {
+      if (result.end === "whole" || result.end === "wrong") break;
+      await sleep(RESUMPTION_PAUSE_MS);
+      router = pickRouter(router);
+      const version = getEventVersion(events[0]!);
+      const servingCount = countServing(version);
+      const fromMs = performance.now();
+      result = await this.#send(options, {
+        attemptId: `${requestId}-${each}`,
+        router,
+        resumed: { id: requestId, lastEventId: events.at(-1)!.id ?? 0 },
+      });
+      if (result.end === "no-connection") continue;
+      const { events: added = [] } = result;
+      resumptions.push({
+        router: router.name,
+        version,
+        servingCount,
+        fromMs,
+        toMs: performance.now(),
+        hasGoneOn: added.length > 0 || result.end === "whole",
+      });
+      events.push(...added);
+    }
+    // The stream has begun, whatever the last request for it got.
+    const hasEnded = result.end === "whole" || result.end === "wrong";
+    return { ...result, end: hasEnded ? result.end : "broken", events };
   }
 
   close(): void {
     this.#agent.destroy();
   }
 
-  #send(options: CallOptions): Promise<CallResult> {
-    const { requestId, kind, router, key, subject, parts = [] } = options;
+  #send(options: CallOptions, attempt: Attempt): Promise<CallResult> {
+    const { requestId, kind, key, subject, parts = [] } = options;
+    const { attemptId, router, resumed } = attempt;
     const prompt = [subject, ...parts].map((part) => `${part}:80`).join();
     const [host, port] = router.address.split(":");
     const isPost = kind !== "read";
@@ -74,12 +170,16 @@
         headers: {
           "host": ROUTE_HOST,
           "authorization": `Bearer ${key}`,
-          "x-attempt-id": requestId,
+          "x-attempt-id": attemptId,
           "x-deadline-ms": String(CALL_TIMEOUT_MS),
           "x-model": "m",
           "x-token-counts": "100,50",
           "x-prompt-prefix": `${prompt},${requestId}:20`,
           "content-length": String(Buffer.byteLength(body)),
+          ...(resumed !== undefined && {
+            "resumes": resumed.id,
+            "last-event-id": String(resumed.lastEventId),
+          }),
         },
       });
       const timer = setTimeout(() => {
@@ -96,7 +196,7 @@
         finish({ end, detail: cause.code ?? cause.message });
       });
       request.on("response", (response) => {
-        void readResponse(response, options).then(finish);
+        void readResponse(response, { kind, ...attempt }).then(finish);
       });
       request.end(body);
     });
@@ -105,7 +205,7 @@
 
 async function readResponse(
   response: IncomingMessage,
-  { requestId, kind }: CallOptions,
+  { kind, attemptId, resumed }: Attempt & Pick<CallOptions, "kind">,
 ): Promise<CallResult> {
   const chunks: Buffer[] = [];
   let isBroken = false;
@@ -123,21 +223,18 @@
   const isComplete = isFramed && response.complete && !isBroken;
   const signature = response.headers["x-response-stamp"];
   if (status === STATUS_OK) {
-    if (typeof signature !== "string" || !signature.endsWith(`/${requestId}`)) {
+    if (typeof signature !== "string" || !signature.endsWith(`/${attemptId}`)) {
       return { end: "wrong", detail: `unexpected signature ${signature}` };
     }
     const isStream = kind === "chat" || kind === "plan";
-    const detail = isStream
-      ? findStreamError(body, { requestId, isComplete })
-      : findBodyError(body, { requestId, isComplete, signature });
-    if (detail !== undefined) return { end: "wrong", detail };
-    const isWhole = isFramed || !isStream
-      ? isComplete
-      : hasAllEvents(body, requestId);
-    return {
-      end: isWhole ? "whole" : "broken",
-      detail: "response ended early",
-    };
+    return isStream
+      ? checkStream(body, {
+        streamId: resumed?.id ?? attemptId,
+        lastEventId: resumed?.lastEventId ?? 0,
+        isFramed,
+        isComplete,
+      })
+      : checkBody(body, { requestId: attemptId, isComplete, signature });
   }
   if (NOT_RUN_STATUSES.has(status)) {
     return { end: "refused", detail: `${status} ${body.toString()}` };
@@ -148,42 +245,56 @@
   return { end: "failed", detail: `${status} ${body.toString()}` };
 }
 
-function findBodyError(
+const BROKEN: CallResult = { end: "broken", detail: "response ended early" };
+
+function checkBody(
   body: Buffer,
   { requestId, isComplete, signature }: {
     requestId: string;
     isComplete: boolean;
     signature: string;
   },
-): string | undefined {
-  if (!isComplete) return undefined;
+): CallResult {
+  if (!isComplete) return BROKEN;
   const text = body.toString();
   const upstream = signature.slice(0, -requestId.length - 1);
   const isExpected = signature === createResponseStamp(upstream, requestId) &&
     text === JSON.stringify({ requestId, upstream });
-  return isExpected ? undefined : `unexpected body ${text}`;
+  return isExpected
+    ? { end: "whole", detail: "" }
+    : { end: "wrong", detail: `unexpected body ${text}` };
 }
 
-function findStreamError(
+function checkStream(
   body: Buffer,
-  { requestId, isComplete }: { requestId: string; isComplete: boolean },
-): string | undefined {
-  const splitter = new EventSplitter();
-  const events = splitter.push(body);
+  { streamId, lastEventId, isFramed, isComplete }: {
+    streamId: string;
+    lastEventId: number;
+    isFramed: boolean;
+    isComplete: boolean;
+  },
+): CallResult {
+  const events = new EventSplitter().push(body);
   for (const [index, { id, bytes }] of events.entries()) {
     const text = bytes.toString();
-    const isExpected = id === index + 1 &&
-      text.includes(`data: ${formatEventData(requestId, index + 1)}\n`);
+    const expectedId = lastEventId + index + 1;
+    const isExpected = id === expectedId &&
+      text.includes(`data: ${formatEventData(streamId, expectedId)} `);
     if (!isExpected) {
-      return `unexpected event ${index + 1}: ${JSON.stringify(text)}`;
+      const detail = `unexpected event ${expectedId}: ${JSON.stringify(text)}`;
+      return { end: "wrong", detail };
     }
   }
-  if (isComplete && events.length !== getEventCount(requestId)) {
-    return `response complete after only ${events.length} events`;
+  const hasAllEvents = lastEventId + events.length === getEventCount(streamId);
+  if (isComplete && !hasAllEvents) {
+    const detail = `response complete after only ${events.length} events`;
+    return { end: "wrong", detail };
   }
-  return undefined;
+  const isWhole = isFramed ? isComplete : hasAllEvents;
+  return isWhole ? { end: "whole", detail: "", events } : { ...BROKEN, events };
 }
 
-function hasAllEvents(body: Buffer, requestId: string): boolean {
-  return new EventSplitter().push(body).length === getEventCount(requestId);
+/** Returns the version of the software that made an event. */
+function getEventVersion({ bytes }: StreamEvent): string {
+  return EVENT_VERSION_PATTERN.exec(bytes.toString())?.[1] ?? "";
 }
--- a/bench/store_chaos_evidence.ts
+++ b/bench/store_chaos_evidence.ts
@@ -40,6 +40,23 @@
   readonly toMs: number;
   readonly end: CallOutcome;
   readonly detail: string;
+  /** Versions of the software that made the events of a stream. */
+  readonly versions: readonly string[];
+  /** How often the caller took the stream up again. */
+  readonly resumptions: readonly Resumption[];
+}
+
+/** A stream that a caller took up again after it was cut. */
+export interface Resumption {
+  readonly router: string;
+  /** Version of the software that began the stream. */
+  readonly version: string;
+  /** Engines with this version that took new requests at that time. */
+  readonly servingCount: number;
+  readonly fromMs: number;
+  readonly toMs: number;
+  /** Whether another event came. */
+  readonly hasGoneOn: boolean;
 }
 
 /** A request that crashes each upstream that begins to run it. */
@@ -83,6 +100,12 @@
   readonly maxRequestCrashes: number;
   /** Requests that may reach an upstream `faultFreeMs` after these crashes. */
   readonly maxLaterArrivals: number;
+  /** Streams that may hold events of two versions of the software. */
+  readonly maxMixedStreams: number;
+  /** Resumptions from which on their share counts. */
+  readonly minResumptions: number;
+  /** Least share of these that go on, as a part of that of new streams. */
+  readonly minResumedShare: number;
   /** Maximum number of requests that a cold upstream may get in any second. */
   readonly maxColdRequestsPerSecond: number;
 }
--- a/bench/store_chaos_fleet.ts
+++ b/bench/store_chaos_fleet.ts
@@ -27,6 +27,10 @@
   readonly plainServices: number;
   /** Path of the daemon program; the built bundle by default. */
   readonly program?: string;
+  /** Versions of the engines' software, in turn; "v1" by default. */
+  readonly engineVersions?: readonly string[];
+  /** Time between two events of a stream, in milliseconds. */
+  readonly eventIntervalMs?: number;
 }
 
 /** A router and the relay on its link to the store. */
@@ -44,8 +48,12 @@
   maxPartCrashes: 5,
   maxRequestCrashes: 3,
   maxLaterArrivals: 3,
+  maxMixedStreams: 2,
+  minResumptions: 12,
+  minResumedShare: 0.5,
   maxColdRequestsPerSecond: 17,
 };
+const EVENT_INTERVAL_MS = 20;
 const COLD_PER_SECOND = 8;
 const COLD_START_S = 2;
 const MS_PER_SECOND = 1_000;
@@ -79,7 +87,12 @@
   readonly #domainsOut = new Set<string>();
 
   constructor(options: StoreFleetOptions) {
-    this.#options = { program: PROGRAM, ...options };
+    this.#options = {
+      program: PROGRAM,
+      engineVersions: ["v1"],
+      eventIntervalMs: EVENT_INTERVAL_MS,
+      ...options,
+    };
     this.#processes = new Processes({
       logDirectory: options.directory,
       graceMs: KILL_AFTER_MS,
@@ -117,6 +130,18 @@
     return codes;
   }
 
+  /** Versions of the engines' software. */
+  get engineVersions(): readonly string[] {
+    return this.#options.engineVersions;
+  }
+
+  /** Number of engines with `version` that take new requests. */
+  countServing(version: string): number {
+    return this.upstreams.filter(({ name, isServing, softwareVersion }) =>
+      name.startsWith("engine") && isServing && softwareVersion === version
+    ).length;
+  }
+
   /** Starts a router and waits until it is ready. */
   async start({ name, settingsFile }: StoreRouter): Promise<void> {
     await this.#processes.start(this.#options.program, [], {
@@ -201,11 +226,14 @@
   }
 
   async #startUpstreams(service: string, count: number): Promise<void> {
+    const { engineVersions, eventIntervalMs } = this.#options;
     for (let index = 0; index < count; index++) {
       const upstream = new RegisteredUpstream({
         name: `${service}-${index}`,
         service,
         failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!,
+        softwareVersion: engineVersions[index % engineVersions.length]!,
+        eventIntervalMs,
         coldMs: service === "engine" ? COLD_START_S * MS_PER_SECOND : 0,
         store: this.store,
         onArrival: (arrival) => this.arrivals.push(arrival),
--- a/bench/store_chaos_main.ts
+++ b/bench/store_chaos_main.ts
@@ -41,6 +41,10 @@
   return [...counts].map(([end, count]) => `${count} ${end}`).join(", ");
 }
 
+function countResumptions(calls: readonly Call[]): number {
+  return calls.filter(({ resumptions }) => resumptions.length > 0).length;
+}
+
 /** Runs one seed; returns true if every check passes. */
 async function runSeed(seed: number): Promise<boolean> {
   const directory = `out/store-chaos-${seed}`;
@@ -50,6 +54,7 @@
     routers: Number(values.routers),
     engines: 4,
     plainServices: 3,
+    engineVersions: ["v1", "v2"],
   });
   await fleet.open();
   const durationMs = Number(values.seconds) * MS_PER_SECOND;
@@ -67,6 +72,7 @@
   print(
     `Seed ${seed}: ${schedule.length} faults; ${renderOutcomeCounts(calls)}; ` +
       `${crashes.length} engine crashes; ` +
+      `${countResumptions(calls)} streams taken up; ` +
       `after the faults ${renderOutcomeCounts(recovery)}; ` +
       (violations.length === 0
         ? "all checks passed."
--- a/bench/store_chaos_run.ts
+++ b/bench/store_chaos_run.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { ChaosEvent, ChaosKind } from "../testing/chaos_schedule.ts";
 import type { ChaosTargets } from "../testing/chaos_schedule.ts";
+import type { RegisteredUpstream } from "../testing/registered_upstream.ts";
 import type { RelayFaults } from "../testing/relay.ts";
 import { runArrivals } from "./load/arrivals.ts";
 import { Random } from "./load/random.ts";
@@ -124,7 +125,7 @@
 class StoreChaosRun {
   readonly #options: StoreChaosOptions;
   readonly #random: Random;
-  readonly #callers = new Callers();
+  readonly #callers: Callers;
   readonly #windows: FaultWindow[] = [];
   readonly #stops: { router: string; exitCode: number | null }[] = [];
   /** Settles when the latest fault at a target has ended, by target. */
@@ -136,6 +137,12 @@
   constructor(options: StoreChaosOptions) {
     this.#options = options;
     this.#random = new Random(options.seed);
+    const { fleet } = options;
+    this.#callers = new Callers({
+      pickRouter: (current) =>
+        this.#random.pick(fleet.routers.filter((each) => each !== current)),
+      countServing: (version) => fleet.countServing(version),
+    });
   }
 
   async run(): Promise<StoreChaosEvidence> {
@@ -228,7 +235,9 @@
         const upstream = this.#findUpstream(target);
         await upstream.kill();
         await sleep(durationMs);
-        return await upstream.start();
+        return await this.#restart(upstream, {
+          keepsId: this.#random.nextBoolean(0.5),
+        });
       }
       case "engine-cold":
         return this.#findUpstream(target).turnCold();
@@ -237,7 +246,7 @@
         upstream.startDraining();
         fleet.recordWithdrawal({ what: "upstream", name: upstream.id });
         await upstream.exit();
-        return await upstream.start();
+        return await this.#restart(upstream);
       }
       case "link-silent":
       case "link-cut":
@@ -383,6 +392,18 @@
     Object.assign(store.faults, noFaults);
   }
 
+  /** Starts an upstream again, engines with any version of the software. */
+  async #restart(
+    upstream: RegisteredUpstream,
+    { keepsId = false } = {},
+  ): Promise<void> {
+    const { fleet } = this.#options;
+    if (upstream.name.startsWith("engine")) {
+      upstream.softwareVersion = this.#random.pick(fleet.engineVersions);
+    }
+    await upstream.start({ keepsId });
+  }
+
   #findRouter(name: string) {
     return this.#options.fleet.routers.find((each) => each.name === name)!;
   }
--- a/bench/store_chaos_verdict.ts
+++ b/bench/store_chaos_verdict.ts
@@ -70,6 +70,8 @@
     ...checkColdStarts(evidence),
     ...checkForwardedRequests(evidence),
     ...checkCrashingRequests(evidence, routers),
+    ...checkVersions(evidence),
+    ...checkResumptions(evidence),
     ...checkStops(evidence),
     ...checkRecovery(evidence),
   ];
@@ -301,6 +303,44 @@
   });
 }
 
+/**
+ * A stream goes on only at the software version that began it. This holds for
+ * every router, with or without a fault.
+ */
+function checkVersions(
+  { calls, recovery, bounds }: StoreChaosEvidence,
+): StoreChaosViolation[] {
+  const mixed = [...calls, ...recovery]
+    .filter(({ versions }) => versions.length > 1);
+  if (mixed.length <= bounds.maxMixedStreams) return [];
+  return [{
+    promise: "a stream keeps its version",
+    requestId: mixed[0]!.requestId,
+    detail: `${mixed.length} streams hold events of several versions`,
+  }];
+}
+
+/** Streams that callers take up again go on nearly as often as new ones begin. */
+function checkResumptions(
+  evidence: StoreChaosEvidence,
+): StoreChaosViolation[] {
+  const { calls, bounds } = evidence;
+  const counted = calls.flatMap(({ resumptions }) => resumptions)
+    .filter((each) => each.servingCount >= 2 && isUnaffected(evidence, each));
+  if (counted.length < bounds.minResumptions) return [];
+  const streams = calls.filter(({ kind }) => kind === "chat");
+  const begun = streams.filter(({ versions }) => versions.length > 0);
+  const gone = counted.filter(({ hasGoneOn }) => hasGoneOn);
+  const share = gone.length / counted.length;
+  const minShare = begun.length / streams.length * bounds.minResumedShare;
+  if (share >= minShare) return [];
+  return [{
+    promise: "streams that are taken up go on",
+    requestId: "",
+    detail: `${gone.length} of ${counted.length} went on`,
+  }];
+}
+
 function checkStops({ stops }: StoreChaosEvidence): StoreChaosViolation[] {
   return stops.filter(({ exitCode }) => exitCode !== 0)
     .map(({ router, exitCode }) => ({
--- a/bench/store_chaos_verdict_test.ts
+++ b/bench/store_chaos_verdict_test.ts
@@ -2,6 +2,7 @@
 import type {
   Call,
   FaultWindow,
+  Resumption,
   StoreChaosEvidence,
 } from "./store_chaos_evidence.ts";
 import { findStoreChaosViolations } from "./store_chaos_verdict.ts";
@@ -16,6 +17,8 @@
     toMs: 10_050,
     end: "whole",
     detail: "",
+    versions: [],
+    resumptions: [],
     ...fields,
   };
 }
@@ -28,6 +31,7 @@
     atMs: 10_010,
     isRun: true,
     isResumed: false,
+    softwareVersion: "v1",
     isCold: false,
     limitPerSecond: undefined,
     promptParts: [],
@@ -53,6 +57,9 @@
       maxPartCrashes: 2,
       maxRequestCrashes: 3,
       maxLaterArrivals: 1,
+      maxMixedStreams: 1,
+      minResumptions: 2,
+      minResumedShare: 0.5,
       maxColdRequestsPerSecond: 2,
     },
     stops: [],
@@ -214,3 +221,35 @@
     expect(find(knownAtMs + 1, { windows: [window] })).toEqual([]);
   },
 );
+
+test("streams that hold events of two versions are found", () => {
+  const mixed = createCall({ kind: "chat", versions: ["v1", "v2"] });
+  expect(findViolations({ calls: [mixed] })).toEqual([]);
+  expect(findViolations({ calls: [mixed, mixed], windows: [ROUTER_PAUSE] }))
+    .toEqual(["a stream keeps its version"]);
+});
+
+test("streams that are taken up again and don't go on are found", () => {
+  function find(
+    hasGoneOn: readonly boolean[],
+    fields: Partial<Resumption> = {},
+  ) {
+    const resumptions = hasGoneOn.map((each) => ({
+      router: "router-0",
+      version: "v1",
+      servingCount: 2,
+      fromMs: 10_000,
+      toMs: 10_010,
+      hasGoneOn: each,
+      ...fields,
+    }));
+    const call = createCall({ kind: "chat", versions: ["v1"], resumptions });
+    return findViolations({ calls: [call], windows: [ROUTER_PAUSE] });
+  }
+  const promise = "streams that are taken up go on";
+  expect(find([true, false, false])).toEqual([promise]);
+  expect(find([true, false])).toEqual([]);
+  expect(find([false, false], { servingCount: 1 })).toEqual([]);
+  expect(find([false, false], { fromMs: 8_900 })).toEqual([]);
+  expect(find([false])).toEqual([]);
+});
--- a/bench/testing/test_fleet.ts
+++ b/bench/testing/test_fleet.ts
@@ -16,6 +16,10 @@
   readonly engines: number;
   /** 1 by default. */
   readonly plainServices?: number;
+  /** Versions of the engines' software, in turn; "v1" by default. */
+  readonly engineVersions?: readonly string[];
+  /** Time between two events of a stream, in milliseconds. */
+  readonly eventIntervalMs?: number;
   readonly seed: number;
 }
 
@@ -24,14 +28,13 @@
 
 /** Starts a fleet and waits until its routers are ready. */
 export async function openTestFleet(
-  { routers, engines, plainServices = 1, seed }: TestFleetOptions,
+  { plainServices = 1, seed, ...options }: TestFleetOptions,
 ): Promise<TestFleet> {
   const directory = mkdtempSync(join(tmpdir(), "test-fleet-"));
   const fleet = new StoreFleet({
     directory,
-    routers,
-    engines,
     plainServices,
+    ...options,
     program: PROGRAM,
   });
   await fleet.open();
@@ -44,7 +47,7 @@
   readonly random: Random;
   readonly #directory: string;
   readonly #seed: number;
-  readonly #callers = new Callers();
+  readonly #callers: Callers;
   #requestCount = 0;
 
   constructor(
@@ -55,6 +58,11 @@
     this.random = new Random(seed);
     this.#directory = directory;
     this.#seed = seed;
+    this.#callers = new Callers({
+      pickRouter: (current) =>
+        this.random.pick(fleet.routers.filter((each) => each !== current)),
+      countServing: (version) => fleet.countServing(version),
+    });
   }
 
   /**
--- a/testing/registered_upstream.ts
+++ b/testing/registered_upstream.ts
@@ -28,6 +28,7 @@
   readonly isRun: boolean;
   /** Whether the request resumes a stream that an earlier request began. */
   readonly isResumed: boolean;
+  readonly softwareVersion: string;
   readonly isCold: boolean;
   readonly workspace: string;
   /** Limit that the upstream named at that time; undefined for none. */
@@ -43,6 +44,10 @@
   readonly failureDomain: string;
   /** Duration of the cold state after a start, in milliseconds; 0 for none. */
   readonly coldMs: number;
+  /** Version of the software; "v1" by default. */
+  readonly softwareVersion?: string;
+  /** Time between two events of a stream, in milliseconds. */
+  readonly eventIntervalMs?: number;
   readonly store: MetadataStoreServer;
   readonly onArrival: (arrival: UpstreamArrival) => void;
   /**
@@ -75,7 +80,7 @@
 /** Number of missed heartbeats after which an entry expires. */
 const EXPIRY_HEARTBEATS = 3;
 const SERVICE_MS = 15;
-const EVENT_INTERVAL_MS = 20;
+const DEFAULT_EVENT_INTERVAL_MS = 20;
 /** Time that a draining upstream still serves requests. */
 const DRAIN_MS = 3_500;
 /** Time from the head of an answer to the crash, in milliseconds. */
@@ -110,11 +115,14 @@
   return getEventCount(requestId) % UNFRAMED_SHARE === 0;
 }
 
-/** Returns the data of an event. */
+/** Returns the data of an event, before the version of the software. */
 export function formatEventData(requestId: string, id: number): string {
   return `${requestId}#${id}`;
 }
 
+/** Pattern of the version in the data of an event. */
+export const EVENT_VERSION_PATTERN = / version=(\S+)\n/;
+
 /** A stand-in upstream; callers connect through a relay that injects faults. */
 export class RegisteredUpstream {
   readonly #options: Required<RegisteredUpstreamOptions>;
@@ -127,6 +135,9 @@
   /** Number of consecutive heartbeats that the store did not accept. */
   #missedHeartbeats = 0;
   #coldUntilMs = -Infinity;
+  /** Version of the software of the next process. */
+  softwareVersion: string;
+  #runningVersion: string;
   /** Requests a second that the upstream names in its answers, if set. */
   limitPerSecond: number | undefined;
   #state: "ready" | "draining" = "ready";
@@ -138,17 +149,26 @@
 
   constructor(options: RegisteredUpstreamOptions) {
     this.#options = {
+      softwareVersion: "v1",
+      eventIntervalMs: DEFAULT_EVENT_INTERVAL_MS,
       crashingParts: new Set(),
       crashingBodies: new Set(),
       onCrash: () => {},
       ...options,
     };
+    this.softwareVersion = this.#options.softwareVersion;
+    this.#runningVersion = this.softwareVersion;
   }
 
   get name(): string {
     return this.#options.name;
   }
 
+  /** Whether a process runs and takes new requests. */
+  get isServing(): boolean {
+    return this.#server !== undefined && this.#state === "ready";
+  }
+
   get relay(): Relay {
     return this.#relay;
   }
@@ -158,10 +178,15 @@
     return `${this.#options.name}.${this.#incarnation}`;
   }
 
-  /** Starts a new process at the same address, with a new id and cold. */
-  async start({ isCold = true } = {}): Promise<void> {
+  /**
+   * Starts a new process at the same address, cold and with a new id, unless it
+   * `keepsId`.
+   */
+  async start({ isCold = true, keepsId = false } = {}): Promise<void> {
     clearTimeout(this.#restartTimer);
-    this.#incarnation++;
+    if (keepsId) clearTimeout(this.#expiryTimer);
+    else this.#incarnation++;
+    this.#runningVersion = this.softwareVersion;
     this.#startedAtMs = Date.now();
     this.#sequence = 0;
     this.#state = "ready";
@@ -278,7 +303,7 @@
       service,
       address: this.#relay.address,
       zone: failureDomain,
-      version: "v1",
+      version: this.#runningVersion,
       slots: SLOTS,
       state: this.#state,
       coldLeftMs: Math.round(
@@ -306,6 +331,7 @@
       atMs: performance.now(),
       isRun,
       isResumed: lastEventId > 0,
+      softwareVersion: this.#runningVersion,
       isCold: performance.now() < this.#coldUntilMs,
       workspace: String(request.headers["x-tenant"] ?? ""),
       limitPerSecond: this.limitPerSecond,
@@ -348,7 +374,10 @@
         if (this.#server === server) await this.#crash(requestId, cause);
       } else if (isPlain) {
         response.end(JSON.stringify({ requestId, upstream: this.id }));
-      } else await this.#streamEvents(response, { requestId, lastEventId });
+      } else {
+        const streamId = String(request.headers["resumes"] ?? requestId);
+        await this.#streamEvents(response, { streamId, lastEventId });
+      }
     } finally {
       this.#runningRequests--;
     }
@@ -356,15 +385,17 @@
 
   async #streamEvents(
     response: ServerResponse,
-    { requestId, lastEventId }: { requestId: string; lastEventId: number },
+    { streamId, lastEventId }: { streamId: string; lastEventId: number },
   ): Promise<void> {
     response.setHeader("content-type", "text/event-stream");
-    if (isUnframed(requestId)) makeCloseDelimited(response);
-    const last = getEventCount(requestId);
+    if (isUnframed(streamId)) makeCloseDelimited(response);
+    const version = this.#runningVersion;
+    const last = getEventCount(streamId);
     for (let id = lastEventId + 1; id <= last; id++) {
       if (response.destroyed) return;
-      response.write(`id: ${id}\ndata: ${formatEventData(requestId, id)}\n\n`);
-      await sleep(EVENT_INTERVAL_MS);
+      const data = `${formatEventData(streamId, id)} version=${version}`;
+      response.write(`id: ${id}\ndata: ${data}\n\n`);
+      await sleep(this.#options.eventIntervalMs);
     }
     response.end();
   }
