Let a stream go on only at the software version that began it

Callers got events of two versions, which do not fit together, in one stream: when a router continued an answer at another upstream, and when they took a cut stream up at a router that had never seen it.

Cause: the version in an upstream's entry was checked and dropped, and what a router knew of a stream ended with it. The class of fault: the choice of an upstream ignored a property that the stream had already fixed, and the state that is needed to respect it was kept in one process only.

Now the first event binds a stream to its version, within the answer and for callers that resume it. Nothing is told while a service has had one version for as long as streams last. A stream that nobody knows, or whose version no upstream has, is refused as not run. Before a bound request, a new connection is checked to reach the process of the entry, by the start time that engines report: one may return under its id with other software. Caches are copied only between upstreams of one version.

--- a/bench/store_chaos_test.ts
+++ b/bench/store_chaos_test.ts
@@ -35,6 +35,7 @@
     routers: 10,
     engines: 3,
     plainServices: 3,
+    engineVersions: ["v1", "v2"],
     program: PROGRAM,
   });
   await fleet.open();
--- a/src/control/peer_exchange.ts
+++ b/src/control/peer_exchange.ts
@@ -24,7 +24,9 @@
   isEmptyReport,
   type LoadsMessage,
   parsePeerMessage,
+  type PeerMessage,
 } from "./peer_messages.ts";
+import type { StreamMessage } from "./stream_messages.ts";
 
 /** The part of the routing state that routers exchange. */
 export interface SharedRoutingState {
@@ -77,6 +79,8 @@
   readonly peerLoads: PeerLoads;
   /** What the routers have learned about upstreams from requests. */
   readonly findings?: SharedFindings;
+  /** Called with each message about streams. */
+  readonly onStreamMessage?: (message: StreamMessage) => void;
   /** Interval of the requests to a relay, in milliseconds. */
   readonly askMs: number;
   /**
@@ -94,6 +98,8 @@
 export interface PeerExchange {
   /** Binds the socket and starts. Rejects if the address can't be bound. */
   open(): Promise<void>;
+  /** Sends a JSON-RPC message to a router of the fleet; it may be lost. */
+  send(message: object, router: string): void;
   close(): void;
 }
 
@@ -273,7 +279,8 @@
   }
 
   #receive(bytes: Buffer, from: RemoteInfo): void {
-    const { log, self, keeper, now, peerLoads } = this.#options;
+    const { log, self, keeper, now, peerLoads, onStreamMessage } =
+      this.#options;
     const message = parsePeerMessage(bytes);
     if (message === undefined) {
       this.#invalidCount++;
@@ -287,9 +294,14 @@
       this.#receiveResponse(message.id, message.answer);
       return;
     }
+    const sender = getSender(message);
+    if (sender === self || !keeper.routers().has(sender)) return;
+    if (message.kind !== "ask" && message.kind !== "loads") {
+      onStreamMessage(message);
+      return;
+    }
     const loads = message.kind === "ask" ? message.ask : message.loads;
     const { router } = loads;
-    if (router === self || !keeper.routers().has(router)) return;
     peerLoads.recordLoads(router, loads, now().steady);
     this.#receiveFindings(loads);
     if (message.kind === "ask") this.#respond(message.id, message.ask);
@@ -337,6 +349,10 @@
     if (findings !== undefined) this.#options.findings.receiveReport(findings);
   }
 
+  send(message: object, router: string): void {
+    this.#send(Buffer.from(JSON.stringify(message)), router);
+  }
+
   #send(bytes: Buffer, router: string): void {
     const address = this.#options.keeper.routers().get(router);
     if (address === undefined) return;
@@ -345,6 +361,24 @@
   }
 }
 
+/** Returns the name of the router that sent a message other than an answer. */
+function getSender(
+  message: Exclude<PeerMessage, { kind: "answer" }>,
+): string {
+  switch (message.kind) {
+    case "ask":
+      return message.ask.router;
+    case "loads":
+      return message.loads.router;
+    case "streams":
+      return message.message.router;
+    case "find-stream":
+      return message.question.router;
+    case "stream-finding":
+      return message.finding.router;
+  }
+}
+
 function addCounts(counts: LoadCounts, others: LoadCounts): LoadCounts {
   const sum: Record<string, number> = { ...counts };
   for (const [upstream, count] of Object.entries(others)) {
@@ -364,6 +398,7 @@
   return new DatagramPeerExchange({
     getUnreachable: () => [],
     findings: NO_FINDINGS,
+    onStreamMessage: () => {},
     publishMs: PUBLISH_INTERVAL_MS,
     fanOut: FAN_OUT,
     ...options,
--- a/src/control/peer_messages.ts
+++ b/src/control/peer_messages.ts
@@ -3,7 +3,7 @@
  * port may receive any bytes.
  *
  * `loads` is a JSON-RPC notification, `ask` a JSON-RPC request whose result is
- * an `AskResponse`.
+ * an `AskResponse`. `stream_messages.ts` has those about streams.
  */
 import type { Buffer } from "node:buffer";
 import {
@@ -24,6 +24,12 @@
   type RateReport,
 } from "../policy/upstream_rates.ts";
 import type { StoreChange, StoreUpdate } from "../routing/types.ts";
+import {
+  isStreamFinding,
+  isStreamQuestion,
+  isStreamsMessage,
+  type StreamMessage,
+} from "./stream_messages.ts";
 
 /** What a router has learned about upstreams from requests. */
 export interface FindingsReport {
@@ -74,7 +80,8 @@
     readonly kind: "answer";
     readonly id: JSONRPCID;
     readonly answer: AskResponse;
-  };
+  }
+  | StreamMessage;
 
 /**
  * Exceeds the number of upstreams of any service that a fleet sends to at a
@@ -222,10 +229,20 @@
     if (method === "ask" && isAskMessage(params) && id !== undefined) {
       return { kind: "ask", id, ask: params };
     }
+    if (method === "streams" && isStreamsMessage(params)) {
+      return { kind: "streams", message: params };
+    }
+    const isQuestion = method === "find-stream" && isStreamQuestion(params);
+    if (isQuestion && id !== undefined) {
+      return { kind: "find-stream", id, question: params };
+    }
     return undefined;
   }
-  if (isJSONRPCResponse(message) && isAskResponse(message.result)) {
-    return { kind: "answer", id: message.id, answer: message.result };
+  if (!isJSONRPCResponse(message)) return undefined;
+  const { id, result } = message;
+  if (isAskResponse(result)) return { kind: "answer", id, answer: result };
+  if (isStreamFinding(result)) {
+    return { kind: "stream-finding", id, finding: result };
   }
   return undefined;
 }
--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -636,8 +636,8 @@
    */
   #restoreFailureDomain(failureDomain: string, now: number): void {
     this.directory.bringBack(failureDomain);
-    const coldUntil = now + COLD_REPORT_HEARTBEATS * this.#options.heartbeatMs;
-    this.directory.recordDomainRestarted(failureDomain, coldUntil);
+    const coldMs = COLD_REPORT_HEARTBEATS * this.#options.heartbeatMs;
+    this.directory.recordDomainRestarted(failureDomain, { coldMs, now });
   }
 
   async #renew(): Promise<void> {
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -19,6 +19,7 @@
   createPeerExchange,
   type PeerExchange,
 } from "../control/peer_exchange.ts";
+import { StreamExchange } from "../control/stream_exchange.ts";
 import { createTaskSystem, type TaskSystem } from "../control/task.ts";
 import { createFilterChain } from "../filters/exchange.ts";
 import {
@@ -96,6 +97,11 @@
  * counts its retries separately.
  */
 const RETRY_BUDGET_SHARE = 0.9;
+/**
+ * Age of the view of the upstreams up to which it tells which versions there
+ * are, in milliseconds; exceeds that of a router which asks a relay.
+ */
+const MAX_SOLE_VERSION_AGE_MS = 3_000;
 /** Log line of each notice. */
 const NOTICE_LINES: Readonly<
   Record<UpstreamNotice, { level: "info" | "warn"; message: string }>
@@ -157,6 +163,7 @@
   readonly #crashes: CrashWatch;
   readonly #peerLoads = new PeerLoads();
   readonly #peerExchange: PeerExchange;
+  readonly #streams: StreamExchange;
   readonly #callers: Server;
   /** Longest delay of a readiness check since the metrics were last read. */
   #maxEventLoopDelayMs = 0;
@@ -239,6 +246,15 @@
       connections: this.#connections,
       log: this.#logs("route"),
     });
+    this.#streams = new StreamExchange({
+      self: router.name,
+      hash,
+      clock: readSteadyClock,
+      listRouters: () => [...this.#routing.routers().keys()],
+      send: (message, name) => this.#peerExchange.send(message, name),
+      findSoleVersion: (service, spanMs) =>
+        this.#findSoleVersion(service, spanMs),
+    });
     this.#peerExchange = createPeerExchange({
       self: router.name,
       address: settings.listen.peers,
@@ -259,6 +275,7 @@
           this.#placement.receiveRateReports(rates);
         },
       },
+      onStreamMessage: (message) => this.#streams.receive(message),
       ...pace,
     });
     this.#callers = this.#createCallerServer(hash);
@@ -273,6 +290,8 @@
       "peer exchange",
       () => this.#peerExchange.close(),
     );
+    this.#streams.open();
+    this.#lifeCycle.addCleanup("streams", () => this.#streams.close());
     await this.#openServer(
       createConfigurationServer(() => this.#routing.table()?.configuration),
       addresses.peers,
@@ -368,6 +387,7 @@
         placement: this.#placement,
         connections: this.#connections,
         crashes: this.#crashes,
+        streams: this.#streams,
         retries: this.#retryBudget,
         clock: readSteadyClock,
         hash,
@@ -398,6 +418,16 @@
     return server;
   }
 
+  /** What an outdated view of the upstreams shows proves nothing. */
+  #findSoleVersion(service: string, spanMs: number): string | undefined {
+    const instant = readClocks();
+    if (this.#routing.ageAt(instant) > MAX_SOLE_VERSION_AGE_MS) {
+      return undefined;
+    }
+    const now = instant.steady;
+    return this.#routing.directory.findSoleVersion(service, { now, spanMs });
+  }
+
   #recordNotice(kind: UpstreamNotice, details: NoticeDetails): void {
     this.#metrics.upstreamNotices.inc({ kind });
     const { level, message } = NOTICE_LINES[kind];
--- a/src/diagnostics.ts
+++ b/src/diagnostics.ts
@@ -44,6 +44,7 @@
   "no-capacity": [503, "No upstream can take the request", true],
   "prompt-quarantined": [503, "The prompt crashes upstreams", true],
   "request-quarantined": [503, "The request crashes upstreams", true],
+  "stream-unknown": [503, "The stream that is resumed is unknown", true],
   "no-owner": [503, "No router that owns the pool can be reached", true],
   "not-ready": [503, "The router is not ready", true],
   "configuration-unconfirmed": [
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -4,9 +4,13 @@
  */
 import { createRefusal } from "../diagnostics.ts";
 import type { RoutingView } from "../control/routing_controller.ts";
+import type { StreamExchange } from "../control/stream_exchange.ts";
 import { encodeUpstreamHeaders } from "../platform/message_headers.ts";
 import { AttemptPlan } from "../policy/attempt_plan.ts";
-import { createRequestDigest } from "../policy/request_digest.ts";
+import {
+  createRequestDigest,
+  createStreamKey,
+} from "../policy/request_digest.ts";
 import type { Hash } from "../policy/rendezvous.ts";
 import { pickTarget } from "../policy/route_table.ts";
 import type {
@@ -32,8 +36,10 @@
   getSharedPartId,
   type Placement,
   type PlacementFailure,
+  type PlacementRequest,
   type PlacementResult,
 } from "./placement.ts";
+import { isSameProcess } from "./process_check.ts";
 import { refuseRetryable } from "./refusals.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import {
@@ -48,6 +54,10 @@
   readonly placement: Placement;
   readonly connections: UpstreamConnections;
   readonly crashes: CrashWatch;
+  readonly streams: Pick<
+    StreamExchange,
+    "find" | "recordStart" | "recordEnd"
+  >;
   readonly retries: RetryBudget;
   /** Reads the monotonic clock, in milliseconds. */
   readonly clock: () => number;
@@ -104,6 +114,8 @@
 /** Length to which the id of a prompt part is cut in the detail of a refusal. */
 const MAX_DETAIL_PART_LENGTH = 32;
 const MIN_REDIRECT_STATUS = 300;
+/** No upstream has this version. */
+const NO_VERSION = "\u0000";
 
 /** Sends requests to upstreams; the last filter, so it never calls `next`. */
 export class ForwardFilter implements IngressFilter {
@@ -150,12 +162,17 @@
   readonly #exchange: IngressExchange;
   readonly #options: ForwardFilterOptions;
   readonly #route: ServiceRoute;
-  readonly #service: RoutedService;
+  /** Fixed before the first try. */
+  #service: RoutedService;
   readonly #plan: AttemptPlan;
   readonly #relay: StreamRelay;
   readonly #excluded = new Set<string>();
   readonly #subjects: RequestSubjects;
   #digest: string | undefined;
+  /** Set once the response holds events, or if the caller has some. */
+  #softwareVersion: string | undefined;
+  /** Key of the stream that other routers are told of. */
+  #runningStream: string | undefined;
 
   constructor(exchange: IngressExchange, options: ForwardFilterOptions) {
     const { route, traits, table, response, workspace } = exchange;
@@ -178,18 +195,29 @@
   }
 
   async run(): Promise<IngressOutcome> {
+    const { streams } = this.#options;
+    if (this.#isResumption() && !await this.#findOrigin()) {
+      return this.#endUnknownStream();
+    }
+    try {
+      return await this.#tryUpstreams();
+    } finally {
+      if (this.#runningStream !== undefined) {
+        streams.recordEnd(this.#runningStream);
+      }
+    }
+  }
+
+  async #tryUpstreams(): Promise<IngressOutcome> {
     const { clock, retries, placement } = this.#options;
     retries.recordRequest(clock());
     for (;;) {
       if (this.#getRemainingMs() < MIN_REMAINING_MS) return this.#endTimedOut();
       const subject = this.#options.crashes.find(this.#subjects);
       if (subject !== undefined) return this.#endQuarantined(subject);
-      const place = placement.find({
-        service: this.#service,
-        promptParts: this.#exchange.traits.promptParts,
-        excluded: this.#excluded,
-      });
+      const place = placement.find(this.#createPlacementRequest());
       if (!("entry" in place)) return this.#endWithoutUpstream(place);
+      if (!await this.#hasBoundVersion(place)) continue;
       const tryOutcome = await this.#tryUpstream(place);
       if (tryOutcome.kind === "caller-left") return { kind: "caller-left" };
       if (tryOutcome.kind === "timed-out") {
@@ -252,6 +280,7 @@
       silenceTimeoutMs: this.#getSilenceTimeoutMs(),
       mayReplaceTry: () => this.#mayReplaceTry(),
       isSuspect: () => placement.isSuspect(upstream, this.#service),
+      onStreamStart: () => this.#recordStreamStart(place),
       onSurvival: () => crashes.recordAnswer(this.#subjects),
       onLoad: (load) => placement.recordReportedLoad(upstream, load),
       onNotice: (status, traits) =>
@@ -360,8 +389,8 @@
     if (tryOutcome.end === "not-sent" || hasEnded) {
       placement.recordHealth(entry.id, "unreachable");
       // An unreachable upstream may be restarting, so it counts as cold.
-      const coldUntil = clock() + this.#service.coldStartMs;
-      routing.directory.recordRestarted(entry.id, coldUntil);
+      const coldMs = this.#service.coldStartMs;
+      routing.directory.recordRestarted(entry.id, { coldMs, now: clock() });
       return;
     }
     placement.recordHealth(entry.id, "failed");
@@ -447,9 +476,91 @@
     return this.#route.objectiveMs * PLAIN_SILENCE_TIMEOUT_FACTOR;
   }
 
+  /**
+   * Whether the upstream certainly runs the version that the stream is bound
+   * to. Avoids it otherwise, until its entry has had time to arrive.
+   */
+  async #hasBoundVersion({ entry }: PlacementResult): Promise<boolean> {
+    if (this.#softwareVersion === undefined) return true;
+    if (!this.#service.isEngine) return true;
+    if (await isSameProcess(entry, this.#options)) return true;
+    const { routing, clock } = this.#options;
+    routing.directory.recordRestarted(entry.id, {
+      coldMs: this.#service.coldStartMs,
+      now: clock(),
+    });
+    return false;
+  }
+
   /** Whether a try without data may be replaced by another. */
   #mayReplaceTry(): boolean {
-    return this.#plan.sent + 1 < this.#route.maxAttempts;
+    if (this.#plan.sent + 1 >= this.#route.maxAttempts) return false;
+    if (this.#softwareVersion === undefined) return true;
+    const request = this.#createPlacementRequest();
+    return "entry" in this.#options.placement.find(request);
+  }
+
+  #createPlacementRequest(): PlacementRequest {
+    return {
+      service: this.#service,
+      promptParts: this.#exchange.traits.promptParts,
+      excluded: this.#excluded,
+      softwareVersion: this.#softwareVersion,
+    };
+  }
+
+  /** Whether the caller has events of a stream that may be resumed. */
+  #isResumption(): boolean {
+    const { lastEventId, resumedId } = this.#exchange.traits;
+    return this.#plan.isRepeatable && this.#route.kind === "stream" &&
+      (lastEventId !== undefined || resumedId !== undefined);
+  }
+
+  #getStreamKey(): string {
+    const { traits: { resumedId, requestId }, workspace } = this.#exchange;
+    return createStreamKey(workspace?.name, resumedId ?? requestId);
+  }
+
+  /**
+   * Finds out what began the stream that the caller resumes, and goes on with
+   * that service and version; false if it is not known.
+   */
+  async #findOrigin(): Promise<boolean> {
+    const { table } = this.#exchange;
+    const origin = await this.#options.streams.find(this.#getStreamKey(), {
+      service: this.#service.name,
+      spanMs: this.#getStreamSpanMs(),
+    });
+    if (origin === undefined) return false;
+    this.#softwareVersion = origin.softwareVersion;
+    const isTarget = this.#route.targets
+      .some(({ service }) => service === origin.service);
+    if (isTarget) {
+      this.#service = table.findService(origin.service) ?? this.#service;
+    }
+    return true;
+  }
+
+  /**
+   * Longest time for which a stream may last, in milliseconds. Its caller may
+   * begin it with a second request, and each may take as long as the route does.
+   */
+  #getStreamSpanMs(): number {
+    return this.#route.timeoutMs * 2;
+  }
+
+  /** Binds the rest of the stream to the version that makes its first event. */
+  #recordStreamStart({ entry }: PlacementResult): void {
+    if (!this.#plan.isRepeatable) return;
+    this.#softwareVersion = entry.softwareVersion ?? NO_VERSION;
+    if (entry.softwareVersion === undefined) return;
+    this.#runningStream = this.#getStreamKey();
+    this.#options.streams.recordStart({
+      key: this.#runningStream,
+      service: this.#service.name,
+      softwareVersion: entry.softwareVersion,
+      spanMs: this.#getStreamSpanMs(),
+    });
   }
 
   #getRemainingMs(): number {
@@ -469,12 +580,24 @@
     }
     return refuseRetryable(this.#exchange, {
       code: "no-capacity",
-      detail: `Service ${this.#service.name} has no upstream to take it.`,
+      detail: this.#softwareVersion === undefined
+        ? `Service ${this.#service.name} has no upstream to take it.`
+        : `Service ${this.#service.name} has no upstream of version ` +
+          `${this.#softwareVersion} to go on with the stream.`,
       cause: reason,
       earliestMs: waitMs,
     });
   }
 
+  /** Refuses to guess the version at which a stream may go on. */
+  #endUnknownStream(): IngressOutcome {
+    return refuseRetryable(this.#exchange, {
+      code: "stream-unknown",
+      detail: "No router knows the software version that began the stream.",
+      cause: "this-router",
+    });
+  }
+
   /** Refuses a request that crashes upstreams, or whose prompt does. */
   #endQuarantined(
     { kind, id, crashes, remainingMs }: QuarantinedSubject,
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -47,6 +47,8 @@
   readonly promptParts: readonly PromptPart[];
   /** Ids of the upstreams that the request was already sent to. */
   readonly excluded: ReadonlySet<string>;
+  /** Software version that the upstream must have; undefined for any. */
+  readonly softwareVersion: string | undefined;
 }
 
 /** The upstream chosen for a request. */
@@ -111,7 +113,7 @@
     const { routing, clock, random } = this.#options;
     const now = clock();
     this.#prune(now);
-    const usable = routing.directory.listUsable(request.service.name, now);
+    const usable = this.#listUsable(request, now);
     if (usable.length === 0) return { reason: "no-upstream" };
     const pausesMs = usable.map(({ entry }) =>
       this.#pauses.getRemaining(entry.id, now)
@@ -146,7 +148,7 @@
     const { load } = candidates.find(({ id }) => id === choice.id)!;
     const copyFrom = this.#findCopySource(request, {
       ranking,
-      target: choice.id,
+      target: entry,
       now,
     });
     return { ...choice, entry, load, copyFrom };
@@ -238,6 +240,18 @@
     this.#rates.forget(upstream);
   }
 
+  #listUsable(
+    { service, softwareVersion }: PlacementRequest,
+    now: number,
+  ): KnownUpstream[] {
+    const { directory } = this.#options.routing;
+    const usable = directory.listUsable(service.name, now);
+    if (softwareVersion === undefined) return usable;
+    return usable.filter(({ entry }) =>
+      directory.hasVersion(entry.id, softwareVersion, now)
+    );
+  }
+
   /**
    * Ranks upstreams for a prompt; undefined without a prompt or for a service
    * that is no model engine.
@@ -255,7 +269,7 @@
     { excluded }: PlacementRequest,
     { ranking, target, now }: {
       ranking: readonly string[] | undefined;
-      target: string;
+      target: UpstreamEntry;
       now: number;
     },
   ): string | undefined {
@@ -264,11 +278,13 @@
     const suspects = this.#health.findSuspects(ranking, now);
     const holders = ranking.map((id) => {
       const { entry, startedAt } = directory.find(id)!;
+      // What one version of the software caches may not fit another.
       const isReachable = directory.isInService(entry.failureDomain) &&
-        !suspects.has(id) && !excluded.has(id);
+        !suspects.has(id) && !excluded.has(id) &&
+        entry.softwareVersion === target.softwareVersion;
       return { id, ageMs: now - startedAt, isReachable };
     });
-    const source = findCacheSource(holders, target);
+    const source = findCacheSource(holders, target.id);
     return source && directory.find(source)?.entry.address;
   }
 
@@ -311,7 +327,8 @@
     for (const id of reported) {
       suspects.add(id);
       // It may be restarting, so it counts as cold.
-      routing.directory.recordRestarted(id, now + service.coldStartMs);
+      const coldMs = service.coldStartMs;
+      routing.directory.recordRestarted(id, { coldMs, now });
     }
     return suspects;
   }
--- /dev/null
+++ b/src/ingress/process_check.ts
@@ -0,0 +1,89 @@
+/**
+ * Finds out whether an upstream's process is the one of its entry. An upstream
+ * may start again at its address, under its id and with other software, before
+ * its new entry arrives.
+ */
+import { Buffer } from "node:buffer";
+import { decodeReportedStart } from "../platform/documents.ts";
+import { ENGINE_REPORT_PATH } from "../platform/names.ts";
+import { RESTART_REPORT_MS } from "../policy/upstream_directory.ts";
+import type { UpstreamEntry } from "../routing/types.ts";
+import type { UpstreamConnections } from "../transport/upstream_connections.ts";
+
+/** Options of `isSameProcess`. */
+export interface ProcessCheckOptions {
+  readonly connections: Pick<UpstreamConnections, "isOpenSince" | "send">;
+  /** Reads the monotonic clock, in milliseconds. */
+  readonly clock: () => number;
+}
+
+/** Time for the report, in milliseconds; engines answer without a slot. */
+const REPORT_TIMEOUT_MS = 200;
+/** Longest report that is read; one of a full engine has some kilobytes. */
+const MAX_REPORT_BYTES = 1_048_576;
+const STATUS_OK = 200;
+
+/**
+ * Whether an engine is certainly the process of `entry`, or states nothing that
+ * tells. The connection that showed it is the one that the next request to the
+ * address reuses.
+ */
+export async function isSameProcess(
+  { address, bornAt }: UpstreamEntry,
+  { connections, clock }: ProcessCheckOptions,
+): Promise<boolean> {
+  if (connections.isOpenSince(address, clock() - RESTART_REPORT_MS)) {
+    return true;
+  }
+  const report = await fetchReport(address, connections);
+  if (report === undefined) return false;
+  const reportedAt = decodeReportedStart(report);
+  return reportedAt === undefined || bornAt === undefined ||
+    reportedAt === bornAt;
+}
+
+/**
+ * Returns an engine's report of itself, empty if it has none; undefined if it
+ * does not answer.
+ */
+function fetchReport(
+  address: string,
+  connections: Pick<UpstreamConnections, "send">,
+): Promise<string | undefined> {
+  const chunks: Buffer[] = [];
+  let status = 0;
+  let size = 0;
+  return new Promise((resolve) => {
+    let timer: NodeJS.Timeout | undefined = undefined;
+    function finish(report: string | undefined): void {
+      clearTimeout(timer);
+      resolve(report);
+    }
+    const exchange = connections.send({
+      address,
+      method: "GET",
+      path: ENGINE_REPORT_PATH,
+      headers: [],
+      body: undefined,
+      maxIdleMs: Infinity,
+    }, {
+      onHead: (each) => status = each,
+      onData: (chunk) => {
+        size += chunk.length;
+        if (size <= MAX_REPORT_BYTES) chunks.push(chunk);
+        else cancel();
+      },
+      onEnd: () => {
+        const text = Buffer.concat(chunks).toString("utf8");
+        // The connection becomes idle after this turn of the event loop.
+        setImmediate(() => finish(status === STATUS_OK ? text : ""));
+      },
+      onFailure: () => finish(undefined),
+    });
+    function cancel(): void {
+      exchange.cancel();
+      finish(undefined);
+    }
+    timer = setTimeout(cancel, REPORT_TIMEOUT_MS);
+  });
+}
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -67,6 +67,8 @@
   isSuspect(): boolean;
   /** Whether another try may replace this one, which receives no data. */
   mayReplaceTry(): boolean;
+  /** Called before the first events of a stream are written to the caller. */
+  onStreamStart(): void;
   /** Called with the load that the upstream reports in its response. */
   onLoad(load: UpstreamLoad): void;
   /**
@@ -315,6 +317,7 @@
   #startStream(): void {
     const { relay } = this.#options;
     if (relay.isStarted) return;
+    this.#options.onStreamStart();
     const { status, headers } = this.#head!;
     relay.start(status, {
       headers: copyResponseHeaders(headers),
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -149,6 +149,19 @@
   };
 }
 
+/**
+ * Decodes the start time that an engine states in a report of itself, in
+ * milliseconds of the wall clock; undefined if the report has none.
+ */
+export function decodeReportedStart(report: string): number | undefined {
+  try {
+    return tryNumber(asFields(JSON.parse(report), "report"), "born");
+  } catch {
+    // An upstream that doesn't know the path answers with anything.
+    return undefined;
+  }
+}
+
 /** An item of the store as it was read. */
 export interface RawItem {
   readonly key: string;
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -56,6 +56,9 @@
 /** Path of the readiness check of the load balancer. */
 export const READY_PATH = "/corianderflow/ready";
 
+/** Path of an engine's report of itself. */
+export const ENGINE_REPORT_PATH = "/corianderflow/report";
+
 /** Paths of the metadata store. */
 export const STORE_PATHS = {
   range: "/corianderflow/kv-range",
--- a/src/policy/request_digest.ts
+++ b/src/policy/request_digest.ts
@@ -30,3 +30,16 @@
   if (body !== undefined) hash.update(body);
   return hash.digest("base64url").slice(0, DIGEST_LENGTH);
 }
+
+/**
+ * Returns what identifies a stream in all routers: the workspace of its caller,
+ * and the id of the request that brought its first event.
+ */
+export function createStreamKey(
+  workspace: string | undefined,
+  requestId: string,
+): string {
+  const hash = createHash("sha256");
+  hash.update(JSON.stringify([workspace ?? null, requestId]));
+  return hash.digest("base64url").slice(0, DIGEST_LENGTH);
+}
--- a/src/policy/upstream_directory.ts
+++ b/src/policy/upstream_directory.ts
@@ -10,6 +10,7 @@
  */
 import { isDeepStrictEqual } from "node:util";
 import type { Instant, UpstreamEntry } from "../routing/types.ts";
+import { VersionHistory, type VersionSpan } from "./version_history.ts";
 
 /** A process of an upstream that is leaving or was removed. */
 interface LeavingRecord {
@@ -42,6 +43,11 @@
    * address, in milliseconds.
    */
   misdirectedUntil: number;
+  /**
+   * Monotonic time until which it may have restarted with another software
+   * version than that of its entry, in milliseconds.
+   */
+  versionUnknownUntil: number;
 }
 
 /** Options of a directory. */
@@ -72,6 +78,11 @@
  * platform states some seconds.
  */
 const MAX_COPY_AGE_MS = 60_000;
+/**
+ * Time in which the entry of an upstream that has restarted arrives, in
+ * milliseconds: it is written at the start, and read within two polls.
+ */
+export const RESTART_REPORT_MS = 3_000;
 /** The users state that entries are back within about two seconds. */
 const DEFAULT_RETURN_MS = 2_000;
 
@@ -79,6 +90,7 @@
 export class UpstreamDirectory {
   readonly #records = new Map<string, UpstreamRecord>();
   readonly #domainsOut = new Set<string>();
+  readonly #versions = new VersionHistory();
   /** Upstreams whose entry was removed, as they were then. */
   readonly #removed = new Map<string, LeavingRecord>();
   /** Upstreams that have stated that they are leaving. */
@@ -134,6 +146,8 @@
     const record = this.#records.get(entry.id);
     const isNew = record === undefined || record.entry.bornAt !== entry.bornAt;
     const statedColdUntil = now + entry.coldLeftMs;
+    if (record !== undefined) this.#recordVersion(record.entry, now);
+    this.#recordVersion(entry, now);
     this.#records.set(entry.id, {
       entry,
       startedAt: isNew
@@ -144,6 +158,7 @@
         : Math.max(statedColdUntil, record.coldUntil),
       removedAt: Infinity,
       misdirectedUntil: -Infinity,
+      versionUnknownUntil: isNew ? -Infinity : record.versionUnknownUntil,
     });
     const leaving = this.#leaving.get(entry.id);
     const isOtherProcess = entry.bornAt === undefined ||
@@ -156,6 +171,7 @@
   remove(id: string, now: number): void {
     const record = this.#records.get(id);
     if (record === undefined || record.removedAt !== Infinity) return;
+    this.#recordVersion(record.entry, now);
     const until = this.#storeRecoveredAt + this.#returnMs;
     if (now >= until || record.entry.state === "leaving") {
       this.#records.delete(id);
@@ -233,22 +249,49 @@
     }
   }
 
-  /** Records that `id` may have restarted without a new entry yet. */
-  recordRestarted(id: string, coldUntil: number): void {
+  /**
+   * Records at `now` that `id` may have restarted without a new entry yet. It is
+   * cold for `coldMs` milliseconds then, and may have another version.
+   */
+  recordRestarted(
+    id: string,
+    { coldMs, now }: { coldMs: number; now: number },
+  ): void {
     const record = this.#records.get(id);
     if (record === undefined) return;
-    record.coldUntil = Math.max(record.coldUntil, coldUntil);
+    record.coldUntil = Math.max(record.coldUntil, now + coldMs);
+    record.versionUnknownUntil = now + RESTART_REPORT_MS;
   }
 
   /** Records the same for every upstream of a failure domain. */
-  recordDomainRestarted(failureDomain: string, coldUntil: number): void {
+  recordDomainRestarted(
+    failureDomain: string,
+    options: { coldMs: number; now: number },
+  ): void {
     for (const [id, { entry }] of this.#records) {
       if (entry.failureDomain === failureDomain) {
-        this.recordRestarted(id, coldUntil);
+        this.recordRestarted(id, options);
       }
     }
   }
 
+  /** Whether `id` certainly has a software version now. */
+  hasVersion(id: string, version: string, now: number): boolean {
+    const record = this.#records.get(id);
+    return record !== undefined && record.entry.softwareVersion === version &&
+      now >= record.versionUnknownUntil;
+  }
+
+  /**
+   * Returns the only software version that a service had in a span of time;
+   * undefined if there were several or this directory is too young to tell.
+   */
+  findSoleVersion(service: string, span: VersionSpan): string | undefined {
+    const registered = this.listRegistered(service)
+      .map(({ entry }) => entry.softwareVersion);
+    return this.#versions.findSole(service, { registered, ...span });
+  }
+
   /** Returns the state of `id`; undefined if it is not registered. */
   find(id: string): KnownUpstream | undefined {
     return this.#records.get(id);
@@ -303,6 +346,10 @@
     return usable;
   }
 
+  #recordVersion({ service, softwareVersion }: UpstreamEntry, now: number) {
+    this.#versions.recordSeen(service, softwareVersion, now);
+  }
+
   #isUsable(record: UpstreamRecord, now: number): boolean {
     if (record.entry.state !== "ready") return false;
     const leaving = this.#leaving.get(record.entry.id);
--- a/src/policy/upstream_directory_test.ts
+++ b/src/policy/upstream_directory_test.ts
@@ -66,7 +66,7 @@
   directory.takeOut("east");
   expect(directory.listUsable("svc", 0)).toEqual([]);
   directory.bringBack("east");
-  directory.recordDomainRestarted("east", 2_400);
+  directory.recordDomainRestarted("east", { coldMs: 2_400, now: 0 });
   const [known] = directory.listUsable("svc", 0);
   expect(known?.coldUntil).toBe(2_400);
 });
--- /dev/null
+++ b/src/policy/version_history.ts
@@ -0,0 +1,72 @@
+/**
+ * Remembers which software versions the upstreams of each service have had.
+ *
+ * Load pattern: on most days a service has one version. A router that has seen
+ * no other for as long as a stream can last knows the version of every stream
+ * that callers resume, without having been told of it.
+ */
+
+/** A span of time in which versions count. */
+export interface VersionSpan {
+  /** Current monotonic time, in milliseconds. */
+  readonly now: number;
+  /** Length of the span that ends now, in milliseconds. */
+  readonly spanMs: number;
+}
+
+/** Stands for a version that an update from another router lacked. */
+const UNKNOWN_VERSION = "\u0000";
+/** Time for which a version is remembered after it was seen last, in ms. */
+const MEMORY_MS = 900_000;
+
+/** Versions of the software of upstreams, by service. */
+export class VersionHistory {
+  /** Times at which a version was seen last, by service and version. */
+  readonly #seen = new Map<string, Map<string, number>>();
+  #startedAt: number | undefined;
+
+  /**
+   * Records that an upstream of `service` has a version at `now`, or had it
+   * until then; undefined stands for a version that is not known.
+   */
+  recordSeen(
+    service: string,
+    version: string | undefined,
+    now: number,
+  ): void {
+    this.#startedAt ??= now;
+    let versions = this.#seen.get(service);
+    if (versions === undefined) {
+      versions = new Map();
+      this.#seen.set(service, versions);
+    }
+    versions.set(version ?? UNKNOWN_VERSION, now);
+    for (const [each, at] of versions) {
+      if (now - at > MEMORY_MS) versions.delete(each);
+    }
+  }
+
+  /**
+   * Returns the only version that a service had in a span of time; undefined if
+   * there were several, or if the span begins before this history.
+   */
+  findSole(
+    service: string,
+    { registered, now, spanMs }: VersionSpan & {
+      /** Versions that upstreams of the service have now. */
+      readonly registered: readonly (string | undefined)[];
+    },
+  ): string | undefined {
+    if (this.#startedAt === undefined || now - this.#startedAt < spanMs) {
+      return undefined;
+    }
+    const versions = new Set(
+      registered.map((version) => version ?? UNKNOWN_VERSION),
+    );
+    for (const [version, at] of this.#seen.get(service) ?? []) {
+      if (now - at <= spanMs) versions.add(version);
+    }
+    const [sole, ...others] = versions;
+    return others.length > 0 || sole === UNKNOWN_VERSION ? undefined : sole;
+  }
+}
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -70,6 +70,12 @@
    * become unresponsive or the process of the upstream is new.
    */
   closeIdle(address: string): void;
+  /**
+   * Whether the connection that a request to `address` would reuse was opened
+   * before `at`, a monotonic time in milliseconds, so that the process there
+   * has run since then.
+   */
+  isOpenSince(address: string, at: number): boolean;
   /**
    * Whether `address` refuses connections, as when the process there has ended.
    * False if that can't be found out in time.
@@ -153,9 +159,19 @@
   hasFailed = false;
   idleSince = 0;
   isUnused = true;
+  /** Monotonic time in milliseconds. */
+  readonly openedAt: number;
 
-  constructor(address: string, connectTimeoutMs: number, idleMs: number) {
+  constructor(
+    address: string,
+    { connectTimeoutMs, idleMs, openedAt }: {
+      connectTimeoutMs: number;
+      idleMs: number;
+      openedAt: number;
+    },
+  ) {
     this.address = address;
+    this.openedAt = openedAt;
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       connect: (_options, callback) => {
@@ -228,6 +244,12 @@
     this.#idle.delete(address);
   }
 
+  isOpenSince(address: string, at: number): boolean {
+    const open = (this.#idle.get(address) ?? [])
+      .filter(({ isClosed }) => !isClosed);
+    return (open.at(-1)?.openedAt ?? Infinity) <= at;
+  }
+
   isRefusing(address: string): Promise<boolean> {
     const pending = this.#refusalChecks.get(address);
     if (pending !== undefined) return pending;
@@ -256,7 +278,8 @@
       break;
     }
     onOpen(address);
-    return new Connection(address, connectTimeoutMs, idleMs);
+    const openedAt = clock();
+    return new Connection(address, { connectTimeoutMs, idleMs, openedAt });
   }
 
   #release(connection: Connection, isReusable: boolean): void {
--- a/testing/registered_upstream.ts
+++ b/testing/registered_upstream.ts
@@ -12,7 +12,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { makeCloseDelimited } from "../src/transport/close_delimited_response.ts";
 import { findFreePort } from "./free_address.ts";
-import { closeServer, listen, readJson } from "./stand_in_http.ts";
+import { closeServer, listen, readJson, sendJson } from "./stand_in_http.ts";
 import type { MetadataStoreServer } from "./metadata_store.ts";
 import { createRelay, type Relay } from "./relay.ts";
 
@@ -89,6 +89,7 @@
 const RESTART_MS = 1_500;
 /** Every such request's stream ends with its connection, without framing. */
 const UNFRAMED_SHARE = 4;
+const REPORT_PATH = "/corianderflow/report";
 const STATUS_MISDIRECTED = 421;
 const STATUS_FULL = 503;
 
@@ -318,6 +319,18 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (request.url === REPORT_PATH) {
+      sendJson(response, 200, {
+        stage: "both",
+        models: [],
+        busy: false,
+        seq: this.#sequence,
+        queued: 0,
+        active: this.#runningRequests,
+        born: this.#startedAtMs,
+      });
+      return;
+    }
     const server = this.#server;
     const requestId = String(request.headers["x-attempt-id"] ?? "");
     const isMisdirected = request.headers["x-expect-instance"] !== this.id;
