Place a resumed stream anew after its upstream's process was checked

The check takes up to 0.2 s, in which the upstream may have begun to leave or its failure domain may have been taken out; the request went there all the same. It is placed again after each check. A silent report no longer makes an upstream cold.

Routers that have just restarted can't tell which versions a service had. They no longer hide that the others have seen one only, while a router that has seen several says so.

--- a/src/control/stream_exchange.ts
+++ b/src/control/stream_exchange.ts
@@ -21,6 +21,7 @@
   StreamOrigins,
   type StreamRecord,
 } from "../policy/stream_origins.ts";
+import type { VersionFinding } from "../policy/version_history.ts";
 import {
   MAX_MESSAGE_STREAMS,
   type StreamFinding,
@@ -40,13 +41,10 @@
   /** Sends a JSON-RPC message to a router; it may be lost. */
   readonly send: (message: object, router: string) => void;
   /**
-   * Returns the only software version that a service had in the last `spanMs`
-   * milliseconds; undefined if there were several or this is not known.
+   * Returns what is known of the software versions that a service had in the
+   * last `spanMs` milliseconds.
    */
-  readonly findSoleVersion: (
-    service: string,
-    spanMs: number,
-  ) => string | undefined;
+  readonly findVersions: (service: string, spanMs: number) => VersionFinding;
 }
 
 /** A stream that this router forwards. */
@@ -60,12 +58,13 @@
   readonly service: string;
   /** Routers that have not answered yet. */
   readonly asked: Set<string>;
-  /** Number of answers after which a sole version counts. */
+  /** Answers without the stream after which a sole version counts. */
   readonly quorum: number;
-  /** Only version that this router has seen, if it knows. */
-  readonly ownVersion: string | undefined;
-  /** The same of the routers that do not know the stream. */
-  readonly soleVersions: (string | undefined)[];
+  answerCount: number;
+  /** Sole versions that this router and others have seen. */
+  readonly soleVersions: Set<string>;
+  /** Whether one of them has seen several versions. */
+  hasSeveralVersions: boolean;
   readonly resolve: (origin: StreamOrigin | undefined) => void;
 }
 
@@ -125,26 +124,28 @@
     key: string,
     { service, spanMs: requestedMs }: { service: string; spanMs: number },
   ): Promise<StreamOrigin | undefined> {
-    const { self, clock, findSoleVersion, send } = this.#options;
+    const { self, clock, findVersions, send } = this.#options;
     const known = this.#origins.find(key, clock());
     if (known !== undefined) return Promise.resolve(known);
     const spanMs = Math.min(requestedMs, MAX_STREAM_MS);
-    const ownVersion = findSoleVersion(service, spanMs);
+    const own = findVersions(service, spanMs);
+    const ownVersion = own.kind === "sole" ? own.version : undefined;
+    const ownOrigin = createOrigin(service, ownVersion);
     const asked = new Set(this.#listHolders(key));
-    if (asked.size === 0) {
-      return Promise.resolve(createOrigin(service, ownVersion));
-    }
+    if (asked.size === 0) return Promise.resolve(ownOrigin);
     const id = `stream-${++this.#questionCount}`;
     return new Promise((resolve) => {
-      const timer = setTimeout(() => {
-        this.#settle(id, createOrigin(service, ownVersion));
-      }, ANSWER_TIMEOUT_MS);
+      const timer = setTimeout(
+        () => this.#settleUnanswered(id),
+        ANSWER_TIMEOUT_MS,
+      );
       this.#pending.set(id, {
         service,
         asked,
         quorum: Math.ceil(asked.size / 2),
-        ownVersion,
-        soleVersions: [],
+        answerCount: 0,
+        soleVersions: new Set(ownVersion === undefined ? [] : [ownVersion]),
+        hasSeveralVersions: own.kind === "several",
         resolve: (origin) => {
           clearTimeout(timer);
           resolve(origin);
@@ -169,20 +170,21 @@
   }
 
   #answer(id: JSONRPCID, { router, key, service, spanMs }: StreamQuestion) {
-    const { self, clock, findSoleVersion, send } = this.#options;
+    const { self, clock, findVersions, send } = this.#options;
     const stream = this.#origins.find(key, clock());
-    const soleVersion = findSoleVersion(service, spanMs);
+    const versions = findVersions(service, spanMs);
     const finding: StreamFinding = {
       router: self,
       ...(stream !== undefined && { stream: roundRemaining(stream) }),
-      ...(soleVersion !== undefined && { soleVersion }),
+      ...(versions.kind === "sole" && { soleVersion: versions.version }),
+      ...(versions.kind === "several" && { hasSeveralVersions: true }),
     };
     send(createJSONRPCSuccessResponse(id, finding), router);
   }
 
   #receiveFinding(
     id: JSONRPCID,
-    { router, stream, soleVersion }: StreamFinding,
+    { router, stream, soleVersion, hasSeveralVersions }: StreamFinding,
   ): void {
     const pending = this.#pending.get(id);
     if (pending === undefined || !pending.asked.delete(router)) return;
@@ -191,17 +193,22 @@
       this.#settle(id, stream);
       return;
     }
-    pending.soleVersions.push(soleVersion);
-    const { soleVersions, quorum, ownVersion, service, asked } = pending;
-    const isEnough = soleVersions.length >= quorum;
-    const version = ownVersion ?? getCommon(soleVersions);
-    if (isEnough && version !== undefined) {
-      this.#settle(id, createOrigin(service, version));
-    } else if (asked.size === 0) {
-      this.#settle(id, undefined);
+    pending.answerCount++;
+    if (soleVersion !== undefined) pending.soleVersions.add(soleVersion);
+    if (hasSeveralVersions === true) pending.hasSeveralVersions = true;
+    const origin = getSoleOrigin(pending);
+    const isEnough = pending.answerCount >= pending.quorum;
+    if (pending.asked.size === 0 || isEnough && origin !== undefined) {
+      this.#settle(id, origin);
     }
   }
 
+  /** Ends a question for which some routers have not answered in time. */
+  #settleUnanswered(id: JSONRPCID): void {
+    const pending = this.#pending.get(id);
+    if (pending !== undefined) this.#settle(id, getSoleOrigin(pending));
+  }
+
   #settle(id: JSONRPCID, origin: StreamOrigin | undefined): void {
     const pending = this.#pending.get(id);
     this.#pending.delete(id);
@@ -218,11 +225,14 @@
 
   /** Tells the holders of each stream, unless any router knows its version. */
   #tell(streams: readonly RunningStream[]): void {
-    const { self, findSoleVersion, send } = this.#options;
+    const { self, findVersions, send } = this.#options;
     const byRouter = new Map<string, StreamRecord[]>();
     for (const stream of streams) {
       const { key, service, softwareVersion, spanMs } = stream;
-      if (findSoleVersion(service, spanMs) === softwareVersion) continue;
+      const versions = findVersions(service, spanMs);
+      const isSole = versions.kind === "sole" &&
+        versions.version === softwareVersion;
+      if (isSole) continue;
       for (const router of this.#listHolders(key)) {
         const records = byRouter.get(router) ?? [];
         records.push(createRecord(stream));
@@ -268,10 +278,14 @@
     : { service, softwareVersion };
 }
 
-/** Returns the version that all of them are; undefined if they differ. */
-function getCommon(
-  versions: readonly (string | undefined)[],
-): string | undefined {
-  const [first, ...rest] = new Set(versions);
-  return rest.length > 0 ? undefined : first;
+/**
+ * Returns the origin of a stream that no router knows, if the routers have seen
+ * one version only.
+ */
+function getSoleOrigin(
+  { service, soleVersions, hasSeveralVersions }: PendingQuestion,
+): StreamOrigin | undefined {
+  const [version, ...others] = soleVersions;
+  if (hasSeveralVersions || others.length > 0) return undefined;
+  return createOrigin(service, version);
 }
--- a/src/control/stream_exchange_test.ts
+++ b/src/control/stream_exchange_test.ts
@@ -1,4 +1,5 @@
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
+import type { VersionFinding } from "../policy/version_history.ts";
 import { parsePeerMessage } from "./peer_messages.ts";
 import { StreamExchange } from "./stream_exchange.ts";
 
@@ -20,8 +21,8 @@
   readonly routers = new Map<string, StreamExchange>();
   readonly down = new Set<string>();
   readonly methods: string[] = [];
-  /** Only version that each router has seen; undefined if it can't tell. */
-  readonly soleVersions = new Map<string, string>();
+  /** Versions that each router has seen; none if it can't tell. */
+  readonly versions = new Map<string, readonly string[]>();
 
   constructor(count: number) {
     const names = Array.from({ length: count }, (_, each) => `router-${each}`);
@@ -32,7 +33,7 @@
         clock: () => 0,
         listRouters: () => names,
         send: (message, router) => this.#send(message, router),
-        findSoleVersion: () => this.soleVersions.get(self),
+        findVersions: () => this.#findVersions(self),
       });
       this.routers.set(self, exchange);
     }
@@ -42,6 +43,12 @@
     return this.routers.get(`router-${index}`)!;
   }
 
+  #findVersions(router: string): VersionFinding {
+    const [version, ...others] = this.versions.get(router) ?? [];
+    if (version === undefined) return { kind: "unknown" };
+    return others.length > 0 ? { kind: "several" } : { kind: "sole", version };
+  }
+
   #send(message: object, router: string): void {
     const bytes = Buffer.from(JSON.stringify(message));
     const parsed = parsePeerMessage(bytes);
@@ -71,7 +78,10 @@
 test("a stream that nobody was told of is unknown", async () => {
   const fleet = new Fleet(6);
   expect(await fleet.get(1).find("stream", QUESTION)).toBeUndefined();
-  fleet.soleVersions.set("router-2", "v1");
+  fleet.versions.set("router-2", ["v1"]);
+  fleet.versions.set("router-3", ["v1", "v2"]);
+  expect(await fleet.get(1).find("stream", QUESTION)).toBeUndefined();
+  fleet.versions.set("router-3", ["v2"]);
   expect(await fleet.get(1).find("stream", QUESTION)).toBeUndefined();
 });
 
@@ -84,7 +94,7 @@
 // Pattern: a service has had one version for as long as its streams last.
 test("a sole version is told to nobody and known to all", async () => {
   const fleet = new Fleet(6);
-  for (const name of fleet.routers.keys()) fleet.soleVersions.set(name, "v1");
+  for (const name of fleet.routers.keys()) fleet.versions.set(name, ["v1"]);
   fleet.get(0).recordStart(STREAM);
   expect(fleet.methods).toEqual([]);
   fleet.down.add("router-0");
@@ -94,8 +104,9 @@
 
 test("a router that has just started takes the sole version from others", async () => {
   const fleet = new Fleet(6);
-  for (const name of fleet.routers.keys()) fleet.soleVersions.set(name, "v1");
-  fleet.soleVersions.delete("router-1");
+  for (const name of fleet.routers.keys()) fleet.versions.set(name, ["v1"]);
+  fleet.versions.delete("router-1");
+  fleet.versions.delete("router-2");
   expect(await fleet.get(1).find("stream", QUESTION))
     .toEqual({ service: "engine", softwareVersion: "v1" });
 });
@@ -105,7 +116,7 @@
 test("a holder's record counts more than a sole version", async () => {
   const fleet = new Fleet(40);
   fleet.get(0).recordStart({ ...STREAM, softwareVersion: "v2" });
-  for (const name of fleet.routers.keys()) fleet.soleVersions.set(name, "v1");
+  for (const name of fleet.routers.keys()) fleet.versions.set(name, ["v1"]);
   for (let each = 1; each < 40; each++) {
     expect(await fleet.get(each).find("stream", QUESTION))
       .toMatchObject({ softwareVersion: "v2" });
@@ -131,6 +142,7 @@
     answer({ stream: record }),
     answer({ stream: { ...record, softwareVersion: 1 } }),
     answer({ soleVersion: 1 }),
+    answer({ hasSeveralVersions: "yes" }),
     parse({
       id: "stream-1",
       method: "find-stream",
--- a/src/control/stream_messages.ts
+++ b/src/control/stream_messages.ts
@@ -28,8 +28,10 @@
   readonly router: string;
   /** Absent if the router doesn't know the stream. */
   readonly stream?: StreamRecord;
-  /** Only version that the service had in the span; absent if unknown. */
+  /** Only version that the service had in the span. */
   readonly soleVersion?: string;
+  /** Whether it had several; absent, as `soleVersion`, if that is unknown. */
+  readonly hasSeveralVersions?: boolean;
 }
 
 /** A message about streams that was parsed and validated. */
@@ -90,8 +92,13 @@
 /** Whether `value` is the result of a `find-stream` request. */
 export function isStreamFinding(value: unknown): value is StreamFinding {
   if (typeof value !== "object" || value === null) return false;
-  const { router, stream, soleVersion } = value as Record<string, unknown>;
+  const { router, stream, soleVersion, hasSeveralVersions } = value as Record<
+    string,
+    unknown
+  >;
   return typeof router === "string" &&
     (stream === undefined || isStreamRecord(stream)) &&
-    (soleVersion === undefined || isText(soleVersion, MAX_NAME_LENGTH));
+    (soleVersion === undefined || isText(soleVersion, MAX_NAME_LENGTH)) &&
+    (hasSeveralVersions === undefined ||
+      typeof hasSeveralVersions === "boolean");
 }
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -55,6 +55,7 @@
 import { findUnreadyReason } from "../policy/readiness.ts";
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import { createRetryBudget, type RetryBudget } from "../policy/retry_budget.ts";
+import type { VersionFinding } from "../policy/version_history.ts";
 import type { Instant, RoutingConfiguration } from "../routing/types.ts";
 import { bindServer } from "../transport/address.ts";
 import { handleClientErrors } from "../transport/client_error.ts";
@@ -252,8 +253,7 @@
       clock: readSteadyClock,
       listRouters: () => [...this.#routing.routers().keys()],
       send: (message, name) => this.#peerExchange.send(message, name),
-      findSoleVersion: (service, spanMs) =>
-        this.#findSoleVersion(service, spanMs),
+      findVersions: (service, spanMs) => this.#findVersions(service, spanMs),
     });
     this.#peerExchange = createPeerExchange({
       self: router.name,
@@ -418,14 +418,16 @@
     return server;
   }
 
-  /** What an outdated view of the upstreams shows proves nothing. */
-  #findSoleVersion(service: string, spanMs: number): string | undefined {
+  /** An outdated view of the upstreams does not prove that there is no other. */
+  #findVersions(service: string, spanMs: number): VersionFinding {
     const instant = readClocks();
-    if (this.#routing.ageAt(instant) > MAX_SOLE_VERSION_AGE_MS) {
-      return undefined;
-    }
+    const { directory } = this.#routing;
     const now = instant.steady;
-    return this.#routing.directory.findSoleVersion(service, { now, spanMs });
+    const finding = directory.findVersions(service, { now, spanMs });
+    const isOutdated = this.#routing.ageAt(instant) > MAX_SOLE_VERSION_AGE_MS;
+    return finding.kind === "sole" && isOutdated
+      ? { kind: "unknown" }
+      : finding;
   }
 
   #recordNotice(kind: UpstreamNotice, details: NoticeDetails): void {
@@ -499,6 +501,7 @@
     metrics.configurationAgeSeconds.set(ageMs / MS_PER_SECOND);
     metrics.upstreams.set(this.#routing.directory.size);
     metrics.upstreamsLimited.set(this.#placement.limitedCount);
+    metrics.streamsKnown.set(this.#streams.knownCount);
     metrics.promptPartsQuarantined.set(this.#crashes.quarantinedCount);
     metrics.routers.set(this.#routing.routers().size);
     metrics.logLinesDropped.set(this.#logWriter.droppedLines);
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -39,7 +39,7 @@
   type PlacementRequest,
   type PlacementResult,
 } from "./placement.ts";
-import { isSameProcess } from "./process_check.ts";
+import { checkProcess, isProvenProcess } from "./process_check.ts";
 import { refuseRetryable } from "./refusals.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import {
@@ -171,6 +171,8 @@
   #digest: string | undefined;
   /** Set once the response holds events, or if the caller has some. */
   #softwareVersion: string | undefined;
+  /** Upstreams whose process was checked for this request. */
+  readonly #checked = new Set<string>();
   /** Key of the stream that other routers are told of. */
   #runningStream: string | undefined;
 
@@ -212,12 +214,17 @@
     const { clock, retries, placement } = this.#options;
     retries.recordRequest(clock());
     for (;;) {
+      if (this.#exchange.response.destroyed) return { kind: "caller-left" };
       if (this.#getRemainingMs() < MIN_REMAINING_MS) return this.#endTimedOut();
       const subject = this.#options.crashes.find(this.#subjects);
       if (subject !== undefined) return this.#endQuarantined(subject);
       const place = placement.find(this.#createPlacementRequest());
       if (!("entry" in place)) return this.#endWithoutUpstream(place);
-      if (!await this.#hasBoundVersion(place)) continue;
+      if (this.#needsProcessCheck(place)) {
+        await this.#checkProcess(place);
+        // The choice may be outdated by now.
+        continue;
+      }
       const tryOutcome = await this.#tryUpstream(place);
       if (tryOutcome.kind === "caller-left") return { kind: "caller-left" };
       if (tryOutcome.kind === "timed-out") {
@@ -477,19 +484,25 @@
   }
 
   /**
-   * Whether the upstream certainly runs the version that the stream is bound
-   * to. Avoids it otherwise, until its entry has had time to arrive.
+   * Whether the stream is bound to a version and the upstream may have
+   * restarted with another.
    */
-  async #hasBoundVersion({ entry }: PlacementResult): Promise<boolean> {
-    if (this.#softwareVersion === undefined) return true;
-    if (!this.#service.isEngine) return true;
-    if (await isSameProcess(entry, this.#options)) return true;
+  #needsProcessCheck({ entry }: PlacementResult): boolean {
+    return this.#softwareVersion !== undefined && this.#service.isEngine &&
+      !this.#checked.has(entry.id) && !isProvenProcess(entry, this.#options);
+  }
+
+  /**
+   * Avoids the upstream for streams of its version, if its process is not
+   * certainly that of its entry, until a new entry has had time to arrive.
+   */
+  async #checkProcess({ entry }: PlacementResult): Promise<void> {
+    this.#checked.add(entry.id);
+    const state = await checkProcess(entry, this.#options);
+    if (state === "same") return;
     const { routing, clock } = this.#options;
-    routing.directory.recordRestarted(entry.id, {
-      coldMs: this.#service.coldStartMs,
-      now: clock(),
-    });
-    return false;
+    const coldMs = state === "other" ? this.#service.coldStartMs : 0;
+    routing.directory.recordRestarted(entry.id, { coldMs, now: clock() });
   }
 
   /** Whether a try without data may be replaced by another. */
@@ -534,7 +547,7 @@
     if (origin === undefined) return false;
     this.#softwareVersion = origin.softwareVersion;
     const isTarget = this.#route.targets
-      .some(({ service }) => service === origin.service);
+      .some(({ service, weight }) => service === origin.service && weight > 0);
     if (isTarget) {
       this.#service = table.findService(origin.service) ?? this.#service;
     }
--- a/src/ingress/ingress_metrics.ts
+++ b/src/ingress/ingress_metrics.ts
@@ -18,6 +18,7 @@
   readonly routers: Gauge;
   readonly upstreamsLimited: Gauge;
   readonly promptPartsQuarantined: Gauge;
+  readonly streamsKnown: Gauge;
   readonly logLinesDropped: Gauge;
   readonly eventLoopDelaySeconds: Gauge;
 }
@@ -100,7 +101,11 @@
     ),
     promptPartsQuarantined: createGauge(
       "prompt_parts_quarantined",
-      "Prompt parts that crash upstreams.",
+      "Prompt parts and requests that crash upstreams.",
+    ),
+    streamsKnown: createGauge(
+      "streams_known",
+      "Resumable streams whose software version this router knows.",
     ),
     logLinesDropped: createGauge(
       "log_lines_dropped",
--- a/src/ingress/process_check.ts
+++ b/src/ingress/process_check.ts
@@ -10,13 +10,19 @@
 import type { UpstreamEntry } from "../routing/types.ts";
 import type { UpstreamConnections } from "../transport/upstream_connections.ts";
 
-/** Options of `isSameProcess`. */
+/** Options of a check. */
 export interface ProcessCheckOptions {
   readonly connections: Pick<UpstreamConnections, "isOpenSince" | "send">;
   /** Reads the monotonic clock, in milliseconds. */
   readonly clock: () => number;
 }
 
+/**
+ * Whether an upstream's process is that of its entry. `same` also stands for an
+ * upstream that does not state its start time.
+ */
+export type ProcessState = "same" | "other" | "silent";
+
 /** Time for the report, in milliseconds; engines answer without a slot. */
 const REPORT_TIMEOUT_MS = 200;
 /** Longest report that is read; one of a full engine has some kilobytes. */
@@ -24,22 +30,29 @@
 const STATUS_OK = 200;
 
 /**
- * Whether an engine is certainly the process of `entry`, or states nothing that
- * tells. The connection that showed it is the one that the next request to the
- * address reuses.
+ * Whether the next request to an upstream reuses a connection that was opened so
+ * long ago that a new entry of the process there would have arrived.
  */
-export async function isSameProcess(
-  { address, bornAt }: UpstreamEntry,
+export function isProvenProcess(
+  { address }: UpstreamEntry,
   { connections, clock }: ProcessCheckOptions,
-): Promise<boolean> {
-  if (connections.isOpenSince(address, clock() - RESTART_REPORT_MS)) {
-    return true;
-  }
+): boolean {
+  return connections.isOpenSince(address, clock() - RESTART_REPORT_MS);
+}
+
+/**
+ * Asks an engine when it started. The next request to its address reuses the
+ * connection that carried the answer.
+ */
+export async function checkProcess(
+  { address, bornAt }: UpstreamEntry,
+  { connections }: ProcessCheckOptions,
+): Promise<ProcessState> {
   const report = await fetchReport(address, connections);
-  if (report === undefined) return false;
+  if (report === undefined) return "silent";
   const reportedAt = decodeReportedStart(report);
-  return reportedAt === undefined || bornAt === undefined ||
-    reportedAt === bornAt;
+  const isUnstated = reportedAt === undefined || bornAt === undefined;
+  return isUnstated || reportedAt === bornAt ? "same" : "other";
 }
 
 /**
--- a/src/policy/upstream_directory.ts
+++ b/src/policy/upstream_directory.ts
@@ -10,7 +10,11 @@
  */
 import { isDeepStrictEqual } from "node:util";
 import type { Instant, UpstreamEntry } from "../routing/types.ts";
-import { VersionHistory, type VersionSpan } from "./version_history.ts";
+import {
+  type VersionFinding,
+  VersionHistory,
+  type VersionSpan,
+} from "./version_history.ts";
 
 /** A process of an upstream that is leaving or was removed. */
 interface LeavingRecord {
@@ -282,14 +286,11 @@
       now >= record.versionUnknownUntil;
   }
 
-  /**
-   * Returns the only software version that a service had in a span of time;
-   * undefined if there were several or this directory is too young to tell.
-   */
-  findSoleVersion(service: string, span: VersionSpan): string | undefined {
+  /** Returns what is known of a service's software in a span of time. */
+  findVersions(service: string, span: VersionSpan): VersionFinding {
     const registered = this.listRegistered(service)
       .map(({ entry }) => entry.softwareVersion);
-    return this.#versions.findSole(service, { registered, ...span });
+    return this.#versions.find(service, { registered, ...span });
   }
 
   /** Returns the state of `id`; undefined if it is not registered. */
--- a/src/policy/version_history.ts
+++ b/src/policy/version_history.ts
@@ -14,6 +14,13 @@
   readonly spanMs: number;
 }
 
+/** What is known of the versions that a service had in a span of time. */
+export type VersionFinding =
+  | { readonly kind: "sole"; readonly version: string }
+  | { readonly kind: "several" }
+  /** The span begins before the history, or an upstream's version is unknown. */
+  | { readonly kind: "unknown" };
+
 /** Stands for a version that an update from another router lacked. */
 const UNKNOWN_VERSION = "\u0000";
 /** Time for which a version is remembered after it was seen last, in ms. */
@@ -46,27 +53,27 @@
     }
   }
 
-  /**
-   * Returns the only version that a service had in a span of time; undefined if
-   * there were several, or if the span begins before this history.
-   */
-  findSole(
+  /** Returns what is known of the versions of a service in a span of time. */
+  find(
     service: string,
     { registered, now, spanMs }: VersionSpan & {
       /** Versions that upstreams of the service have now. */
       readonly registered: readonly (string | undefined)[];
     },
-  ): string | undefined {
-    if (this.#startedAt === undefined || now - this.#startedAt < spanMs) {
-      return undefined;
-    }
+  ): VersionFinding {
     const versions = new Set(
       registered.map((version) => version ?? UNKNOWN_VERSION),
     );
     for (const [version, at] of this.#seen.get(service) ?? []) {
       if (now - at <= spanMs) versions.add(version);
     }
-    const [sole, ...others] = versions;
-    return others.length > 0 || sole === UNKNOWN_VERSION ? undefined : sole;
+    const [version, ...others] = versions;
+    if (others.length > 0) return { kind: "several" };
+    const isCovered = this.#startedAt !== undefined &&
+      now - this.#startedAt >= spanMs;
+    if (!isCovered || version === undefined || version === UNKNOWN_VERSION) {
+      return { kind: "unknown" };
+    }
+    return { kind: "sole", version };
   }
 }
--- a/src/policy/version_history_test.ts
+++ b/src/policy/version_history_test.ts
@@ -13,34 +13,35 @@
   now: number,
   registered: readonly (string | undefined)[] = ["v1"],
 ) {
-  return history.findSole("engine", { registered, now, spanMs: SPAN_MS });
+  return history.find("engine", { registered, now, spanMs: SPAN_MS });
 }
 
 // Pattern: a service has had one version for as long as streams last.
 test("a version that was the only one for the whole span is known", () => {
   const history = createHistory();
   history.recordSeen("other", "v7", 9_000);
-  expect(find(history, 10_000)).toBe("v1");
+  expect(find(history, 10_000)).toEqual({ kind: "sole", version: "v1" });
 });
 
 // Guards against a router that has just started and guesses.
 test("no version is known before the history covers the span", () => {
   const history = createHistory();
-  expect(find(history, 9_999)).toBeUndefined();
-  expect(find(new VersionHistory(), 20_000)).toBeUndefined();
+  expect(find(history, 9_999)).toEqual({ kind: "unknown" });
+  expect(find(new VersionHistory(), 20_000)).toEqual({ kind: "unknown" });
+  expect(find(history, 9_999, ["v1", "v2"])).toEqual({ kind: "several" });
 });
 
 test("a second version ends that until it was gone for the span", () => {
   const history = createHistory();
-  expect(find(history, 20_000, ["v1", "v2"])).toBeUndefined();
+  expect(find(history, 20_000, ["v1", "v2"])).toEqual({ kind: "several" });
   history.recordSeen("engine", "v2", 20_000);
-  expect(find(history, 30_000)).toBeUndefined();
-  expect(find(history, 30_001)).toBe("v1");
+  expect(find(history, 30_000)).toEqual({ kind: "several" });
+  expect(find(history, 30_001)).toEqual({ kind: "sole", version: "v1" });
 });
 
 test("an upstream whose version is unknown may have any", () => {
   const history = createHistory();
-  expect(find(history, 20_000, ["v1", undefined])).toBeUndefined();
-  expect(find(history, 20_000, [undefined])).toBeUndefined();
-  expect(find(history, 20_000, [])).toBeUndefined();
+  expect(find(history, 20_000, ["v1", undefined])).toEqual({ kind: "several" });
+  expect(find(history, 20_000, [undefined])).toEqual({ kind: "unknown" });
+  expect(find(history, 20_000, [])).toEqual({ kind: "unknown" });
 });
