Bound the ages of crashes in messages between routers

Other routers refuse a message with an age of more than an hour as invalid, and its loads with it. Of the eight crashes that are kept of what is quarantined, the first can be hours old after some trials.

--- a/src/control/peer_messages.ts
+++ b/src/control/peer_messages.ts
@@ -13,6 +13,7 @@
 } from "json-rpc-2.0";
 import {
   MAX_CRASH_WORKSPACES,
+  MAX_REPORTED_AGE_MS,
   MAX_REPORTED_SUBJECTS,
   MAX_SUBJECT_CRASHES,
   type SubjectCrash,
@@ -90,8 +91,6 @@
 const MAX_UPSTREAMS = 12_000;
 /** Exceeds the length of the keys of prompt parts, requests and upstreams. */
 const MAX_KEY_LENGTH = 32;
-/** Exceeds the time for which any finding is kept, in milliseconds. */
-const MAX_AGE_MS = 3_600_000;
 const CHANGE_KINDS: ReadonlySet<unknown> = new Set<StoreChange["kind"]>([
   "upstream",
   "upstream-gone",
@@ -120,7 +119,7 @@
 }
 
 function isAge(value: unknown): boolean {
-  return isCount(value) && value <= MAX_AGE_MS;
+  return isCount(value) && value <= MAX_REPORTED_AGE_MS;
 }
 
 function isBoundedList(
--- a/src/policy/crash_quarantine.ts
+++ b/src/policy/crash_quarantine.ts
@@ -136,8 +136,13 @@
   part: 30_000,
   request: 600_000,
 };
-/** Longest such time, which bounds the ages in reports. */
+/** Longest such time. */
 const MAX_HOLD_MS = 1_800_000;
+/**
+ * Ages above this are reported as this, in milliseconds. Crashes of a subject
+ * that is tried now and then can be hours old.
+ */
+export const MAX_REPORTED_AGE_MS = 3_600_000;
 /**
  * Share of the requests that are sent after that time, so that about one
  * reaches an upstream before the other routers know how it ended.
@@ -245,11 +250,11 @@
         crashes: crashes.map(({ upstream, workspaces, sentAt, at }) => ({
           upstream,
           workspaces,
-          sentAgeMs: Math.round(now - sentAt),
-          ageMs: Math.round(now - at),
+          sentAgeMs: getReportedAge(sentAt, now),
+          ageMs: getReportedAge(at, now),
         })),
         ...(Number.isFinite(clearedAt) && {
-          clearedAgeMs: Math.round(now - clearedAt),
+          clearedAgeMs: getReportedAge(clearedAt, now),
         }),
       };
     });
@@ -445,6 +450,10 @@
   return count;
 }
 
+function getReportedAge(at: number, now: number): number {
+  return Math.min(MAX_REPORTED_AGE_MS, Math.round(now - at));
+}
+
 function getLatest(crashes: readonly Crash[]): number {
   return crashes.at(-1)?.at ?? -Infinity;
 }
--- a/src/policy/crash_quarantine_test.ts
+++ b/src/policy/crash_quarantine_test.ts
@@ -288,3 +288,16 @@
   }
   expect(names.filter((name) => !other.find(plain(name), 4_000))).toEqual([]);
 });
+
+// Guards against reports that other routers refuse as invalid, with the loads
+// that come with them.
+test("reports no age of more than an hour", () => {
+  const quarantine = createQuarantine();
+  for (let each = 0; each < 8; each++) {
+    const from = each * 1_800;
+    crash(quarantine, plain("bad"), { from, count: 1 });
+  }
+  const [report] = quarantine.createReports(8 * 1_800_000 - 1_000);
+  const ages = report!.crashes.map(({ ageMs }) => ageMs);
+  expect(Math.max(...ages)).toBe(3_600_000);
+});
