--- a/src/control/peer_exchange.ts
+++ b/src/control/peer_exchange.ts
@@ -129,6 +129,7 @@
   // Starting at the wall-clock time keeps the sequence rising over restarts.
   #sequence = Date.now();
   #invalidCount = 0;
+  #isClosed = false;
   #relay: string | undefined;
   #joinedRelays = "";
 
@@ -157,6 +158,7 @@
   }
 
   close(): void {
+    this.#isClosed = true;
     clearTimeout(this.#timer);
     this.#socket.close();
   }
@@ -355,7 +357,8 @@
 
   #send(bytes: Buffer, router: string): void {
     const address = this.#options.keeper.routers().get(router);
-    if (address === undefined) return;
+    // Streams can begin until the last connection to a caller is closed.
+    if (address === undefined || this.#isClosed) return;
     const { host, port } = parseAddress(address);
     this.#socket.send(bytes, port, host);
   }
--- a/src/control/peer_exchange_test.ts
+++ b/src/control/peer_exchange_test.ts
@@ -368,3 +368,12 @@
   });
   expect(Date.now() - sentAt).toBeLessThan(BOUND_MS);
 }, 20_000);
+
+// Guards against a router that ends with an error while it stops, since a
+// stream begins after its socket was closed.
+test("a message that is sent after the exchange has closed is dropped", async () => {
+  const stopped = members.pop()!;
+  await stopMember(stopped);
+  const message = { jsonrpc: "2.0" };
+  expect(() => stopped.exchange.send(message, members[0]!.name)).not.toThrow();
+});
