Let no prompt part explain the crashes of a whole request

Cause: a part that many requests share is at every upstream at any time, and so at those that the request crashed. Until the next answer it explained the crashes, and the request went on. Only other requests explain those of a whole request now; the test failed before.

A sound request that polls a plain service can be lost three times in a second, too, and would have been refused for 10 min: it is tried after 2 min now.

--- a/src/policy/crash_quarantine.ts
+++ b/src/policy/crash_quarantine.ts
@@ -134,7 +134,7 @@
  */
 const MIN_HOLD_MS: Readonly<Record<Subject["kind"], number>> = {
   part: 30_000,
-  request: 600_000,
+  request: 120_000,
 };
 /** Longest such time. */
 const MAX_HOLD_MS = 1_800_000;
@@ -279,7 +279,8 @@
   /**
    * Whether the crashes of a request's subject `key` have another explanation:
    * a single part that the request lacks, the other quarantined requests
-   * together, or another workspace.
+   * together, or another workspace. Those of the whole request are explained by
+   * other requests only: parts that many share are at every upstream.
    */
   #isExplained(
     key: string,
@@ -287,17 +288,16 @@
   ): boolean {
     const { crashes } = this.#records.get(key)!;
     if (isOfOtherWorkspace(crashes, workspace)) return true;
+    const isRequest = isRequestKey(key);
     const requestCrashes: Crash[] = [];
     for (const otherKey of this.#quarantined) {
       if (own.has(otherKey)) continue;
       const other = this.#records.get(otherKey)!.crashes;
-      if (!isRequestKey(otherKey)) {
-        if (isShared(crashes, other)) return true;
-        continue;
-      }
-      // Two requests with the same crashes would clear each other.
-      const isStronger = !isRequestKey(key) || other.length > crashes.length;
-      if (isStronger) requestCrashes.push(...other);
+      if (isRequestKey(otherKey)) {
+        // Two requests with the same crashes would clear each other.
+        const isStronger = !isRequest || other.length > crashes.length;
+        if (isStronger) requestCrashes.push(...other);
+      } else if (!isRequest && isShared(crashes, other)) return true;
     }
     return isShared(crashes, requestCrashes);
   }
