--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -4,13 +4,9 @@
  */
 import { createRefusal } from "../diagnostics.ts";
 import type { RoutingView } from "../control/routing_controller.ts";
-import type { StreamExchange } from "../control/stream_exchange.ts";
 import { encodeUpstreamHeaders } from "../platform/message_headers.ts";
 import { AttemptPlan } from "../policy/attempt_plan.ts";
-import {
-  createRequestDigest,
-  createStreamKey,
-} from "../policy/request_digest.ts";
+import { createRequestDigest } from "../policy/request_digest.ts";
 import type { Hash } from "../policy/rendezvous.ts";
 import { pickTarget } from "../policy/route_table.ts";
 import type {
@@ -39,8 +35,8 @@
   type PlacementRequest,
   type PlacementResult,
 } from "./placement.ts";
-import { checkProcess, isProvenProcess } from "./process_check.ts";
 import { refuseRetryable } from "./refusals.ts";
+import { StreamBinding, type StreamBindingOptions } from "./stream_binding.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import {
   STATUS_MISDIRECTED,
@@ -54,10 +50,7 @@
   readonly placement: Placement;
   readonly connections: UpstreamConnections;
   readonly crashes: CrashWatch;
-  readonly streams: Pick<
-    StreamExchange,
-    "find" | "recordStart" | "recordEnd"
-  >;
+  readonly streams: StreamBindingOptions["streams"];
   readonly retries: RetryBudget;
   /** Reads the monotonic clock, in milliseconds. */
   readonly clock: () => number;
@@ -114,8 +107,6 @@
 /** Length to which the id of a prompt part is cut in the detail of a refusal. */
 const MAX_DETAIL_PART_LENGTH = 32;
 const MIN_REDIRECT_STATUS = 300;
-/** No upstream has this version. */
-const NO_VERSION = "\u0000";
 
 /** Sends requests to upstreams; the last filter, so it never calls `next`. */
 export class ForwardFilter implements IngressFilter {
@@ -169,12 +160,7 @@
   readonly #excluded = new Set<string>();
   readonly #subjects: RequestSubjects;
   #digest: string | undefined;
-  /** Set once the response holds events, or if the caller has some. */
-  #softwareVersion: string | undefined;
-  /** Upstreams whose process was checked for this request. */
-  readonly #checked = new Set<string>();
-  /** Key of the stream that other routers are told of. */
-  #runningStream: string | undefined;
+  readonly #binding: StreamBinding;
 
   constructor(exchange: IngressExchange, options: ForwardFilterOptions) {
     const { route, traits, table, response, workspace } = exchange;
@@ -185,6 +171,7 @@
     this.#route = route!;
     this.#service = table.findService(name) ?? createUnknownService(name);
     this.#plan = new AttemptPlan(route!);
+    this.#binding = new StreamBinding(exchange, options);
     this.#subjects = {
       workspace: workspace?.name ?? "",
       parts: traits.promptParts.map(({ id }) => id),
@@ -197,16 +184,13 @@
   }
 
   async run(): Promise<IngressOutcome> {
-    const { streams } = this.#options;
-    if (this.#isResumption() && !await this.#findOrigin()) {
+    if (this.#binding.isResumption && !await this.#findOrigin()) {
       return this.#endUnknownStream();
     }
     try {
       return await this.#tryUpstreams();
     } finally {
-      if (this.#runningStream !== undefined) {
-        streams.recordEnd(this.#runningStream);
-      }
+      this.#binding.recordEnd();
     }
   }
 
@@ -220,8 +204,8 @@
       if (subject !== undefined) return this.#endQuarantined(subject);
       const place = placement.find(this.#createPlacementRequest());
       if (!("entry" in place)) return this.#endWithoutUpstream(place);
-      if (this.#needsProcessCheck(place)) {
-        await this.#checkProcess(place);
+      if (this.#binding.needsProcessCheck(place.entry, this.#service)) {
+        await this.#binding.checkProcess(place.entry, this.#service);
         // The choice may be outdated by now.
         continue;
       }
@@ -287,7 +271,7 @@
       silenceTimeoutMs: this.#getSilenceTimeoutMs(),
       mayReplaceTry: () => this.#mayReplaceTry(),
       isSuspect: () => placement.isSuspect(upstream, this.#service),
-      onStreamStart: () => this.#recordStreamStart(place),
+      onStreamStart: () => this.#binding.recordStart(place.entry),
       onSurvival: () => crashes.recordAnswer(this.#subjects),
       onLoad: (load) => placement.recordReportedLoad(upstream, load),
       onNotice: (status, traits) =>
@@ -483,32 +467,10 @@
     return this.#route.objectiveMs * PLAIN_SILENCE_TIMEOUT_FACTOR;
   }
 
-  /**
-   * Whether the stream is bound to a version and the upstream may have
-   * restarted with another.
-   */
-  #needsProcessCheck({ entry }: PlacementResult): boolean {
-    return this.#softwareVersion !== undefined && this.#service.isEngine &&
-      !this.#checked.has(entry.id) && !isProvenProcess(entry, this.#options);
-  }
-
-  /**
-   * Avoids the upstream for streams of its version, if its process is not
-   * certainly that of its entry, until a new entry has had time to arrive.
-   */
-  async #checkProcess({ entry }: PlacementResult): Promise<void> {
-    this.#checked.add(entry.id);
-    const state = await checkProcess(entry, this.#options);
-    if (state === "same") return;
-    const { routing, clock } = this.#options;
-    const coldMs = state === "other" ? this.#service.coldStartMs : 0;
-    routing.directory.recordRestarted(entry.id, { coldMs, now: clock() });
-  }
-
   /** Whether a try without data may be replaced by another. */
   #mayReplaceTry(): boolean {
     if (this.#plan.sent + 1 >= this.#route.maxAttempts) return false;
-    if (this.#softwareVersion === undefined) return true;
+    if (this.#binding.softwareVersion === undefined) return true;
     const request = this.#createPlacementRequest();
     return "entry" in this.#options.placement.find(request);
   }
@@ -518,64 +480,26 @@
       service: this.#service,
       promptParts: this.#exchange.traits.promptParts,
       excluded: this.#excluded,
-      softwareVersion: this.#softwareVersion,
+      softwareVersion: this.#binding.softwareVersion,
     };
   }
 
-  /** Whether the caller has events of a stream that may be resumed. */
-  #isResumption(): boolean {
-    const { lastEventId, resumedId } = this.#exchange.traits;
-    return this.#plan.isRepeatable && this.#route.kind === "stream" &&
-      (lastEventId !== undefined || resumedId !== undefined);
-  }
-
-  #getStreamKey(): string {
-    const { traits: { resumedId, requestId }, workspace } = this.#exchange;
-    return createStreamKey(workspace?.name, resumedId ?? requestId);
-  }
-
   /**
-   * Finds out what began the stream that the caller resumes, and goes on with
-   * that service and version; false if it is not known.
+   * Goes on with the service that began the stream which the caller resumes, if
+   * the route still has it; false if no router knows the stream.
    */
   async #findOrigin(): Promise<boolean> {
-    const { table } = this.#exchange;
-    const origin = await this.#options.streams.find(this.#getStreamKey(), {
-      service: this.#service.name,
-      spanMs: this.#getStreamSpanMs(),
-    });
+    const origin = await this.#binding.findOrigin(this.#service.name);
     if (origin === undefined) return false;
-    this.#softwareVersion = origin.softwareVersion;
     const isTarget = this.#route.targets
       .some(({ service, weight }) => service === origin.service && weight > 0);
     if (isTarget) {
-      this.#service = table.findService(origin.service) ?? this.#service;
+      const service = this.#exchange.table.findService(origin.service);
+      this.#service = service ?? this.#service;
     }
     return true;
   }
 
-  /**
-   * Longest time for which a stream may last, in milliseconds. Its caller may
-   * begin it with a second request, and each may take as long as the route does.
-   */
-  #getStreamSpanMs(): number {
-    return this.#route.timeoutMs * 2;
-  }
-
-  /** Binds the rest of the stream to the version that makes its first event. */
-  #recordStreamStart({ entry }: PlacementResult): void {
-    if (!this.#plan.isRepeatable) return;
-    this.#softwareVersion = entry.softwareVersion ?? NO_VERSION;
-    if (entry.softwareVersion === undefined) return;
-    this.#runningStream = this.#getStreamKey();
-    this.#options.streams.recordStart({
-      key: this.#runningStream,
-      service: this.#service.name,
-      softwareVersion: entry.softwareVersion,
-      spanMs: this.#getStreamSpanMs(),
-    });
-  }
-
   #getRemainingMs(): number {
     return this.#exchange.deadlineAt - this.#options.clock();
   }
@@ -591,12 +515,14 @@
       });
       return { kind: "refused", refusal };
     }
+    const { softwareVersion: version } = this.#binding;
+    const { name } = this.#service;
     return refuseRetryable(this.#exchange, {
       code: "no-capacity",
-      detail: this.#softwareVersion === undefined
-        ? `Service ${this.#service.name} has no upstream to take it.`
-        : `Service ${this.#service.name} has no upstream of version ` +
-          `${this.#softwareVersion} to go on with the stream.`,
+      detail: version === undefined
+        ? `Service ${name} has no upstream to take it.`
+        : `Service ${name} has no upstream of version ${version} to go on ` +
+          "with the stream.",
       cause: reason,
       earliestMs: waitMs,
     });
