Share the figures of crash tests, and test the check of a process

prompt_crashes_test.ts and request_crashes_test.ts counted in the same way; the bounds and checks stay. isOpenSince and the report of an engine are tested by themselves.

--- a/bench/prompt_crashes_test.ts
+++ b/bench/prompt_crashes_test.ts
@@ -3,8 +3,11 @@
  * them, on fleets of router processes; needs a build.
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Call } from "./store_chaos_evidence.ts";
-import type { StoreFleet } from "./store_chaos_fleet.ts";
+import {
+  countLaterArrivals,
+  type CrashRun,
+  getServedShare,
+} from "./testing/crash_run.ts";
 import { openTestFleet } from "./testing/test_fleet.ts";
 
 const PART = "crashing-part";
@@ -23,12 +26,6 @@
 const MAX_LATER_ARRIVALS = 3;
 const TEST_TIMEOUT_MS = 120_000;
 
-interface CrashRun {
-  readonly fleet: StoreFleet;
-  readonly sound: readonly Call[];
-  readonly crashing: readonly Call[];
-}
-
 /** Sends sound and crashing requests at any router. */
 async function runCrashes(
   { routers, seed }: { routers: number; seed: number },
@@ -55,27 +52,6 @@
   return run;
 }
 
-/**
- * Returns the crashing requests that were sent, and reached an engine, after
- * the fleet had to know the part.
- */
-function listLaterArrivals({ fleet, crashing }: CrashRun): string[] {
-  const crash = fleet.crashes[KNOWN_AFTER_CRASHES - 1];
-  const knownAtMs = (crash?.atMs ?? Infinity) + CONTACT_MS;
-  const later = new Set(
-    crashing.filter(({ fromMs }) => fromMs > knownAtMs)
-      .map(({ requestId }) => requestId),
-  );
-  return fleet.arrivals.filter(({ requestId }) => later.has(requestId))
-    .map(({ requestId }) => requestId);
-}
-
-/** Returns the share of sound requests from `fromMs` on that were served. */
-function getServedShare(sound: readonly Call[], fromMs: number): number {
-  const sent = sound.filter((call) => call.fromMs >= fromMs);
-  return sent.filter(({ end }) => end === "whole").length / sent.length;
-}
-
 // Guards against prompts that crash engine after engine, because each router
 // sends the next one on to an engine that still runs.
 test.each([
@@ -85,11 +61,14 @@
   "a prompt part that crashes engines is kept from them by $routers routers, and sound requests are served",
   async ({ routers, seed }) => {
     const run = await runCrashes({ routers, seed });
-    const later = listLaterArrivals(run);
-    expect(later.length).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
+    const laterArrivals = countLaterArrivals(run, {
+      crashCount: KNOWN_AFTER_CRASHES,
+      contactMs: CONTACT_MS,
+    });
+    expect(laterArrivals).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
     const lastCrash = run.fleet.crashes.at(-1)!;
     const recoveredAtMs = lastCrash.atMs + 2 * CONTACT_MS;
-    expect(getServedShare(run.sound, recoveredAtMs)).toBeGreaterThan(0.9);
+    expect(getServedShare(run, recoveredAtMs)).toBeGreaterThan(0.9);
   },
   TEST_TIMEOUT_MS,
 );
--- a/bench/request_crashes_test.ts
+++ b/bench/request_crashes_test.ts
@@ -3,8 +3,13 @@
  * run it, on fleets of router processes; needs a build.
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Call, CallKind } from "./store_chaos_evidence.ts";
-import { STORE_CHAOS_BOUNDS, type StoreFleet } from "./store_chaos_fleet.ts";
+import type { CallKind } from "./store_chaos_evidence.ts";
+import { STORE_CHAOS_BOUNDS } from "./store_chaos_fleet.ts";
+import {
+  countLaterArrivals,
+  type CrashRun,
+  getServedShare,
+} from "./testing/crash_run.ts";
 import { openTestFleet } from "./testing/test_fleet.ts";
 
 const BODY = JSON.stringify({ crash: "always" });
@@ -18,12 +23,6 @@
 const CRASHING_MS = 14_000;
 const TEST_TIMEOUT_MS = 120_000;
 
-interface CrashRun {
-  readonly fleet: StoreFleet;
-  readonly sound: readonly Call[];
-  readonly crashing: readonly Call[];
-}
-
 /** Sends sound requests, and one of `kind` that crashes, at any router. */
 async function runCrashes(
   { routers, kind, seed }: { routers: number; kind: CallKind; seed: number },
@@ -61,27 +60,6 @@
   return run;
 }
 
-/**
- * Returns how often the request reached an upstream when it was sent after the
- * fleet had to know it.
- */
-function countLaterArrivals({ fleet, crashing }: CrashRun): number {
-  const { maxRequestCrashes, faultFreeMs } = STORE_CHAOS_BOUNDS;
-  const crash = fleet.crashes[maxRequestCrashes - 1];
-  const knownAtMs = (crash?.atMs ?? Infinity) + faultFreeMs;
-  const later = new Set(
-    crashing.filter(({ fromMs }) => fromMs > knownAtMs)
-      .map(({ requestId }) => requestId),
-  );
-  return fleet.arrivals.filter(({ requestId }) => later.has(requestId)).length;
-}
-
-/** Returns the share of sound requests from `fromMs` on that were served. */
-function getServedShare(sound: readonly Call[], fromMs: number): number {
-  const sent = sound.filter((call) => call.fromMs >= fromMs);
-  return sent.filter(({ end }) => end === "whole").length / sent.length;
-}
-
 // Guards against a request that ends upstream after upstream because answers
 // to others with the same prompt parts clear it, or because it names no parts.
 test.each(
@@ -96,12 +74,16 @@
   async ({ routers, kind, seed }) => {
     const run = await runCrashes({ routers, kind, seed });
     expect(run.fleet.crashes.length).toBeGreaterThanOrEqual(3);
-    expect(countLaterArrivals(run)).toBeLessThanOrEqual(
-      STORE_CHAOS_BOUNDS.maxLaterArrivals,
-    );
+    const { maxRequestCrashes, faultFreeMs, maxLaterArrivals } =
+      STORE_CHAOS_BOUNDS;
+    const laterArrivals = countLaterArrivals(run, {
+      crashCount: maxRequestCrashes,
+      contactMs: faultFreeMs,
+    });
+    expect(laterArrivals).toBeLessThanOrEqual(maxLaterArrivals);
     const lastCrash = run.fleet.crashes.at(-1)!;
-    const recoveredAtMs = lastCrash.atMs + 2 * STORE_CHAOS_BOUNDS.faultFreeMs;
-    expect(getServedShare(run.sound, recoveredAtMs)).toBeGreaterThan(0.9);
+    const recoveredAtMs = lastCrash.atMs + 2 * faultFreeMs;
+    expect(getServedShare(run, recoveredAtMs)).toBeGreaterThan(0.9);
   },
   TEST_TIMEOUT_MS,
 );
--- /dev/null
+++ b/src/ingress/process_check_test.ts
@@ -0,0 +1,96 @@
+import type {
+  ResponseListener,
+  UpstreamExchange,
+} from "../transport/upstream_connections.ts";
+import type { UpstreamEntry } from "../routing/types.ts";
+import {
+  checkProcess,
+  isProvenProcess,
+  type ProcessCheckOptions,
+} from "./process_check.ts";
+
+const ENTRY: UpstreamEntry = {
+  id: "up",
+  service: "engine",
+  address: "10.0.0.1:80",
+  failureDomain: "east",
+  slots: 4,
+  state: "ready",
+  coldLeftMs: 0,
+  softwareVersion: "v1",
+  bornAt: 7,
+};
+
+/** Returns connections on which `answer` handles the request for a report. */
+function createOptions(
+  answer: (listener: ResponseListener) => void,
+  openedAt = Infinity,
+) {
+  let isCancelled = false;
+  const exchange: UpstreamExchange = {
+    isReused: false,
+    cancel: () => isCancelled = true,
+    pause: () => {},
+    resume: () => {},
+  };
+  const options: ProcessCheckOptions = {
+    clock: () => 10_000,
+    connections: {
+      isOpenSince: (_address, at) => openedAt <= at,
+      send: (_request, listener) => {
+        setImmediate(() => answer(listener));
+        return exchange;
+      },
+    },
+  };
+  return { options, isCancelled: () => isCancelled };
+}
+
+function respond(status: number, body: string) {
+  return (listener: ResponseListener) => {
+    listener.onHead(status, {});
+    listener.onData(Buffer.from(body));
+    listener.onEnd();
+  };
+}
+
+function check(answer: (listener: ResponseListener) => void) {
+  return checkProcess(ENTRY, createOptions(answer).options);
+}
+
+// Guards against an engine that is back under its id with other software.
+test("an engine that states another start time is another process", async () => {
+  expect(await check(respond(200, '{"born":8}'))).toBe("other");
+  expect(await check(respond(200, '{"born":7}'))).toBe("same");
+});
+
+test("an upstream that does not state its start time can't be told apart", async () => {
+  expect(await check(respond(404, ""))).toBe("same");
+  expect(await check(respond(200, "{}"))).toBe("same");
+  expect(await check(respond(200, "no JSON"))).toBe("same");
+  const entry = { ...ENTRY, bornAt: undefined };
+  const { options } = createOptions(respond(200, '{"born":8}'));
+  expect(await checkProcess(entry, options)).toBe("same");
+});
+
+// Guards against reports without end, and engines that don't answer.
+test("an engine whose report does not end is silent", async () => {
+  expect(await check((listener) => listener.onFailure("broken", "reset")))
+    .toBe("silent");
+  const endless = createOptions((listener) => {
+    listener.onHead(200, {});
+    listener.onData(Buffer.alloc(1_048_577));
+  });
+  expect(await checkProcess(ENTRY, endless.options)).toBe("silent");
+  expect(endless.isCancelled()).toBe(true);
+  const mute = createOptions(() => {});
+  expect(await checkProcess(ENTRY, mute.options)).toBe("silent");
+  expect(mute.isCancelled()).toBe(true);
+});
+
+test("only a connection of three seconds or more proves the process", () => {
+  const options = (openedAt: number) =>
+    createOptions(() => {}, openedAt).options;
+  expect(isProvenProcess(ENTRY, options(7_000))).toBe(true);
+  expect(isProvenProcess(ENTRY, options(7_001))).toBe(false);
+});
--- a/src/transport/upstream_connections_test.ts
+++ b/src/transport/upstream_connections_test.ts
@@ -166,3 +166,19 @@
   for (const socket of sockets) socket.destroy();
   child.kill("SIGKILL");
 });
+
+test("an idle connection tells since when the process has run", async () => {
+  await withUpstream(
+    (socket) => void socket.write(COMPLETE_RESPONSE),
+    async ({ address }, connections) => {
+      expect(connections.isOpenSince(address, performance.now())).toBe(false);
+      const before = performance.now();
+      await send(connections, address);
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      expect(connections.isOpenSince(address, before)).toBe(false);
+      expect(connections.isOpenSince(address, performance.now())).toBe(true);
+      connections.closeIdle(address);
+      expect(connections.isOpenSince(address, performance.now())).toBe(false);
+    },
+  );
+});
