Hold a part responsible once a second request with it crashes an upstream

A request that is retried crashes several upstreams by itself and is quarantined. Such requests together explained the crashes of a part, so that a part which crashes upstreams whatever else the request holds was never found when each request with it was retried. It is explained only if one request was in all of its crashes.

--- a/src/policy/crash_quarantine.ts
+++ b/src/policy/crash_quarantine.ts
@@ -277,29 +277,33 @@
   }
 
   /**
-   * Whether the crashes of a request's subject `key` have another explanation:
-   * a single part that the request lacks, the other quarantined requests
-   * together, or another workspace. Those of the whole request are explained by
-   * other requests only: parts that many share are at every upstream.
+   * Whether the crashes of a request's subject `key` have another explanation.
+   * Those of a part: another part that shares most of them, another workspace
+   * or another request that was in all of them. Those of a whole request: other
+   * requests only, since parts that many share are at every upstream.
    */
   #isExplained(
     key: string,
     { own, workspace }: { own: ReadonlySet<string>; workspace: string },
   ): boolean {
     const { crashes } = this.#records.get(key)!;
-    if (isOfOtherWorkspace(crashes, workspace)) return true;
-    const isRequest = isRequestKey(key);
-    const requestCrashes: Crash[] = [];
-    for (const otherKey of this.#quarantined) {
-      if (own.has(otherKey)) continue;
-      const other = this.#records.get(otherKey)!.crashes;
-      if (isRequestKey(otherKey)) {
-        // Two requests with the same crashes would clear each other.
-        const isStronger = !isRequest || other.length > crashes.length;
-        if (isStronger) requestCrashes.push(...other);
-      } else if (!isRequest && isShared(crashes, other)) return true;
+    const others = [...this.#quarantined].filter((other) => !own.has(other))
+      .map((other) => ({
+        isRequest: isRequestKey(other),
+        crashes: this.#records.get(other)!.crashes,
+      }));
+    if (isRequestKey(key)) {
+      // Two requests with the same crashes would clear each other.
+      return others.some((other) =>
+        other.isRequest && other.crashes.length > crashes.length &&
+        getSharedPart(crashes, other.crashes) >= EXPLAINED_SHARE
+      );
     }
-    return isShared(crashes, requestCrashes);
+    return isOfOtherWorkspace(crashes, workspace) ||
+      others.some((other) =>
+        getSharedPart(crashes, other.crashes) >=
+          (other.isRequest ? 1 : EXPLAINED_SHARE)
+      );
   }
 
   #addCrashes(
@@ -399,14 +403,14 @@
   return key.startsWith(REQUEST_KEY_PREFIX);
 }
 
-/** Whether enough of `crashes` are also in `others` to be explained by them. */
-function isShared(
+/** Returns which part of `crashes` is also in `others`, from 0 to 1. */
+function getSharedPart(
   crashes: readonly Crash[],
   others: readonly Crash[],
-): boolean {
+): number {
   const upstreams = new Set(others.map(({ upstream }) => upstream));
   const shared = crashes.filter(({ upstream }) => upstreams.has(upstream));
-  return shared.length >= crashes.length * EXPLAINED_SHARE;
+  return shared.length / crashes.length;
 }
 
 /** Whether all of `crashes` had requests of one other workspace. */
--- a/src/policy/crash_quarantine_test.ts
+++ b/src/policy/crash_quarantine_test.ts
@@ -228,17 +228,28 @@
   expect(quarantine.find(plain("retried"), now + 20)).toBeUndefined();
 });
 
-// Guards against sound parts that are refused because several requests with
-// them crash upstreams, each by itself (LOST).
-test("serves a part whose crashes several quarantined requests explain", () => {
+// Guards against sound parts that are refused because a request with them
+// crashes upstreams by itself (LOST).
+test("serves a part all of whose crashes a quarantined request explains", () => {
   const quarantine = createQuarantine();
-  crash(quarantine, prompt(["subject", "bad-1"]));
-  const now = crash(quarantine, prompt(["subject", "bad-2"]), { from: 3 });
+  const now = crash(quarantine, prompt(["subject", "bad"]), { count: 4 });
   expect(quarantine.find(prompt(["subject", "sound"]), now)).toBeUndefined();
-  expect(quarantine.find(prompt(["subject", "bad-1"]), now)?.kind)
+  expect(quarantine.find(prompt(["subject", "bad"]), now)?.kind)
     .toBe("request");
 });
 
+// Pattern: each request with a crashing part is retried, so that it crashes
+// several upstreams by itself, before the next one comes.
+test("refuses a part as soon as a second request with it crashes an upstream", () => {
+  const quarantine = createQuarantine();
+  crash(quarantine, prompt(["bad", "own-1"]), { count: 4 });
+  const now = crash(quarantine, prompt(["bad", "own-2"]), {
+    from: 4,
+    count: 1,
+  });
+  expect(quarantine.find(prompt(["bad", "own-3"]), now)?.id).toBe("bad");
+});
+
 test("a request that was lost with a crashing one several times is served", () => {
   const quarantine = createQuarantine();
   crash(quarantine, plain("bad"), { count: 4 });
