--- a/src/daemon/ingress_versions_test.ts
+++ b/src/daemon/ingress_versions_test.ts
@@ -131,9 +131,12 @@
   await setVersions("v1");
   fleet.script(sendRest);
   await fleet.ask({ id: "first", path: "/chat/x" });
+  // All at once, since the stream is remembered for the route's timeout.
   for (const upstream of fleet.upstreams) {
     fleet.putUpstream(upstream, { version: "v2", born: 8 });
-    await fleet.untilLogged({ upstream: upstream.id, bornAt: 8 });
+  }
+  for (const { id } of fleet.upstreams) {
+    await fleet.untilLogged({ upstream: id, bornAt: 8 });
   }
   const answer = await fleet.ask({
     id: "again",
--- a/src/ingress/stream_binding.ts
+++ b/src/ingress/stream_binding.ts
@@ -128,10 +128,10 @@
   }
 
   /**
-   * Longest time for which a stream may last, in milliseconds. Its caller may
-   * begin it with a second request, and each may take as long as the route does.
+   * Longest time for which a stream may last, in milliseconds: that for which
+   * its caller may be kept waiting, with all requests for it.
    */
   get #spanMs(): number {
-    return this.#route.timeoutMs * 2;
+    return this.#route.timeoutMs;
   }
 }
