Check the first request for a stream in the soak, though its caller resumes it

Since callers of the soak take up cut streams, a stream that a router without a fault had cut counted as answered: the checks "what was passed on is answered" and "all is served after the faults" had become weaker, and so had the shares of prompt_crashes_test.ts, request_crashes_test.ts and upstream_limits_test.ts. They look at the first request now, as before; the test of it failed before.

--- a/bench/store_chaos_calls.ts
+++ b/bench/store_chaos_calls.ts
@@ -89,6 +89,7 @@
     const fromMs = performance.now();
     const { requestId, kind, key, router } = options;
     const first = await this.#send(options, { attemptId: requestId, router });
+    const firstToMs = performance.now();
     const resumptions: Resumption[] = [];
     const result = kind === "chat"
       ? await this.#resume(options, { first, resumptions })
@@ -105,6 +106,7 @@
       end,
       detail,
       versions: [...new Set(events.map(getEventVersion))],
+      first: { end: first.end, toMs: firstToMs },
       resumptions,
     };
   }
--- a/bench/store_chaos_evidence.ts
+++ b/bench/store_chaos_evidence.ts
@@ -42,7 +42,9 @@
   readonly detail: string;
   /** Versions of the software that made the events of a stream. */
   readonly versions: readonly string[];
-  /** How often the caller took the stream up again. */
+  /** How the first request ended, before the caller took the stream up again. */
+  readonly first: { readonly end: CallOutcome; readonly toMs: number };
+  /** Each time that the caller took the stream up again. */
   readonly resumptions: readonly Resumption[];
 }
 
--- a/bench/store_chaos_verdict.ts
+++ b/bench/store_chaos_verdict.ts
@@ -246,7 +246,7 @@
 ): StoreChaosViolation[] {
   const { calls, arrivals, windows } = evidence;
   const arrived = new Set(arrivals.map(({ requestId }) => requestId));
-  function isAffected({ router, fromMs, toMs }: Call): boolean {
+  function isAffected({ router, fromMs, first: { toMs } }: Call): boolean {
     return windows.some((window: FaultWindow) =>
       window.fromMs <= toMs && window.toMs + SECOND_MS >= fromMs &&
       (UPSTREAM_FAULTS.has(window.kind) || window.kind === "upstream-silent" ||
@@ -254,7 +254,8 @@
     );
   }
   return calls.filter((call) =>
-    call.end === "broken" && arrived.has(call.requestId) && !isAffected(call)
+    call.first.end === "broken" && arrived.has(call.requestId) &&
+    !isAffected(call)
   ).map(({ requestId, detail }) => ({
     promise: "what was passed on is answered",
     requestId,
@@ -353,13 +354,13 @@
 function checkRecovery(evidence: StoreChaosEvidence): StoreChaosViolation[] {
   const expected = evidence.recovery
     .filter((call) => !isKeyWithdrawn(evidence, call));
-  const unserved = expected.filter(({ end }) => end !== "whole");
+  const unserved = expected.filter(({ first }) => first.end !== "whole");
   if (unserved.length <= expected.length * (1 - MIN_RECOVERED_SHARE)) return [];
   return [{
     promise: "all is served after the faults",
     requestId: unserved[0]!.requestId,
     detail:
       `${unserved.length} of ${expected.length} requests were not served, ` +
-      `first: ${unserved[0]!.end} ${unserved[0]!.detail}`,
+      `first: ${unserved[0]!.first.end} ${unserved[0]!.detail}`,
   }];
 }
--- a/bench/store_chaos_verdict_test.ts
+++ b/bench/store_chaos_verdict_test.ts
@@ -18,6 +18,7 @@
     end: "whole",
     detail: "",
     versions: [],
+    first: { end: fields.end ?? "whole", toMs: fields.toMs ?? 10_050 },
     resumptions: [],
     ...fields,
   };
@@ -253,3 +254,15 @@
   expect(find([false, false], { fromMs: 8_900 })).toEqual([]);
   expect(find([false])).toEqual([]);
 });
+
+// Guards against streams that are cut without a fault and not found, because
+// their callers took them up again.
+test("a stream that was cut is found, also if it was taken up again", () => {
+  const cut = { end: "broken", toMs: 10_020 } as const;
+  const call = createCall({ kind: "chat", end: "whole", first: cut });
+  const arrivals = [createArrival()];
+  expect(findViolations({ calls: [call], arrivals }))
+    .toEqual(["what was passed on is answered"]);
+  expect(findViolations({ recovery: [call], arrivals }))
+    .toEqual(["all is served after the faults"]);
+});
--- a/bench/testing/crash_run.ts
+++ b/bench/testing/crash_run.ts
@@ -32,5 +32,5 @@
   fromMs: number,
 ): number {
   const sent = sound.filter((call) => call.fromMs >= fromMs);
-  return sent.filter(({ end }) => end === "whole").length / sent.length;
+  return sent.filter(({ first }) => first.end === "whole").length / sent.length;
 }
--- a/bench/upstream_limits_test.ts
+++ b/bench/upstream_limits_test.ts
@@ -95,7 +95,9 @@
     for (const id of run.limitedIds) {
       expect(findPeak(listArrivals(id))).toBeLessThanOrEqual(allowed);
     }
-    const served = run.calls.filter(({ end }) => end === "whole").length;
+    const served = run.calls.filter(({ first }) =>
+      first.end === "whole"
+    ).length;
     expect(served / run.calls.length).toBeGreaterThan(0.9);
   });
 
