--- a/bench/store_chaos_fleet.ts
+++ b/bench/store_chaos_fleet.ts
@@ -3,9 +3,9 @@
  * store and the upstreams in this process, behind relays that inject faults.
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import { mkdirSync, writeFileSync } from "node:fs";
+import { mkdirSync, renameSync, writeFileSync } from "node:fs";
 import { performance } from "node:perf_hooks";
-import { join } from "node:path";
+import { join, resolve } from "node:path";
 import { findFreeAddress, findFreePort } from "../testing/free_address.ts";
 import { MetadataStoreServer } from "../testing/metadata_store.ts";
 import { Processes } from "../testing/processes.ts";
@@ -37,8 +37,16 @@
 export interface StoreRouter extends RouterEndpoint {
   readonly storeLink: Relay;
   readonly settingsFile: string;
+  /** File with the faults of its links to upstreams. */
+  readonly linkFaultsFile: string;
 }
 
+/**
+ * What happens to a router's connections to upstreams: all of them, or only new
+ * ones, are refused or hang.
+ */
+export type LinkCut = "refused" | "hung" | "new-refused" | "new-hung";
+
 /** Bounds of the users' small deployments. */
 export const STORE_CHAOS_BOUNDS: StoreChaosBounds = {
   drainMs: 2_000,
@@ -67,6 +75,7 @@
 const OPERATOR_DELAY_MS = 500;
 const FAILURE_DOMAINS = ["east", "west", "south"];
 const PROGRAM = "target/corianderflowd.js";
+const LINK_FAULTS_MODULE = resolve("testing/link_faults.cjs");
 
 /** Starts and stops the fleet, and records arrivals and withdrawals. */
 export class StoreFleet {
@@ -143,10 +152,16 @@
   }
 
   /** Starts a router and waits until it is ready. */
-  async start({ name, settingsFile }: StoreRouter): Promise<void> {
+  async start(
+    { name, settingsFile, linkFaultsFile }: StoreRouter,
+  ): Promise<void> {
     await this.#processes.start(this.#options.program, [], {
       name,
-      env: { CORIANDERFLOW_SETTINGS: settingsFile },
+      env: {
+        CORIANDERFLOW_SETTINGS: settingsFile,
+        LINK_FAULTS: linkFaultsFile,
+        NODE_OPTIONS: `--require ${LINK_FAULTS_MODULE}`,
+      },
       addressField: "callers",
     });
   }
@@ -164,6 +179,21 @@
     this.#processes.signal(name, signal);
   }
 
+  /** Cuts the links of a router to `upstreams`, by default to all. */
+  cutLinks(
+    { linkFaultsFile }: StoreRouter,
+    mode: LinkCut,
+    upstreams: readonly RegisteredUpstream[] = this.upstreams,
+  ): void {
+    const targets = upstreams.map(({ relay }) => relay.address);
+    writeLinkFaults(linkFaultsFile, { mode, targets });
+  }
+
+  /** Ends the faults of a router's links to upstreams. */
+  restoreLinks({ linkFaultsFile }: StoreRouter): void {
+    writeLinkFaults(linkFaultsFile, { mode: "none", targets: [] });
+  }
+
   /**
    * Writes a new configuration version with one more key; drops the oldest key
    * if there are more than three.
@@ -266,10 +296,21 @@
         store: storeLink.address,
       }),
     );
-    return { name, address, storeLink, settingsFile };
+    const linkFaultsFile = join(this.#options.directory, `${name}.links`);
+    return { name, address, storeLink, settingsFile, linkFaultsFile };
   }
 }
 
+/** Replaces the file at once, since routers read it at any moment. */
+function writeLinkFaults(
+  file: string,
+  faults: { mode: LinkCut | "none"; targets: readonly string[] },
+): void {
+  const temporary = `${file}.new`;
+  writeFileSync(temporary, JSON.stringify(faults));
+  renameSync(temporary, file);
+}
+
 function renderSettings(
   { name, failureDomain, callers, ready, peers, metrics, store }: Record<
     string,
