--- a/src/control/configuration_relay.ts
+++ b/src/control/configuration_relay.ts
@@ -4,7 +4,7 @@
  * compressed because the routers' links may be slow.
  */
 import { Buffer } from "node:buffer";
-import { createServer, type Server } from "node:http";
+import type { IncomingMessage, RequestListener } from "node:http";
 import { promisify } from "node:util";
 import { gunzip, gzipSync } from "node:zlib";
 import { Err, Ok, type Result } from "ts-results/result";
@@ -41,13 +41,18 @@
     Array.isArray(fields.services) && typeof fields.limits === "object";
 }
 
+/** Whether a request of another router is for the configuration. */
+export function isConfigurationRequest({ url }: IncomingMessage): boolean {
+  return url === CONFIGURATION_PATH;
+}
+
 /**
- * Creates an HTTP server that serves the result of `getConfiguration`, the
+ * Creates a request listener that serves the result of `getConfiguration`, the
  * configuration in force. It answers 404 while that is undefined.
  */
-export function createConfigurationServer(
+export function createConfigurationHandler(
   getConfiguration: () => RoutingConfiguration | undefined,
-): Server {
+): RequestListener {
   let cached: { version: number; body: string } | undefined;
   function getBody(configuration: RoutingConfiguration): string {
     const { version } = configuration;
@@ -58,16 +63,16 @@
     }
     return cached.body;
   }
-  return createServer((request, response) => {
+  return (request, response) => {
     const configuration = getConfiguration();
-    if (request.url !== CONFIGURATION_PATH || configuration === undefined) {
+    if (!isConfigurationRequest(request) || configuration === undefined) {
       response.writeHead(STATUS_NOT_FOUND, { "content-length": "0" });
       response.end();
       return;
     }
     response.writeHead(STATUS_OK, { "content-type": "application/json" });
     response.end(getBody(configuration));
-  });
+  };
 }
 
 async function decompress(value: unknown): Promise<RoutingConfiguration> {
--- a/src/control/peer_exchange_test.ts
+++ b/src/control/peer_exchange_test.ts
@@ -1,4 +1,4 @@
-import type { Server } from "node:http";
+import { createServer, type Server } from "node:http";
 import { Err, Ok, type Result } from "ts-results/result";
 import { findFreeAddress } from "../../testing/free_address.ts";
 import { createLogFactory } from "../log.ts";
@@ -16,7 +16,7 @@
 import { PlatformFailure } from "../store/key_value.ts";
 import { bindServer } from "../transport/address.ts";
 import {
-  createConfigurationServer,
+  createConfigurationHandler,
   fetchConfiguration,
 } from "./configuration_relay.ts";
 import { createPeerExchange, type PeerExchange } from "./peer_exchange.ts";
@@ -158,8 +158,8 @@
     fetchConfiguration,
     heartbeatMs: 1_200,
   });
-  const server = createConfigurationServer(() =>
-    routing.table()?.configuration
+  const server = createServer(
+    createConfigurationHandler(() => routing.table()?.configuration),
   );
   await bindServer(server, address);
   const exchange = createPeerExchange({
--- a/src/control/peer_messages.ts
+++ b/src/control/peer_messages.ts
@@ -19,6 +19,11 @@
   type SubjectCrash,
   type SubjectReport,
 } from "../policy/crash_quarantine.ts";
+import {
+  type LinkReport,
+  MAX_LINK_REPORT_AGE_MS,
+  MAX_LINK_REPORTS,
+} from "../policy/link_state.ts";
 import type { LoadCounts, RouterLoads } from "../policy/peer_loads.ts";
 import {
   MAX_REPORTED_RATES,
@@ -41,6 +46,8 @@
   readonly promptParts?: readonly SubjectReport[];
   /** Limits that upstreams have stated. */
   readonly rates?: readonly RateReport[];
+  /** Routers that have lost their links to the upstreams of a service. */
+  readonly links?: readonly LinkReport[];
 }
 
 /** Loads of `router` alone, or of the routers whose loads it has added up. */
@@ -91,6 +98,8 @@
 const MAX_UPSTREAMS = 12_000;
 /** Exceeds the length of the keys of prompt parts, requests and upstreams. */
 const MAX_KEY_LENGTH = 32;
+/** Exceeds the length of names of services and routers. */
+const MAX_NAME_LENGTH = 200;
 const CHANGE_KINDS: ReadonlySet<unknown> = new Set<StoreChange["kind"]>([
   "upstream",
   "upstream-gone",
@@ -133,6 +142,10 @@
   return typeof value === "string" && value.length <= MAX_KEY_LENGTH;
 }
 
+function isName(value: unknown): value is string {
+  return typeof value === "string" && value.length <= MAX_NAME_LENGTH;
+}
+
 function isSubjectCrash(value: unknown): value is SubjectCrash {
   return isObject(value) && isKey(value["upstream"]) &&
     (value["workspaces"] === undefined ||
@@ -159,20 +172,29 @@
   return isRate && isAge(ageMs);
 }
 
+function isLinkReport(value: unknown): value is LinkReport {
+  if (!isObject(value)) return false;
+  const { router, service, ageMs } = value;
+  return isName(router) && isName(service) && isCount(ageMs) &&
+    ageMs <= MAX_LINK_REPORT_AGE_MS;
+}
+
 function isFindingsReport(value: unknown): value is FindingsReport {
   if (!isObject(value)) return false;
-  const { promptParts = [], rates = [] } = value;
+  const { promptParts = [], rates = [], links = [] } = value;
   return isBoundedList(promptParts, {
     max: MAX_REPORTED_SUBJECTS,
     isItem: isSubjectReport,
-  }) && isBoundedList(rates, { max: MAX_REPORTED_RATES, isItem: isRateReport });
+  }) &&
+    isBoundedList(rates, { max: MAX_REPORTED_RATES, isItem: isRateReport }) &&
+    isBoundedList(links, { max: MAX_LINK_REPORTS, isItem: isLinkReport });
 }
 
 /** Whether a report holds nothing, so that it need not be sent. */
 export function isEmptyReport(
-  { promptParts = [], rates = [] }: FindingsReport,
+  { promptParts = [], rates = [], links = [] }: FindingsReport,
 ): boolean {
-  return promptParts.length === 0 && rates.length === 0;
+  return promptParts.length === 0 && rates.length === 0 && links.length === 0;
 }
 
 function isLoadsMessage(value: unknown): value is LoadsMessage {
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -2,14 +2,20 @@
  * Creates the components of a router that discovers its fleet in a metadata
  * store and places requests at the ingress; controls their start and stop.
  */
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type {
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerResponse,
+} from "node:http";
 import { createServer } from "node:http";
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { IngressSettings } from "../config/ingress_settings.ts";
 import {
-  createConfigurationServer,
+  createConfigurationHandler,
   fetchConfiguration,
+  isConfigurationRequest,
 } from "../control/configuration_relay.ts";
 import {
   createRoutingController,
@@ -21,7 +27,7 @@
 } from "../control/peer_exchange.ts";
 import { StreamExchange } from "../control/stream_exchange.ts";
 import { createTaskSystem, type TaskSystem } from "../control/task.ts";
-import { createFilterChain } from "../filters/exchange.ts";
+import { createFilterChain, type FilterChain } from "../filters/exchange.ts";
 import {
   RequestBodyFilter,
   type StopProgress,
@@ -42,8 +48,10 @@
 } from "../ingress/ingress_metrics.ts";
 import { createIngressHandler } from "../ingress/ingress_server.ts";
 import { KeyFilter } from "../ingress/key_filter.ts";
+import { LinkWatch } from "../ingress/link_watch.ts";
 import { Placement } from "../ingress/placement.ts";
 import { RouteFilter } from "../ingress/route_filter.ts";
+import { RouterForwarding } from "../ingress/router_forwarding.ts";
 import { createLogFactory, type LogFactory } from "../log.ts";
 import { createStdoutLogWriter, type LogWriter } from "../log_writer.ts";
 import { createMetadataStore } from "../platform/metadata_store.ts";
@@ -93,6 +101,11 @@
  * The largest limit seen in a configuration is 16 KiB.
  */
 const MAX_HEADER_BYTES = 32_768;
+/**
+ * Idle time after which a connection of another router is closed, in
+ * milliseconds; longer than routers keep idle connections.
+ */
+const ROUTER_IDLE_TIMEOUT_MS = 15_000;
 /**
  * Share of the fleet's retry budget that is used. Below 1, since each router
  * counts its retries separately.
@@ -162,9 +175,11 @@
   readonly #placement: Placement;
   readonly #connections;
   readonly #crashes: CrashWatch;
+  readonly #links: LinkWatch;
   readonly #peerLoads = new PeerLoads();
   readonly #peerExchange: PeerExchange;
   readonly #streams: StreamExchange;
+  readonly #chain: FilterChain<IngressExchange, IngressOutcome>;
   readonly #callers: Server;
   /** Longest delay of a readiness check since the metrics were last read. */
   #maxEventLoopDelayMs = 0;
@@ -241,10 +256,18 @@
       coldFactor: bounds.coldFactor,
       peerLoads: this.#peerLoads,
     });
+    this.#links = new LinkWatch({
+      self: router.name,
+      routing: this.#routing,
+      connections: this.#connections,
+      clock: readSteadyClock,
+      log: this.#logs("route"),
+    });
     this.#crashes = new CrashWatch({
       hash,
       clock: readSteadyClock,
       connections: this.#connections,
+      links: this.#links,
       log: this.#logs("route"),
     });
     this.#streams = new StreamExchange({
@@ -269,16 +292,19 @@
         createReport: () => ({
           promptParts: this.#crashes.createReports(),
           rates: this.#placement.createRateReports(),
+          links: this.#links.createReports(),
         }),
-        receiveReport: ({ promptParts = [], rates = [] }) => {
+        receiveReport: ({ promptParts = [], rates = [], links = [] }) => {
           this.#crashes.receiveReports(promptParts);
           this.#placement.receiveRateReports(rates);
+          this.#links.receiveReports(links);
         },
       },
       onStreamMessage: (message) => this.#streams.receive(message),
       ...pace,
     });
-    this.#callers = this.#createCallerServer(hash);
+    this.#chain = this.#createChain(hash);
+    this.#callers = this.#createCallerServer();
   }
 
   async open(): Promise<void> {
@@ -292,10 +318,9 @@
     );
     this.#streams.open();
     this.#lifeCycle.addCleanup("streams", () => this.#streams.close());
-    await this.#openServer(
-      createConfigurationServer(() => this.#routing.table()?.configuration),
-      addresses.peers,
-    );
+    this.#links.open();
+    this.#lifeCycle.addCleanup("links", () => this.#links.close());
+    await this.#openServer(this.#createRouterServer(), addresses.peers);
     await bindServer(this.#callers, addresses.callers);
     const readiness = createServer((request, response) => {
       const isReadyPath = request.url === READY_PATH;
@@ -374,19 +399,29 @@
     return { stoppingMs, lifetimeMs: Math.max(0, graceMs - stoppingMs) };
   }
 
-  #createCallerServer(hash: Hash): Server {
-    const chain = createFilterChain<IngressExchange, IngressOutcome>([
-      new RouteFilter({ routing: this.#routing, now: readClocks }),
-      new KeyFilter({ routing: this.#routing, now: readClocks }),
+  #createChain(hash: Hash): FilterChain<IngressExchange, IngressOutcome> {
+    const { name: self } = this.#settings.router;
+    const routing = this.#routing;
+    const links = this.#links;
+    return createFilterChain<IngressExchange, IngressOutcome>([
+      new RouteFilter({ routing, now: readClocks }),
+      new KeyFilter({ routing, now: readClocks }),
       new RequestBodyFilter({
         getStop: () => this.#getStopProgress(),
         clock: readSteadyClock,
       }),
       new ForwardFilter({
-        routing: this.#routing,
+        routing,
         placement: this.#placement,
         connections: this.#connections,
         crashes: this.#crashes,
+        links,
+        routers: new RouterForwarding({
+          self,
+          routing,
+          links,
+          clock: readSteadyClock,
+        }),
         streams: this.#streams,
         retries: this.#retryBudget,
         clock: readSteadyClock,
@@ -395,6 +430,25 @@
         onNotice: (kind, details) => this.#recordNotice(kind, details),
       }),
     ]);
+  }
+
+  #createRequestHandler(
+    { isForRouters }: { isForRouters: boolean },
+  ): RequestListener {
+    return createIngressHandler({
+      chain: this.#chain,
+      clock: readSteadyClock,
+      log: this.#logs("route"),
+      metrics: this.#metrics,
+      inFlight: this.#inFlight,
+      getTable: () => this.#routing.table(),
+      awaitTable: (remainingMs) => this.#routing.awaitTable(remainingMs),
+      isStopping: () => this.#stopStartedAt !== undefined,
+      isForRouters,
+    });
+  }
+
+  #createCallerServer(): Server {
     const server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -402,16 +456,31 @@
         keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
         noDelay: true,
       },
-      createIngressHandler({
-        chain,
-        clock: readSteadyClock,
-        log: this.#logs("route"),
-        metrics: this.#metrics,
-        inFlight: this.#inFlight,
-        getTable: () => this.#routing.table(),
-        awaitTable: (remainingMs) => this.#routing.awaitTable(remainingMs),
-        isStopping: () => this.#stopStartedAt !== undefined,
-      }),
+      this.#createRequestHandler({ isForRouters: false }),
+    );
+    server.maxConnections = this.#settings.limits.maxConnections;
+    handleClientErrors(server);
+    return server;
+  }
+
+  /** Serves the configuration and the requests that other routers forward. */
+  #createRouterServer(): Server {
+    const serveRequest = this.#createRequestHandler({ isForRouters: true });
+    const serveConfiguration = createConfigurationHandler(
+      () => this.#routing.table()?.configuration,
+    );
+    const server = createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        keepAliveTimeout: ROUTER_IDLE_TIMEOUT_MS,
+        noDelay: true,
+      },
+      (request, response) => {
+        const serve = isConfigurationRequest(request)
+          ? serveConfiguration
+          : serveRequest;
+        serve(request, response);
+      },
     );
     server.maxConnections = this.#settings.limits.maxConnections;
     handleClientErrors(server);
@@ -503,6 +572,7 @@
     metrics.upstreamsLimited.set(this.#placement.limitedCount);
     metrics.streamsKnown.set(this.#streams.knownCount);
     metrics.promptPartsQuarantined.set(this.#crashes.quarantinedCount);
+    metrics.linksDown.set(this.#links.downCount);
     metrics.routers.set(this.#routing.routers().size);
     metrics.logLinesDropped.set(this.#logWriter.droppedLines);
     metrics.eventLoopDelaySeconds.set(
--- a/src/filters/locate_filter.ts
+++ b/src/filters/locate_filter.ts
@@ -6,12 +6,7 @@
 import type { PoolDirectory } from "../control/pool.ts";
 import type { Clock, LivenessView } from "../control/views.ts";
 import type { Log } from "../log.ts";
-import {
-  createRefusal,
-  type DiagnosticCode,
-  getDiagnosticCodes,
-  type Refusal,
-} from "../diagnostics.ts";
+import { createRefusal, type Refusal } from "../diagnostics.ts";
 import {
   copyResponseHeaders,
   renderForwardHeaders,
@@ -21,7 +16,7 @@
   IncomingResponse,
   SendFailure,
 } from "../transport/http_client.ts";
-import type { Problem } from "../transport/problem.ts";
+import { REFUSAL_HEADER, tryReadRefusal } from "../transport/router_hop.ts";
 import type { Router } from "../types.ts";
 import {
   createRefusedOutcome,
@@ -35,8 +30,6 @@
 import { cancelAttempt } from "./cancel_attempt.ts";
 import { isTokenStream, streamResponse } from "./stream_response.ts";
 
-/** Header that marks a response as a refusal by the owner; holds its code. */
-export const REFUSAL_HEADER = "x-cf-refusal";
 /** Header that says that the owner checked the call's idempotency record. */
 export const CALL_CHECKED_HEADER = "x-cf-call-checked";
 
@@ -328,22 +321,13 @@
   return createRefusal(code, detail, { ran: "unknown" });
 }
 
-function isDiagnosticCode(code: unknown): code is DiagnosticCode {
-  return getDiagnosticCodes().includes(code as DiagnosticCode);
-}
-
 async function readRefusal(
   answer: IncomingResponse,
 ): Promise<Refusal | undefined> {
-  const code = answer.headers[REFUSAL_HEADER];
-  if (!isDiagnosticCode(code)) return undefined;
   try {
-    const problem = await answer.body.json() as Problem;
-    const { detail, retryAfterMs } = problem;
-    const ran = problem.ran === "no" ? "no" : "unknown";
-    if (retryAfterMs === undefined) return { code, ran, detail };
-    return { code, ran, detail, retryAfterMs };
+    return tryReadRefusal(answer.headers, await answer.body.text());
   } catch {
+    // The response broke off; the caller reports that.
     return undefined;
   }
 }
--- a/src/filters/locate_filter_test.ts
+++ b/src/filters/locate_filter_test.ts
@@ -6,7 +6,8 @@
   type Exchange,
   type Outcome,
 } from "./exchange.ts";
-import { LocateFilter, REFUSAL_HEADER } from "./locate_filter.ts";
+import { LocateFilter } from "./locate_filter.ts";
+import { REFUSAL_HEADER } from "../transport/router_hop.ts";
 import {
   createIncomingResponse,
   createSendFailure,
--- a/src/filters/testing/fakes.ts
+++ b/src/filters/testing/fakes.ts
@@ -4,7 +4,7 @@
  */
 import { Buffer } from "node:buffer";
 import { Readable } from "node:stream";
-import { arrayBuffer, json } from "node:stream/consumers";
+import { arrayBuffer, json, text } from "node:stream/consumers";
 import { Err, Ok, type Result } from "ts-results";
 import type { Service, Upstream, Workspace } from "../../config/manifest.ts";
 import type {
@@ -74,6 +74,7 @@
   Object.assign(body, {
     arrayBuffer: () => arrayBuffer(body),
     json: () => json(body),
+    text: () => text(body),
     dump: () => Promise.resolve(void body.resume()),
   });
   return Ok({ status, headers, body: body as never });
--- a/src/ingress/crash_watch.ts
+++ b/src/ingress/crash_watch.ts
@@ -12,6 +12,7 @@
 import type { Hash } from "../policy/rendezvous.ts";
 import type { UpstreamEntry } from "../routing/types.ts";
 import type { UpstreamConnections } from "../transport/upstream_connections.ts";
+import type { LinkWatch } from "./link_watch.ts";
 
 /** Options of a `CrashWatch`. */
 export interface CrashWatchOptions {
@@ -21,6 +22,7 @@
   /** Uniform in [0, 1); `Math.random` by default. */
   readonly random?: () => number;
   readonly connections: Pick<UpstreamConnections, "isRefusing">;
+  readonly links: Pick<LinkWatch, "check" | "isDown">;
   readonly log: Log;
 }
 
@@ -60,14 +62,18 @@
   /**
    * Finds out whether the upstream's process has ended, and records that
    * against the request. An upstream that only closed a connection
-   * still accepts others.
+   * still accepts others, and one that refuses them has not ended if the others
+   * of its service refuse them as well.
    */
   async recordLost(
     { requestId, subjects, entry, sentAt }: LostRequest,
   ): Promise<boolean> {
-    const { connections, clock, log } = this.#options;
+    const { connections, clock, links, log } = this.#options;
     const now = clock();
+    if (links.isDown(entry.service)) return false;
     if (!await connections.isRefusing(entry.address)) return false;
+    await links.check(entry.service, entry.id);
+    if (links.isDown(entry.service)) return false;
     const upstream = `${entry.id}@${entry.bornAt ?? ""}`;
     this.#quarantine.recordCrash(subjects, { upstream, sentAt, now });
     log.info("An upstream ended under a request.", {
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -2,7 +2,7 @@
  * Last filter of the ingress: sends the request to an upstream, retries at
  * another where that is allowed, and returns the response to the caller.
  */
-import { createRefusal } from "../diagnostics.ts";
+import { createRefusal, type Refusal } from "../diagnostics.ts";
 import type { RoutingView } from "../control/routing_controller.ts";
 import { encodeUpstreamHeaders } from "../platform/message_headers.ts";
 import { AttemptPlan } from "../policy/attempt_plan.ts";
@@ -20,6 +20,7 @@
   ServiceRoute,
   UpstreamEntry,
 } from "../routing/types.ts";
+import { decodeServed, setServedHeaders } from "../transport/router_hop.ts";
 import type { UpstreamConnections } from "../transport/upstream_connections.ts";
 import type {
   IngressExchange,
@@ -28,6 +29,7 @@
   TryRecord,
 } from "./ingress_exchange.ts";
 import type { CrashWatch } from "./crash_watch.ts";
+import type { LinkWatch } from "./link_watch.ts";
 import {
   getSharedPartId,
   type Placement,
@@ -36,6 +38,13 @@
   type PlacementResult,
 } from "./placement.ts";
 import { refuseRetryable } from "./refusals.ts";
+import {
+  type ForwardTarget,
+  isRefusalOfRouter,
+  MAX_FORWARD_TRIES,
+  type RouterForwarding,
+} from "./router_forwarding.ts";
+import { createRouterTry } from "./router_try.ts";
 import { StreamBinding, type StreamBindingOptions } from "./stream_binding.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import {
@@ -50,6 +59,8 @@
   readonly placement: Placement;
   readonly connections: UpstreamConnections;
   readonly crashes: CrashWatch;
+  readonly links: LinkWatch;
+  readonly routers: RouterForwarding;
   readonly streams: StreamBindingOptions["streams"];
   readonly retries: RetryBudget;
   /** Reads the monotonic clock, in milliseconds. */
@@ -158,6 +169,14 @@
   readonly #plan: AttemptPlan;
   readonly #relay: StreamRelay;
   readonly #excluded = new Set<string>();
+  /** Routers that the request was sent to. */
+  readonly #triedRouters = new Set<string>();
+  /** Whether the upstreams were not reached, though the links count as up. */
+  #needsRouter = false;
+  /** Whether no router can serve it, so that open connections are used. */
+  #isDirectOnly = false;
+  /** Whether it counts in the retry budget of this router or another. */
+  #isCounted: boolean;
   readonly #subjects: RequestSubjects;
   #digest: string | undefined;
   readonly #binding: StreamBinding;
@@ -170,7 +189,13 @@
     this.#options = options;
     this.#route = route!;
     this.#service = table.findService(name) ?? createUnknownService(name);
-    this.#plan = new AttemptPlan(route!);
+    const { triesLeft = Infinity, isCounted = false } = exchange.forwarded ??
+      {};
+    this.#plan = new AttemptPlan({
+      ...route!,
+      maxAttempts: Math.min(route!.maxAttempts, triesLeft),
+    });
+    this.#isCounted = isCounted;
     this.#binding = new StreamBinding(exchange, options);
     this.#subjects = {
       workspace: workspace?.name ?? "",
@@ -195,13 +220,18 @@
   }
 
   async #tryUpstreams(): Promise<IngressOutcome> {
-    const { clock, retries, placement } = this.#options;
-    retries.recordRequest(clock());
+    const { placement } = this.#options;
     for (;;) {
       if (this.#exchange.response.destroyed) return { kind: "caller-left" };
       if (this.#getRemainingMs() < MIN_REMAINING_MS) return this.#endTimedOut();
       const subject = this.#options.crashes.find(this.#subjects);
       if (subject !== undefined) return this.#endQuarantined(subject);
+      if (this.#isRouterNeeded()) {
+        const outcome = await this.#tryRouter();
+        if (outcome !== undefined) return outcome;
+        continue;
+      }
+      this.#countRequest();
       const place = placement.find(this.#createPlacementRequest());
       if (!("entry" in place)) return this.#endWithoutUpstream(place);
       if (this.#binding.needsProcessCheck(place.entry, this.#service)) {
@@ -210,21 +240,178 @@
         continue;
       }
       const tryOutcome = await this.#tryUpstream(place);
-      if (tryOutcome.kind === "caller-left") return { kind: "caller-left" };
-      if (tryOutcome.kind === "timed-out") {
+      if (tryOutcome.kind !== "ended") return this.#endTry(tryOutcome);
+      const outcome = this.#handleFailedTry(tryOutcome);
+      if (outcome !== undefined) return outcome;
+    }
+  }
+
+  /** Counts the request once in the retry budget, before its first try. */
+  #countRequest(): void {
+    if (this.#isCounted) return;
+    this.#isCounted = true;
+    this.#options.retries.recordRequest(this.#options.clock());
+  }
+
+  /** Returns the outcome of a try that did not fail. */
+  #endTry(tryOutcome: Exclude<TryOutcome, { kind: "ended" }>): IngressOutcome {
+    switch (tryOutcome.kind) {
+      case "caller-left":
+        return { kind: "caller-left" };
+      case "timed-out":
         this.#plan.abandon();
         return this.#endTimedOut();
-      }
-      if (tryOutcome.kind === "answered") {
+      case "answered":
         return { kind: "whole", ...tryOutcome.answer };
-      }
-      if (tryOutcome.kind === "stream-complete") {
+      case "stream-complete":
         this.#relay.end();
         return this.#endStream("complete");
+      case "refused":
+        return this.#endRefused(tryOutcome.refusal);
+    }
+  }
+
+  /** Whether another router has to send the request to an upstream. */
+  #isRouterNeeded(): boolean {
+    if (this.#isDirectOnly) return false;
+    return this.#needsRouter || this.#options.links.isDown(this.#service.name);
+  }
+
+  /**
+   * Has another router serve the request. Returns undefined if it is to be tried
+   * again.
+   */
+  async #tryRouter(): Promise<IngressOutcome | undefined> {
+    const { links, routers } = this.#options;
+    const { name } = this.#service;
+    const target = this.#exchange.forwarded === undefined &&
+        this.#triedRouters.size < MAX_FORWARD_TRIES
+      ? routers.find(name, this.#triedRouters)
+      : undefined;
+    if (target === undefined) {
+      if (!links.isDown(name) || !links.hasRecentData(name)) {
+        return this.#endUnreachable();
       }
-      const outcome = this.#handleFailedTry(tryOutcome);
-      if (outcome !== undefined) return outcome;
+      // Connections that were open when the links failed may still work.
+      this.#isDirectOnly = true;
+      return undefined;
+    }
+    this.#triedRouters.add(target.name);
+    const tryOutcome = await this.#forward(target);
+    if (tryOutcome.kind === "ended") {
+      return this.#handleFailedForward(target, tryOutcome);
+    }
+    const isRefused = tryOutcome.kind === "refused" &&
+      tryOutcome.refusal.ran === "no" &&
+      isRefusalOfRouter(tryOutcome.refusal.code);
+    if (!isRefused) return this.#endTry(tryOutcome);
+    routers.recordFailure(target.name);
+    return undefined;
+  }
+
+  async #forward(target: ForwardTarget): Promise<TryOutcome> {
+    const { connections, clock, routers, onTry } = this.#options;
+    const { isRepeatable } = this.#plan;
+    const sentAt = clock();
+    const attempt = createRouterTry(this.#exchange, {
+      target,
+      connections,
+      clock,
+      relay: this.#relay,
+      forwarded: {
+        triesLeft: Math.max(1, this.#plan.triesLeft),
+        isCounted: this.#isCounted,
+      },
+      remainingMs: this.#getRemainingMs(),
+      isRepeatable,
+      silenceTimeoutMs: this.#getSilenceTimeoutMs(),
+      maxIdleMs: this.#maxIdleMs,
+      mayReplaceTry: () => this.#mayReplaceTry(),
+      onStreamStart: ({ origin }) =>
+        this.#binding.recordStart(origin ?? { service: this.#service.name }),
+      onNotice: (upstream, notice) => {
+        const known = upstream &&
+          this.#options.routing.directory.find(upstream);
+        if (!known) return;
+        this.#recordNotice(known.entry, { ...notice, sentAt });
+      },
+    });
+    const record: TryRecord = {
+      router: target.name,
+      reason: "links-down",
+      isReused: attempt.isReused,
+    };
+    this.#exchange.trace.push(record);
+    routers.recordSent(target.name);
+    const tryOutcome = await this.#waitForOutcome(attempt);
+    routers.recordEnded(target.name);
+    record.ms = Math.round(clock() - sentAt);
+    record.end = tryOutcome.kind === "ended" ? tryOutcome.end : tryOutcome.kind;
+    if (tryOutcome.kind === "ended") record.detail = tryOutcome.detail;
+    onTry(this.#service.name, `router-${record.end}`);
+    return tryOutcome;
+  }
+
+  /**
+   * Chooses the outcome after a router has given no usable response; undefined
+   * if the request is to be tried again.
+   */
+  #handleFailedForward(
+    { name }: ForwardTarget,
+    result: TryResult & { kind: "ended" },
+  ): IngressOutcome | undefined {
+    const { routers, retries, clock } = this.#options;
+    if (result.end === "not-sent" || result.isSilent === true) {
+      routers.recordFailure(name);
+    }
+    if (result.end === "not-sent") return undefined;
+    // The router has made the retries that are allowed.
+    if (result.end === "failed" && !this.#relay.isStarted) {
+      return { kind: "whole", ...result.answer! };
     }
+    const { tries } = decodeServed(result.headers ?? {});
+    // `next` records one more.
+    this.#plan.recordForwarded(tries === undefined ? undefined : tries - 1);
+    const step = this.#plan.next("no-answer", {
+      tryRetry: () => retries.tryTakeRetry(clock()),
+    });
+    if (step === "try-again") return undefined;
+    if (this.#relay.isStarted) return this.#abortStream();
+    const detail = `Router ${name} gave no answer: ${result.detail}.`;
+    const refusal = createRefusal("upstream-failed", detail, {
+      ran: "unknown",
+    });
+    return { kind: "refused", refusal };
+  }
+
+  /** Passes on the refusal of the router that was to serve the request. */
+  #endRefused(refusal: Refusal): IngressOutcome {
+    if (this.#relay.isStarted) return this.#abortStream();
+    if (this.#plan.isNotRun) return { kind: "refused", refusal };
+    return {
+      kind: "refused",
+      refusal: createRefusal("upstream-failed", refusal.detail, {
+        ran: "unknown",
+      }),
+    };
+  }
+
+  /** Refuses a request that no router can send to an upstream. */
+  #endUnreachable(): IngressOutcome {
+    if (this.#relay.isStarted) return this.#abortStream();
+    const { name } = this.#service;
+    const detail = `No router is known to reach the upstreams of ${name}.`;
+    if (!this.#plan.isNotRun) {
+      const refusal = createRefusal("upstream-failed", detail, {
+        ran: "unknown",
+      });
+      return { kind: "refused", refusal };
+    }
+    return refuseRetryable(this.#exchange, {
+      code: "upstream-unreachable",
+      detail,
+      cause: "no-upstream",
+    });
   }
 
   /**
@@ -239,6 +426,10 @@
       tryRetry: () => retries.tryTakeRetry(clock()),
     });
     if (step === "try-again") return undefined;
+    if (result.end === "not-sent" && this.#mayForward()) {
+      this.#needsRouter = true;
+      return undefined;
+    }
     if (this.#relay.isStarted) return this.#abortStream();
     if (step === "pass-on") return { kind: "whole", ...result.answer! };
     if (step === "refuse") {
@@ -256,8 +447,16 @@
     };
   }
 
+  /** Whether another router may still serve a request that was not sent. */
+  #mayForward(): boolean {
+    return !this.#needsRouter && !this.#isDirectOnly &&
+      this.#exchange.forwarded === undefined;
+  }
+
   async #tryUpstream(place: PlacementResult): Promise<TryOutcome> {
-    const { placement, connections, crashes, onTry, clock } = this.#options;
+    const { placement, connections, crashes, onTry, clock, links } =
+      this.#options;
+    const { name: service } = this.#service;
     const upstream = place.entry.id;
     const sentAt = clock();
     placement.recordSent(upstream);
@@ -270,12 +469,17 @@
       relay: this.#relay,
       silenceTimeoutMs: this.#getSilenceTimeoutMs(),
       mayReplaceTry: () => this.#mayReplaceTry(),
-      isSuspect: () => placement.isSuspect(upstream, this.#service),
-      onStreamStart: () => this.#binding.recordStart(place.entry),
+      isSuspect: () =>
+        placement.isSuspect(upstream, this.#service) || links.isDown(service),
+      onStreamStart: () => this.#recordStreamStart(place.entry),
+      onData: () => links.recordData(service),
+      onSilence: () => links.recordSilence(service),
       onSurvival: () => crashes.recordAnswer(this.#subjects),
       onLoad: (load) => placement.recordReportedLoad(upstream, load),
-      onNotice: (status, traits) =>
-        this.#recordNotice(place, { status, traits, sentAt }),
+      onNotice: (status, traits) => {
+        this.#recordServed(place.entry);
+        this.#recordNotice(place.entry, { status, traits, sentAt });
+      },
     });
     const record: TryRecord = {
       upstream,
@@ -292,7 +496,10 @@
     record.ms = Math.round(clock() - sentAt);
     record.end = tryOutcome.kind === "ended" ? tryOutcome.end : tryOutcome.kind;
     if (tryOutcome.kind === "ended") record.detail = tryOutcome.detail;
-    onTry(this.#service.name, record.end);
+    onTry(service, record.end);
+    if (tryOutcome.kind === "ended" && tryOutcome.end === "not-sent") {
+      await links.check(service, upstream);
+    }
     const hasEnded = !attempt.hasSurvived &&
       await this.#checkCrash(place, { tryOutcome, sentAt });
     if (hasEnded) record.hasUpstreamEnded = true;
@@ -300,6 +507,25 @@
     return tryOutcome;
   }
 
+  #recordStreamStart(entry: UpstreamEntry): void {
+    this.#binding.recordStart(entry);
+    const { service, softwareVersion } = entry;
+    if (this.#exchange.forwarded === undefined) return;
+    if (softwareVersion === undefined) return;
+    setServedHeaders(this.#exchange.response, {
+      origin: { service, softwareVersion },
+    });
+  }
+
+  /** Tells the router that forwarded the request where its answer is from. */
+  #recordServed({ id }: UpstreamEntry): void {
+    if (this.#exchange.forwarded === undefined) return;
+    setServedHeaders(this.#exchange.response, {
+      tries: this.#plan.sent + 1,
+      upstream: id,
+    });
+  }
+
   /**
    * Records what the end of a try says of the request: that an upstream
    * survived it, or ended under it. Returns whether it ended.
@@ -361,7 +587,7 @@
     { entry }: PlacementResult,
     { tryOutcome, hasEnded }: { tryOutcome: TryOutcome; hasEnded: boolean },
   ): void {
-    const { placement, routing, connections, clock } = this.#options;
+    const { placement, routing, connections, clock, links } = this.#options;
     if (
       tryOutcome.kind === "answered" || tryOutcome.kind === "stream-complete"
     ) {
@@ -376,6 +602,8 @@
     }
     // An upstream that asks for a pause is sound.
     if (tryOutcome.isPause === true) return;
+    // Without links, nothing says that the upstream is not sound.
+    if (links.isDown(this.#service.name)) return;
     if (tryOutcome.isSilent === true) connections.closeIdle(entry.address);
     if (tryOutcome.end === "not-sent" || hasEnded) {
       placement.recordHealth(entry.id, "unreachable");
@@ -389,7 +617,7 @@
 
   /** Records what an upstream says of itself in the head of a response. */
   #recordNotice(
-    { entry }: PlacementResult,
+    entry: UpstreamEntry,
     { status, traits, sentAt }: {
       status: number;
       traits: ResponseTraits;
@@ -453,12 +681,16 @@
           : lastEventId,
       }),
       body: body !== undefined && body.length > 0 ? body : undefined,
-      maxIdleMs: this.#plan.isRepeatable
-        ? MAX_IDLE_REPEATABLE_MS
-        : MAX_IDLE_NON_REPEATABLE_MS,
+      maxIdleMs: this.#maxIdleMs,
     };
   }
 
+  get #maxIdleMs(): number {
+    return this.#plan.isRepeatable
+      ? MAX_IDLE_REPEATABLE_MS
+      : MAX_IDLE_NON_REPEATABLE_MS;
+  }
+
   #getSilenceTimeoutMs(): number {
     if (!this.#plan.isRepeatable) return Infinity;
     if (this.#route.kind === "stream") {
--- a/src/ingress/ingress_exchange.ts
+++ b/src/ingress/ingress_exchange.ts
@@ -12,6 +12,7 @@
   RequestTraits,
   ServiceRoute,
 } from "../routing/types.ts";
+import type { ForwardedTraits } from "../transport/router_hop.ts";
 
 /** A request with the data that the filters add to it. */
 export interface IngressExchange {
@@ -22,6 +23,8 @@
   readonly path: string;
   /** Monotonic time of arrival, in milliseconds. */
   readonly arrivedAt: number;
+  /** Set if another router has forwarded the request to this one. */
+  readonly forwarded?: ForwardedTraits;
   /** Routes of the configuration version that serves this whole request. */
   readonly table: RouteTable;
   /** Set by the route filter. */
@@ -36,15 +39,17 @@
   readonly trace: TryRecord[];
 }
 
-/** One try at an upstream; its fields are written to the log. */
+/** One try at an upstream or a router; its fields are written to the log. */
 export interface TryRecord {
-  readonly upstream: string;
+  readonly upstream?: string;
+  /** Router to which the request was forwarded. */
+  readonly router?: string;
   /** Version of the upstream's software. */
   readonly softwareVersion?: string;
-  /** Why the upstream was chosen. */
+  /** Why the upstream or the router was chosen. */
   readonly reason: string;
   /** Estimated requests at the upstream when it was chosen. */
-  readonly load: number;
+  readonly load?: number;
   /** Load limit that applied to the choice, in requests. */
   readonly bound?: number;
   /** `ip:port` of the upstream to copy the prompt's cache from. */
--- a/src/ingress/ingress_metrics.ts
+++ b/src/ingress/ingress_metrics.ts
@@ -17,6 +17,7 @@
   readonly upstreams: Gauge;
   readonly routers: Gauge;
   readonly upstreamsLimited: Gauge;
+  readonly linksDown: Gauge;
   readonly promptPartsQuarantined: Gauge;
   readonly streamsKnown: Gauge;
   readonly logLinesDropped: Gauge;
@@ -99,6 +100,10 @@
       "upstreams_limited",
       "Upstreams that state how many requests a second they take.",
     ),
+    linksDown: createGauge(
+      "links_down",
+      "Services whose upstreams this router can't reach by itself.",
+    ),
     promptPartsQuarantined: createGauge(
       "prompt_parts_quarantined",
       "Prompt parts and requests that crash upstreams.",
--- a/src/ingress/ingress_server.ts
+++ b/src/ingress/ingress_server.ts
@@ -16,9 +16,15 @@
 import { renderProblem } from "../transport/problem.ts";
 import { makeCloseDelimited } from "../transport/close_delimited_response.ts";
 import type { RequestTraits } from "../routing/types.ts";
+import {
+  decodeForwarded,
+  REFUSAL_HEADER,
+  sendProcessingUntilHeaders,
+} from "../transport/router_hop.ts";
 import type { IngressExchange, IngressOutcome } from "./ingress_exchange.ts";
 import type { IngressMetrics } from "./ingress_metrics.ts";
 import { refuseRetryable } from "./refusals.ts";
+import { LIFE_SIGN_INTERVAL_MS } from "./router_forwarding.ts";
 
 /** Options of the handler. */
 export interface IngressHandlerOptions {
@@ -37,6 +43,8 @@
   readonly awaitTable: (remainingMs: number) => Promise<RouteTable | undefined>;
   /** Whether a graceful stop of this router has started. */
   readonly isStopping: () => boolean;
+  /** Whether the requests come from other routers; false by default. */
+  readonly isForRouters?: boolean;
 }
 
 /**
@@ -57,7 +65,7 @@
  */
 type ReportedExchange =
   & Pick<IngressExchange, "traits" | "arrivedAt" | "trace">
-  & Partial<Pick<IngressExchange, "route" | "table">>;
+  & Partial<Pick<IngressExchange, "route" | "table" | "forwarded">>;
 
 /** Returns the name of an outcome in logs and metrics. */
 function getOutcomeLabel(outcome: IngressOutcome): string {
@@ -78,9 +86,12 @@
     .map(({ id }) => id.slice(0, MAX_LOGGED_PART_LENGTH));
 }
 
-/** Creates the handler of requests from callers. */
+/**
+ * Creates the handler of requests from callers or, with `isForRouters`, of those
+ * that other routers forward.
+ */
 export function createIngressHandler(options: IngressHandlerOptions) {
-  const { clock, log, metrics, inFlight } = options;
+  const { clock, log, metrics, inFlight, isForRouters = false } = options;
 
   function refuseNotReady(
     arrivedAt: number,
@@ -114,6 +125,12 @@
   ): Promise<void> {
     const arrivedAt = clock();
     response.on("error", () => response.destroy());
+    const forwarded = isForRouters
+      ? decodeForwarded(request.headers)
+      : undefined;
+    if (forwarded !== undefined) {
+      sendProcessingUntilHeaders(response, LIFE_SIGN_INTERVAL_MS);
+    }
     const traits = decodeRequest(request.headers);
     const { requestId, deadlineMs = DEFAULT_DEADLINE_MS } = traits;
     const table = options.getTable() ?? await options.awaitTable(deadlineMs);
@@ -127,6 +144,7 @@
       request,
       response,
       traits,
+      forwarded,
       path: getPath(request.url ?? "/"),
       arrivedAt,
       table,
@@ -163,6 +181,7 @@
       writeBufferedResponse(response, { ...outcome, headers });
     } else if (outcome.kind === "refused") {
       const { refusal, closes = false } = outcome;
+      if (isForRouters) response.setHeader(REFUSAL_HEADER, refusal.code);
       // Closing with unread request bytes would reset the connection before
       // the caller has read the response.
       if (closes && request.complete) {
@@ -176,7 +195,7 @@
   }
 
   function report(
-    { route, traits, trace, table, arrivedAt }: ReportedExchange,
+    { route, traits, trace, table, arrivedAt, forwarded }: ReportedExchange,
     outcome: IngressOutcome,
   ): void {
     const ms = Math.round(clock() - arrivedAt);
@@ -194,6 +213,7 @@
       requestId: traits.requestId,
       route: route?.name ?? "none",
       ...(traits.resumedId !== undefined && { resumedId: traits.resumedId }),
+      ...(forwarded !== undefined && { isForwarded: true }),
       version: table?.configuration.version,
       outcome: label,
       ...(outcome.kind === "whole" && { status: outcome.status }),
--- a/src/ingress/stream_binding.ts
+++ b/src/ingress/stream_binding.ts
@@ -77,7 +77,12 @@
   }
 
   /** Binds the stream, whose first events are about to be sent. */
-  recordStart({ service, softwareVersion }: UpstreamEntry): void {
+  recordStart(
+    { service, softwareVersion }: Pick<
+      UpstreamEntry,
+      "service" | "softwareVersion"
+    >,
+  ): void {
     if (!this.#isResumable) return;
     this.#softwareVersion = softwareVersion ?? NO_VERSION;
     if (softwareVersion === undefined) return;
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -8,9 +8,11 @@
   copyResponseHeaders,
   decodeResponse,
 } from "../platform/message_headers.ts";
+import type { Refusal } from "../diagnostics.ts";
 import type { TryFailure } from "../policy/attempt_plan.ts";
 import type { ResponseTraits, UpstreamLoad } from "../routing/types.ts";
 import { EventSplitter } from "../transport/event_stream.ts";
+import { tryReadRefusal } from "../transport/router_hop.ts";
 import type {
   UpstreamConnections,
   UpstreamExchange,
@@ -48,7 +50,11 @@
     readonly isSilent?: boolean;
     /** Whether the upstream asked for a pause. */
     readonly isPause?: boolean;
-  };
+    /** Headers of the response, if a router serves the request. */
+    readonly headers?: IncomingHttpHeaders;
+  }
+  /** The router that was to serve the request has refused it. */
+  | { readonly kind: "refused"; readonly refusal: Refusal };
 
 /** Options of a try. */
 export interface UpstreamTryOptions {
@@ -56,6 +62,12 @@
   readonly request: UpstreamRequest;
   readonly requestId: string;
   readonly relay: StreamRelay;
+  /**
+   * Set if another router serves the request. It sends signs of life until the
+   * response begins; the try ends if none comes for `lifeSignTimeoutMs`
+   * milliseconds. The time without data counts from the head then.
+   */
+  readonly router?: { readonly lifeSignTimeoutMs: number };
   /**
    * Time without data after which the try ends if `mayReplaceTry` allows it, in
    * milliseconds; Infinity to wait without a limit.
@@ -67,8 +79,15 @@
   isSuspect(): boolean;
   /** Whether another try may replace this one, which receives no data. */
   mayReplaceTry(): boolean;
-  /** Called before the first events of a stream are written to the caller. */
-  onStreamStart(): void;
+  /**
+   * Called with the headers of the response before the first events of a stream
+   * are written to the caller.
+   */
+  onStreamStart(headers: IncomingHttpHeaders): void;
+  /** Called with each part of the response. */
+  onData?(): void;
+  /** Called once if no head has arrived for SUSPECT_SILENCE_MS. */
+  onSilence?(): void;
   /** Called with the load that the upstream reports in its response. */
   onLoad(load: UpstreamLoad): void;
   /**
@@ -77,10 +96,14 @@
    */
   onSurvival(): void;
   /**
-   * Called with the status and the traits of each response head, also if the
-   * response is refused or belongs to another request.
+   * Called with the status, the traits and the headers of each response head,
+   * also if the response is refused or belongs to another request.
    */
-  onNotice(status: number, traits: ResponseTraits): void;
+  onNotice(
+    status: number,
+    traits: ResponseTraits,
+    headers: IncomingHttpHeaders,
+  ): void;
 }
 
 /** Another upstream than the expected one is at the address. */
@@ -123,6 +146,8 @@
   #resolve!: (result: TryResult) => void;
   #silenceTimer: NodeJS.Timeout | undefined;
   #suspectTimer: NodeJS.Timeout | undefined;
+  /** Runs until the head arrives. */
+  #headTimer: NodeJS.Timeout | undefined;
   #sizeInBytes = 0;
   #firstDataAt: number | undefined;
   #hasSurvived = false;
@@ -139,6 +164,9 @@
     this.#options = options;
     this.result = new Promise((resolve) => this.#resolve = resolve);
     this.#exchange = options.connections.send(options.request, {
+      onInformation: () => {
+        if (options.router !== undefined) this.#headTimer?.refresh();
+      },
       onHead: (status, headers) => this.#onHead(status, headers),
       onData: (chunk) => this.#onData(chunk),
       onEnd: () => this.#onEnd(),
@@ -147,7 +175,8 @@
         this.#end({ kind: "ended", end, detail, isCutOff: end !== "not-sent" });
       },
     });
-    this.#startSilenceTimer();
+    this.#startHeadTimer();
+    if (options.router === undefined) this.#startSilenceTimer();
   }
 
   /** Whether the connection had served another request before. */
@@ -171,6 +200,20 @@
   #clearTimers(): void {
     clearTimeout(this.#silenceTimer);
     clearTimeout(this.#suspectTimer);
+    clearTimeout(this.#headTimer);
+  }
+
+  #startHeadTimer(): void {
+    const { router, onSilence } = this.#options;
+    if (router !== undefined) {
+      const { lifeSignTimeoutMs } = router;
+      this.#headTimer = setTimeout(
+        () => this.#endSilent(lifeSignTimeoutMs),
+        lifeSignTimeoutMs,
+      );
+    } else if (onSilence !== undefined) {
+      this.#headTimer = setTimeout(onSilence, SUSPECT_SILENCE_MS);
+    }
   }
 
   #startSilenceTimer(): void {
@@ -180,7 +223,9 @@
       if (!this.#options.mayReplaceTry()) return;
       this.#endSilent(silenceTimeoutMs);
     }, silenceTimeoutMs);
-    this.#scheduleSuspectCheck(SUSPECT_SILENCE_MS);
+    if (this.#head === undefined) {
+      this.#scheduleSuspectCheck(SUSPECT_SILENCE_MS);
+    }
   }
 
   /** Ends the try early if its upstream turns out to be unreachable. */
@@ -204,9 +249,11 @@
 
   #onHead(status: number, headers: IncomingHttpHeaders): void {
     clearTimeout(this.#suspectTimer);
+    clearTimeout(this.#headTimer);
     const traits = decodeResponse(status, headers);
-    const { requestId, onLoad, onNotice } = this.#options;
-    onNotice(status, traits);
+    const { requestId, onLoad, onNotice, onData, router } = this.#options;
+    onData?.();
+    onNotice(status, traits, headers);
     const isForOtherRequest = traits.requestId === undefined
       ? isSuccess(status)
       : traits.requestId !== requestId;
@@ -223,11 +270,13 @@
       return;
     }
     this.#head = { status, headers, traits, isStream };
+    if (router !== undefined) this.#startSilenceTimer();
   }
 
   #onData(chunk: Buffer): void {
     if (this.#isDone || this.#head === undefined) return;
     this.#silenceTimer?.refresh();
+    this.#options.onData?.();
     this.#recordData();
     if (this.#head.isStream) {
       this.#forwardEvents(chunk);
@@ -317,8 +366,8 @@
   #startStream(): void {
     const { relay } = this.#options;
     if (relay.isStarted) return;
-    this.#options.onStreamStart();
     const { status, headers } = this.#head!;
+    this.#options.onStreamStart(headers);
     relay.start(status, {
       headers: copyResponseHeaders(headers),
       isFramed: isFramed(headers),
@@ -328,6 +377,13 @@
   #classifyAnswer(): TryResult {
     const { status, headers, traits } = this.#head!;
     const detail = `status ${status}`;
+    const body = this.#chunks.length === 1
+      ? this.#chunks[0]!
+      : Buffer.concat(this.#chunks);
+    if (this.#options.router !== undefined) {
+      const refusal = tryReadRefusal(headers, body.toString());
+      if (refusal !== undefined) return { kind: "refused", refusal };
+    }
     if (status === STATUS_MISDIRECTED) {
       return { kind: "ended", end: "misdirected", detail };
     }
@@ -335,9 +391,6 @@
     if (traits.isNotRun) {
       return { kind: "ended", end: "refused", detail, isPause };
     }
-    const body = this.#chunks.length === 1
-      ? this.#chunks[0]!
-      : Buffer.concat(this.#chunks);
     const answer = {
       status,
       headers: copyResponseHeaders(headers),
@@ -360,6 +413,9 @@
     if (this.#isDone) return;
     this.#isDone = true;
     this.#clearTimers();
-    this.#resolve(result);
+    const { router } = this.#options;
+    if (router !== undefined && result.kind === "ended") {
+      this.#resolve({ ...result, headers: this.#head?.headers });
+    } else this.#resolve(result);
   }
 }
--- a/src/platform/message_headers.ts
+++ b/src/platform/message_headers.ts
@@ -10,6 +10,7 @@
   UpstreamLoad,
 } from "../routing/types.ts";
 import { HOP_BY_HOP_HEADERS } from "../transport/hop_by_hop.ts";
+import { PRIVATE_HEADER_PREFIX } from "../transport/router_hop.ts";
 import { HEADERS, SYSTEM_HEADERS } from "./names.ts";
 
 const BEARER = /^Bearer +(\S+)$/i;
@@ -131,45 +132,92 @@
   return new Set(names.map((name) => name.trim()));
 }
 
+/** A caller's request, as far as its headers are sent on. */
+interface HeaderSource {
+  readonly rawHeaders: readonly string[];
+  readonly headers: IncomingHttpHeaders;
+}
+
+/**
+ * Copies the headers of a request, names and values in turn, without hop-by-hop
+ * headers, those that only routers read, and those that `isReplaced`.
+ */
+function copyRequestHeaders(
+  { rawHeaders, headers }: HeaderSource,
+  isReplaced: (name: string) => boolean,
+): string[] {
+  const connectionHeaders = getConnectionHeaders(headers);
+  const pairs: string[] = [];
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index]!.toLowerCase();
+    if (HOP_BY_HOP_HEADERS.has(name) || connectionHeaders.has(name)) continue;
+    if (name.startsWith(PRIVATE_HEADER_PREFIX) || isReplaced(name)) continue;
+    pairs.push(rawHeaders[index]!, rawHeaders[index + 1]!);
+  }
+  return pairs;
+}
+
+function encodeRemainingMs(remainingMs: number): string[] {
+  return [HEADERS.deadlineMs, String(Math.max(1, Math.floor(remainingMs)))];
+}
+
 /**
  * Encodes the headers of a request to an upstream, names and values in turn.
  * Hop-by-hop headers are dropped; the router's own replace the caller's.
  */
 export function encodeUpstreamHeaders(
-  request: { rawHeaders: readonly string[]; headers: IncomingHttpHeaders },
+  request: HeaderSource,
   routerHeaders: UpstreamHeaders,
 ): string[] {
-  const connectionHeaders = getConnectionHeaders(request.headers);
-  const pairs: string[] = [];
-  for (let index = 0; index < request.rawHeaders.length; index += 2) {
-    const name = request.rawHeaders[index]!.toLowerCase();
-    if (HOP_BY_HOP_HEADERS.has(name) || connectionHeaders.has(name)) continue;
-    if (SYSTEM_HEADERS.has(name)) continue;
-    if (
-      name === HEADERS.lastEventId && routerHeaders.lastEventId !== undefined
-    ) continue;
-    pairs.push(request.rawHeaders[index]!, request.rawHeaders[index + 1]!);
-  }
-  const remaining = Math.max(1, Math.floor(routerHeaders.remainingMs));
-  pairs.push(HEADERS.deadlineMs, String(remaining));
+  const { lastEventId, workspace, copyFrom } = routerHeaders;
+  const pairs = copyRequestHeaders(
+    request,
+    (name) =>
+      SYSTEM_HEADERS.has(name) ||
+      name === HEADERS.lastEventId && lastEventId !== undefined,
+  );
+  pairs.push(...encodeRemainingMs(routerHeaders.remainingMs));
   pairs.push(HEADERS.expectedUpstream, routerHeaders.upstream);
   pairs.push(
     HEADERS.priority,
     String(Math.min(MAX_PRIORITY, routerHeaders.priority)),
   );
-  if (routerHeaders.workspace !== undefined) {
-    pairs.push(HEADERS.workspace, routerHeaders.workspace);
+  if (workspace !== undefined) pairs.push(HEADERS.workspace, workspace);
+  if (copyFrom !== undefined) pairs.push(HEADERS.copyFrom, copyFrom);
+  if (lastEventId !== undefined) {
+    pairs.push(HEADERS.lastEventId, String(lastEventId));
   }
-  if (routerHeaders.copyFrom !== undefined) {
-    pairs.push(HEADERS.copyFrom, routerHeaders.copyFrom);
-  }
-  if (routerHeaders.lastEventId !== undefined) {
-    pairs.push(HEADERS.lastEventId, String(routerHeaders.lastEventId));
+  return pairs;
+}
+
+/**
+ * Encodes the headers of a request that another router is to serve. It checks
+ * the caller's key again, and sets the headers for the upstream itself.
+ */
+export function encodeRouterHeaders(
+  request: HeaderSource,
+  { remainingMs, lastEventId }: Pick<
+    UpstreamHeaders,
+    "remainingMs" | "lastEventId"
+  >,
+): string[] {
+  const pairs = copyRequestHeaders(
+    request,
+    (name) =>
+      name === HEADERS.deadlineMs ||
+      name === HEADERS.lastEventId && lastEventId !== undefined,
+  );
+  pairs.push(...encodeRemainingMs(remainingMs));
+  if (lastEventId !== undefined) {
+    pairs.push(HEADERS.lastEventId, String(lastEventId));
   }
   return pairs;
 }
 
-/** Copies the headers of an upstream's response, without hop-by-hop headers. */
+/**
+ * Copies the headers of an upstream's response, without hop-by-hop headers and
+ * those that only routers read.
+ */
 export function copyResponseHeaders(
   headers: IncomingHttpHeaders,
 ): Record<string, string | string[]> {
@@ -178,7 +226,7 @@
   for (const [name, value] of Object.entries(headers)) {
     if (
       value === undefined || HOP_BY_HOP_HEADERS.has(name) ||
-      connectionHeaders.has(name)
+      connectionHeaders.has(name) || name.startsWith(PRIVATE_HEADER_PREFIX)
     ) {
       continue;
     }
--- a/src/policy/attempt_plan.ts
+++ b/src/policy/attempt_plan.ts
@@ -88,6 +88,19 @@
     return this.#getFinalStep(end);
   }
 
+  /** Upstreams that the request may still be sent to. */
+  get triesLeft(): number {
+    return this.#limits.maxAttempts - this.#sent;
+  }
+
+  /**
+   * Records the tries of another router that was to serve the request; without
+   * its word, it may have made all that it was allowed.
+   */
+  recordForwarded(tries: number | undefined): void {
+    this.#sent += Math.min(tries ?? this.triesLeft, this.triesLeft);
+  }
+
   /** Records that a try was abandoned before it ended; it may have run. */
   abandon(): void {
     this.#mayHaveRun = true;
--- a/src/transport/forward_headers.ts
+++ b/src/transport/forward_headers.ts
@@ -5,12 +5,12 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Exchange } from "../filters/exchange.ts";
 import { HOP_BY_HOP_HEADERS } from "./hop_by_hop.ts";
+import { PRIVATE_HEADER_PREFIX } from "./router_hop.ts";
 
 /** Header with the token that authenticates a router of the fleet. */
 export const FORWARD_TOKEN_HEADER = "x-cf-token";
 
 const EXCLUDED_HEADERS = new Set([...HOP_BY_HOP_HEADERS, "host"]);
-const PRIVATE_HEADER_PREFIX = "x-cf-";
 
 /** Properties of a forwarded request that the ingress router determined. */
 export interface ForwardContext {
--- a/src/transport/forward_server.ts
+++ b/src/transport/forward_server.ts
@@ -17,7 +17,6 @@
 import {
   CALL_CHECKED_HEADER,
   FORWARD_KEEP_ALIVE_MS,
-  REFUSAL_HEADER,
 } from "../filters/locate_filter.ts";
 import { isTokenStream } from "../filters/stream_response.ts";
 import { createDisconnectController, createExchange } from "./caller_server.ts";
@@ -30,6 +29,7 @@
 import { type ServerLimits, writeOutcome } from "./http_server.ts";
 import { withKeepAlive } from "./keep_alive.ts";
 import { renderProblem } from "./problem.ts";
+import { REFUSAL_HEADER, sendProcessingUntilHeaders } from "./router_hop.ts";
 
 /** Options for `createForwardHandler`. */
 export interface ForwardHandlerOptions {
@@ -118,7 +118,7 @@
       writeInvalidTokenRefusal(response);
       return;
     }
-    sendProcessingUntilHeaders(response);
+    sendProcessingUntilHeaders(response, FORWARD_KEEP_ALIVE_MS);
     const exchange = await readExchange(request, response);
     if ("kind" in exchange) {
       const requestId = "unknown";
@@ -169,15 +169,3 @@
   headers["connection"] = "close";
   response.writeHead(FORBIDDEN_STATUS, headers).end(body);
 }
-
-/**
- * Sends 102 (Processing) periodically until the response headers are sent, so
- * that the ingress router does not treat the connection as lost.
- */
-function sendProcessingUntilHeaders(response: ServerResponse): void {
-  const timer = setInterval(() => {
-    if (response.headersSent) clearInterval(timer);
-    else response.writeProcessing();
-  }, FORWARD_KEEP_ALIVE_MS);
-  response.once("close", () => clearInterval(timer));
-}
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -32,6 +32,8 @@
  * exactly once, unless the exchange is cancelled.
  */
 export interface ResponseListener {
+  /** Called for each informational response (1xx). */
+  onInformation?(): void;
   onHead(status: number, headers: IncomingHttpHeaders): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
@@ -81,6 +83,8 @@
    * False if that can't be found out in time.
    */
   isRefusing(address: string): Promise<boolean>;
+  /** Whether a new connection to `address` opens within a short time. */
+  isReachable(address: string): Promise<boolean>;
   close(): Promise<void>;
 }
 
@@ -91,6 +95,11 @@
  * at once; a request may wait for it.
  */
 const REFUSAL_TIMEOUT_MS = 100;
+/**
+ * Time in which a connection opens to a host that is reachable, in
+ * milliseconds; many round trips, since its process need not accept it.
+ */
+const REACHABLE_TIMEOUT_MS = 200;
 /** Below the idle timeout of 10 s that upstreams announce. */
 const IDLE_TIMEOUT_MS = 9_000;
 /**
@@ -151,6 +160,17 @@
   }
 }
 
+async function checkReachable(address: string): Promise<boolean> {
+  try {
+    const socket = await openSocket(address, REACHABLE_TIMEOUT_MS);
+    socket.destroy();
+    return true;
+  } catch {
+    // The caller acts on any failure in the same way.
+    return false;
+  }
+}
+
 class Connection {
   readonly client: Client;
   readonly address: string;
@@ -259,6 +279,11 @@
     return check;
   }
 
+  isReachable(address: string): Promise<boolean> {
+    this.#options.onOpen(address);
+    return checkReachable(address);
+  }
+
   async close(): Promise<void> {
     clearInterval(this.#sweeper);
     for (const address of [...this.#idle.keys()]) this.closeIdle(address);
@@ -339,8 +364,9 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
-    if (this.#isEnded || status < 200) return;
-    this.#listener.onHead(status, headers);
+    if (this.#isEnded) return;
+    if (status < 200) this.#listener.onInformation?.();
+    else this.#listener.onHead(status, headers);
   }
 
   onResponseData(
