Keep the software versions of services in the store

Cause: a router took the only version that it had seen for the only one as soon as it had run for the route's timeout. Callers resume a stream with several requests, until their own time limit, which that timeout does not bound. The class of fault: a bound that holds for one request is used for a chain of them.

A stream is taken to last 30 s at least. A restart no longer hides that there was only one version either.

--- a/src/control/peer_exchange_test.ts
+++ b/src/control/peer_exchange_test.ts
@@ -122,6 +122,7 @@
       },
       renew: () => respond(() => true),
       deregister: () => respond(() => undefined),
+      writeVersions: () => respond(() => undefined),
       close: () => Promise.resolve(),
     };
   }
--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -28,6 +28,7 @@
 import type { FetchConfiguration } from "./configuration_relay.ts";
 import type { SharedRoutingState } from "./peer_exchange.ts";
 import type { Task, TaskSystem } from "./task.ts";
+import { VersionRecorder } from "./version_recorder.ts";
 
 /**
  * Read-only view of the routing state, which has a single writer. Read it again
@@ -118,6 +119,8 @@
   readonly #linkMbps = new Map<string, number>();
   readonly #poller: Task<Message>;
   readonly #registrar: Task<Message>;
+  readonly #versions: VersionRecorder;
+  #hasSnapshot = false;
   #table: RouteTable | undefined;
   /** Resolves the requests that wait for the first configuration. */
   readonly #tableWaiters = new Set<() => void>();
@@ -146,6 +149,10 @@
   constructor(options: RoutingOptions) {
     this.#options = options;
     const { revocationMs, tasks, log } = options;
+    this.#versions = new VersionRecorder({
+      ...options,
+      directory: this.directory,
+    });
     this.#confirmation = new Confirmation({ revocationMs });
     function onFailure(cause: unknown): void {
       log.error("A message failed.", { cause: String(cause) });
@@ -309,6 +316,7 @@
       if (!this.#isStoreReadNeeded()) return;
       const isAnswered = await this.#readChanges();
       if (!isAnswered) pauseMs = this.#getRetryPauseMs();
+      else await this.#writeVersions();
     } finally {
       clearTimeout(this.#pollTimer);
       if (!this.#isClosed) {
@@ -433,6 +441,13 @@
     return false;
   }
 
+  async #writeVersions(): Promise<void> {
+    const { plan, self } = this.#options;
+    if (!plan.isRelay) return;
+    const before = plan.relays.filter((relay) => relay < self.name);
+    await this.#versions.writeChanges(before.length);
+  }
+
   #recordStoreFailure(failure: PlatformFailure): false {
     const { log, now, onCall } = this.#options;
     // Closing the client fails pending calls; the store is not lost.
@@ -515,6 +530,10 @@
       if (change.kind === "router") routers.add(change.name);
       this.#apply(change);
     }
+    // A registration from before a restart outlasts it.
+    const isFirst = !this.#hasSnapshot && !routers.has(this.#options.self.name);
+    if (isFirst) this.directory.recordFirstStart();
+    this.#hasSnapshot = true;
     for (const id of this.directory.retainOnly(upstreams, now().steady)) {
       this.#journal.recordChange({ kind: "upstream-gone", id });
     }
@@ -581,6 +600,9 @@
         this.#linkMbps.delete(change.name);
         this.#recordRouterChange(change);
         break;
+      case "versions":
+        this.#versions.receive(change.record);
+        break;
       case "unreadable":
         log.warn("Ignoring an invalid item of the store.", { ...change });
         break;
--- a/src/daemon/ingress_versions_test.ts
+++ b/src/daemon/ingress_versions_test.ts
@@ -2,6 +2,7 @@
  * Streams of upstreams with several software versions, as one router continues
  * and resumes them.
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   beginStream,
   endStream,
@@ -11,6 +12,8 @@
 } from "./testing/local_ingress.ts";
 
 const UPSTREAMS = 4;
+/** As in the configuration of `LocalIngress`. */
+const ROUTE_TIMEOUT_MS = 2_000;
 const EVENTS = 3;
 
 let fleet: LocalIngress;
@@ -148,6 +151,52 @@
   expect(fleet.arrived).toHaveLength(1);
 });
 
+/** Resumes the stream of the request `first`, as another request. */
+function resumeFirst() {
+  return fleet.ask({
+    id: "again",
+    path: "/chat/x",
+    headers: { "last-event-id": "1", "resumes": "first" },
+  });
+}
+
+async function replaceVersion(version: string, born: number): Promise<void> {
+  for (const upstream of fleet.upstreams) {
+    fleet.putUpstream(upstream, { version, born });
+    await fleet.untilLogged({ upstream: upstream.id, bornAt: born });
+  }
+}
+
+// Guards against a router that started after a version had left, and takes the
+// one that it sees for the only one, once it has run for the route's timeout:
+// callers resume streams for longer (ORDER).
+test("a router that restarts after a version has left refuses its streams", async () => {
+  await setVersions("v1");
+  fleet.script(sendRest);
+  await fleet.ask({ id: "first", path: "/chat/x" });
+  await replaceVersion("v2", 8);
+  await fleet.untilLogged({ version: "v2", isWritten: true });
+  await fleet.restart();
+  await sleep(ROUTE_TIMEOUT_MS + 200);
+  const answer = await resumeFirst();
+  expect(answer.status).toBe(503);
+  expect(JSON.parse(answer.text).type).toContain("stream-unknown");
+  expect(fleet.arrived).toHaveLength(1);
+});
+
+// Guards against streams that are refused after a restart of all routers, though
+// the service has never had another version (LOST).
+test("a router that restarts resumes streams of the only version there was", async () => {
+  await setVersions("v1");
+  fleet.script(sendRest);
+  await fleet.ask({ id: "first", path: "/chat/x" });
+  await fleet.untilLogged({ version: "v1", isWritten: true });
+  await fleet.restart();
+  const answer = await resumeFirst();
+  expect(answer.isComplete).toBe(true);
+  expect(fleet.arrived.length).toBe(2);
+});
+
 test("the same id of another request does not name the stream", async () => {
   await setVersions("v1", "v2");
   fleet.script(sendRest);
--- a/src/daemon/testing/local_ingress.ts
+++ b/src/daemon/testing/local_ingress.ts
@@ -217,6 +217,19 @@
       router: { name: "router-1", failureDomain: "east", linkMbps: 0 },
       bounds: { ...INGRESS_SETTING_DEFAULTS.bounds, retrySlack: 50, ...bounds },
     };
+    await this.#startDaemon();
+    if (awaitsReadiness) await this.untilReady(hasConfiguration ? 200 : 503);
+    return this;
+  }
+
+  /** Stops the router and starts another in its place. */
+  async restart(): Promise<void> {
+    await this.daemon.stop();
+    await this.#startDaemon();
+    await this.untilReady(200);
+  }
+
+  async #startDaemon(): Promise<void> {
     this.daemon = await startIngressDaemon({
       settings: this.settings,
       logs: createLogFactory({
@@ -225,8 +238,6 @@
         write: (line) => this.lines.push(JSON.parse(line)),
       }),
     });
-    if (awaitsReadiness) await this.untilReady(hasConfiguration ? 200 : 503);
-    return this;
   }
 
   async close(): Promise<void> {
--- a/src/ingress/stream_binding.ts
+++ b/src/ingress/stream_binding.ts
@@ -27,6 +27,12 @@
   >;
 }
 
+/**
+ * Shortest time for which a stream is taken to last, with all requests for it, in
+ * milliseconds. Callers resume streams until their own time limit, which may be
+ * longer than the route's timeout; twice the longest that the users state.
+ */
+const MIN_STREAM_SPAN_MS = 30_000;
 /** No upstream has this version. */
 const NO_VERSION = "\u0000";
 
@@ -137,6 +143,6 @@
    * its caller may be kept waiting, with all requests for it.
    */
   get #spanMs(): number {
-    return this.#route.timeoutMs;
+    return Math.max(this.#route.timeoutMs, MIN_STREAM_SPAN_MS);
   }
 }
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -11,6 +11,7 @@
   ServiceRoute,
   StoreChange,
   UpstreamEntry,
+  VersionRecord,
 } from "../routing/types.ts";
 import {
   asFields,
@@ -162,6 +163,29 @@
   }
 }
 
+/** Encodes the versions that a service has had, as a value of the store. */
+export function encodeVersionRecord({ versions }: VersionRecord): string {
+  return Buffer.from(JSON.stringify({ versions })).toString("base64");
+}
+
+/** Decodes such a value; throws `FieldError` if it is malformed. */
+export function decodeVersionRecord(
+  service: string,
+  value: unknown,
+): VersionRecord {
+  const versions = getList(asFields(value, "versions"), "versions");
+  return {
+    service,
+    versions: versions.map((each) => {
+      const fields = asFields(each, "version");
+      return {
+        version: getString(fields, "version"),
+        goneAt: tryNumber(fields, "goneAt"),
+      };
+    }),
+  };
+}
+
 /** An item of the store as it was read. */
 export interface RawItem {
   readonly key: string;
@@ -196,6 +220,11 @@
     const linkMbps = tryNumber(fields, "linkMbps") ?? 0;
     return { kind: "router", name, address: getAddress(fields), linkMbps };
   }
+  const service = trySuffix(key, KEYS.versions);
+  if (service !== undefined && value !== undefined) {
+    const record = decodeVersionRecord(service, parseValue(value));
+    return { kind: "versions", record };
+  }
   const id = trySuffix(key, KEYS.upstreams);
   if (id === undefined) return undefined;
   if (value === undefined) return { kind: "upstream-gone", id };
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -7,13 +7,13 @@
  */
 import { Buffer } from "node:buffer";
 import { Err, Ok, type Result } from "ts-results/result";
-import type { Instant, StoreChange } from "../routing/types.ts";
+import type { Instant, StoreChange, VersionRecord } from "../routing/types.ts";
 import {
   createHttpJsonClient,
   type HttpJsonClient,
 } from "../store/http_json.ts";
 import { PlatformFailure } from "../store/key_value.ts";
-import { decodeItem } from "./documents.ts";
+import { decodeItem, encodeVersionRecord } from "./documents.ts";
 import { asFields, getFlag, getList, getNumber } from "./fields.ts";
 import { decodeStoreEra } from "./message_headers.ts";
 import { KEYS, STORE_PATHS } from "./names.ts";
@@ -70,6 +70,10 @@
   renew(lease: string): Promise<Result<boolean, PlatformFailure>>;
   /** Ends the lease, which removes the registration. */
   deregister(lease: string): Promise<Result<void, PlatformFailure>>;
+  /** Writes the software versions of a service, which stay without a lease. */
+  writeVersions(
+    record: VersionRecord,
+  ): Promise<Result<void, PlatformFailure>>;
   close(): Promise<void>;
 }
 
@@ -240,6 +244,18 @@
     return ended.map(() => undefined);
   }
 
+  async writeVersions(
+    record: VersionRecord,
+  ): Promise<Result<void, PlatformFailure>> {
+    const key = KEYS.versions + record.service;
+    const written = await this.#post(STORE_PATHS.transaction, {
+      expectRev: [],
+      writes: [{ key, value: encodeVersionRecord(record), lease: 0 }],
+      remove: [],
+    });
+    return written.map(() => undefined);
+  }
+
   close(): Promise<void> {
     return this.#http.close();
   }
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -76,4 +76,6 @@
   upstreams: "servers/",
   /** Registrations, which the routers write. */
   routers: "corianderflow/routers/",
+  /** Software versions by service, which the routers write. */
+  versions: "corianderflow/versions/",
 } as const;
--- a/src/policy/upstream_directory.ts
+++ b/src/policy/upstream_directory.ts
@@ -9,7 +9,11 @@
  * are missing are therefore used until then and removed afterwards.
  */
 import { isDeepStrictEqual } from "node:util";
-import type { Instant, UpstreamEntry } from "../routing/types.ts";
+import type {
+  Instant,
+  UpstreamEntry,
+  VersionRecord,
+} from "../routing/types.ts";
 import {
   type VersionFinding,
   VersionHistory,
@@ -286,6 +290,29 @@
       now >= record.versionUnknownUntil;
   }
 
+  /** Records that no router ran before this one started. */
+  recordFirstStart(): void {
+    this.#versions.recordFirstStart();
+  }
+
+  /** Records the versions that a service had, as the store keeps them. */
+  recordVersions(record: VersionRecord, now: Instant): void {
+    this.#versions.recordVersions(record, now);
+  }
+
+  /** Returns the software versions of the registered upstreams by service. */
+  listVersions(): ReadonlyMap<string, ReadonlySet<string>> {
+    const versions = new Map<string, Set<string>>();
+    for (
+      const { entry: { service, softwareVersion } } of this.#records.values()
+    ) {
+      const each = versions.get(service) ?? new Set();
+      versions.set(service, each);
+      if (softwareVersion !== undefined) each.add(softwareVersion);
+    }
+    return versions;
+  }
+
   /** Returns what is known of a service's software in a span of time. */
   findVersions(service: string, span: VersionSpan): VersionFinding {
     const registered = this.listRegistered(service)
--- a/src/policy/version_history.ts
+++ b/src/policy/version_history.ts
@@ -6,6 +6,8 @@
  * that callers resume, without having been told of it.
  */
 
+import type { Instant, VersionRecord } from "../routing/types.ts";
+
 /** A span of time in which versions count. */
 export interface VersionSpan {
   /** Current monotonic time, in milliseconds. */
@@ -25,12 +27,21 @@
 const UNKNOWN_VERSION = "\u0000";
 /** Time for which a version is remembered after it was seen last, in ms. */
 const MEMORY_MS = 900_000;
+/**
+ * Difference between the wall clocks of two hosts that is allowed for, in
+ * milliseconds; they may jump by seconds.
+ */
+const CLOCK_TOLERANCE_MS = 10_000;
 
 /** Versions of the software of upstreams, by service. */
 export class VersionHistory {
   /** Times at which a version was seen last, by service and version. */
   readonly #seen = new Map<string, Map<string, number>>();
   #startedAt: number | undefined;
+  /** Services whose versions before the start are known. */
+  readonly #recorded = new Set<string>();
+  /** Whether there was no router, and thus no stream, before the start. */
+  #isFirst = false;
 
   /**
    * Records that an upstream of `service` has a version at `now`, or had it
@@ -53,6 +64,25 @@
     }
   }
 
+  /** Records that no router ran before this one started. */
+  recordFirstStart(): void {
+    this.#isFirst = true;
+  }
+
+  /** Records the versions that a service had before this router started. */
+  recordVersions(
+    { service, versions }: VersionRecord,
+    { steady, wall }: Instant,
+  ): void {
+    this.#recorded.add(service);
+    for (const { version, goneAt } of versions) {
+      const goneMs = wall - (goneAt ?? wall) - CLOCK_TOLERANCE_MS;
+      const seenAt = steady - Math.max(0, goneMs);
+      const known = this.#seen.get(service)?.get(version) ?? -Infinity;
+      this.recordSeen(service, version, Math.max(seenAt, known));
+    }
+  }
+
   /** Returns what is known of the versions of a service in a span of time. */
   find(
     service: string,
@@ -69,8 +99,8 @@
     }
     const [version, ...others] = versions;
     if (others.length > 0) return { kind: "several" };
-    const isCovered = this.#startedAt !== undefined &&
-      now - this.#startedAt >= spanMs;
+    const isCovered = this.#isFirst || this.#recorded.has(service) ||
+      this.#startedAt !== undefined && now - this.#startedAt >= spanMs;
     if (!isCovered || version === undefined || version === UNKNOWN_VERSION) {
       return { kind: "unknown" };
     }
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -102,6 +102,22 @@
   readonly bornAt: number | undefined;
 }
 
+/** A version of a service's software. */
+export interface RecordedVersion {
+  readonly version: string;
+  /**
+   * Time of the wall clock at which its last upstream was gone, in milliseconds;
+   * undefined while there are any.
+   */
+  readonly goneAt: number | undefined;
+}
+
+/** The versions that a service has had lately. */
+export interface VersionRecord {
+  readonly service: string;
+  readonly versions: readonly RecordedVersion[];
+}
+
 /** A change in the metadata store, decoded. */
 export type StoreChange =
   | {
@@ -121,6 +137,7 @@
     readonly linkMbps: number;
   }
   | { readonly kind: "router-gone"; readonly name: string }
+  | { readonly kind: "versions"; readonly record: VersionRecord }
   | {
     readonly kind: "unreadable";
     readonly key: string;
