Keep brittle upstreams from falling over

Cause: routers sent by loads that lag, and each counted on the same free slots. The class of fault: a bound over all routers that each keeps for itself.

Each router holds a fixed share of the slots of a brittle upstream; beyond that it sends only while most are free, or at the cost of its part of the rejections, which are shared by the mechanism of the named rates.

--- a/src/control/peer_messages.ts
+++ b/src/control/peer_messages.ts
@@ -46,6 +46,8 @@
   readonly promptParts?: readonly SubjectReport[];
   /** Limits that upstreams have stated. */
   readonly rates?: readonly RateReport[];
+  /** Rejections a second that brittle upstreams have stated they bear. */
+  readonly rejections?: readonly RateReport[];
   /** Routers that have lost their links to the upstreams of a service. */
   readonly links?: readonly LinkReport[];
 }
@@ -181,20 +183,23 @@
 
 function isFindingsReport(value: unknown): value is FindingsReport {
   if (!isObject(value)) return false;
-  const { promptParts = [], rates = [], links = [] } = value;
+  const { promptParts = [], rates = [], rejections = [], links = [] } = value;
   return isBoundedList(promptParts, {
     max: MAX_REPORTED_SUBJECTS,
     isItem: isSubjectReport,
   }) &&
-    isBoundedList(rates, { max: MAX_REPORTED_RATES, isItem: isRateReport }) &&
+    [rates, rejections].every((each) =>
+      isBoundedList(each, { max: MAX_REPORTED_RATES, isItem: isRateReport })
+    ) &&
     isBoundedList(links, { max: MAX_LINK_REPORTS, isItem: isLinkReport });
 }
 
 /** Whether a report holds nothing, so that it need not be sent. */
 export function isEmptyReport(
-  { promptParts = [], rates = [], links = [] }: FindingsReport,
+  { promptParts = [], rates = [], rejections = [], links = [] }: FindingsReport,
 ): boolean {
-  return promptParts.length === 0 && rates.length === 0 && links.length === 0;
+  return [promptParts, rates, rejections, links]
+    .every((each) => each.length === 0);
 }
 
 function isLoadsMessage(value: unknown): value is LoadsMessage {
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -138,6 +138,18 @@
     level: "warn",
     message: "An upstream states a limit that can't be read.",
   },
+  "brittle": {
+    level: "info",
+    message: "An upstream bears few rejections.",
+  },
+  "brittle-ended": {
+    level: "info",
+    message: "An upstream no longer limits its rejections.",
+  },
+  "bad-brittle": {
+    level: "warn",
+    message: "An upstream states a limit of rejections that can't be read.",
+  },
 };
 const MS_PER_SECOND = 1_000;
 const STATUS_OK = 200;
@@ -292,11 +304,15 @@
         createReport: () => ({
           promptParts: this.#crashes.createReports(),
           rates: this.#placement.createRateReports(),
+          rejections: this.#placement.createRejectionReports(),
           links: this.#links.createReports(),
         }),
-        receiveReport: ({ promptParts = [], rates = [], links = [] }) => {
+        receiveReport: (
+          { promptParts = [], rates = [], rejections = [], links = [] },
+        ) => {
           this.#crashes.receiveReports(promptParts);
           this.#placement.receiveRateReports(rates);
+          this.#placement.receiveRejectionReports(rejections);
           this.#links.receiveReports(links);
         },
       },
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -74,8 +74,9 @@
 
 /**
  * What an upstream states of itself: that it is leaving, that it wants no
- * request for a time, which may be longer than is granted, or that it takes
- * only so many requests a second, and when that ends.
+ * request for a time, which may be longer than is granted, that it takes only
+ * so many requests a second, or that it ends if it has to reject more than so many
+ * a second, and when that ends.
  */
 export type UpstreamNotice =
   | "leaving"
@@ -83,13 +84,16 @@
   | "long-pause"
   | "limit"
   | "limit-ended"
-  | "bad-limit";
+  | "bad-limit"
+  | "brittle"
+  | "brittle-ended"
+  | "bad-brittle";
 
 /** What a notice says, for the log. */
 export interface NoticeDetails {
   readonly upstream: string;
   readonly pauseMs?: number;
-  /** Requests a second. */
+  /** Requests or rejections a second. */
   readonly rate?: number;
 }
 
@@ -459,7 +463,7 @@
     const { name: service } = this.#service;
     const upstream = place.entry.id;
     const sentAt = clock();
-    placement.recordSent(upstream);
+    placement.recordSent(place);
     this.#excluded.add(upstream);
     const attempt = new UpstreamTry({
       connections,
@@ -600,6 +604,7 @@
       connections.closeIdle(entry.address);
       return;
     }
+    if (tryOutcome.end === "refused") placement.recordRejected(entry.id);
     // An upstream that asks for a pause is sound.
     if (tryOutcome.isPause === true) return;
     // Without links, nothing says that the upstream is not sound.
@@ -624,7 +629,7 @@
       sentAt: number;
     },
   ): void {
-    const { isLeaving, pauseMs, rate } = traits;
+    const { isLeaving, pauseMs, rate, rejectionLimit } = traits;
     const { routing, placement, onNotice } = this.#options;
     if (status === STATUS_MISDIRECTED) {
       // Another upstream has answered; the statement is about that one.
@@ -634,6 +639,7 @@
     }
     if (isLeaving) this.#recordLeaving(entry);
     this.#recordRate(entry, { rate, sentAt });
+    this.#recordRejectionLimit(entry, { rate: rejectionLimit, sentAt });
     if (pauseMs !== undefined) {
       const request = placement.recordPause(entry.id, pauseMs);
       onNotice(request === "shortened" ? "long-pause" : "pause", {
@@ -657,6 +663,20 @@
     else onNotice("limit", { upstream: id, rate });
   }
 
+  #recordRejectionLimit(
+    { id }: UpstreamEntry,
+    { rate, sentAt }: Pick<ResponseTraits, "rate"> & { sentAt: number },
+  ): void {
+    const { placement, onNotice } = this.#options;
+    if (rate === undefined) {
+      onNotice("bad-brittle", { upstream: id });
+      return;
+    }
+    if (!placement.recordRejectionLimit(id, { rate, sentAt })) return;
+    if (rate === "none") onNotice("brittle-ended", { upstream: id });
+    else onNotice("brittle", { upstream: id, rate });
+  }
+
   #recordLeaving({ id, bornAt }: UpstreamEntry): void {
     const { routing, clock, onNotice } = this.#options;
     const isNew = routing.directory.recordLeaving(id, { bornAt, now: clock() });
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -3,6 +3,12 @@
  * start of the upstreams, which the choice depends on.
  */
 import type { RoutingView } from "../control/routing_controller.ts";
+import {
+  type BrittleRoom,
+  getBrittleRoom,
+  getRejectionPause,
+  SlotShares,
+} from "../policy/brittle_room.ts";
 import { findCacheSource } from "../policy/cache_source.ts";
 import { ColdAllowance } from "../policy/cold_allowance.ts";
 import type { LoadCounts, PeerLoads } from "../policy/peer_loads.ts";
@@ -61,6 +67,11 @@
    * chosen one has it, or no other is known to.
    */
   readonly copyFrom: string | undefined;
+  /**
+   * Whether the upstream is brittle and may have no room, so that the request
+   * uses this router's share of the rejections that it bears.
+   */
+  readonly usesRejection: boolean;
 }
 
 /** Why no upstream can be chosen. */
@@ -99,6 +110,11 @@
   readonly #health = new UpstreamHealth();
   readonly #pauses = new UpstreamPauses();
   readonly #rates: UpstreamRates;
+  /** Rejections a second that brittle upstreams bear. */
+  readonly #rejections: UpstreamRates;
+  readonly #slotShares: SlotShares;
+  /** Times until which brittle upstreams that rejected a request are avoided. */
+  readonly #rejectedUntil = new Map<string, number>();
   readonly #cold: ColdAllowance;
   #prunedAt = 0;
 
@@ -106,6 +122,8 @@
     this.#options = { random: Math.random, ...options };
     this.#cold = new ColdAllowance(options);
     this.#rates = new UpstreamRates(options);
+    this.#rejections = new UpstreamRates(options);
+    this.#slotShares = new SlotShares(options);
   }
 
   /** Chooses an upstream, or says why there is none. */
@@ -141,17 +159,24 @@
       random,
       isOverflow: untried.some(({ entry }) =>
         !this.#hasRateRoom(entry.id, now)
+      ) || candidates.some((each) =>
+        this.#getBrittleRoom(each, now) === "none"
       ),
     });
     if (choice === undefined) return this.#explainFull(untried, now);
     const { entry } = untried.find(({ entry }) => entry.id === choice.id)!;
     const { load } = candidates.find(({ id }) => id === choice.id)!;
+    const room = this.#getBrittleRoom(
+      { ...choice, load, slots: entry.slots },
+      now,
+    );
+    const usesRejection = room === "at-risk";
     const copyFrom = this.#findCopySource(request, {
       ranking,
       target: entry,
       now,
     });
-    return { ...choice, entry, load, copyFrom };
+    return { ...choice, entry, load, copyFrom, usesRejection };
   }
 
   /** Returns the requests that this router has in flight, by upstream. */
@@ -174,8 +199,14 @@
   }
 
   /** Records that a request was sent. */
-  recordSent(upstream: string): void {
+  recordSent(
+    { entry: { id: upstream }, usesRejection }: Pick<
+      PlacementResult,
+      "entry" | "usesRejection"
+    >,
+  ): void {
     const now = this.#options.clock();
+    if (usesRejection) this.#rejections.recordSent(upstream, now);
     this.#loads.recordSent(upstream);
     this.#cold.recordSent(upstream, now);
     this.#rates.recordSent(upstream, now);
@@ -193,6 +224,37 @@
     return this.#rates.recordStatement(upstream, { rate, sentAt, now });
   }
 
+  /** Records how many rejections a second an upstream bears, in the same way. */
+  recordRejectionLimit(
+    upstream: string,
+    { rate, sentAt }: { rate: StatedRate; sentAt: number },
+  ): boolean {
+    const now = this.#options.clock();
+    return this.#rejections.recordStatement(upstream, { rate, sentAt, now });
+  }
+
+  /** Records that an upstream has rejected a request for want of room. */
+  recordRejected(upstream: string): void {
+    const { routing, clock } = this.#options;
+    const now = clock();
+    const limit = this.#rejections.find(upstream, now);
+    if (limit === undefined) return;
+    this.#rejections.recordSent(upstream, now);
+    const routers = routing.routers().size;
+    const pauseMs = getRejectionPause({ limit, routers });
+    this.#rejectedUntil.set(upstream, now + pauseMs);
+  }
+
+  /** Returns the rejections that upstreams bear, for the other routers. */
+  createRejectionReports(): RateReport[] {
+    return this.#rejections.createReports(this.#options.clock());
+  }
+
+  /** Merges what another router knows of that. */
+  receiveRejectionReports(reports: readonly RateReport[]): void {
+    this.#receiveReports(this.#rejections, reports);
+  }
+
   /** Number of upstreams that have stated a limit. */
   get limitedCount(): number {
     return this.#rates.countLimited(this.#options.clock());
@@ -205,11 +267,7 @@
 
   /** Merges the limits that another router knows. */
   receiveRateReports(reports: readonly RateReport[]): void {
-    const { routing, clock } = this.#options;
-    this.#rates.receiveReports(reports, {
-      now: clock(),
-      isKnown: (id) => routing.directory.find(id) !== undefined,
-    });
+    this.#receiveReports(this.#rates, reports);
   }
 
   /** Records the load that an upstream reported in a response. */
@@ -238,6 +296,16 @@
     this.#health.forget(upstream);
     this.#pauses.forget(upstream);
     this.#rates.forget(upstream);
+    this.#rejections.forget(upstream);
+    this.#rejectedUntil.delete(upstream);
+  }
+
+  #receiveReports(rates: UpstreamRates, reports: readonly RateReport[]): void {
+    const { routing, clock } = this.#options;
+    rates.receiveReports(reports, {
+      now: clock(),
+      isKnown: (id) => routing.directory.find(id) !== undefined,
+    });
   }
 
   #listUsable(
@@ -299,14 +367,35 @@
     const ids = known.map(({ entry }) => entry.id);
     const loads = this.#loads.estimate(ids, { now, foreign });
     const suspects = this.#findSuspects(service, { ids, now });
-    return known.map(({ entry, coldUntil }, index) => ({
-      id: entry.id,
-      load: loads[index]!,
-      slots: entry.slots,
-      hasRoom: this.#hasRateRoom(entry.id, now) &&
-        (now >= coldUntil || this.#hasColdRoom(service, entry.id)),
-      isSuspect: suspects.has(entry.id),
-    }));
+    return known.map(({ entry: { id, slots }, coldUntil }, index) => {
+      const load = loads[index]!;
+      return {
+        id,
+        load,
+        slots,
+        hasRoom: this.#hasRateRoom(id, now) &&
+          this.#getBrittleRoom({ id, load, slots }, now) !== "none" &&
+          (now >= coldUntil || this.#hasColdRoom(service, id)),
+        isSuspect: suspects.has(id),
+      };
+    });
+  }
+
+  /** Returns the room at an upstream, which is free unless it is brittle. */
+  #getBrittleRoom(
+    { id, load, slots }: Pick<Candidate, "id" | "load" | "slots">,
+    now: number,
+  ): BrittleRoom {
+    if (this.#rejections.find(id, now) === undefined) return "free";
+    if (now < (this.#rejectedUntil.get(id) ?? -Infinity)) return "none";
+    const routers = this.#options.routing.routers();
+    return getBrittleRoom({
+      load,
+      own: this.#loads.getOwn(id),
+      slots,
+      share: this.#slotShares.getShare(id, { slots, routers, now }),
+      hasAllowance: this.#rejections.hasRoom(id, { routers, now }),
+    });
   }
 
   /**
@@ -383,6 +472,11 @@
     this.#cold.prune(now);
     this.#pauses.prune(now);
     this.#rates.prune(now);
+    this.#rejections.prune(now);
+    this.#slotShares.prune(now);
+    for (const [id, until] of this.#rejectedUntil) {
+      if (now >= until) this.#rejectedUntil.delete(id);
+    }
     const { directory } = this.#options.routing;
     this.#loads.prune((id) => directory.find(id) !== undefined);
   }
--- a/src/platform/message_headers.ts
+++ b/src/platform/message_headers.ts
@@ -77,7 +77,7 @@
   return Number(text) * MS_PER_SECOND;
 }
 
-/** Parses a limit of requests a second; undefined if it is malformed. */
+/** Parses a number for each second; undefined if it is malformed. */
 function parseRate(text: string | undefined): StatedRate | undefined {
   if (text === undefined) return "none";
   return DECIMAL.test(text) ? Number(text) : undefined;
@@ -98,6 +98,7 @@
       ? parseSeconds(getHeader(headers, HEADERS.retryAfter)?.trim())
       : undefined,
     rate: parseRate(getHeader(headers, HEADERS.rateLimit)?.trim()),
+    rejectionLimit: parseRate(getHeader(headers, HEADERS.brittle)?.trim()),
   };
 }
 
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -25,6 +25,8 @@
   leaving: "server-leaving",
   /** Requests a second that the upstream takes from all routers together. */
   rateLimit: "server-limit",
+  /** Rejections for want of room that the upstream bears in a second. */
+  brittle: "server-brittle",
   /** Time for which the upstream wants no request, in seconds. */
   retryAfter: "retry-after",
   /** On each answer of the store: how often it has returned to a copy. */
--- a/src/policy/upstream_rates.ts
+++ b/src/policy/upstream_rates.ts
@@ -1,5 +1,6 @@
 /**
- * Keeps the request rates that upstreams name in their answers.
+ * Keeps the rates that upstreams name in their answers: the requests that they
+ * take in a second, or, in another instance, the rejections that they bear.
  *
  * Load pattern: an upstream in need names how many requests a second it takes
  * from all routers together. Routers that each keep the whole rate exceed it
@@ -162,6 +163,11 @@
     return share === 0 ? Infinity : (1 - tokens) / share * MS_PER_SECOND;
   }
 
+  /** Returns the rate that an upstream has named; undefined without a limit. */
+  find(upstream: string, now: number): number | undefined {
+    return this.#getRate(upstream, now);
+  }
+
   /** Records a request that was sent to an upstream, limited or not. */
   recordSent(upstream: string, now: number): void {
     if (this.#getRate(upstream, now) === undefined) return;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -192,8 +192,9 @@
 }
 
 /**
- * Requests a second that an upstream takes from all routers together, as it
- * states in a response, or that it states none.
+ * Requests a second that an upstream takes from all routers together, or
+ * rejections a second that it bears, as it states in a response, or that it states
+ * none.
  */
 export type StatedRate = number | "none";
 
@@ -215,6 +216,11 @@
   readonly pauseMs: number | undefined;
   /** Undefined if the header can't be read. */
   readonly rate: StatedRate | undefined;
+  /**
+   * Rejections a second, of requests of all routers, above which the upstream
+   * ends; undefined if the header can't be read.
+   */
+  readonly rejectionLimit: StatedRate | undefined;
 }
 
 /** Requests at an upstream, as it counted them when it responded. */
--- a/testing/registered_upstream.ts
+++ b/testing/registered_upstream.ts
@@ -87,6 +87,8 @@
 const CRASH_DELAY_MS = 50;
 /** Time until a crashed upstream starts again, in milliseconds. */
 const RESTART_MS = 1_500;
+/** Time in which rejections add up, in milliseconds. */
+const REJECTION_WINDOW_MS = 1_000;
 /** Every such request's stream ends with its connection, without framing. */
 const UNFRAMED_SHARE = 4;
 const REPORT_PATH = "/corianderflow/report";
@@ -141,12 +143,22 @@
   #runningVersion: string;
   /** Requests a second that the upstream names in its answers, if set. */
   limitPerSecond: number | undefined;
+  /**
+   * Requests that it can reject in a second for want of room, which it names in
+   * its answers, if set. Its process ends if there are more.
+   */
+  brittlePerSecond: number | undefined;
+  /** Monotonic times of the latest rejections, in milliseconds. */
+  #rejectedAtMs: number[] = [];
+  /** Number of times that its process ended from rejections. */
+  fallCount = 0;
   #state: "ready" | "draining" = "ready";
   #heartbeatTimer: NodeJS.Timeout | undefined;
   #expiryTimer: NodeJS.Timeout | undefined;
   #restartTimer: NodeJS.Timeout | undefined;
   /** Whether the relay refuses connections because the process has crashed. */
   #hasCrashed = false;
+  #isClosed = false;
 
   constructor(options: RegisteredUpstreamOptions) {
     this.#options = {
@@ -184,6 +196,7 @@
    * `keepsId`.
    */
   async start({ isCold = true, keepsId = false } = {}): Promise<void> {
+    if (this.#isClosed) return;
     clearTimeout(this.#restartTimer);
     if (keepsId) clearTimeout(this.#expiryTimer);
     else this.#incarnation++;
@@ -205,6 +218,7 @@
     } else this.#relay.setTarget(address);
     if (this.#hasCrashed) await this.#relay.setFaults({ cut: false });
     this.#hasCrashed = false;
+    if (this.#isClosed) return await this.#closeAll();
     this.#sendHeartbeat();
   }
 
@@ -244,23 +258,51 @@
   }
 
   async close(): Promise<void> {
+    this.#isClosed = true;
     clearTimeout(this.#heartbeatTimer);
     clearTimeout(this.#expiryTimer);
     clearTimeout(this.#restartTimer);
+    await this.#closeAll();
+  }
+
+  async #closeAll(): Promise<void> {
     await this.#closeServer();
     await this.#relay.close();
   }
 
-  /** Ends the process with all of its connections; it starts again later. */
+  /** Ends the process because of a request. */
   async #crash(requestId: string, cause: string): Promise<void> {
     const crash = { upstream: this.id, requestId, cause };
     this.#options.onCrash({ ...crash, atMs: performance.now() });
+    await this.#end();
+  }
+
+  /** Ends the process with all of its connections; it starts again later. */
+  async #end(): Promise<void> {
     this.#hasCrashed = true;
     const ended = [this.kill(), this.#relay.setFaults({ cut: true })];
     this.#restartTimer = setTimeout(() => void this.start(), RESTART_MS);
     await Promise.all(ended);
   }
 
+  #formatLoad(): string {
+    return `${this.#runningRequests},0,${SLOTS}`;
+  }
+
+  /** Records a request that found no room; returns whether it was one too many. */
+  #recordRejection(): boolean {
+    if (this.brittlePerSecond === undefined) return false;
+    const now = performance.now();
+    this.#rejectedAtMs = this.#rejectedAtMs
+      .filter((at) => now - at < REJECTION_WINDOW_MS);
+    this.#rejectedAtMs.push(now);
+    if (this.#rejectedAtMs.length <= this.brittlePerSecond) return false;
+    this.#rejectedAtMs = [];
+    this.fallCount++;
+    void this.#end();
+    return true;
+  }
+
   /** Returns what of a request crashes the upstream; undefined if nothing. */
   #findCrashCause(
     promptParts: readonly string[],
@@ -281,7 +323,7 @@
     const { store } = this.#options;
     // Another fault may strike an upstream that has crashed.
     clearTimeout(this.#heartbeatTimer);
-    if (this.#server === undefined) return;
+    if (this.#server === undefined || this.#isClosed) return;
     this.#heartbeatTimer = setTimeout(
       () => this.#sendHeartbeat(),
       HEARTBEAT_MS,
@@ -350,14 +392,19 @@
       limitPerSecond: this.limitPerSecond,
       promptParts,
     });
+    if (this.brittlePerSecond !== undefined) {
+      response.setHeader("server-brittle", String(this.brittlePerSecond));
+    }
     if (this.limitPerSecond !== undefined) {
       response.setHeader("server-limit", String(this.limitPerSecond));
     }
+    if (!isMisdirected && !isRun && this.#recordRejection()) return;
     if (!isRun) {
       const status = isMisdirected ? STATUS_MISDIRECTED : STATUS_FULL;
       response.writeHead(status, {
         "x-attempt-id": requestId,
         "x-not-executed": "1",
+        "x-runner-load": this.#formatLoad(),
         "content-length": "0",
       });
       response.end();
@@ -373,8 +420,7 @@
         "x-response-stamp",
         createResponseStamp(this.id, requestId),
       );
-      const load = `${this.#runningRequests},0,${SLOTS}`;
-      response.setHeader("x-runner-load", load);
+      response.setHeader("x-runner-load", this.#formatLoad());
       const isPlain = request.url!.startsWith("/read") ||
         request.url!.startsWith("/book");
       const cause = this.#findCrashCause(promptParts, body);
