Cut links of routers and overload brittle upstreams in the soak

Faults router-links-refused, -hung and -new-refused cut one router off from all upstreams; upstreams-brittle sends more than the upstreams can run while they name how many rejections they bear. Checked: a router without links serves two thirds of what the others do, and 2 and a tenth of the upstreams fall over at most.

--- a/bench/chaos_faults.ts
+++ b/bench/chaos_faults.ts
@@ -174,6 +174,10 @@
       case "prompt-crashes":
       case "request-crashes":
       case "store-restored":
+      case "router-links-refused":
+      case "router-links-hung":
+      case "router-links-new-refused":
+      case "upstreams-brittle":
         throw new RangeError(`${kind}: this fleet has no metadata store`);
       case "operators-race":
         return {
--- a/bench/store_chaos_evidence.ts
+++ b/bench/store_chaos_evidence.ts
@@ -128,4 +128,9 @@
     readonly router: string;
     readonly exitCode: number | null;
   }[];
+  /** Requests beyond what the upstreams can run. */
+  readonly overload: readonly Call[];
+  /** Brittle upstreams that fell over, for each time of such requests. */
+  readonly brittleFalls: readonly number[];
+  readonly upstreamCount: number;
 }
--- a/bench/store_chaos_main.ts
+++ b/bench/store_chaos_main.ts
@@ -3,8 +3,10 @@
  * schedule and checks the result.
  *
  * `node dist/bench/store_chaos_main.js [--seed N] [--seeds N] [--seconds S]
- * [--routers N]` exits with 0 only if every check passes for every seed. Logs
- * are in `out/store-chaos-<seed>`.
+ * [--routers N] [--without-links]` exits with 0 only if every check passes for
+ * every seed. Logs are in `out/store-chaos-<seed>`. With `--without-links` a seed
+ * draws the faults that it drew before there were routers without links and
+ * brittle upstreams.
  */
 import { rmSync } from "node:fs";
 import process from "node:process";
@@ -15,6 +17,7 @@
 import {
   getStoreChaosTargets,
   runStoreChaos,
+  STORE_LINK_KINDS,
   STORE_SOAK_KINDS,
 } from "./store_chaos_run.ts";
 import { findStoreChaosViolations } from "./store_chaos_verdict.ts";
@@ -28,6 +31,7 @@
     seeds: { type: "string", default: "1" },
     seconds: { type: "string", default: "20" },
     routers: { type: "string", default: "6" },
+    "without-links": { type: "boolean", default: false },
   },
 });
 
@@ -62,7 +66,7 @@
     seed,
     durationMs,
     targets: getStoreChaosTargets(fleet),
-    kinds: STORE_SOAK_KINDS,
+    kinds: values["without-links"] ? STORE_SOAK_KINDS : STORE_LINK_KINDS,
     maxFaultMs: durationMs / 2,
     meanGapMs: MS_PER_SECOND,
   });
--- a/bench/store_chaos_run.ts
+++ b/bench/store_chaos_run.ts
@@ -65,11 +65,23 @@
   "prompt-crashes",
   "request-crashes",
 ] as const satisfies readonly ChaosKind[];
-type StoreChaosKind = typeof STORE_SOAK_KINDS[number];
+
+/** All of these, and routers without links and brittle upstreams. */
+export const STORE_LINK_KINDS = [
+  ...STORE_SOAK_KINDS,
+  "router-links-refused",
+  "router-links-hung",
+  "router-links-new-refused",
+  "upstreams-brittle",
+] as const satisfies readonly ChaosKind[];
+type StoreChaosKind = typeof STORE_LINK_KINDS[number];
 
 const REQUESTS_PER_SECOND = 40;
 const CRASHING_REQUESTS_PER_SECOND = 8;
 const SUBJECT_COUNT = 30;
+/** Streams a second on top of the load while upstreams are brittle. */
+const BRITTLE_REQUESTS_PER_SECOND = 120;
+const BRITTLE_REJECTIONS_PER_SECOND = 4;
 const CALL_KINDS: readonly CallKind[] = [
   "read",
   "read",
@@ -94,6 +106,11 @@
   "key-value-link-cut": { cut: true },
   "key-value-link-silent": { silence: true },
 };
+const LINK_CUTS = {
+  "router-links-refused": "refused",
+  "router-links-hung": "hung",
+  "router-links-new-refused": "new-refused",
+} as const;
 const NO_LINK_FAULTS = { cut: false, cutOneWay: "none" } as const;
 
 /** Gets the names of all parts of a fleet into which faults are injected. */
@@ -133,6 +150,8 @@
   #requestCount = 0;
   readonly #crashing: Promise<CrashingCall>[] = [];
   #crashCauseCount = 0;
+  readonly #overload: Promise<Call>[] = [];
+  readonly #brittleFalls: number[] = [];
 
   constructor(options: StoreChaosOptions) {
     this.#options = options;
@@ -161,6 +180,7 @@
     clearInterval(configureTimer);
     await sleep(SETTLE_MS);
     const recovery = await this.#sendLoad(RECOVERY_MS);
+    await Promise.all(this.#overload);
     this.#callers.close();
     const codes = await fleet.close();
     codes.forEach((exitCode, index) => {
@@ -176,6 +196,9 @@
       withdrawals: fleet.withdrawals,
       bounds: STORE_CHAOS_BOUNDS,
       stops: this.#stops,
+      overload: await Promise.all(this.#overload),
+      brittleFalls: this.#brittleFalls,
+      upstreamCount: fleet.upstreams.length,
     };
   }
 
@@ -287,6 +310,16 @@
         return await this.#sendCrashingPrompts(durationMs);
       case "request-crashes":
         return await this.#sendCrashingRequest(durationMs);
+      case "router-links-refused":
+      case "router-links-hung":
+      case "router-links-new-refused": {
+        const router = this.#findRouter(target);
+        fleet.cutLinks(router, LINK_CUTS[kind]);
+        await sleep(durationMs);
+        return fleet.restoreLinks(router);
+      }
+      case "upstreams-brittle":
+        return await this.#overloadBrittleUpstreams(durationMs);
       case "failure-domain-out": {
         fleet.takeOut(target);
         const untilMs = performance.now() + durationMs;
@@ -301,6 +334,34 @@
     }
   }
 
+  /** Sends more streams than the upstreams can run, while these are brittle. */
+  async #overloadBrittleUpstreams(durationMs: number): Promise<void> {
+    const { fleet, seed } = this.#options;
+    const falls = countFalls(fleet);
+    for (const upstream of fleet.upstreams) {
+      upstream.brittlePerSecond = BRITTLE_REJECTIONS_PER_SECOND;
+    }
+    const startMs = performance.now();
+    await runArrivals(() => {
+      this.#overload.push(this.#callers.call({
+        requestId: `overload-${seed}-${++this.#requestCount}`,
+        kind: "plan",
+        router: this.#random.pick(fleet.routers),
+        key: fleet.key,
+        subject: this.#pickSubject(),
+      }));
+    }, {
+      random: this.#random,
+      rate: BRITTLE_REQUESTS_PER_SECOND,
+      startMs,
+      endMs: startMs + durationMs,
+    });
+    for (const upstream of fleet.upstreams) {
+      upstream.brittlePerSecond = undefined;
+    }
+    this.#brittleFalls.push(countFalls(fleet) - falls);
+  }
+
   /** Sends requests with a new prompt part that crashes engines. */
   #sendCrashingPrompts(durationMs: number): Promise<void> {
     const cause = `crashing-${++this.#crashCauseCount}`;
@@ -413,6 +474,10 @@
   }
 }
 
+function countFalls({ upstreams }: StoreFleet): number {
+  return upstreams.reduce((sum, { fallCount }) => sum + fallCount, 0);
+}
+
 async function injectLinkFault(
   { relay }: { relay: { setFaults(faults: object): Promise<unknown> } },
   kind: StoreChaosKind,
--- a/bench/store_chaos_test.ts
+++ b/bench/store_chaos_test.ts
@@ -15,6 +15,7 @@
   getStoreChaosTargets,
   runStoreChaos,
   STORE_CHAOS_KINDS,
+  STORE_LINK_KINDS,
   STORE_RESTORE_KINDS,
   STORE_SOAK_KINDS,
 } from "./store_chaos_run.ts";
@@ -100,3 +101,15 @@
   },
   TEST_TIMEOUT_MS,
 );
+
+test(
+  "a fleet with relays meets them while routers lose their links",
+  async () => {
+    const evidence = await runFaults(7, STORE_LINK_KINDS);
+    expect(evidence.windows.map(({ kind }) => kind)).toEqual(
+      expect.arrayContaining([expect.stringMatching(/^router-links-/)]),
+    );
+    expect(findStoreChaosViolations(evidence)).toEqual([]);
+  },
+  TEST_TIMEOUT_MS,
+);
--- a/bench/store_chaos_verdict.ts
+++ b/bench/store_chaos_verdict.ts
@@ -41,6 +41,7 @@
   "engine-killed",
   "prompt-crashes",
   "request-crashes",
+  "upstreams-brittle",
   "engine-leaving",
   "link-silent",
   "link-cut",
@@ -50,6 +51,13 @@
 /** Allowance for requests in transit to an upstream when a change occurs. */
 const MAX_TRANSIT_MS = 100;
 const SECOND_MS = 1_000;
+/** Requests at a router without links from which on their share counts. */
+const MIN_CUT_CALLS = 20;
+/** The users' bound on what such routers serve, as a part of what others do. */
+const MIN_CUT_SERVED_PART = 2 / 3;
+/** The users' bound on upstreams that fall over: 2 and a tenth of all. */
+const MIN_BRITTLE_FALLS = 2;
+const BRITTLE_FALLS_SHARE = 0.1;
 /** Below 1 because the first requests may use connections that faults broke. */
 const MIN_RECOVERED_SHARE = 0.99;
 
@@ -58,8 +66,12 @@
   evidence: StoreChaosEvidence,
 ): StoreChaosViolation[] {
   const routers = new Map(
-    [...evidence.calls, ...evidence.recovery, ...evidence.crashing]
-      .map(({ requestId, router }) => [requestId, router]),
+    [
+      ...evidence.calls,
+      ...evidence.recovery,
+      ...evidence.crashing,
+      ...evidence.overload,
+    ].map(({ requestId, router }) => [requestId, router]),
   );
   return [
     ...checkAnswers(evidence),
@@ -72,15 +84,17 @@
     ...checkCrashingRequests(evidence, routers),
     ...checkVersions(evidence),
     ...checkResumptions(evidence),
+    ...checkCutRouters(evidence),
+    ...checkBrittleUpstreams(evidence),
     ...checkStops(evidence),
     ...checkRecovery(evidence),
   ];
 }
 
 function checkAnswers(
-  { calls, recovery, crashing }: StoreChaosEvidence,
+  { calls, recovery, crashing, overload }: StoreChaosEvidence,
 ): StoreChaosViolation[] {
-  return [...calls, ...recovery, ...crashing]
+  return [...calls, ...recovery, ...crashing, ...overload]
     .filter(({ end }) => end === "wrong")
     .map(({ requestId, detail }) => ({
       promise: "answers are whole and their own",
@@ -90,7 +104,7 @@
 }
 
 function checkRuns(
-  { calls, recovery, crashing, arrivals }: StoreChaosEvidence,
+  { calls, recovery, crashing, overload, arrivals }: StoreChaosEvidence,
 ): StoreChaosViolation[] {
   const runs = new Map<string, UpstreamArrival[]>();
   for (const arrival of arrivals.filter(({ isRun }) => isRun)) {
@@ -98,7 +112,7 @@
     runs.set(requestId, [...runs.get(requestId) ?? [], arrival]);
   }
   const violations: StoreChaosViolation[] = [];
-  const all = [...calls, ...recovery, ...crashing];
+  const all = [...calls, ...recovery, ...crashing, ...overload];
   for (const { requestId, kind, end, detail } of all) {
     const ran = runs.get(requestId) ?? [];
     if ((kind === "book" || kind === "plan") && ran.length > 1) {
@@ -342,6 +356,53 @@
   }];
 }
 
+/**
+ * A router without links to the upstreams serves nearly as many first tries as
+ * those without a fault, through these.
+ */
+function checkCutRouters(evidence: StoreChaosEvidence): StoreChaosViolation[] {
+  const { calls, windows, bounds } = evidence;
+  function listServed(sent: readonly Call[]): number {
+    return sent.filter(({ first }) => first.end === "whole").length;
+  }
+  const cuts = windows.filter(({ kind }) => kind.startsWith("router-links-"));
+  return cuts.flatMap(({ target, fromMs, toMs }) => {
+    const sent = calls.filter((call) =>
+      call.fromMs >= fromMs + bounds.faultFreeMs && call.first.toMs < toMs &&
+      isUnaffected(evidence, {
+        router: call.router,
+        fromMs: call.fromMs,
+        toMs: call.first.toMs,
+      })
+    );
+    const cut = sent.filter(({ router }) => router === target);
+    const others = sent.filter(({ router }) =>
+      !cuts.some((each) => each.target === router)
+    );
+    if (cut.length < MIN_CUT_CALLS || others.length === 0) return [];
+    const share = listServed(cut) / cut.length;
+    const otherShare = listServed(others) / others.length;
+    if (share >= otherShare * MIN_CUT_SERVED_PART) return [];
+    return [{
+      promise: "a router without links serves through others",
+      requestId: cut[0]!.requestId,
+      detail: `${target} served ${listServed(cut)} of ${cut.length}, others ` +
+        `${listServed(others)} of ${others.length}`,
+    }];
+  });
+}
+
+function checkBrittleUpstreams(
+  { brittleFalls, upstreamCount }: StoreChaosEvidence,
+): StoreChaosViolation[] {
+  const maxFalls = MIN_BRITTLE_FALLS + upstreamCount * BRITTLE_FALLS_SHARE;
+  return brittleFalls.filter((falls) => falls > maxFalls).map((falls) => ({
+    promise: "brittle upstreams are kept from falling over",
+    requestId: "",
+    detail: `${falls} fell over`,
+  }));
+}
+
 function checkStops({ stops }: StoreChaosEvidence): StoreChaosViolation[] {
   return stops.filter(({ exitCode }) => exitCode !== 0)
     .map(({ router, exitCode }) => ({
--- a/bench/store_chaos_verdict_test.ts
+++ b/bench/store_chaos_verdict_test.ts
@@ -64,6 +64,9 @@
       maxColdRequestsPerSecond: 2,
     },
     stops: [],
+    overload: [],
+    brittleFalls: [],
+    upstreamCount: 7,
     ...fields,
   });
   return violations.map(({ promise }) => promise);
@@ -266,3 +269,42 @@
   expect(findViolations({ recovery: [call], arrivals }))
     .toEqual(["all is served after the faults"]);
 });
+
+// Guards against a soak that does not notice routers which refuse what others
+// could serve while their links are cut.
+test("a router without links that serves too little is found", () => {
+  const window = {
+    kind: "router-links-hung",
+    target: "router-0",
+    fromMs: 10_000,
+    toMs: 20_000,
+  } as const;
+  function listCalls(router: string, served: number): Call[] {
+    return Array.from({ length: 24 }, (_, index) => {
+      const end = index < served ? "whole" : "refused";
+      return createCall({
+        requestId: `${router}-${index}`,
+        router,
+        fromMs: 15_000,
+        toMs: 15_020,
+        end,
+        first: { end, toMs: 15_020 },
+      });
+    });
+  }
+  function find(served: number): string[] {
+    const calls = [
+      ...listCalls("router-0", served),
+      ...listCalls("router-1", 24),
+    ];
+    return findViolations({ calls, windows: [window] });
+  }
+  expect(find(16)).toEqual([]);
+  expect(find(15)).toEqual(["a router without links serves through others"]);
+});
+
+test("brittle upstreams that fall over too often are found", () => {
+  expect(findViolations({ brittleFalls: [2, 0] })).toEqual([]);
+  expect(findViolations({ brittleFalls: [3] }))
+    .toEqual(["brittle upstreams are kept from falling over"]);
+});
--- a/testing/chaos_schedule.ts
+++ b/testing/chaos_schedule.ts
@@ -41,6 +41,14 @@
   | "prompt-crashes"
   /** Callers send one request again and again that crashes upstreams. */
   | "request-crashes"
+  /** A router's connections to all upstreams are refused, and open ones reset. */
+  | "router-links-refused"
+  /** They hang, open ones too. */
+  | "router-links-hung"
+  /** New ones are refused, while open ones go on. */
+  | "router-links-new-refused"
+  /** Upstreams end if they reject too many requests, and say so. */
+  | "upstreams-brittle"
   /** Two operators commit conflicting changes at the same time. */
   | "operators-race"
   | "failure-domain-out"
@@ -200,6 +208,22 @@
     targets: "callers",
     durationRangeMs: { min: 5_000, max: 12_000 },
   },
+  "router-links-refused": {
+    targets: "routers",
+    durationRangeMs: { min: 500, max: 9_000 },
+  },
+  "router-links-hung": {
+    targets: "routers",
+    durationRangeMs: { min: 500, max: 9_000 },
+  },
+  "router-links-new-refused": {
+    targets: "routers",
+    durationRangeMs: { min: 500, max: 9_000 },
+  },
+  "upstreams-brittle": {
+    targets: "callers",
+    durationRangeMs: { min: 5_000, max: 9_000 },
+  },
   "operators-race": {
     targets: "failureDomains",
     durationRangeMs: { min: 500, max: 2_000 },
@@ -219,6 +243,10 @@
   "store-restored",
   "prompt-crashes",
   "request-crashes",
+  "router-links-refused",
+  "router-links-hung",
+  "router-links-new-refused",
+  "upstreams-brittle",
 ]);
 const DEFAULT_KINDS = (Object.keys(FAULT_SPECS) as ChaosKind[])
   .filter((kind) => !METADATA_STORE_KINDS.has(kind));
