Spread link checks over large fleets, and lend fewer slots of brittle upstreams

A check of the links waits for the first upstream that is reached, and while links are down it connects to one upstream, less often in a large fleet: a service that has ended is checked by all routers, and its upstreams have to start under that. Idle connections to a router that has fallen silent are closed.

The overload began as they named their limit, before the routers could know, which the users allow; and up to half of the slots were lent by loads that lag.

--- a/bench/store_chaos_run.ts
+++ b/bench/store_chaos_run.ts
@@ -337,10 +337,12 @@
   /** Sends more streams than the upstreams can run, while these are brittle. */
   async #overloadBrittleUpstreams(durationMs: number): Promise<void> {
     const { fleet, seed } = this.#options;
-    const falls = countFalls(fleet);
     for (const upstream of fleet.upstreams) {
       upstream.brittlePerSecond = BRITTLE_REJECTIONS_PER_SECOND;
     }
+    // They fall over only when the routers have had time to know.
+    await sleep(STORE_CHAOS_BOUNDS.faultFreeMs);
+    const falls = countFalls(fleet);
     const startMs = performance.now();
     await runArrivals(() => {
       this.#overload.push(this.#callers.call({
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -361,12 +361,13 @@
    * if the request is to be tried again.
    */
   #handleFailedForward(
-    { name }: ForwardTarget,
+    { name, address }: ForwardTarget,
     result: TryResult & { kind: "ended" },
   ): IngressOutcome | undefined {
-    const { routers, retries, clock } = this.#options;
+    const { connections, routers, retries, clock } = this.#options;
     if (result.end === "not-sent" || result.isSilent === true) {
       routers.recordFailure(name);
+      connections.closeIdle(address);
     }
     if (result.end === "not-sent") return undefined;
     // The router has made the retries that are allowed.
--- a/src/ingress/link_watch.ts
+++ b/src/ingress/link_watch.ts
@@ -5,8 +5,7 @@
 import type { RoutingView } from "../control/routing_controller.ts";
 import type { Log } from "../log.ts";
 import {
-  CHECKED_UPSTREAMS,
-  DOWN_CHECK_INTERVAL_MS,
+  getDownCheckInterval,
   type LinkReport,
   LinkState,
 } from "../policy/link_state.ts";
@@ -39,13 +38,11 @@
   }
 
   open(): void {
-    this.#timer = setInterval(() => {
-      for (const service of this.#state.listDown()) void this.check(service);
-    }, DOWN_CHECK_INTERVAL_MS);
+    this.#scheduleChecks();
   }
 
   close(): void {
-    clearInterval(this.#timer);
+    clearTimeout(this.#timer);
   }
 
   /** Number of services to which the links are down. */
@@ -102,6 +99,14 @@
     this.#state.receiveReports(reports, this.#options.clock());
   }
 
+  #scheduleChecks(): void {
+    const routers = this.#options.routing.routers().size;
+    this.#timer = setTimeout(() => {
+      for (const service of this.#state.listDown()) void this.check(service);
+      this.#scheduleChecks();
+    }, getDownCheckInterval(routers));
+  }
+
   async #check(service: string, suspect: string | undefined): Promise<void> {
     const { routing, connections, clock, log } = this.#options;
     const { directory } = routing;
@@ -111,16 +116,18 @@
       this.#state.forget(service);
       return;
     }
-    const checked = this.#pick(usable.filter(({ id }) => id !== suspect));
-    const results = await Promise.all(
+    const checked = this.#pick(
+      usable.filter(({ id }) => id !== suspect),
+      this.#state.getCheckedCount(service),
+    );
+    const isReached = await isAnyTrue(
       checked.map(({ address }) => connections.isReachable(address)),
     );
-    const reached = results.filter((isReachable) => isReachable).length;
     const change = this.#state.recordCheck(service, {
       checked: checked.length,
-      reached,
+      isReached,
     });
-    const fields = { service, checked: checked.length, reached, suspect };
+    const fields = { service, checked: checked.length, suspect };
     if (change === "down") {
       log.warn("The links to the upstreams of a service are down.", fields);
     }
@@ -132,15 +139,23 @@
     }
   }
 
-  /** Picks different upstreams at random. */
-  #pick<T>(upstreams: readonly T[]): T[] {
+  /** Picks up to `count` different upstreams at random. */
+  #pick<T>(upstreams: readonly T[], count: number): T[] {
     const { random } = this.#options;
     const left = [...upstreams];
     const picked: T[] = [];
-    while (left.length > 0 && picked.length < CHECKED_UPSTREAMS) {
+    while (left.length > 0 && picked.length < count) {
       const index = Math.floor(random() * left.length);
       picked.push(...left.splice(index, 1));
     }
     return picked;
   }
 }
+
+/** Resolves with true as soon as one result is true, else when all are known. */
+function isAnyTrue(results: readonly Promise<boolean>[]): Promise<boolean> {
+  return new Promise((resolve) => {
+    for (const each of results) void each.then((is) => is && resolve(true));
+    void Promise.all(results).then(() => resolve(false));
+  });
+}
--- a/src/policy/brittle_room.ts
+++ b/src/policy/brittle_room.ts
@@ -6,7 +6,7 @@
  * of them names how many it bears to reject in a second, from all routers
  * together. The routers know its load with some delay and send at the same time.
  * Each of them therefore holds a fixed share of its slots, which add up to fewer
- * than all. Beyond that a request is sent only while most slots are free, or with
+ * than all. Beyond that a request is sent only while few slots are taken, or with
  * a share of the rejections that the upstream bears, as routers share a rate that
  * it names. A router whose request was rejected all the same leaves the upstream
  * alone for a time, so that all routers that are wrong at once stay below what it
@@ -16,8 +16,11 @@
 
 /** Part of the slots that the shares of the routers add up to. */
 const SHARED_PART = 0.9;
-/** Part of the slots up to which routers send without regard to their shares. */
-const FREE_PART = 0.5;
+/**
+ * Part of the slots up to which routers send without regard to their shares;
+ * several may do so before they know of each other.
+ */
+const FREE_PART = 0.25;
 /**
  * Time for which a router's rank is not computed again, in milliseconds; ranking
  * hundreds of routers for each request takes longer than all else in its way.
--- a/src/policy/link_state.ts
+++ b/src/policy/link_state.ts
@@ -21,6 +21,11 @@
 /** Change of the state of the links to a service. */
 export type LinkChange = "down" | "up" | "none";
 
+/** Returns the interval of the checks while links are down, in milliseconds. */
+export function getDownCheckInterval(routers: number): number {
+  return Math.max(DOWN_CHECK_INTERVAL_MS, routers * CHECK_SPACING_MS);
+}
+
 interface ServiceLinks {
   isDown: boolean;
   /** Checks in a row in which an upstream was reached while they are down. */
@@ -29,10 +34,15 @@
   dataAt: number;
 }
 
-/** Upstreams to which a check connects. */
-export const CHECKED_UPSTREAMS = 3;
-/** Interval of the checks while the links are down, in milliseconds. */
-export const DOWN_CHECK_INTERVAL_MS = 300;
+/** Upstreams to which a check connects while the links count as up. */
+const CHECKED_UPSTREAMS = 3;
+/** Shortest interval of the checks while the links are down, in milliseconds. */
+const DOWN_CHECK_INTERVAL_MS = 300;
+/**
+ * Time between the checks of two routers, in milliseconds. A service that has
+ * ended is checked by all of them, and its upstreams have to start under that.
+ */
+const CHECK_SPACING_MS = 5;
 /**
  * Checks in a row that have to reach an upstream until the links count as up; on
  * a lossy link a single one is no proof.
@@ -87,6 +97,11 @@
     return this.#links.get(service)?.isDown === true;
   }
 
+  /** Number of upstreams of `service` to which a check connects. */
+  getCheckedCount(service: string): number {
+    return this.isDown(service) ? 1 : CHECKED_UPSTREAMS;
+  }
+
   /** Services to which the links are down. */
   listDown(): string[] {
     return [...this.#links].filter(([, { isDown }]) => isDown)
@@ -94,22 +109,22 @@
   }
 
   /**
-   * Records to how many of the `checked` upstreams of a service a connection
-   * opened. Returns what that changes.
+   * Records whether a connection opened to any of the `checked` upstreams of a
+   * service. Returns what that changes.
    */
   recordCheck(
     service: string,
-    { checked, reached }: { checked: number; reached: number },
+    { checked, isReached }: { checked: number; isReached: boolean },
   ): LinkChange {
     const links = this.#getLinks(service);
     if (checked === 0) return "none";
     if (!links.isDown) {
-      if (reached > 0) return "none";
+      if (isReached) return "none";
       links.isDown = true;
       links.reachedCount = 0;
       return "down";
     }
-    links.reachedCount = reached > 0 ? links.reachedCount + 1 : 0;
+    links.reachedCount = isReached ? links.reachedCount + 1 : 0;
     if (links.reachedCount < MIN_REACHED_CHECKS) return "none";
     links.isDown = false;
     return "up";
