Say upstream-unreachable when no upstream could be connected to

A router that forwarded a request took a refusal for want of room as final, though the other router had only lost its links as well and did not know it yet. Another router is tried now.

--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -439,7 +439,10 @@
     if (step === "pass-on") return { kind: "whole", ...result.answer! };
     if (step === "refuse") {
       return refuseRetryable(this.#exchange, {
-        code: "no-capacity",
+        // Another router may reach an upstream that this one does not.
+        code: result.end === "not-sent"
+          ? "upstream-unreachable"
+          : "no-capacity",
         detail: `No upstream took the request: ${result.detail}.`,
         cause: "upstreams-full",
       });
