Write the versions of services again when the store returns to a copy

A router kept what it had read of the versions in the store, so that it took a record for current which the store had lost.

The new test of ingress_era_test.ts failed before: the record did not come back within 8 s.

--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -497,6 +497,7 @@
     this.#journal = new ChangeJournal();
     this.#restoredUntil = steady + RESTORED_MS;
     this.directory.recordStoreRestored(steady);
+    this.#versions.forget();
     this.#lease = undefined;
     this.#registrar.send("renew");
   }
--- a/src/control/version_recorder.ts
+++ b/src/control/version_recorder.ts
@@ -39,6 +39,12 @@
     this.#options.directory.recordVersions(record, this.#options.now());
   }
 
+  /** Forgets the records, which the store may have lost with later changes. */
+  forget(): void {
+    this.#records.clear();
+    this.#outdatedSince.clear();
+  }
+
   /**
    * Writes what the records lack, if it is the turn of this router, which is the
    * one with number `rank` to do so.
--- a/src/daemon/ingress_era_test.ts
+++ b/src/daemon/ingress_era_test.ts
@@ -130,3 +130,15 @@
   await fleet.untilLogged({ ...RESTORED, era: 2 });
   expect((await ask()).status).toBe(200);
 });
+
+// Guards against versions of software that the store has lost with the changes
+// since its copy, so that a restart of all routers forgets them.
+test("the versions of a service are written again", async () => {
+  const key = "corianderflow/versions/svc";
+  await untilTrue(() => fleet.store.keys(key).length > 0);
+  fleet.store.remove(key);
+  fleet.store.saveCopy();
+  fleet.store.put(key, { versions: [{ version: "v1" }] });
+  fleet.store.returnToCopy();
+  await untilTrue(() => fleet.store.keys(key).length > 0);
+});
