--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -270,7 +270,7 @@
       case "stream-complete":
         this.#relay.end();
         return this.#endStream("complete");
-      case "refused":
+      case "router-refused":
         return this.#endRefused(tryOutcome.refusal);
     }
   }
@@ -305,7 +305,7 @@
     if (tryOutcome.kind === "ended") {
       return this.#handleFailedForward(target, tryOutcome);
     }
-    const isRefused = tryOutcome.kind === "refused" &&
+    const isRefused = tryOutcome.kind === "router-refused" &&
       tryOutcome.refusal.ran === "no" &&
       isRefusalOfRouter(tryOutcome.refusal.code);
     if (!isRefused) return this.#endTry(tryOutcome);
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -54,7 +54,7 @@
     readonly headers?: IncomingHttpHeaders;
   }
   /** The router that was to serve the request has refused it. */
-  | { readonly kind: "refused"; readonly refusal: Refusal };
+  | { readonly kind: "router-refused"; readonly refusal: Refusal };
 
 /** Options of a try. */
 export interface UpstreamTryOptions {
@@ -382,7 +382,7 @@
       : Buffer.concat(this.#chunks);
     if (this.#options.router !== undefined) {
       const refusal = tryReadRefusal(headers, body.toString());
-      if (refusal !== undefined) return { kind: "refused", refusal };
+      if (refusal !== undefined) return { kind: "router-refused", refusal };
     }
     if (status === STATUS_MISDIRECTED) {
       return { kind: "ended", end: "misdirected", detail };
