--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -51,10 +51,17 @@
   });
 }
 
-/** Finds a free port below the range of outgoing connections. */
+const givenPorts = new Set();
+
+/**
+ * Finds a free port below the range of outgoing connections; each call returns
+ * another one.
+ */
 export async function findFreePort() {
   for (;;) {
     const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (givenPorts.has(port)) continue;
+    givenPorts.add(port);
     if (await isPortFree(port)) return port;
   }
 }
