--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,80 +1,94 @@
 /**
- * A request is in flight when its router gets SIGTERM, and its large answer is
- * the last one that the router has to pass on. The runner and the caller are
- * sound and quick; the answer must reach the caller whole.
+ * Streams without a length are being forwarded when the process of one router
+ * is killed. The rest of its stream is lost; the caller must be able to see
+ * that.
  */
 import {
   ask,
   createAnswer,
   HAS_TROUBLE,
+  renderEvent,
   runCase,
   sleep,
+  streamWithoutLength,
 } from "../lib/harness.mjs";
 
-/** Time limit of the request and timeout of its route, in milliseconds. */
-const TIMEOUT_MS = 6_000;
-/** Time that the runner works before it answers, in milliseconds. */
-const WORK_MS = 3_500;
-/** The SIGTERM comes this long after the request, in milliseconds. */
-const TERM_AFTER_MS = 300;
-/** More than the kernel buffers of one connection hold. */
-const BODY_BYTES = 12 * 1_048_576;
-const GRACE_MS = 8_000;
+/** Time limit of the requests and timeout of their route, in milliseconds. */
+const TIMEOUT_MS = 15_000;
+/** Size of a usual stream, and a pause that the deployment allows. */
+const EVENTS = 64;
+const EVENT_INTERVAL_MS = 100;
+/** The SIGKILL comes this long after the requests, in milliseconds. */
+const KILL_AFTER_MS = 2_000;
+/** Machines of the deployment; one of them is killed. */
+const ROUTERS = 6;
+const WHOLE = Array.from(
+  { length: EVENTS },
+  (_, index) => renderEvent(index, EVENTS),
+).join("");
 
 await runCase(import.meta.dirname, async (fleet) => {
   const { record } = fleet;
   await fleet.open({
     routes: [{
-      name: "issue",
-      prefix: "/issue/",
-      kind: "non_idempotent",
-      service: "portal",
+      name: "chat",
+      prefix: "/chat/",
+      kind: "stream",
+      service: "engines",
       timeoutMs: TIMEOUT_MS,
     }],
-    services: [{ name: "portal" }],
   });
-  const body = "0123456789abcdef".repeat(BODY_BYTES / 16);
-  await fleet.addRunner({
-    id: "i-1",
-    service: "portal",
-    script: async (request) => {
-      record.add(`i-1 runs ${request.id}`);
-      await sleep(WORK_MS);
-      request.socket.write(
-        createAnswer(request, { body }),
-        () => record.add(`i-1 has sent its whole answer, ${body.length} bytes`),
-      );
-    },
-  });
-  const router = await fleet.addRouter("front-1");
-  record.add("the caller sends issue-1");
-  const asked = ask(router.address, {
-    id: "issue-1",
-    method: "POST",
-    path: "/issue/x",
-    body: "{}",
-    deadlineMs: TIMEOUT_MS,
+  for (const id of ["i-1", "i-2"]) {
+    await fleet.addRunner({
+      id,
+      service: "engines",
+      script: (request) => {
+        if (!request.path.startsWith("/chat/")) {
+          request.socket.write(createAnswer(request, { body: "{}" }));
+          return;
+        }
+        record.add(`${id} runs ${request.id}`);
+        void streamWithoutLength(request, {
+          count: EVENTS,
+          intervalMs: EVENT_INTERVAL_MS,
+        });
+      },
+    });
+  }
+  const names = Array.from({ length: ROUTERS }, (_, index) => `front-${index}`);
+  const routers = await Promise.all(names.map((name) => fleet.addRouter(name)));
+  const asked = routers.map(({ address, name }) => {
+    record.add(`a caller sends stream-${name} to ${name}`);
+    return ask(address, {
+      id: `stream-${name}`,
+      method: "POST",
+      path: "/chat/x",
+      body: "{}",
+      deadlineMs: TIMEOUT_MS,
+    });
   });
-  await sleep(TERM_AFTER_MS);
+  await sleep(KILL_AFTER_MS);
   if (HAS_TROUBLE) {
-    record.add("SIGTERM to front-1");
-    router.signal("SIGTERM");
-    void router.exited.then(({ code, signal }) =>
-      record.add(`front-1 has ended: code ${code}, signal ${signal}`)
+    record.add("SIGKILL to front-0");
+    routers[0].signal("SIGKILL");
+  }
+  const breaks = [];
+  for (const [index, answer] of (await Promise.all(asked)).entries()) {
+    const pieces = answer.body.split("\n\n").length - 1;
+    record.add(
+      `the caller of ${names[index]} got status ${answer.status}, ` +
+        `${pieces} of ${EVENTS} pieces, framing ${answer.framing}, ` +
+        `end ${answer.end}, complete by the protocol: ${answer.isWhole}`,
     );
-    void sleep(GRACE_MS).then(() => {
-      if (!router.isRunning) return;
-      record.add("SIGKILL to front-1, after the grace time");
-      router.signal("SIGKILL");
-    });
+    const isCut = answer.body !== WHOLE;
+    if (isCut && answer.status === 200 && answer.isWhole) {
+      breaks.push(
+        `the stream of ${names[index]} ends as complete after ${pieces} of ` +
+          `${EVENTS} pieces`,
+      );
+    } else if (isCut && !HAS_TROUBLE) {
+      breaks.push("without the disruption, a stream is not whole");
+    }
   }
-  const answer = await asked;
-  record.add(
-    `the caller got status ${answer.status}, ${answer.body.length} of ` +
-      `${body.length} bytes, end ${answer.end}, complete: ${answer.isWhole}`,
-  );
-  if (HAS_TROUBLE) await router.exited;
-  return answer.isWhole && answer.body === body
-    ? []
-    : [`issue-1 has run and its answer ends after ${answer.body.length} bytes`];
+  return breaks;
 });
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -313,13 +313,13 @@
         sticky: route.kind === "stream",
         ...route,
       })),
-      services: services.map(({ name, engine }) => ({
-        name,
+      services: services.map(({ engine, ...service }) => ({
         healthPath: "/health",
         maxConns: 360,
         coldStartS: 0,
         coldPerS: 0,
         ...(engine && { engine: {} }),
+        ...service,
       })),
       limits: {
         maxHeaderBytes: 16_384,
