--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -61,7 +61,7 @@
   };
 }
 
-await runCase(import.meta.dirname, async (fleet) => {
+await runCase(import.meta.url, async (fleet) => {
   const { record } = fleet;
   const services = [{
     name: "engines",
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -21,7 +21,7 @@
 const BODY_BYTES = 12 * 1_048_576;
 const GRACE_MS = 8_000;
 
-await runCase(import.meta.dirname, async (fleet) => {
+await runCase(import.meta.url, async (fleet) => {
   const { record } = fleet;
   await fleet.open({
     routes: [{
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 # the build of the deploy file, which installs the packages.
 set -eu
 cd "$(dirname "$0")/.."
-npx --no-install esbuild testing/metadata_store.ts \
+node_modules/.bin/esbuild testing/metadata_store.ts \
   --outfile=review/build/metadata_store.mjs \
   --bundle --platform=node --target=node20 --format=esm --log-level=warning
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -11,6 +11,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
 import { MetadataStoreServer } from "../build/metadata_store.mjs";
 
 export { sleep };
@@ -25,11 +26,27 @@
 const FIRST_PORT = 20_000;
 const PORT_COUNT = 10_000;
 const START_TIMEOUT_MS = 15_000;
+/** A case that takes longer can't run. */
+const MAX_CASE_MS = 110_000;
 /** Exit codes of a case. */
 const HELD = 0;
 const BROKEN = 1;
 const FAILED = 2;
 
+/** Processes that this case has started. */
+const children = new Set();
+
+for (const event of ["uncaughtException", "unhandledRejection"]) {
+  process.on(event, (cause) => {
+    process.stderr.write(`${cause?.stack ?? cause}\n`);
+    process.exit(FAILED);
+  });
+}
+process.on("exit", () => {
+  for (const child of children) child.kill("SIGKILL");
+});
+setTimeout(() => process.exit(FAILED), MAX_CASE_MS).unref();
+
 /** Bounds of the site file of the small deployment. */
 const BOUNDS = {
   drainMs: 2000,
@@ -116,8 +133,13 @@
       },
       stdio: ["ignore", "pipe", "pipe"],
     });
+    const child = this.#child;
+    children.add(child);
     this.exited = new Promise((resolve) => {
-      this.#child.once("exit", (code, signal) => resolve({ code, signal }));
+      child.once("exit", (code, signal) => {
+        children.delete(child);
+        resolve({ code, signal });
+      });
     });
     for (const stream of [this.#child.stdout, this.#child.stderr]) {
       stream.setEncoding("utf8");
@@ -493,9 +515,11 @@
 
 /**
  * Runs a case: `play` returns the texts that say how the rule was broken, none
- * if it held. Writes the record to `directory` and ends the process.
+ * if it held. Writes the record beside the case, the module `url`, and ends the
+ * process.
  */
-export async function runCase(directory, play) {
+export async function runCase(url, play) {
+  const directory = fileURLToPath(new URL(".", url));
   const fleet = new Fleet();
   let code = FAILED;
   try {
