--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -428,8 +428,9 @@
 
 /**
  * Sends a request on a new connection and reads until the connection ends, or
- * until a response with a length or chunks is complete. Resolves with what a
- * caller sees: the status, the head, the bytes of the body and how it ended.
+ * until a response with a length or chunks is complete, or until nothing arrives
+ * for `gapMs`. Resolves with what a caller sees: the status, the head, the bytes
+ * of the body and how it ended.
  */
 export function ask(
   address,
@@ -441,7 +442,7 @@
     body = "",
     deadlineMs = 15_000,
     key = API_KEY,
-    onBody = () => {},
+    gapMs,
   },
 ) {
   const [host, port] = address.split(":");
@@ -461,8 +462,10 @@
     let raw = "";
     const socket = connect({ host, port: Number(port), noDelay: true });
     const timer = setTimeout(() => finish("timeout"), deadlineMs + 3_000);
+    const gapTimer = gapMs && setTimeout(() => finish("gap"), gapMs);
     function finish(end) {
       clearTimeout(timer);
+      clearTimeout(gapTimer);
       socket.destroy();
       resolve(parseResponse(raw, end));
     }
@@ -470,8 +473,8 @@
     socket.on("connect", () => socket.write(bytes));
     socket.on("data", (text) => {
       raw += text;
+      gapTimer?.refresh();
       const response = parseResponse(raw, "open");
-      if (response.head !== undefined) onBody(response.body);
       if (response.isWhole && response.framing !== "close") finish("whole");
     });
     socket.on("end", () => finish("FIN"));
