--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -18,7 +18,7 @@
 /** The SIGTERM comes this long after the request, in milliseconds. */
 const TERM_AFTER_MS = 300;
 /** More than the kernel buffers of one connection hold. */
-const BODY_BYTES = 12 * 1_048_576;
+const BODY_BYTES = 15 * 1_048_576;
 const GRACE_MS = 8_000;
 
 await runCase(import.meta.url, async (fleet) => {
