--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -12,9 +12,12 @@
   sleep,
 } from "../lib/harness.mjs";
 
-const REQUESTS = 400;
+const REQUESTS = 800;
 const CONCURRENT = 8;
-/** One answer in so many comes without a length and is broken off. */
+/**
+ * One of the two runners of a service breaks off one in so many of its answers,
+ * which have no length.
+ */
 const BROKEN_ONE_IN = 20;
 const EVENTS = 16;
 const EVENT_INTERVAL_MS = 10;
@@ -96,8 +99,8 @@
             request.socket.write(createAnswer(request, { body: "{}" }));
             return;
           }
-          counts[service]++;
-          if (counts[service] % BROKEN_ONE_IN !== 0) {
+          if (number === 1) counts[service]++;
+          if (number !== 1 || counts[service] % BROKEN_ONE_IN !== 0) {
             const more = service === "engines"
               ? "content-type: text/event-stream\r\n"
               : "";
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -2,7 +2,7 @@
  * A machine goes dark amid streams that may be resumed. While its callers still
  * wait for the next event, the first runner of another software version joins
  * the service. The callers take their streams up again at the other machines;
- * two runners of the version that began them still serve.
+ * all runners of the version that began them still serve.
  */
 import {
   ask,
@@ -107,8 +107,7 @@
     });
     record.add(`${name} ${version} has written its entry`);
   }
-  await addEngine("i-1", "v1");
-  await addEngine("i-2", "v1");
+  for (const name of ["i-1", "i-2", "i-3", "i-4"]) await addEngine(name, "v1");
   const names = Array.from({ length: ROUTERS }, (_, index) => `front-${index}`);
   const routers = await Promise.all(names.map((name) => fleet.addRouter(name)));
   routers.sort((one, other) => one.name < other.name ? -1 : 1);
@@ -135,7 +134,7 @@
       record.add("front-0 starts again");
     });
     await sleep(JOIN_AFTER_MS);
-    await addEngine("i-3", "v2");
+    await addEngine("i-5", "v2");
   }
 
   const resumed = { count: 0, goOn: 0 };
