Ask other routers for a configuration that the store has lost

Callers whose key was taken away were served by a router that started after the store had come back from an older copy, 6.2 to 9.3 s after the acknowledgement (revokeMs is 5 s); such a router also answered 401 for a key that the copy lacked.

After a return to a copy the store itself is older than what other routers know, and what they keep is kept in the life of their processes only.

They answer with their version alone if it is not higher; older builds ignore the header and send the whole.

Not covered: a copy without the other routers, all routers starting at once, and upstreams or failure domains that left since the copy.

--- a/src/control/configuration_relay.ts
+++ b/src/control/configuration_relay.ts
@@ -11,17 +11,25 @@
 import type { RoutingConfiguration } from "../routing/types.ts";
 import { createHttpJsonClient } from "../store/http_json.ts";
 import { PlatformFailure } from "../store/key_value.ts";
+import { PRIVATE_HEADER_PREFIX } from "../transport/router_hop.ts";
 
 /**
  * Reads the configuration of the router whose peer address is `address`,
- * `ip:port`. Returns a `PlatformFailure` if the router does not answer or sends
- * no valid configuration.
+ * `ip:port`; undefined if its version is not above `newerThan`. Returns a
+ * `PlatformFailure` if the router does not answer or sends no valid
+ * configuration.
  */
 export type FetchConfiguration = (
   address: string,
-) => Promise<Result<RoutingConfiguration, PlatformFailure>>;
+  options?: { readonly newerThan?: number },
+) => Promise<Result<RoutingConfiguration | undefined, PlatformFailure>>;
 
 const CONFIGURATION_PATH = "/configuration";
+/**
+ * Version that the asking router has. A router without a newer one answers with
+ * its version alone; older builds send the whole configuration.
+ */
+const NEWER_THAN_HEADER = `${PRIVATE_HEADER_PREFIX}newer-than`;
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
 /**
@@ -70,13 +78,21 @@
       response.end();
       return;
     }
+    const { version } = configuration;
+    const isKnown = Number(request.headers[NEWER_THAN_HEADER]) >= version;
     response.writeHead(STATUS_OK, { "content-type": "application/json" });
-    response.end(getBody(configuration));
+    response.end(
+      isKnown ? JSON.stringify({ version }) : getBody(configuration),
+    );
   };
 }
 
-async function decompress(value: unknown): Promise<RoutingConfiguration> {
-  const { gzip } = value as { gzip?: unknown };
+/** Returns undefined if the answer is only the version of a known one. */
+async function decompress(
+  value: unknown,
+): Promise<RoutingConfiguration | undefined> {
+  const { gzip, version } = value as { gzip?: unknown; version?: unknown };
+  if (gzip === undefined && typeof version === "number") return undefined;
   const bytes = await gunzipAsync(Buffer.from(String(gzip), "base64"), {
     maxOutputLength: MAX_DECOMPRESSED_BYTES,
   });
@@ -86,10 +102,17 @@
 }
 
 /** Reads the configuration of another router over HTTP. */
-export const fetchConfiguration: FetchConfiguration = async (address) => {
+export const fetchConfiguration: FetchConfiguration = async (
+  address,
+  { newerThan } = {},
+) => {
   const http = createHttpJsonClient({ address, timeoutMs: TIMEOUT_MS });
   try {
-    const answer = await http.call(CONFIGURATION_PATH);
+    const answer = await http.call(CONFIGURATION_PATH, {
+      headers: newerThan === undefined
+        ? {}
+        : { [NEWER_THAN_HEADER]: String(newerThan) },
+    });
     if (answer.err) return answer;
     return Ok(await decompress(answer.val));
   } catch (cause) {
--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -14,6 +14,7 @@
 import { getRetryPause } from "../policy/outage_poll.ts";
 import type { StorePollIntervals } from "../policy/poll_pause.ts";
 import type { RelayPlan } from "../policy/relay_plan.ts";
+import { chooseStartPeers } from "../policy/start_peers.ts";
 import { getStartWait } from "../policy/start_wait.ts";
 import { RouteTable } from "../policy/route_table.ts";
 import { UpstreamDirectory } from "../policy/upstream_directory.ts";
@@ -376,11 +377,59 @@
       });
       return false;
     }
+    if (fetched.val === undefined) return false;
     this.#applyConfiguration(fetched.val);
     this.#hasMissedChanges = false;
     return true;
   }
 
+  /**
+   * Asks other routers for a configuration that is newer than that of a first
+   * snapshot, which may be of an older copy.
+   */
+  async #fetchLostConfiguration(
+    { changes, era }: StoreSnapshot,
+  ): Promise<void> {
+    const { self, random = Math.random } = this.#options;
+    const addresses = new Map<string, string>();
+    let newerThan: number | undefined;
+    for (const change of changes) {
+      if (change.kind === "router") addresses.set(change.name, change.address);
+      if (change.kind === "configuration") {
+        newerThan = change.configuration.version;
+      }
+    }
+    const peers = chooseStartPeers([...addresses.keys()], {
+      era,
+      self: self.name,
+      random,
+    });
+    await Promise.all(
+      peers.map((name) =>
+        this.#fetchFromPeer(name, {
+          address: addresses.get(name)!,
+          newerThan,
+        })
+      ),
+    );
+  }
+
+  async #fetchFromPeer(
+    from: string,
+    { address, newerThan }: { address: string; newerThan: number | undefined },
+  ): Promise<void> {
+    const { fetchConfiguration, log } = this.#options;
+    const fetched = await fetchConfiguration(address, { newerThan });
+    if (fetched.err) {
+      log.info("A router was asked for a newer configuration in vain.", {
+        from,
+        cause: fetched.val.message,
+      });
+    } else if (fetched.val !== undefined) {
+      this.#applyConfiguration(fetched.val);
+    }
+  }
+
   /** Records that all changes up to `revision` are known. */
   #advanceRevision(revision: number): void {
     this.#revision = revision;
@@ -397,6 +446,7 @@
       const snapshot = await store.readAll();
       if (snapshot.err) return this.#recordStoreFailure(snapshot.val);
       this.#recordStoreAnswer();
+      if (!this.#hasSnapshot) await this.#fetchLostConfiguration(snapshot.val);
       this.#applySnapshot(snapshot.val);
       return true;
     }
--- a/src/store/http_json.ts
+++ b/src/store/http_json.ts
@@ -29,6 +29,7 @@
   /** Whether the call can change the state of the service. */
   isWrite?: boolean;
   body?: unknown;
+  headers?: Record<string, string>;
   /** Called with the headers of the response, whatever its status. */
   onHeaders?: (headers: IncomingHttpHeaders) => void;
 }
@@ -137,11 +138,22 @@
 
   async call(
     path: string,
-    { method = "POST", isWrite = false, body, onHeaders }: CallOptions = {},
+    {
+      method = "POST",
+      isWrite = false,
+      body,
+      headers = {},
+      onHeaders,
+    }: CallOptions = {},
   ): Promise<Result<unknown, PlatformFailure>> {
     try {
       const signal = AbortSignal.timeout(this.#timeoutMs);
-      const response = await this.#send(path, { method, body, signal });
+      const response = await this.#send(path, {
+        method,
+        body,
+        headers,
+        signal,
+      });
       onHeaders?.(response.headers);
       const text = await this.#readText(response.body);
       if (response.statusCode !== 200) {
@@ -158,7 +170,12 @@
     { body, signal }: { body: unknown; signal: AbortSignal },
   ): Promise<Result<AsyncIterable<Buffer>, PlatformFailure>> {
     try {
-      const response = await this.#send(path, { method: "POST", body, signal });
+      const response = await this.#send(path, {
+        method: "POST",
+        body,
+        headers: {},
+        signal,
+      });
       if (response.statusCode !== 200) {
         const text = await this.#readText(response.body);
         return Err(toStatusFailure(response.statusCode, false, { text }));
@@ -175,9 +192,10 @@
 
   async #send(
     path: string,
-    { method, body, signal }: {
+    { method, body, headers, signal }: {
       method: "GET" | "POST" | "DELETE";
       body: unknown;
+      headers: Record<string, string>;
       signal: AbortSignal;
     },
   ): Promise<Dispatcher.ResponseData> {
@@ -189,10 +207,11 @@
       path,
       method,
       signal,
-      ...(text !== undefined && {
-        body: text,
-        headers: { "content-type": "application/json" },
-      }),
+      headers: {
+        ...headers,
+        ...(text !== undefined && { "content-type": "application/json" }),
+      },
+      ...(text !== undefined && { body: text }),
     });
     this.#onBytes("in", getHeaderBytes(response.headers));
     return response;
