Check in the soak how streams and bodies end

It took each stream without a length that ended before its last event for one that had visibly broken off, and lost the events that came before a reset.

Callers of the soak now take an answer without a length as complete if its connection is closed, and as broken off if it is reset (RFC 9112, section 6.3). Such an answer may end early only where its upstream itself has closed the connection at that event or byte; the stand-in records that. A fourth of the plain answers has no length either. Two more faults: upstreams reset answers without a length, and engines restart under their id with the other version, with their entry 0.4 s late, and end again within 0.8 s. Each event is still checked to come once and in order, over the first answer and all that take it up.

--- a/bench/chaos_faults.ts
+++ b/bench/chaos_faults.ts
@@ -178,6 +178,8 @@
       case "router-links-hung":
       case "router-links-new-refused":
       case "upstreams-brittle":
+      case "engine-upgraded":
+      case "answers-reset":
         throw new RangeError(`${kind}: this fleet has no metadata store`);
       case "operators-race":
         return {
--- a/bench/store_chaos_calls.ts
+++ b/bench/store_chaos_calls.ts
@@ -57,6 +57,8 @@
   readonly detail: string;
   /** Events of a stream, in order. */
   readonly events?: readonly StreamEvent[];
+  /** Id of the last event, or bytes of another body. */
+  readonly received?: number;
 }
 
 /** One request of a caller for a stream, which may be resumed. */
@@ -72,6 +74,12 @@
 /** Requests for one stream in which it may be resumed. */
 const MAX_RESUMPTIONS = 3;
 const RESUMPTION_PAUSE_MS = 50;
+/** Ends after which no caller asks again. */
+const FINAL_ENDS: ReadonlySet<CallOutcome> = new Set([
+  "whole",
+  "wrong",
+  "short",
+]);
 const STATUS_OK = 200;
 const STATUS_UNAUTHORIZED = 401;
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -93,8 +101,8 @@
     const resumptions: Resumption[] = [];
     const result = kind === "chat"
       ? await this.#resume(options, { first, resumptions })
-      : first;
-    const { end, detail, events = [] } = result;
+      : { ...first, requestId };
+    const { end, detail, events = [], received = 0 } = result;
     const toMs = performance.now();
     return {
       requestId,
@@ -105,6 +113,7 @@
       toMs,
       end,
       detail,
+      last: { requestId: result.requestId, received },
       versions: [...new Set(events.map(getEventVersion))],
       first: { end: first.end, toMs: firstToMs },
       resumptions,
@@ -115,22 +124,26 @@
   async #resume(
     options: CallOptions,
     { first, resumptions }: { first: CallResult; resumptions: Resumption[] },
-  ): Promise<CallResult> {
+  ): Promise<CallResult & { requestId: string }> {
     const { pickRouter, countServing = () => 0 } = this.#options;
     const { requestId } = options;
     let { router } = options;
     let result = first;
     const events = [...first.events ?? []];
-    if (pickRouter === undefined || events.length === 0) return first;
+    let attemptId = requestId;
+    if (pickRouter === undefined || events.length === 0) {
+      return { ...first, requestId };
+    }
     for (let each = 1; each <= MAX_RESUMPTIONS; each++) {
-      if (result.end === "whole" || result.end === "wrong") break;
+      if (FINAL_ENDS.has(result.end)) break;
       await sleep(RESUMPTION_PAUSE_MS);
       router = pickRouter(router);
       const version = getEventVersion(events[0]!);
       const servingCount = countServing(version);
       const fromMs = performance.now();
+      attemptId = `${requestId}-${each}`;
       result = await this.#send(options, {
-        attemptId: `${requestId}-${each}`,
+        attemptId,
         router,
         resumed: { id: requestId, lastEventId: events.at(-1)!.id ?? 0 },
       });
@@ -147,8 +160,8 @@
       events.push(...added);
     }
     // The stream has begun, whatever the last request for it got.
-    const hasEnded = result.end === "whole" || result.end === "wrong";
-    return { ...result, end: hasEnded ? result.end : "broken", events };
+    const end = FINAL_ENDS.has(result.end) ? result.end : "broken";
+    return { ...result, end, events, requestId: attemptId };
   }
 
   close(): void {
@@ -192,13 +205,20 @@
         clearTimeout(timer);
         resolve(result);
       }
+      const connection = { isReset: false };
+      let hasHead = false;
       request.on("error", (cause: NodeJS.ErrnoException) => {
+        connection.isReset = true;
+        // The reader of the response reports what came before.
+        if (hasHead) return;
         const isRefused = cause.code === "ECONNREFUSED";
         const end = isRefused ? "no-connection" : "broken";
         finish({ end, detail: cause.code ?? cause.message });
       });
       request.on("response", (response) => {
-        void readResponse(response, { kind, ...attempt }).then(finish);
+        hasHead = true;
+        void readResponse(response, { kind, connection, ...attempt })
+          .then(finish);
       });
       request.end(body);
     });
@@ -207,7 +227,10 @@
 
 async function readResponse(
   response: IncomingMessage,
-  { kind, attemptId, resumed }: Attempt & Pick<CallOptions, "kind">,
+  { kind, connection, attemptId, resumed }:
+    & Attempt
+    & Pick<CallOptions, "kind">
+    & { connection: { readonly isReset: boolean } },
 ): Promise<CallResult> {
   const chunks: Buffer[] = [];
   let isBroken = false;
@@ -219,10 +242,11 @@
   }
   const status = response.statusCode ?? 0;
   const body = Buffer.concat(chunks);
-  // Without framing, nothing tells an answer that was cut off from a whole one.
+  // Without framing, a close completes the answer (RFC 9112, section 6.3), and
+  // only a reset does not.
   const isFramed = response.headers["transfer-encoding"] !== undefined ||
     response.headers["content-length"] !== undefined;
-  const isComplete = isFramed && response.complete && !isBroken;
+  const isComplete = response.complete && !isBroken && !connection.isReset;
   const signature = response.headers["x-response-stamp"];
   if (status === STATUS_OK) {
     if (typeof signature !== "string" || !signature.endsWith(`/${attemptId}`)) {
@@ -236,7 +260,12 @@
         isFramed,
         isComplete,
       })
-      : checkBody(body, { requestId: attemptId, isComplete, signature });
+      : checkBody(body, {
+        requestId: attemptId,
+        isFramed,
+        isComplete,
+        signature,
+      });
   }
   if (NOT_RUN_STATUSES.has(status)) {
     return { end: "refused", detail: `${status} ${body.toString()}` };
@@ -251,8 +280,9 @@
 
 function checkBody(
   body: Buffer,
-  { requestId, isComplete, signature }: {
+  { requestId, isFramed, isComplete, signature }: {
     requestId: string;
+    isFramed: boolean;
     isComplete: boolean;
     signature: string;
   },
@@ -260,8 +290,13 @@
   if (!isComplete) return BROKEN;
   const text = body.toString();
   const upstream = signature.slice(0, -requestId.length - 1);
+  const expected = JSON.stringify({ requestId, upstream });
   const isExpected = signature === createResponseStamp(upstream, requestId) &&
-    text === JSON.stringify({ requestId, upstream });
+    text === expected;
+  if (!isFramed && !isExpected && expected.startsWith(text)) {
+    const detail = `response complete after only ${text.length} bytes`;
+    return { end: "short", detail, received: text.length };
+  }
   return isExpected
     ? { end: "whole", detail: "" }
     : { end: "wrong", detail: `unexpected body ${text}` };
@@ -287,13 +322,14 @@
       return { end: "wrong", detail };
     }
   }
-  const hasAllEvents = lastEventId + events.length === getEventCount(streamId);
-  if (isComplete && !hasAllEvents) {
+  const received = lastEventId + events.length;
+  if (isComplete && received !== getEventCount(streamId)) {
     const detail = `response complete after only ${events.length} events`;
-    return { end: "wrong", detail };
+    return { end: isFramed ? "wrong" : "short", detail, events, received };
   }
-  const isWhole = isFramed ? isComplete : hasAllEvents;
-  return isWhole ? { end: "whole", detail: "", events } : { ...BROKEN, events };
+  return isComplete
+    ? { end: "whole", detail: "", events }
+    : { ...BROKEN, events };
 }
 
 /** Returns the version of the software that made an event. */
--- a/bench/store_chaos_evidence.ts
+++ b/bench/store_chaos_evidence.ts
@@ -6,6 +6,7 @@
 import type {
   UpstreamArrival,
   UpstreamCrash,
+  UpstreamCut,
 } from "../testing/registered_upstream.ts";
 
 /**
@@ -26,6 +27,8 @@
   | "failed"
   /** Ended early, which the caller can detect. */
   | "broken"
+  /** Ended early by a close that completes an answer without a length. */
+  | "short"
   | "no-connection"
   /** A response that must never occur; the detail gives the reason. */
   | "wrong";
@@ -40,6 +43,11 @@
   readonly toMs: number;
   readonly end: CallOutcome;
   readonly detail: string;
+  /**
+   * The last request, and the id of the last event or the bytes of the body that
+   * came.
+   */
+  readonly last: { readonly requestId: string; readonly received: number };
   /** Versions of the software that made the events of a stream. */
   readonly versions: readonly string[];
   /** How the first request ended, before the caller took the stream up again. */
@@ -120,6 +128,8 @@
   /** Requests that crash upstreams. */
   readonly crashing: readonly CrashingCall[];
   readonly crashes: readonly UpstreamCrash[];
+  /** Answers that upstreams cut off themselves. */
+  readonly cuts: readonly UpstreamCut[];
   readonly arrivals: readonly UpstreamArrival[];
   readonly windows: readonly FaultWindow[];
   readonly withdrawals: readonly Withdrawal[];
--- a/bench/store_chaos_fleet.ts
+++ b/bench/store_chaos_fleet.ts
@@ -13,6 +13,7 @@
   RegisteredUpstream,
   type UpstreamArrival,
   type UpstreamCrash,
+  type UpstreamCut,
 } from "../testing/registered_upstream.ts";
 import { createRelay, type Relay } from "../testing/relay.ts";
 import { ROUTE_HOST, type RouterEndpoint } from "./store_chaos_calls.ts";
@@ -89,6 +90,8 @@
   /** JSON bodies of the requests that crash the upstreams that run them. */
   readonly crashingBodies = new Set<string>();
   readonly crashes: UpstreamCrash[] = [];
+  /** Answers that upstreams cut off themselves. */
+  readonly cuts: UpstreamCut[] = [];
   readonly #options: Required<StoreFleetOptions>;
   readonly #processes: Processes;
   #version = 0;
@@ -270,6 +273,7 @@
         crashingParts: this.crashingParts,
         crashingBodies: this.crashingBodies,
         onCrash: (crash) => this.crashes.push(crash),
+        onCut: (cut) => this.cuts.push(cut),
       });
       await upstream.start({ isCold: false });
       this.upstreams.push(upstream);
--- a/bench/store_chaos_main.ts
+++ b/bench/store_chaos_main.ts
@@ -3,15 +3,20 @@
  * schedule and checks the result.
  *
  * `node dist/bench/store_chaos_main.js [--seed N] [--seeds N] [--seconds S]
- * [--routers N] [--without-links]` exits with 0 only if every check passes for
- * every seed. Logs are in `out/store-chaos-<seed>`. With `--without-links` a seed
- * draws the faults that it drew before there were routers without links and
- * brittle upstreams.
+ * [--routers N] [--only-streams] [--without-streams] [--without-links]` exits with
+ * 0 only if every check passes for every seed. Logs are in
+ * `out/store-chaos-<seed>`. With `--only-streams` it draws only faults that cut off
+ * answers, twice as many. With `--without-streams` a seed draws the faults that it drew before there were
+ * answers that are reset and engines that change their version, with
+ * `--without-links` those before routers without links and brittle upstreams.
  */
 import { rmSync } from "node:fs";
 import process from "node:process";
 import { parseArgs } from "node:util";
-import { createChaosSchedule } from "../testing/chaos_schedule.ts";
+import {
+  type ChaosKind,
+  createChaosSchedule,
+} from "../testing/chaos_schedule.ts";
 import type { Call } from "./store_chaos_evidence.ts";
 import { StoreFleet } from "./store_chaos_fleet.ts";
 import {
@@ -19,10 +24,14 @@
   runStoreChaos,
   STORE_LINK_KINDS,
   STORE_SOAK_KINDS,
+  STORE_STREAM_KINDS,
+  STREAM_CUT_KINDS,
 } from "./store_chaos_run.ts";
 import { findStoreChaosViolations } from "./store_chaos_verdict.ts";
 
 const MS_PER_SECOND = 1_000;
+/** Streams that last for about half a second. */
+const EVENT_INTERVAL_MS = 60;
 
 const { values } = parseArgs({
   strict: true,
@@ -31,9 +40,12 @@
     seeds: { type: "string", default: "1" },
     seconds: { type: "string", default: "20" },
     routers: { type: "string", default: "6" },
+    "only-streams": { type: "boolean", default: false },
+    "without-streams": { type: "boolean", default: false },
     "without-links": { type: "boolean", default: false },
   },
 });
+const hasStreamFaults = !values["without-streams"] && !values["without-links"];
 
 function print(text: string): void {
   process.stdout.write(`${text}\n`);
@@ -49,6 +61,16 @@
   return calls.filter(({ resumptions }) => resumptions.length > 0).length;
 }
 
+function getKinds(): readonly ChaosKind[] {
+  if (values["only-streams"]) return STREAM_CUT_KINDS;
+  if (hasStreamFaults) return STORE_STREAM_KINDS;
+  return values["without-links"] ? STORE_SOAK_KINDS : STORE_LINK_KINDS;
+}
+
+function countMixed(calls: readonly Call[]): number {
+  return calls.filter(({ versions }) => versions.length > 1).length;
+}
+
 /** Runs one seed; returns true if every check passes. */
 async function runSeed(seed: number): Promise<boolean> {
   const directory = `out/store-chaos-${seed}`;
@@ -59,6 +81,7 @@
     engines: 4,
     plainServices: 3,
     engineVersions: ["v1", "v2"],
+    ...(hasStreamFaults && { eventIntervalMs: EVENT_INTERVAL_MS }),
   });
   await fleet.open();
   const durationMs = Number(values.seconds) * MS_PER_SECOND;
@@ -66,9 +89,9 @@
     seed,
     durationMs,
     targets: getStoreChaosTargets(fleet),
-    kinds: values["without-links"] ? STORE_SOAK_KINDS : STORE_LINK_KINDS,
+    kinds: getKinds(),
     maxFaultMs: durationMs / 2,
-    meanGapMs: MS_PER_SECOND,
+    meanGapMs: values["only-streams"] ? MS_PER_SECOND / 2 : MS_PER_SECOND,
   });
   const evidence = await runStoreChaos({ fleet, schedule, seed, durationMs });
   const violations = findStoreChaosViolations(evidence);
@@ -76,14 +99,22 @@
   print(
     `Seed ${seed}: ${schedule.length} faults; ${renderOutcomeCounts(calls)}; ` +
       `${crashes.length} engine crashes; ` +
-      `${countResumptions(calls)} streams taken up; ` +
+      `${countResumptions(calls)} streams taken up, ${countMixed(calls)} of ` +
+      "two versions; " +
       `after the faults ${renderOutcomeCounts(recovery)}; ` +
       (violations.length === 0
         ? "all checks passed."
         : `violations found: ${violations.length}.`),
   );
+  const sent = new Map(
+    [...calls, ...recovery].map((call) => [call.requestId, call]),
+  );
   for (const { promise, requestId, detail } of violations) {
-    print(`  ${promise}: ${requestId} ${detail}`);
+    const call = sent.get(requestId);
+    const times = call === undefined
+      ? ""
+      : `, ${call.kind} ${call.fromMs.toFixed()} to ${call.toMs.toFixed()}`;
+    print(`  ${promise}: ${requestId} ${detail}${times}`);
   }
   if (violations.length > 0) {
     for (const { kind, target, fromMs, toMs } of evidence.windows) {
--- a/bench/store_chaos_run.ts
+++ b/bench/store_chaos_run.ts
@@ -74,7 +74,26 @@
   "router-links-new-refused",
   "upstreams-brittle",
 ] as const satisfies readonly ChaosKind[];
-type StoreChaosKind = typeof STORE_LINK_KINDS[number];
+
+/** All of these, and answers that are cut off or change their version. */
+export const STORE_STREAM_KINDS = [
+  ...STORE_LINK_KINDS,
+  "engine-upgraded",
+  "answers-reset",
+] as const satisfies readonly ChaosKind[];
+type StoreChaosKind = typeof STORE_STREAM_KINDS[number];
+
+/** Those of all kinds that cut off answers in progress. */
+export const STREAM_CUT_KINDS = [
+  "router-killed",
+  "router-stopped",
+  "router-paused",
+  "engine-killed",
+  "engine-leaving",
+  "engine-upgraded",
+  "answers-reset",
+  "link-cut",
+] as const satisfies readonly StoreChaosKind[];
 
 const REQUESTS_PER_SECOND = 40;
 const CRASHING_REQUESTS_PER_SECOND = 8;
@@ -95,6 +114,10 @@
 const SETTLE_MS = 7_000;
 const RECOVERY_MS = 3_000;
 const STORE_DELAY_MS = 300;
+/** Time from the end of an upgraded engine to its start, in milliseconds. */
+const UPGRADE_DOWN_MS = 200;
+/** Time from its start to its entry: a heartbeat, in milliseconds. */
+const UPGRADE_ENTRY_MS = 400;
 /** Age of the copy when the store goes down. */
 const COPY_AGE_MS = 2_000;
 const LOST_RESPONSE_SHARE = 0.3;
@@ -191,6 +214,7 @@
       recovery,
       crashing: await Promise.all(this.#crashing),
       crashes: fleet.crashes,
+      cuts: fleet.cuts,
       arrivals: fleet.arrivals,
       windows: this.#windows,
       withdrawals: fleet.withdrawals,
@@ -271,6 +295,15 @@
         await upstream.exit();
         return await this.#restart(upstream);
       }
+      case "engine-upgraded":
+        return await this.#upgrade(this.#findUpstream(target), durationMs);
+      case "answers-reset": {
+        const upstream = this.#findUpstream(target);
+        upstream.resetsAnswers = true;
+        await sleep(durationMs);
+        upstream.resetsAnswers = false;
+        return;
+      }
       case "link-silent":
       case "link-cut":
       case "link-cut-to-upstream":
@@ -467,6 +500,22 @@
     await upstream.start({ keepsId });
   }
 
+  /** Restarts an engine with another version, and again after a while. */
+  async #upgrade(
+    upstream: RegisteredUpstream,
+    durationMs: number,
+  ): Promise<void> {
+    const others = this.#options.fleet.engineVersions
+      .filter((version) => version !== upstream.softwareVersion);
+    upstream.softwareVersion = others[0] ?? upstream.softwareVersion;
+    for (const waitMs of [durationMs, 0]) {
+      await upstream.kill();
+      await sleep(UPGRADE_DOWN_MS);
+      await upstream.start({ keepsId: true, entryDelayMs: UPGRADE_ENTRY_MS });
+      await sleep(waitMs);
+    }
+  }
+
   #findRouter(name: string) {
     return this.#options.fleet.routers.find((each) => each.name === name)!;
   }
--- a/bench/store_chaos_verdict.ts
+++ b/bench/store_chaos_verdict.ts
@@ -43,6 +43,8 @@
   "request-crashes",
   "upstreams-brittle",
   "engine-leaving",
+  "engine-upgraded",
+  "answers-reset",
   "link-silent",
   "link-cut",
   "link-cut-to-upstream",
@@ -75,6 +77,7 @@
   );
   return [
     ...checkAnswers(evidence),
+    ...checkEnds(evidence),
     ...checkRuns(evidence),
     ...checkWithdrawals(evidence, routers),
     ...checkKeys(evidence),
@@ -103,6 +106,33 @@
     }));
 }
 
+/**
+ * An answer without a length ends with its connection. It may end early only
+ * where its upstream has itself closed the connection there.
+ */
+function checkEnds(
+  { calls, recovery, crashing, overload, cuts }: StoreChaosEvidence,
+): StoreChaosViolation[] {
+  return [...calls, ...recovery, ...crashing, ...overload]
+    .filter(({ end }) => end === "short")
+    .filter(({ last }) =>
+      !cuts.some(({ requestId, how, sent }) =>
+        requestId === last.requestId && how === "close" &&
+        sent === last.received
+      )
+    )
+    .map(({ requestId, router, detail, last }) => ({
+      promise: "an answer ends only after its last part",
+      requestId,
+      detail: `${detail}, at ${router}` +
+        cuts.filter((cut) => cut.requestId === last.requestId)
+          .map(({ upstream, how, sent }) =>
+            `; ${how} by ${upstream} at ${sent}`
+          )
+          .join(""),
+    }));
+}
+
 function checkRuns(
   { calls, recovery, crashing, overload, arrivals }: StoreChaosEvidence,
 ): StoreChaosViolation[] {
--- a/bench/store_chaos_verdict_test.ts
+++ b/bench/store_chaos_verdict_test.ts
@@ -17,6 +17,7 @@
     toMs: 10_050,
     end: "whole",
     detail: "",
+    last: { requestId: "r", received: 0 },
     versions: [],
     first: { end: fields.end ?? "whole", toMs: fields.toMs ?? 10_050 },
     resumptions: [],
@@ -47,6 +48,7 @@
     recovery: [],
     crashing: [],
     crashes: [],
+    cuts: [],
     arrivals: [],
     windows: [],
     withdrawals: [],
@@ -308,3 +310,27 @@
   expect(findViolations({ brittleFalls: [3] }))
     .toEqual(["brittle upstreams are kept from falling over"]);
 });
+
+// Guards against answers without a length that a router or a reset cuts off and
+// that look complete (ORDER).
+test("an answer that ends early is found unless its upstream closed it there", () => {
+  const promise = "an answer ends only after its last part";
+  const calls = [
+    createCall({ end: "short", last: { requestId: "r-1", received: 4 } }),
+  ];
+  const cut = {
+    upstream: "up-1",
+    requestId: "r-1",
+    how: "close",
+    sent: 4,
+    atMs: 10_030,
+  } as const;
+  expect(findViolations({ calls })).toEqual([promise]);
+  expect(findViolations({ calls, cuts: [cut] })).toEqual([]);
+  expect(findViolations({ calls, cuts: [{ ...cut, how: "reset" }] }))
+    .toEqual([promise]);
+  expect(findViolations({ calls, cuts: [{ ...cut, sent: 5 }] }))
+    .toEqual([promise]);
+  expect(findViolations({ calls, cuts: [{ ...cut, requestId: "r" }] }))
+    .toEqual([promise]);
+});
--- a/testing/chaos_schedule.ts
+++ b/testing/chaos_schedule.ts
@@ -49,6 +49,13 @@
   | "router-links-new-refused"
   /** Upstreams end if they reject too many requests, and say so. */
   | "upstreams-brittle"
+  /**
+   * Restarted at once with another version of the software, under the same id,
+   * and again when the fault ends; its entry follows later each time.
+   */
+  | "engine-upgraded"
+  /** Answers without a length are reset. */
+  | "answers-reset"
   /** Two operators commit conflicting changes at the same time. */
   | "operators-race"
   | "failure-domain-out"
@@ -224,6 +231,14 @@
     targets: "callers",
     durationRangeMs: { min: 5_000, max: 9_000 },
   },
+  "engine-upgraded": {
+    targets: "engines",
+    durationRangeMs: { min: 100, max: 800 },
+  },
+  "answers-reset": {
+    targets: "upstreams",
+    durationRangeMs: { min: 1_000, max: 5_000 },
+  },
   "operators-race": {
     targets: "failureDomains",
     durationRangeMs: { min: 500, max: 2_000 },
@@ -247,6 +262,8 @@
   "router-links-hung",
   "router-links-new-refused",
   "upstreams-brittle",
+  "engine-upgraded",
+  "answers-reset",
 ]);
 const DEFAULT_KINDS = (Object.keys(FAULT_SPECS) as ChaosKind[])
   .filter((kind) => !METADATA_STORE_KINDS.has(kind));
--- a/testing/registered_upstream.ts
+++ b/testing/registered_upstream.ts
@@ -62,6 +62,20 @@
   readonly crashingBodies?: ReadonlySet<string>;
   /** Called when the process has crashed. */
   readonly onCrash?: (crash: UpstreamCrash) => void;
+  /** Called when the upstream itself has cut an answer off. */
+  readonly onCut?: (cut: UpstreamCut) => void;
+}
+
+/** An answer that the upstream cut off, by its end or on purpose. */
+export interface UpstreamCut {
+  readonly upstream: string;
+  readonly requestId: string;
+  /** Whether the connection was closed, as by the end of a process, or reset. */
+  readonly how: "close" | "reset";
+  /** Id of the last event that was sent, or bytes of another body. */
+  readonly sent: number;
+  /** Time on the monotonic clock, in milliseconds. */
+  readonly atMs: number;
 }
 
 /** The end of an upstream's process under a request. */
@@ -89,7 +103,7 @@
 const RESTART_MS = 1_500;
 /** Time in which rejections add up, in milliseconds. */
 const REJECTION_WINDOW_MS = 1_000;
-/** Every such request's stream ends with its connection, without framing. */
+/** Every such request's answer ends with its connection, without framing. */
 const UNFRAMED_SHARE = 4;
 const REPORT_PATH = "/corianderflow/report";
 const STATUS_MISDIRECTED = 421;
@@ -113,7 +127,7 @@
   return String(header ?? "").split(",").map((part) => part.split(":")[0]!);
 }
 
-/** Whether the stream of a request is sent with neither length nor chunks. */
+/** Whether the answer to a request is sent with neither length nor chunks. */
 function isUnframed(requestId: string): boolean {
   return getEventCount(requestId) % UNFRAMED_SHARE === 0;
 }
@@ -150,6 +164,8 @@
   brittlePerSecond: number | undefined;
   /** Monotonic times of the latest rejections, in milliseconds. */
   #rejectedAtMs: number[] = [];
+  /** Whether it resets answers without a length when half of them is sent. */
+  resetsAnswers = false;
   /** Number of times that its process ended from rejections. */
   fallCount = 0;
   #state: "ready" | "draining" = "ready";
@@ -167,6 +183,7 @@
       crashingParts: new Set(),
       crashingBodies: new Set(),
       onCrash: () => {},
+      onCut: () => {},
       ...options,
     };
     this.softwareVersion = this.#options.softwareVersion;
@@ -193,9 +210,11 @@
 
   /**
    * Starts a new process at the same address, cold and with a new id, unless it
-   * `keepsId`.
+   * `keepsId`. It writes its entry after `entryDelayMs` milliseconds.
    */
-  async start({ isCold = true, keepsId = false } = {}): Promise<void> {
+  async start(
+    { isCold = true, keepsId = false, entryDelayMs = 0 } = {},
+  ): Promise<void> {
     if (this.#isClosed) return;
     clearTimeout(this.#restartTimer);
     if (keepsId) clearTimeout(this.#expiryTimer);
@@ -219,7 +238,12 @@
     if (this.#hasCrashed) await this.#relay.setFaults({ cut: false });
     this.#hasCrashed = false;
     if (this.#isClosed) return await this.#closeAll();
-    this.#sendHeartbeat();
+    if (entryDelayMs === 0) return this.#sendHeartbeat();
+    clearTimeout(this.#heartbeatTimer);
+    this.#heartbeatTimer = setTimeout(
+      () => this.#sendHeartbeat(),
+      entryDelayMs,
+    );
   }
 
   /** Ends the process without deregistering; its entry expires later. */
@@ -432,26 +456,99 @@
         await sleep(CRASH_DELAY_MS);
         if (this.#server === server) await this.#crash(requestId, cause);
       } else if (isPlain) {
-        response.end(JSON.stringify({ requestId, upstream: this.id }));
+        await this.#sendBody(response, requestId);
       } else {
         const streamId = String(request.headers["resumes"] ?? requestId);
-        await this.#streamEvents(response, { streamId, lastEventId });
+        await this.#streamEvents(response, {
+          requestId,
+          streamId,
+          lastEventId,
+        });
       }
     } finally {
       this.#runningRequests--;
     }
   }
 
+  /** Sends the body of an answer that is not a stream. */
+  async #sendBody(response: ServerResponse, requestId: string): Promise<void> {
+    const body = JSON.stringify({ requestId, upstream: this.id });
+    if (!isUnframed(requestId)) {
+      response.end(body);
+      return;
+    }
+    makeCloseDelimited(response);
+    const half = Math.floor(body.length / 2);
+    let sent = half;
+    this.#watchCut(response, { requestId, getSent: () => sent });
+    response.write(body.slice(0, half));
+    await sleep(SERVICE_MS);
+    if (response.destroyed) return;
+    if (this.resetsAnswers) {
+      this.#reset(response, { requestId, sent });
+      return;
+    }
+    sent = body.length;
+    response.end(body.slice(half));
+  }
+
+  /** Reports the end of this process if that cuts off the answer. */
+  #watchCut(
+    response: ServerResponse,
+    { requestId, getSent }: { requestId: string; getSent: () => number },
+  ): void {
+    const server = this.#server;
+    const upstream = this.id;
+    response.once("close", () => {
+      const isOwn = this.#server !== server && !response.writableFinished;
+      if (!isOwn) return;
+      this.#options.onCut({
+        upstream,
+        requestId,
+        how: "close",
+        sent: getSent(),
+        atMs: performance.now(),
+      });
+    });
+  }
+
+  #reset(
+    response: ServerResponse,
+    { requestId, sent }: Pick<UpstreamCut, "requestId" | "sent">,
+  ): void {
+    this.#options.onCut({
+      upstream: this.id,
+      requestId,
+      how: "reset",
+      sent,
+      atMs: performance.now(),
+    });
+    response.socket?.resetAndDestroy();
+  }
+
   async #streamEvents(
     response: ServerResponse,
-    { streamId, lastEventId }: { streamId: string; lastEventId: number },
+    { requestId, streamId, lastEventId }: {
+      requestId: string;
+      streamId: string;
+      lastEventId: number;
+    },
   ): Promise<void> {
     response.setHeader("content-type", "text/event-stream");
-    if (isUnframed(streamId)) makeCloseDelimited(response);
+    const hasNoLength = isUnframed(streamId);
+    if (hasNoLength) makeCloseDelimited(response);
     const version = this.#runningVersion;
     const last = getEventCount(streamId);
+    let sent = lastEventId;
+    this.#watchCut(response, { requestId, getSent: () => sent });
     for (let id = lastEventId + 1; id <= last; id++) {
       if (response.destroyed) return;
+      const isHalf = id > lastEventId + (last - lastEventId) / 2;
+      if (hasNoLength && isHalf && this.resetsAnswers) {
+        this.#reset(response, { requestId, sent });
+        return;
+      }
+      sent = id;
       const data = `${formatEventData(streamId, id)} version=${version}`;
       response.write(`id: ${id}\ndata: ${data}\n\n`);
       await sleep(this.#options.eventIntervalMs);
