Tell a reset with the last bytes from the end of an answer

Cause: a connection counted as reset only if its socket emitted 'error'. If the reset is there when the last bytes are read, libuv (20.19.0's) takes POLLHUP after a partial read for the end of the stream and never asks the kernel for the error. Node then emits 'end' and no 'error', and undici takes that for the end of the body.

A connection that closes with neither 'end' nor 'error' no longer counts as ended either.

Not shown: other systems than Linux.

--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -171,6 +171,23 @@
   }
 }
 
+/**
+ * Calls `onReset` if the connection is reset, before undici takes its end for
+ * that of a close-delimited response.
+ */
+function recordReset(socket: Socket, onReset: () => void): void {
+  socket.prependListener("error", onReset);
+  socket.prependListener("end", () => {
+    // libuv reports an end without an error if the reset is there when the last
+    // bytes are read. A reset connection has no peer any more; one that the peer
+    // closed still has. Node caches the address once it was read.
+    if (socket.remoteAddress === undefined) onReset();
+  });
+  socket.prependListener("close", () => {
+    if (!socket.readableEnded) onReset();
+  });
+}
+
 class Connection {
   readonly client: Client;
   readonly address: string;
@@ -196,8 +213,7 @@
       pipelining: 1,
       connect: (_options, callback) => {
         openSocket(address, connectTimeoutMs).then((socket) => {
-          // Undici treats a reset as the end of a close-delimited response.
-          socket.prependListener("error", () => this.hasFailed = true);
+          recordReset(socket, () => this.hasFailed = true);
           callback(null, socket);
         }, (cause) => callback(cause, null));
       },
--- a/src/transport/upstream_connections_test.ts
+++ b/src/transport/upstream_connections_test.ts
@@ -95,6 +95,24 @@
   });
 });
 
+const RESET_RESPONSES = 50;
+
+// Guards against a response without a length that was cut off by a reset and
+// passes for a whole one, since the reset was there when its last bytes were
+// read: the end of the stream is reported then, and no error.
+test("a response without a length is incomplete if the reset comes with its last bytes", async () => {
+  await withUpstream((socket) => {
+    socket.write(CLOSE_DELIMITED_RESPONSE);
+    socket.resetAndDestroy();
+  }, async ({ address }, connections) => {
+    const results = new Set<string>();
+    for (let request = 0; request < RESET_RESPONSES; request++) {
+      results.add(await send(connections, address));
+    }
+    expect([...results]).toEqual(["broken: the connection was reset"]);
+  });
+});
+
 test("a response without a length is complete if the connection is closed", async () => {
   await withUpstream(
     (socket) => void socket.end(CLOSE_DELIMITED_RESPONSE),
