Ask whether an upstream still runs when its close ends an answer

Callers saw an answer without a length as complete although its upstream had died amid it: half a booking with status 200, or a stream that ends between two events.

Cause: the close of a connection ends such an answer, and the kernel closes the connections of a process that has died in the same way. Only a reset and an end within an event counted as a cut.

Now the router asks, once the close has ended an answer, whether the process certainly still runs: an engine by its report, which also tells one that has started again since, as may be when the caller reads slowly and the end is read late; a plain upstream or another router by a connection that opens. If not, the try counts as broken off: a stream that may resume goes on elsewhere, a repeatable request is tried again, others get 502 or are aborted. The question is whether the upstream lives, not whether it died: no answer to it is a cut as well, since a machine that is shut down ends its processes before its network.

The prompt quarantine made such a check for the same answers already, to find crashes; it now takes this one, so that a plain upstream sees no more connections than before, and answers without a length clear a prompt part, which they did not.

Not chosen: to believe that the end is proper where the upstream is known to be leaving, since one that exits cuts its answers in the same way; and to ask another upstream for events after the last one of each stream, which would tell all cuts of streams that may resume, but runs each of them twice. What is left is an upstream that goes on running and closes the connection amid its answer: nothing tells it from a whole one, and the protocol says that it is one. For a plain upstream it is also not noticed if it has started again before its close is read.

--- /dev/null
+++ b/src/daemon/ingress_cut_answers_test.ts
@@ -0,0 +1,146 @@
+/**
+ * Answers that end with their connection, and answers that are cut off: by the
+ * end of an upstream's process, or by the stop of the router.
+ */
+import {
+  createSignedHead,
+  LocalIngress,
+  type ReceivedRequest,
+  sendCompleteResponse,
+} from "./testing/local_ingress.ts";
+
+const EVENT_INTERVAL_MS = 20;
+
+let fleet: LocalIngress;
+
+beforeEach(async () => {
+  fleet = await new LocalIngress().start({ upstreams: 3 });
+});
+
+afterEach(async () => {
+  await fleet.close();
+});
+
+/** Sends the head of an answer that ends with its connection. */
+function beginUnframed(
+  request: ReceivedRequest,
+  { type = "text/event-stream" } = {},
+): void {
+  const more = `content-type: ${type}\r\nconnection: close\r\n\r\n`;
+  request.socket.write(createSignedHead(request, { more }));
+}
+
+function renderEvents({ from = 1, to }: { from?: number; to: number }): string {
+  let text = "";
+  for (let id = from; id <= to; id++) text += `id: ${id}\ndata: d${id}\n\n`;
+  return text;
+}
+
+/** Closes the connection and the port, as the kernel does for a dead process. */
+function endProcess({ socket }: ReceivedRequest): void {
+  fleet.upstreams.find(({ arrived }) =>
+    arrived.some((request) => request.socket === socket)
+  )!.stopListening();
+  socket.end();
+}
+
+/** Has the first upstream that is asked end amid its answer without a length. */
+function endFirstProcess(
+  begin: (request: ReceivedRequest) => void,
+  then: (request: ReceivedRequest) => void,
+): void {
+  fleet.script((request) => {
+    if (fleet.arrived.length > 1) return then(request);
+    begin(request);
+    setTimeout(() => endProcess(request), EVENT_INTERVAL_MS);
+  });
+}
+
+// Guards against an answer without a length that a dying upstream leaves
+// unfinished and that passes for a whole one, since its kernel closes the
+// connection in the same way (MIXED).
+test("an answer whose upstream has ended with its connection is not whole", async () => {
+  const beginAnswer = (request: ReceivedRequest) => {
+    beginUnframed(request, { type: "text/plain" });
+    request.socket.write("par");
+  };
+  endFirstProcess(beginAnswer, sendCompleteResponse);
+  const read = await fleet.ask({ id: "id-1", path: "/read/x" });
+  expect(read).toMatchObject({ status: 200, text: "ok" });
+  for (const upstream of fleet.upstreams) upstream.arrived.length = 0;
+  endFirstProcess(beginAnswer, sendCompleteResponse);
+  const booking = await fleet.ask({ id: "id-2", path: "/book/x" });
+  expect(booking.status).toBe(502);
+  expect(JSON.parse(booking.text)).toMatchObject({ ran: "unknown" });
+});
+
+// Guards against a stream without a length whose upstream has died between two
+// events and that passes for a complete one (ORDER).
+test("a stream whose upstream has ended with its connection goes on elsewhere", async () => {
+  endFirstProcess((request) => {
+    beginUnframed(request);
+    request.socket.write(renderEvents({ to: 2 }));
+  }, (request) => {
+    const from = Number(request.headers["last-event-id"]) + 1;
+    beginUnframed(request);
+    request.socket.end(renderEvents({ from, to: 4 }));
+  });
+  const answer = await fleet.ask({ id: "id-1", path: "/chat/x" });
+  expect(answer).toMatchObject({
+    status: 200,
+    text: renderEvents({ to: 4 }),
+    isReset: false,
+  });
+});
+
+test("a stream that can't go on elsewhere is broken off when its upstream ends", async () => {
+  endFirstProcess((request) => {
+    beginUnframed(request);
+    request.socket.write(renderEvents({ to: 2 }));
+  }, sendCompleteResponse);
+  const answer = await fleet.ask({ id: "id-1", path: "/plan/x" });
+  expect(answer).toMatchObject({
+    text: renderEvents({ to: 2 }),
+    isReset: true,
+  });
+});
+
+/** Makes the upstreams engines that started at `born`. */
+async function putEngines(born: number): Promise<void> {
+  fleet.putConfiguration({ isEngine: true });
+  await fleet.untilLogged({ version: 2 });
+  for (const upstream of fleet.upstreams) {
+    fleet.putUpstream(upstream, { born, seq: 2 });
+    await fleet.untilLogged({ upstream: upstream.id, bornAt: born });
+  }
+}
+
+/** Streams two events without a length, and reports `getStart()` when asked. */
+function streamAndReport(getStart: () => number): void {
+  fleet.script((request) => {
+    if (request.head.includes("/corianderflow/report")) {
+      const body = JSON.stringify({ born: getStart() });
+      request.socket.write(
+        `HTTP/1.1 200 X\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+      );
+      return;
+    }
+    beginUnframed(request);
+    request.socket.end(renderEvents({ to: 2 }));
+  });
+}
+
+// Guards against a cut that is noticed late, such as by a slow caller, when the
+// engine is back at its address.
+test("a stream whose engine has started again since it began is not complete", async () => {
+  await putEngines(7);
+  streamAndReport(() => 7);
+  const whole = await fleet.ask({ id: "id-1", path: "/plan/x" });
+  expect(whole).toMatchObject({
+    text: renderEvents({ to: 2 }),
+    isReset: false,
+  });
+  streamAndReport(() => 8);
+  const cut = await fleet.ask({ id: "id-2", path: "/plan/x" });
+  expect(cut).toMatchObject({ text: renderEvents({ to: 2 }), isReset: true });
+});
--- a/src/daemon/testing/local_ingress.ts
+++ b/src/daemon/testing/local_ingress.ts
@@ -247,8 +247,17 @@
     await this.store.close();
   }
 
-  /** Writes a configuration of a newer version. */
-  putConfiguration({ keys = [API_KEY] }: { keys?: string[] } = {}): void {
+  /**
+   * Writes a configuration of a newer version, with a service of plain upstreams
+   * or of engines.
+   */
+  putConfiguration(
+    { keys = [API_KEY], isEngine = false }: {
+      keys?: string[];
+      isEngine?: boolean;
+    } = {},
+  ): void {
+    const service = { name: "svc", maxConns: 50, coldStartS: 0, coldPerS: 0 };
     const route = {
       host: HOST,
       timeoutMs: 2_000,
@@ -273,7 +282,7 @@
         },
         { ...route, name: "plan", prefix: "/plan/", kind: "stream" },
       ],
-      services: [{ name: "svc", maxConns: 50, coldStartS: 0, coldPerS: 0 }],
+      services: [isEngine ? { ...service, engine: {} } : service],
       limits: {
         maxHeaderBytes: 16_384,
         maxBodyBytes: 100_000,
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -37,6 +37,7 @@
   type PlacementRequest,
   type PlacementResult,
 } from "./placement.ts";
+import { checkProcess } from "./process_check.ts";
 import { refuseRetryable } from "./refusals.ts";
 import {
   type ForwardTarget,
@@ -138,18 +139,16 @@
   }
 }
 
-/** Whether an upstream has certainly answered a request to its end. */
-function isProvenWhole(tryOutcome: TryOutcome): boolean {
-  if (tryOutcome.kind === "stream-complete") return tryOutcome.isFramed;
-  return tryOutcome.kind === "answered" && tryOutcome.answer.isFramed &&
-    tryOutcome.answer.status < MIN_REDIRECT_STATUS;
+/** Whether an upstream has survived a request and answered it to its end. */
+function isSurvived(tryOutcome: TryOutcome): boolean {
+  return tryOutcome.kind === "stream-complete" ||
+    tryOutcome.kind === "answered" &&
+      tryOutcome.answer.status < MIN_REDIRECT_STATUS;
 }
 
 /** Whether the upstream may have ended while it had the request. */
 function isPossibleCrash(tryOutcome: TryOutcome): boolean {
-  if (tryOutcome.kind === "ended") return tryOutcome.isCutOff === true;
-  return tryOutcome.kind === "stream-complete" && !tryOutcome.isFramed ||
-    tryOutcome.kind === "answered" && !tryOutcome.answer.isFramed;
+  return tryOutcome.kind === "ended" && tryOutcome.isCutOff === true;
 }
 
 /** Rounds an estimated load for the log. */
@@ -476,6 +475,7 @@
       requestId: this.#exchange.traits.requestId,
       relay: this.#relay,
       silenceTimeoutMs: this.#getSilenceTimeoutMs(),
+      isUpstreamAlive: () => this.#isAlive(place.entry),
       mayReplaceTry: () => this.#mayReplaceTry(),
       isSuspect: () =>
         placement.isSuspect(upstream, this.#service) || links.isDown(service),
@@ -515,6 +515,17 @@
     return tryOutcome;
   }
 
+  /**
+   * Whether the process of an upstream certainly still runs. Only engines tell
+   * a process that has started since from the one of the entry.
+   */
+  async #isAlive(entry: UpstreamEntry): Promise<boolean> {
+    if (!this.#service.isEngine) {
+      return await this.#options.connections.isReachable(entry.address);
+    }
+    return await checkProcess(entry, this.#options) === "same";
+  }
+
   #recordStreamStart(entry: UpstreamEntry): void {
     this.#binding.recordStart(entry);
     const { service, softwareVersion } = entry;
@@ -545,7 +556,7 @@
     const { crashes } = this.#options;
     const { requestId } = this.#exchange.traits;
     const subjects = this.#subjects;
-    if (isProvenWhole(tryOutcome)) {
+    if (isSurvived(tryOutcome)) {
       crashes.recordAnswer(subjects);
       return false;
     }
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -75,6 +75,12 @@
   readonly silenceTimeoutMs: number;
   /** Reads the monotonic clock, in milliseconds. */
   readonly clock: () => number;
+  /**
+   * Whether the process that served the request certainly still runs. Asked if
+   * the close of its connection ended a response without a length, since the
+   * kernel also closes the connections of a process that has died.
+   */
+  isUpstreamAlive(): Promise<boolean>;
   /** Whether the upstream should be avoided by now. */
   isSuspect(): boolean;
   /** Whether another try may replace this one, which receives no data. */
@@ -131,6 +137,13 @@
     headers["transfer-encoding"] !== undefined;
 }
 
+/** Whether only the close of the connection ended what `result` passes on. */
+function isCompleteIfAlive(result: TryResult): boolean {
+  if (result.kind === "stream-complete") return !result.isFramed;
+  if (result.kind === "router-refused") return false;
+  return result.answer !== undefined && !result.answer.isFramed;
+}
+
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
@@ -333,34 +346,42 @@
       });
       return;
     }
-    if (this.#head.isStream) {
-      this.#endStream();
+    const result = this.#head.isStream
+      ? this.#classifyStream()
+      : this.#classifyAnswer();
+    if (isCompleteIfAlive(result)) void this.#checkEnd(result);
+    else this.#end(result);
+  }
+
+  /** Ends with `result` unless the upstream has died with its connection. */
+  async #checkEnd(result: TryResult): Promise<void> {
+    this.#clearTimers();
+    if (await this.#options.isUpstreamAlive()) {
+      this.#end(result);
       return;
     }
-    this.#end(this.#classifyAnswer());
+    const detail = "the upstream ended with its connection";
+    this.#end({ kind: "ended", end: "no-answer", detail, isCutOff: true });
   }
 
-  #endStream(): void {
+  #classifyStream(): TryResult {
     if (this.#splitter.hasIncompleteEvent) {
       const detail = "the stream ended within an event";
-      this.#end({ kind: "ended", end: "no-answer", detail, isCutOff: true });
-      return;
+      return { kind: "ended", end: "no-answer", detail, isCutOff: true };
     }
     const isFramedStream = isFramed(this.#head!.headers);
     if (!isFramedStream && this.#eventCount === 0) {
       const detail = "the stream ended without an event";
-      this.#end({ kind: "ended", end: "no-answer", detail, isCutOff: true });
-      return;
+      return { kind: "ended", end: "no-answer", detail, isCutOff: true };
     }
     this.#startStream();
     if (!isFramedStream && this.#options.relay.isFramed) {
       // The end of this response may be a cut-off, which the caller can't
       // detect in the framed response that was started before.
       const detail = "the stream ended with its connection";
-      this.#end({ kind: "ended", end: "no-answer", detail, isCutOff: true });
-      return;
+      return { kind: "ended", end: "no-answer", detail, isCutOff: true };
     }
-    this.#end({ kind: "stream-complete", isFramed: isFramedStream });
+    return { kind: "stream-complete", isFramed: isFramedStream };
   }
 
   #startStream(): void {
