Frame each answer to a caller

Cause: an answer without a length was passed on without one, so that the close of the router's own connection ended it. A process can't choose how its connections end when it is killed: the kernel closes them.

Now a stream goes to the caller in chunks and any other answer with its length, whatever the upstream sends, so that no end of a router, killed, stopped or out of order, can pass for the end of an answer. The same holds between routers. An upstream that goes on running and cuts such an answer by a close is passed on as complete, as before: RFC 9112 makes it so. An HTTP/1.0 caller knows no chunks; its stream is still reset if it is cut. 204, 304 and answers to HEAD get no length; those with one from the upstream got 'content-length: 0'.

A resumed stream without a length no longer counts as cut just because the answer had begun in chunks: its end is checked like any other.

--- a/src/ingress/ingress_exchange.ts
+++ b/src/ingress/ingress_exchange.ts
@@ -93,8 +93,6 @@
     readonly status: number;
     readonly headers: Record<string, string | string[]>;
     readonly body: Buffer;
-    /** False if only the close of the connection marked the end of the body. */
-    readonly isFramed: boolean;
   }
   /** The filter has written the response itself, or has aborted it. */
   | {
--- a/src/ingress/ingress_server.ts
+++ b/src/ingress/ingress_server.ts
@@ -8,13 +8,13 @@
 import type { Log } from "../log.ts";
 import { decodeRequest } from "../platform/message_headers.ts";
 import type { RouteTable } from "../policy/route_table.ts";
+import { mayHaveBody } from "../transport/body_framing.ts";
 import {
   createCountedHandler,
   type InFlightCounter,
 } from "../transport/in_flight.ts";
 import { writeBufferedResponse } from "../transport/http_server.ts";
 import { renderProblem } from "../transport/problem.ts";
-import { makeCloseDelimited } from "../transport/close_delimited_response.ts";
 import type { RequestTraits } from "../routing/types.ts";
 import {
   decodeForwarded,
@@ -171,14 +171,16 @@
     if (options.isStopping() && !response.headersSent) {
       response.setHeader("connection", "close");
     }
-    if (outcome.kind === "whole" && !outcome.isFramed) {
-      makeCloseDelimited(response);
-      response.writeHead(outcome.status, outcome.headers);
-      response.end(outcome.body);
-    } else if (outcome.kind === "whole") {
-      const length = String(outcome.body.length);
-      const headers = { ...outcome.headers, "content-length": length };
-      writeBufferedResponse(response, { ...outcome, headers });
+    if (outcome.kind === "whole") {
+      const { status, headers, body } = outcome;
+      const method = request.method ?? "GET";
+      const length = String(body.length);
+      writeBufferedResponse(response, {
+        ...outcome,
+        headers: mayHaveBody({ method, status })
+          ? { ...headers, "content-length": length }
+          : headers,
+      });
     } else if (outcome.kind === "refused") {
       const { refusal, closes = false } = outcome;
       if (isForRouters) response.setHeader(REFUSAL_HEADER, refusal.code);
--- a/src/ingress/stream_relay.ts
+++ b/src/ingress/stream_relay.ts
@@ -5,7 +5,6 @@
  */
 import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
-import { makeCloseDelimited } from "../transport/close_delimited_response.ts";
 import { EventOrder } from "../policy/event_order.ts";
 import type { StreamTiming } from "./ingress_exchange.ts";
 import type { StreamEvent } from "../transport/event_stream.ts";
@@ -22,7 +21,6 @@
   readonly #order: EventOrder;
   readonly #clock: () => number;
   #isStarted = false;
-  #isFramed = true;
   #eventCount = 0;
   #lastWriteAt: number | undefined;
   #longestPauseMs = 0;
@@ -61,22 +59,13 @@
     };
   }
 
-  /** Whether the caller can detect that the response was cut off. */
-  get isFramed(): boolean {
-    return this.#isFramed;
-  }
-
-  /** Writes status and headers, before the first event. */
-  start(
-    status: number,
-    { headers, isFramed }: {
-      headers: Record<string, string | string[]>;
-      isFramed: boolean;
-    },
-  ): void {
+  /**
+   * Writes status and headers, before the first event. The response is sent in
+   * chunks even if the upstream's has no length: if this process dies, its
+   * kernel closes the connection as at the end of a response without a length.
+   */
+  start(status: number, headers: Record<string, string | string[]>): void {
     this.#isStarted = true;
-    this.#isFramed = isFramed;
-    if (!isFramed) makeCloseDelimited(this.#response);
     this.#response.writeHead(status, headers);
   }
 
@@ -105,11 +94,13 @@
   }
 
   /**
-   * Aborts the connection, so that the response can't be taken as complete.
-   * Without framing, only a reset tells the caller that it is not.
+   * Aborts the connection, so that the response can't be taken as complete. To
+   * an HTTP/1.0 caller, which knows no chunks, only a reset tells that it is not.
    */
   abort(): void {
-    if (!this.#isFramed) this.#response.socket?.resetAndDestroy();
+    if (!this.#response.chunkedEncoding) {
+      this.#response.socket?.resetAndDestroy();
+    }
     this.#response.destroy();
   }
 
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -11,6 +11,7 @@
 import type { Refusal } from "../diagnostics.ts";
 import type { TryFailure } from "../policy/attempt_plan.ts";
 import type { ResponseTraits, UpstreamLoad } from "../routing/types.ts";
+import { isFramed } from "../transport/body_framing.ts";
 import { EventSplitter } from "../transport/event_stream.ts";
 import { tryReadRefusal } from "../transport/router_hop.ts";
 import type {
@@ -25,19 +26,13 @@
   readonly status: number;
   readonly headers: Record<string, string | string[]>;
   readonly body: Buffer;
-  /** False if the connection's close ended the body, which may be cut off. */
-  readonly isFramed: boolean;
 }
 
 /** How a try ended. */
 export type TryResult =
   | { readonly kind: "answered"; readonly answer: WholeResponse }
   /** The stream was forwarded to its end. */
-  | {
-    readonly kind: "stream-complete";
-    /** False if the connection's close ended it, which may be a cut-off. */
-    readonly isFramed: boolean;
-  }
+  | { readonly kind: "stream-complete" }
   | {
     readonly kind: "ended";
     readonly end: TryFailure;
@@ -131,17 +126,10 @@
 /** Largest response, other than a stream, that is held in memory. */
 const MAX_WHOLE_RESPONSE_BYTES = 16_777_216;
 
-/** Whether the headers frame the body, so that a cut-off can be detected. */
-function isFramed(headers: IncomingHttpHeaders): boolean {
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
-}
-
-/** Whether only the close of the connection ended what `result` passes on. */
-function isCompleteIfAlive(result: TryResult): boolean {
-  if (result.kind === "stream-complete") return !result.isFramed;
-  if (result.kind === "router-refused") return false;
-  return result.answer !== undefined && !result.answer.isFramed;
+/** Whether `result` passes on what the upstream has sent, as complete. */
+function passesOn(result: TryResult): boolean {
+  return result.kind === "stream-complete" ||
+    result.kind !== "router-refused" && result.answer !== undefined;
 }
 
 function isSuccess(status: number): boolean {
@@ -349,10 +337,16 @@
     const result = this.#head.isStream
       ? this.#classifyStream()
       : this.#classifyAnswer();
-    if (isCompleteIfAlive(result)) void this.#checkEnd(result);
+    if (passesOn(result) && !this.#isFramed) void this.#checkEnd(result);
     else this.#end(result);
   }
 
+  get #isFramed(): boolean {
+    const { status, headers } = this.#head!;
+    const { method } = this.#options.request;
+    return isFramed({ method, status, headers });
+  }
+
   /** Ends with `result` unless the upstream has died with its connection. */
   async #checkEnd(result: TryResult): Promise<void> {
     this.#clearTimers();
@@ -369,19 +363,12 @@
       const detail = "the stream ended within an event";
       return { kind: "ended", end: "no-answer", detail, isCutOff: true };
     }
-    const isFramedStream = isFramed(this.#head!.headers);
-    if (!isFramedStream && this.#eventCount === 0) {
+    if (!this.#isFramed && this.#eventCount === 0) {
       const detail = "the stream ended without an event";
       return { kind: "ended", end: "no-answer", detail, isCutOff: true };
     }
     this.#startStream();
-    if (!isFramedStream && this.#options.relay.isFramed) {
-      // The end of this response may be a cut-off, which the caller can't
-      // detect in the framed response that was started before.
-      const detail = "the stream ended with its connection";
-      return { kind: "ended", end: "no-answer", detail, isCutOff: true };
-    }
-    return { kind: "stream-complete", isFramed: isFramedStream };
+    return { kind: "stream-complete" };
   }
 
   #startStream(): void {
@@ -389,10 +376,7 @@
     if (relay.isStarted) return;
     const { status, headers } = this.#head!;
     this.#options.onStreamStart(headers);
-    relay.start(status, {
-      headers: copyResponseHeaders(headers),
-      isFramed: isFramed(headers),
-    });
+    relay.start(status, copyResponseHeaders(headers));
   }
 
   #classifyAnswer(): TryResult {
@@ -416,7 +400,6 @@
       status,
       headers: copyResponseHeaders(headers),
       body,
-      isFramed: isFramed(headers),
     };
     if (status < MIN_SERVER_ERROR_STATUS) return { kind: "answered", answer };
     return { kind: "ended", end: "failed", detail, answer, isPause };
--- a/src/transport/close_delimited_response.ts
+++ b/testing/close_delimited_response.ts
@@ -1,10 +1,4 @@
-/**
- * Close-delimited responses (RFC 9112, section 6.3).
- *
- * Whether an upstream's response without a length is truncated can't be
- * determined from its bytes. It is sent to the caller without a length as well,
- * so that a truncated response does not appear complete.
- */
+/** Close-delimited responses (RFC 9112, section 6.3), as some upstreams send. */
 import type { ServerResponse } from "node:http";
 
 /**
--- a/testing/registered_upstream.ts
+++ b/testing/registered_upstream.ts
@@ -10,7 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import { makeCloseDelimited } from "../src/transport/close_delimited_response.ts";
+import { makeCloseDelimited } from "./close_delimited_response.ts";
 import { findFreePort } from "./free_address.ts";
 import { closeServer, listen, readJson, sendJson } from "./stand_in_http.ts";
 import type { MetadataStoreServer } from "./metadata_store.ts";
