Tell holders of streams whose service has one version

Cause: StreamExchange told nobody of a stream while its service had had one version, as any router could tell the version then. With the second version that knowledge ends for streams that are already running, and the only router that knows their origin may be gone.

Each stream is now told to its holders as its first event is sent and each second while it runs, however many versions there are.

The unit test that expected no message for a sole version stated the cause; two tests replace it, one that such a stream is told and is known once another version has joined, one that a stream which nobody was told of is still known.

--- a/src/control/stream_exchange.ts
+++ b/src/control/stream_exchange.ts
@@ -4,8 +4,8 @@
  *
  * A stream is told as its first event is sent, so that a router which ends right
  * after that leaves it known, and again while it runs, since messages can be
- * lost and routers restart. It is not told while its service has had only one
- * version for as long as streams can last: any router then knows the version.
+ * lost and routers restart. It is told while its service has one version, too:
+ * another may join before the stream is resumed, after this router has ended.
  */
 import {
   createJSONRPCNotification,
@@ -223,17 +223,12 @@
     this.#tell([...this.#running.values()]);
   }
 
-  /** Tells the holders of each stream, unless any router knows its version. */
+  /** Tells the holders of each stream. */
   #tell(streams: readonly RunningStream[]): void {
-    const { self, findVersions, send } = this.#options;
+    const { self, send } = this.#options;
     const byRouter = new Map<string, StreamRecord[]>();
     for (const stream of streams) {
-      const { key, service, softwareVersion, spanMs } = stream;
-      const versions = findVersions(service, spanMs);
-      const isSole = versions.kind === "sole" &&
-        versions.version === softwareVersion;
-      if (isSole) continue;
-      for (const router of this.#listHolders(key)) {
+      for (const router of this.#listHolders(stream.key)) {
         const records = byRouter.get(router) ?? [];
         records.push(createRecord(stream));
         byRouter.set(router, records);
--- a/src/control/stream_exchange_test.ts
+++ b/src/control/stream_exchange_test.ts
@@ -91,15 +91,31 @@
   expect(await fleet.get(1).find("stream", QUESTION)).toBeUndefined();
 });
 
-// Pattern: a service has had one version for as long as its streams last.
-test("a sole version is told to nobody and known to all", async () => {
+// Guards against a router that ends with what nobody else knows: it began the
+// stream while its service had one version, and another has joined since (LOST).
+test("a stream of a sole version is told to its holders", async () => {
   const fleet = new Fleet(6);
   for (const name of fleet.routers.keys()) fleet.versions.set(name, ["v1"]);
   fleet.get(0).recordStart(STREAM);
-  expect(fleet.methods).toEqual([]);
+  expect(fleet.methods).toEqual(Array.from({ length: 5 }, () => "streams"));
   fleet.down.add("router-0");
-  expect(await fleet.get(1).find("stream", QUESTION))
-    .toEqual({ service: "engine", softwareVersion: "v1" });
+  for (const name of fleet.routers.keys()) {
+    fleet.versions.set(name, ["v1", "v2"]);
+  }
+  for (let each = 1; each < 6; each++) {
+    expect(await fleet.get(each).find("stream", QUESTION))
+      .toMatchObject({ softwareVersion: "v1" });
+  }
+});
+
+// Pattern: a service has had one version for as long as its streams last.
+test("a stream of a sole version that nobody was told of is known to all", async () => {
+  const fleet = new Fleet(6);
+  for (const name of fleet.routers.keys()) fleet.versions.set(name, ["v1"]);
+  for (let each = 1; each < 6; each++) {
+    expect(await fleet.get(each).find("stream", QUESTION))
+      .toEqual({ service: "engine", softwareVersion: "v1" });
+  }
 });
 
 test("a router that has just started takes the sole version from others", async () => {
--- a/src/daemon/testing/local_ingress.ts
+++ b/src/daemon/testing/local_ingress.ts
@@ -163,6 +163,8 @@
   readonly body?: string;
   readonly headers?: Record<string, string>;
   readonly deadlineMs?: number;
+  /** Settings of the router that is asked; by default the first one. */
+  readonly router?: IngressSettings;
 }
 
 /** Options of `LocalIngress.start`. */
@@ -184,6 +186,7 @@
   readonly lines: Record<string, unknown>[] = [];
   daemon!: IngressDaemon;
   settings!: IngressSettings;
+  readonly #others = new Map<string, IngressDaemon>();
   #version = 1;
 
   /**
@@ -203,15 +206,10 @@
     this.store.faults.delayMs = storeDelayMs;
     if (hasConfiguration) this.putConfiguration();
     for (let index = 0; index < upstreams; index++) {
-      this.putUpstream(await this.#addUpstream(`up-${index}`));
+      this.putUpstream(await this.addUpstream(`up-${index}`));
     }
     this.settings = {
-      listen: {
-        callers: await findFreeAddress(),
-        ready: await findFreeAddress(),
-        peers: await findFreeAddress(),
-        metrics: await findFreeAddress(),
-      },
+      listen: await findListenAddresses(),
       store: { address: this.store.address },
       ...INGRESS_SETTING_DEFAULTS,
       router: { name: "router-1", failureDomain: "east", linkMbps: 0 },
@@ -229,19 +227,52 @@
     await this.untilReady(200);
   }
 
-  async #startDaemon(): Promise<void> {
-    this.daemon = await startIngressDaemon({
-      settings: this.settings,
+  /**
+   * Starts another router, which reads the store at `storeAddress`; resolves
+   * with its settings once it is ready.
+   */
+  async addRouter(
+    { name, storeAddress = this.store.address }: {
+      name: string;
+      storeAddress?: string;
+    },
+  ): Promise<IngressSettings> {
+    const settings: IngressSettings = {
+      ...this.settings,
+      listen: await findListenAddresses(),
+      store: { address: storeAddress },
+      router: { ...this.settings.router, name },
+    };
+    this.#others.set(name, await this.#start(settings));
+    await this.untilReady(200, settings);
+    return settings;
+  }
+
+  /** Stops a router that was added. */
+  async removeRouter(name: string): Promise<void> {
+    const daemon = this.#others.get(name);
+    this.#others.delete(name);
+    await daemon?.stop();
+  }
+
+  #start(settings: IngressSettings): Promise<IngressDaemon> {
+    return startIngressDaemon({
+      settings,
       logs: createLogFactory({
-        router: "router-1",
+        router: settings.router.name,
         level: "debug",
         write: (line) => this.lines.push(JSON.parse(line)),
       }),
     });
   }
 
+  async #startDaemon(): Promise<void> {
+    this.daemon = await this.#start(this.settings);
+  }
+
   async close(): Promise<void> {
     this.store.faults.isSilent = false;
+    for (const name of [...this.#others.keys()]) await this.removeRouter(name);
     await this.daemon.stop();
     for (const upstream of this.upstreams) upstream.close();
     await this.store.close();
@@ -331,9 +362,10 @@
       body = "",
       headers = {},
       deadlineMs = 2_000,
+      router = this.settings,
     }: CallerRequest,
   ): Promise<IncomingMessage> {
-    const [host, port] = this.settings.listen.callers.split(":");
+    const [host, port] = router.listen.callers.split(":");
     return new Promise((resolve, reject) => {
       const request = sendRequest({
         host,
@@ -382,9 +414,12 @@
   }
 
   /** Waits until the readiness path responds with `status`. */
-  async untilReady(status: number): Promise<void> {
+  async untilReady(
+    status: number,
+    { listen }: IngressSettings = this.settings,
+  ): Promise<void> {
     for (;;) {
-      const url = `http://${this.settings.listen.ready}/corianderflow/ready`;
+      const url = `http://${listen.ready}/corianderflow/ready`;
       if ((await fetch(url)).status === status) return;
       await new Promise((resolve) => setTimeout(resolve, 20));
     }
@@ -402,9 +437,19 @@
     }
   }
 
-  async #addUpstream(id: string): Promise<ScriptedUpstream> {
+  /** Starts an upstream, which has no entry in the store yet. */
+  async addUpstream(id: string): Promise<ScriptedUpstream> {
     const upstream = await startUpstream(id);
     this.upstreams.push(upstream);
     return upstream;
   }
 }
+
+async function findListenAddresses(): Promise<IngressSettings["listen"]> {
+  return {
+    callers: await findFreeAddress(),
+    ready: await findFreeAddress(),
+    peers: await findFreeAddress(),
+    metrics: await findFreeAddress(),
+  };
+}
