Believe "not run" only of answers that can't be late copies

Callers saw: 503 for requests of a route that may not repeat although the upstream had run them (REFUSED), and second runs of such requests at another upstream (TWICE), with an upstream that writes an earlier refusal once more on a kept connection as the next request there begins to run. An error response without an id was passed on as the answer, whatever it was for (MIXED).

Cause: only answers with another id, and successes without one, were taken for those of another request. A refusal, 421 or error without an id was always believed, though on a reused connection nothing ties it to the request. The try's log record did not say either whether the answer had an id.

Now a pure module decides what an answer proves. Without the id of the request it proves something only as the first answer on a new connection, where nothing else can have been answered. All else may have run: what may repeat goes on elsewhere within the budget, the rest gets 502. The log of the try says why. Position on the connection is not needed for that: a copy that arrives before the request is written is as little attributable as one that comes later, and bytes on an idle connection close it already. Kept connections stay in use.

The same rule holds for refusals of routers to which a request was forwarded.

--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -5,6 +5,7 @@
 import { createRefusal, type Refusal } from "../diagnostics.ts";
 import type { RoutingView } from "../control/routing_controller.ts";
 import { encodeUpstreamHeaders } from "../platform/message_headers.ts";
+import { STATUS_MISDIRECTED } from "../policy/answer_proof.ts";
 import { AttemptPlan } from "../policy/attempt_plan.ts";
 import { createRequestDigest } from "../policy/request_digest.ts";
 import type { Hash } from "../policy/rendezvous.ts";
@@ -48,11 +49,7 @@
 import { createRouterTry } from "./router_try.ts";
 import { StreamBinding, type StreamBindingOptions } from "./stream_binding.ts";
 import { StreamRelay } from "./stream_relay.ts";
-import {
-  STATUS_MISDIRECTED,
-  type TryResult,
-  UpstreamTry,
-} from "./upstream_try.ts";
+import { type TryResult, UpstreamTry } from "./upstream_try.ts";
 
 /** Options of the filter. */
 export interface ForwardFilterOptions {
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -9,11 +9,16 @@
   decodeResponse,
 } from "../platform/message_headers.ts";
 import type { Refusal } from "../diagnostics.ts";
+import {
+  type AnswerMeaning,
+  interpretAnswer,
+  isSuccess,
+} from "../policy/answer_proof.ts";
 import type { TryFailure } from "../policy/attempt_plan.ts";
 import type { ResponseTraits, UpstreamLoad } from "../routing/types.ts";
 import { isFramed } from "../transport/body_framing.ts";
 import { EventSplitter } from "../transport/event_stream.ts";
-import { tryReadRefusal } from "../transport/router_hop.ts";
+import { decodeRefusedId, tryReadRefusal } from "../transport/router_hop.ts";
 import type {
   UpstreamConnections,
   UpstreamExchange,
@@ -107,8 +112,6 @@
   ): void;
 }
 
-/** Another upstream than the expected one is at the address. */
-export const STATUS_MISDIRECTED = 421;
 const MIN_SERVER_ERROR_STATUS = 500;
 const EVENT_STREAM_TYPE = "text/event-stream";
 /**
@@ -132,10 +135,6 @@
     result.kind !== "router-refused" && result.answer !== undefined;
 }
 
-function isSuccess(status: number): boolean {
-  return status >= 200 && status < 300;
-}
-
 /** A try in progress. */
 export class UpstreamTry {
   /** Resolves with how the try ended; stays pending after `cancel`. */
@@ -158,6 +157,7 @@
     status: number;
     headers: IncomingHttpHeaders;
     traits: ResponseTraits;
+    meaning: AnswerMeaning;
     isStream: boolean;
   } | undefined;
 
@@ -252,14 +252,16 @@
     clearTimeout(this.#suspectTimer);
     clearTimeout(this.#headTimer);
     const traits = decodeResponse(status, headers);
-    const { requestId, onLoad, onNotice, onData, router } = this.#options;
+    const { onLoad, onNotice, onData, router } = this.#options;
     onData?.();
     onNotice(status, traits, headers);
-    const isForOtherRequest = traits.requestId === undefined
-      ? isSuccess(status)
-      : traits.requestId !== requestId;
-    if (isForOtherRequest) {
-      const detail = `the answer is for ${traits.requestId ?? "no request"}`;
+    const statedId = traits.requestId ??
+      (router === undefined ? undefined : decodeRefusedId(headers));
+    const meaning = this.#interpret(status, { ...traits, statedId });
+    if (meaning === "unclear") {
+      const detail = statedId === undefined
+        ? `status ${status} may answer another request`
+        : `the answer is for ${statedId}`;
       this.#reject({ end: "no-answer", detail });
       return;
     }
@@ -270,10 +272,24 @@
       this.#reject({ end: "no-answer", detail: "the answer is not signed" });
       return;
     }
-    this.#head = { status, headers, traits, isStream };
+    this.#head = { status, headers, traits, meaning, isStream };
     if (router !== undefined) this.#startSilenceTimer();
   }
 
+  #interpret(
+    status: number,
+    { statedId, isNotRun }: {
+      statedId: string | undefined;
+      isNotRun: boolean;
+    },
+  ): AnswerMeaning {
+    const { requestId } = this.#options;
+    return interpretAnswer({ status, statedId, isNotRun }, {
+      id: requestId,
+      isReused: this.isReused,
+    });
+  }
+
   #onData(chunk: Buffer): void {
     if (this.#isDone || this.#head === undefined) return;
     this.#silenceTimer?.refresh();
@@ -380,7 +396,7 @@
   }
 
   #classifyAnswer(): TryResult {
-    const { status, headers, traits } = this.#head!;
+    const { status, headers, traits, meaning } = this.#head!;
     const detail = `status ${status}`;
     const body = this.#chunks.length === 1
       ? this.#chunks[0]!
@@ -389,11 +405,11 @@
       const refusal = tryReadRefusal(headers, body.toString());
       if (refusal !== undefined) return { kind: "router-refused", refusal };
     }
-    if (status === STATUS_MISDIRECTED) {
+    if (meaning === "misdirected") {
       return { kind: "ended", end: "misdirected", detail };
     }
     const isPause = traits.pauseMs !== undefined;
-    if (traits.isNotRun) {
+    if (meaning === "not-run") {
       return { kind: "ended", end: "refused", detail, isPause };
     }
     const answer = {
--- /dev/null
+++ b/src/policy/answer_proof.ts
@@ -0,0 +1,71 @@
+/**
+ * Decides what an answer proves of the request that it arrived for. A faulty
+ * upstream may write an earlier answer once more on a kept connection, where the
+ * answer to the next request is expected.
+ *
+ * Load pattern: requests that must not run twice, on kept connections to
+ * upstreams that refuse many of them and repeat the refusals.
+ */
+
+/** What the head of an answer states. */
+export interface AnswerHead {
+  readonly status: number;
+  /** Id of the request that it is for; undefined if it states none. */
+  readonly statedId: string | undefined;
+  /** Whether it states that the request was not run. */
+  readonly isNotRun: boolean;
+}
+
+/** The request that an answer arrived for. */
+export interface AnsweredRequest {
+  /** Empty if the caller gave none. */
+  readonly id: string;
+  /**
+   * Whether its connection had carried another request. A connection never
+   * carries the same request twice.
+   */
+  readonly isReused: boolean;
+}
+
+/** What an answer proves. */
+export type AnswerMeaning =
+  /** Nothing: it may be for another request, so this one may have run. */
+  | "unclear"
+  /** Another upstream than the expected one has not run the request. */
+  | "misdirected"
+  /** The upstream has not run the request. */
+  | "not-run"
+  /** It is the answer to the request. */
+  | "answer";
+
+/** Another upstream than the expected one is at the address. */
+export const STATUS_MISDIRECTED = 421;
+
+/** Whether a status is that of a success. */
+export function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
+
+/** Whether an answer is certainly for the request that it arrived for. */
+function isAttributable(
+  { status, statedId }: AnswerHead,
+  { id, isReused }: AnsweredRequest,
+): boolean {
+  if (statedId !== undefined && statedId !== id) return false;
+  if (statedId === undefined && isSuccess(status)) return false;
+  // Nothing else can have been answered on a new connection.
+  return !isReused || (statedId !== undefined && id !== "");
+}
+
+/** Decides what the answer with `head` proves of `request`. */
+export function interpretAnswer(
+  head: AnswerHead,
+  request: AnsweredRequest,
+): AnswerMeaning {
+  const { status, isNotRun } = head;
+  if (!isAttributable(head, request)) return "unclear";
+  // A success that was not run contradicts itself.
+  if (isNotRun && isSuccess(status)) return "unclear";
+  if (status === STATUS_MISDIRECTED) return "misdirected";
+  return isNotRun ? "not-run" : "answer";
+}
--- a/src/transport/problem.ts
+++ b/src/transport/problem.ts
@@ -18,6 +18,9 @@
   readonly retryAfterMs?: number;
 }
 
+/** Header of a refusal that holds the id of the request. */
+export const REQUEST_ID_HEADER = "x-request-id";
+
 const MS_PER_SECOND = 1_000;
 
 /** Creates the problem document for a refusal of the request `requestId`. */
@@ -59,7 +62,7 @@
   const headers: Record<string, string> = {
     "content-type": "application/problem+json",
     "content-length": String(body.length),
-    "x-request-id": requestId,
+    [REQUEST_ID_HEADER]: requestId,
   };
   if (problem.retryAfterMs !== undefined) {
     const seconds = problem.retryAfterMs / MS_PER_SECOND;
--- a/src/transport/router_hop.ts
+++ b/src/transport/router_hop.ts
@@ -9,7 +9,7 @@
   getDiagnosticCodes,
   type Refusal,
 } from "../diagnostics.ts";
-import type { Problem } from "./problem.ts";
+import { type Problem, REQUEST_ID_HEADER } from "./problem.ts";
 
 /** Prefix of the headers that only routers read; callers can't set them. */
 export const PRIVATE_HEADER_PREFIX = "x-cf-";
@@ -98,6 +98,18 @@
   };
 }
 
+/**
+ * Returns the id of the request that another router refuses in a response;
+ * undefined if it states none or is no refusal of a router.
+ */
+export function decodeRefusedId(
+  headers: IncomingHttpHeaders,
+): string | undefined {
+  if (headers[REFUSAL_HEADER] === undefined) return undefined;
+  const id = headers[REQUEST_ID_HEADER];
+  return typeof id === "string" ? id : undefined;
+}
+
 function isDiagnosticCode(code: unknown): code is DiagnosticCode {
   return getDiagnosticCodes().includes(code as DiagnosticCode);
 }
