Send a request to an address again on a new connection only

What an answer proves rests on the id of the request. Two upstreams may have one address, one of them gone, and a request that the first has refused is sent to the second. On the same connection a late copy of the refusal would have the right id and count as the second one's answer (REFUSED, TWICE).

Seen so far: the second try came before the first connection was put back into the pool, in the same turn of the event loop, so that it never got that one. Nothing but that order ensured it; no test failed for it. Now a request that is sent to an address again, upstream or router, asks the pool for a new connection.

Not shown: two requests of callers with the same id, which the users' page rules out.

--- a/src/daemon/ingress_late_copies_test.ts
+++ b/src/daemon/ingress_late_copies_test.ts
@@ -8,6 +8,7 @@
 import {
   LocalIngress,
   type ReceivedRequest,
+  type ScriptedUpstream,
   sendCompleteResponse,
 } from "./testing/local_ingress.ts";
 
@@ -165,6 +166,32 @@
   });
 });
 
+// Guards against a second try of a request, at another upstream of the address,
+// on the connection of the first, where a late copy of the first answer has the
+// id of the request.
+test("a request that is sent to an address again gets a new connection", async () => {
+  const fleet = await new LocalIngress().start({ upstreams: 1 });
+  const [{ address, arrived }] = fleet.upstreams as [ScriptedUpstream];
+  fleet.putUpstream({ id: "up-other", address });
+  await fleet.untilLogged({ upstream: "up-other" });
+  await fleet.ask({ id: "first", path: "/book/x" });
+  fleet.script((request) => {
+    const refusal = createRefusal(
+      503,
+      `x-not-executed: 1\r\nx-attempt-id: ${request.id}\r\n`,
+    );
+    if (arrived.length === 2) request.socket.write(refusal);
+    else sendCompleteResponse(request);
+  });
+  const { status } = await fleet.ask({ id: "second", path: "/book/x" });
+  await fleet.close();
+  const [first, refused, again] = arrived;
+  expect(status).toBe(200);
+  expect(refused!.socket).toBe(first!.socket);
+  expect(again!.id).toBe("second");
+  expect(again!.socket).not.toBe(refused!.socket);
+});
+
 describe.each([
   { upstreams: 1, seed: 1 },
   { upstreams: 2, seed: 2 },
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -169,6 +169,8 @@
   readonly #plan: AttemptPlan;
   readonly #relay: StreamRelay;
   readonly #excluded = new Set<string>();
+  /** Addresses that the request was sent to. */
+  readonly #addresses = new Set<string>();
   /** Routers that the request was sent to. */
   readonly #triedRouters = new Set<string>();
   /** Whether the upstreams were not reached, though the links count as up. */
@@ -326,6 +328,7 @@
       isRepeatable,
       silenceTimeoutMs: this.#getSilenceTimeoutMs(),
       maxIdleMs: this.#maxIdleMs,
+      isFresh: this.#recordAddress(target.address),
       mayReplaceTry: () => this.#mayReplaceTry(),
       onStreamStart: ({ origin }) =>
         this.#binding.recordStart(origin ?? { service: this.#service.name }),
@@ -715,9 +718,20 @@
       }),
       body: body !== undefined && body.length > 0 ? body : undefined,
       maxIdleMs: this.#maxIdleMs,
+      isFresh: this.#recordAddress(entry.address),
     };
   }
 
+  /**
+   * Records that the request is sent to `address`. Returns whether it was before:
+   * on the same connection, a late copy of the earlier answer has its id.
+   */
+  #recordAddress(address: string): boolean {
+    const isKnown = this.#addresses.has(address);
+    this.#addresses.add(address);
+    return isKnown;
+  }
+
   get #maxIdleMs(): number {
     return this.#plan.isRepeatable
       ? MAX_IDLE_REPEATABLE_MS
--- a/src/ingress/router_try.ts
+++ b/src/ingress/router_try.ts
@@ -36,6 +36,8 @@
   readonly silenceTimeoutMs: number;
   /** Longest idle time of a reused connection, in milliseconds. */
   readonly maxIdleMs: number;
+  /** Whether it needs a new connection. */
+  readonly isFresh: boolean;
   /** Whether a try without data may be replaced by another. */
   mayReplaceTry(): boolean;
   /** Called before the first events of a stream are written to the caller. */
@@ -76,6 +78,7 @@
       ],
       body: body !== undefined && body.length > 0 ? body : undefined,
       maxIdleMs,
+      isFresh: options.isFresh,
     },
     requestId: traits.requestId,
     isRepeatable,
--- a/src/policy/answer_proof.ts
+++ b/src/policy/answer_proof.ts
@@ -21,8 +21,8 @@
   /** Empty if the caller gave none. */
   readonly id: string;
   /**
-   * Whether its connection had carried another request. A connection never
-   * carries the same request twice.
+   * Whether its connection had carried another request. It has not carried this
+   * one before, whose answers would have its id.
    */
   readonly isReused: boolean;
   /** Whether it may run more than once. */
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -22,6 +22,8 @@
   readonly body: Buffer | undefined;
   /** Maximum idle time of a reused connection, in milliseconds. */
   readonly maxIdleMs: number;
+  /** Whether it needs a new connection; false by default. */
+  readonly isFresh?: boolean;
 }
 
 /** Whether a request that failed may have reached the upstream. */
@@ -307,9 +309,11 @@
     await Promise.all(busy.map(({ client }) => client.destroy()));
   }
 
-  #acquire({ address, maxIdleMs }: UpstreamRequest): Connection {
+  #acquire(
+    { address, maxIdleMs, isFresh = false }: UpstreamRequest,
+  ): Connection {
     const { clock, connectTimeoutMs, idleMs, onOpen } = this.#options;
-    const idle = this.#idle.get(address) ?? [];
+    const idle = isFresh ? [] : this.#idle.get(address) ?? [];
     for (let newest = idle.pop(); newest !== undefined; newest = idle.pop()) {
       if (newest.isClosed) continue;
       if (clock() - newest.idleSince <= maxIdleMs) return newest;
--- a/src/transport/upstream_connections_test.ts
+++ b/src/transport/upstream_connections_test.ts
@@ -43,7 +43,11 @@
   };
 }
 
-function send(connections: UpstreamConnections, address: string) {
+function send(
+  connections: UpstreamConnections,
+  address: string,
+  { isFresh = false }: { isFresh?: boolean } = {},
+) {
   return new Promise<string>((resolve) => {
     const chunks: Buffer[] = [];
     connections.send({
@@ -53,6 +57,7 @@
       headers: [],
       body: undefined,
       maxIdleMs: 1_000,
+      isFresh,
     }, {
       onHead: (status) => chunks.push(Buffer.from(`${status} `)),
       onData: (chunk) => chunks.push(Buffer.from(chunk)),
@@ -136,6 +141,21 @@
   });
 });
 
+// Guards against a second try of a request on the connection of the first, where
+// a late copy of the first answer has the id of the request.
+test("a request that needs a new connection gets one, and others stay idle", async () => {
+  await withUpstream(
+    (socket) => void socket.write(COMPLETE_RESPONSE),
+    async (upstream, connections) => {
+      for (const isFresh of [false, true, false, false]) {
+        await send(connections, upstream.address, { isFresh });
+        await new Promise((resolve) => setTimeout(resolve, 20));
+      }
+      expect(upstream.connections).toBe(2);
+    },
+  );
+});
+
 test("a request is reported as not sent if no connection can be opened", async () => {
   const upstream = await startUpstream(() => {});
   upstream.close();
