Believe an upstream's report on a reused connection only if it is one

A router asks an engine when it started before a bound stream goes on there. The answer carries no id. On a reused connection a late copy of any other answer, such as a refusal, counted as "states no start time", and so as the process of the entry, though it may be one with other software (ORDER).

Now an answer without a start time is believed on a new connection only; on a reused one the engine is asked once more, on a new connection. A late copy of an earlier report needs nothing: it came on the same connection, from the same process.

Evidence (process_check_test.ts): with a copied 503, 200 or 404 before the report of another start time, "same" before, "other" now. npx jest -w 2 src/ingress/process_check src/daemon/ingress_versions

Cost: one more connection for each check of an upstream that states no start time. Other health checks believe no answer: links, refusals of connections and reachability are found out by connecting only.

Not shown: a run of a whole stream with such a copy.

--- a/src/ingress/process_check.ts
+++ b/src/ingress/process_check.ts
@@ -48,29 +48,41 @@
   { address, bornAt }: UpstreamEntry,
   { connections }: ProcessCheckOptions,
 ): Promise<ProcessState> {
-  const report = await fetchReport(address, connections);
+  let report = await fetchReport({ address, connections });
+  if (report?.isReused && decodeReportedStart(report.text) === undefined) {
+    // It may be a late copy of an answer to an earlier request.
+    report = await fetchReport({ address, connections, isFresh: true });
+  }
   if (report === undefined) return "silent";
-  const reportedAt = decodeReportedStart(report);
+  const reportedAt = decodeReportedStart(report.text);
   const isUnstated = reportedAt === undefined || bornAt === undefined;
   return isUnstated || reportedAt === bornAt ? "same" : "other";
 }
 
-/**
- * Returns an engine's report of itself, empty if it has none; undefined if it
- * does not answer.
- */
+/** What an upstream answers to a request for its report. */
+interface ReportAnswer {
+  /** Empty if it has none. */
+  readonly text: string;
+  /** Whether the connection had carried another request before. */
+  readonly isReused: boolean;
+}
+
+/** Returns an engine's report of itself; undefined if it does not answer. */
 function fetchReport(
-  address: string,
-  connections: Pick<UpstreamConnections, "send">,
-): Promise<string | undefined> {
+  { address, connections, isFresh = false }: {
+    address: string;
+    connections: Pick<UpstreamConnections, "send">;
+    isFresh?: boolean;
+  },
+): Promise<ReportAnswer | undefined> {
   const chunks: Buffer[] = [];
   let status = 0;
   let size = 0;
   return new Promise((resolve) => {
     let timer: NodeJS.Timeout | undefined = undefined;
-    function finish(report: string | undefined): void {
+    function finish(answer: ReportAnswer | undefined): void {
       clearTimeout(timer);
-      resolve(report);
+      resolve(answer);
     }
     const exchange = connections.send({
       address,
@@ -79,6 +91,7 @@
       headers: [],
       body: undefined,
       maxIdleMs: Infinity,
+      isFresh,
     }, {
       onHead: (each) => status = each,
       onData: (chunk) => {
@@ -87,9 +100,11 @@
         else cancel();
       },
       onEnd: () => {
-        const text = Buffer.concat(chunks).toString("utf8");
+        const body = Buffer.concat(chunks).toString("utf8");
+        const text = status === STATUS_OK ? body : "";
+        const { isReused } = exchange;
         // The connection becomes idle after this turn of the event loop.
-        setImmediate(() => finish(status === STATUS_OK ? text : ""));
+        setImmediate(() => finish({ text, isReused }));
       },
       onFailure: () => finish(undefined),
     });
--- a/src/ingress/process_check_test.ts
+++ b/src/ingress/process_check_test.ts
@@ -73,6 +73,44 @@
   expect(await checkProcess(entry, options)).toBe("same");
 });
 
+/**
+ * Checks an engine whose answers are those of `answers`, all but the first on new
+ * connections; returns the state and whether each new connection was asked for.
+ */
+async function checkReused(
+  answers: readonly ((listener: ResponseListener) => void)[],
+) {
+  const isFresh: boolean[] = [];
+  const state = await checkProcess(ENTRY, {
+    clock: () => 10_000,
+    connections: {
+      isOpenSince: () => false,
+      send: (request, listener) => {
+        const count = isFresh.push(request.isFresh === true);
+        setImmediate(() => answers[count - 1]!(listener));
+        const isReused = count === 1;
+        return { isReused, cancel() {}, pause() {}, resume() {} };
+      },
+    },
+  });
+  return { state, isFresh };
+}
+
+// Guards against a late copy of another answer that counts as the report of an
+// engine which states no start time, so that a stream goes on at a process with
+// other software (ORDER).
+test("on a reused connection, only a report with a start time is believed", async () => {
+  const report = respond(200, '{"born":8}');
+  for (const copy of [respond(503, ""), respond(200, "ok"), respond(404, "")]) {
+    expect(await checkReused([copy, report]))
+      .toEqual({ state: "other", isFresh: [false, true] });
+  }
+  expect(await checkReused([report]))
+    .toEqual({ state: "other", isFresh: [false] });
+  expect(await checkReused([respond(404, ""), respond(404, "")]))
+    .toEqual({ state: "same", isFresh: [false, true] });
+});
+
 // Guards against reports without end, and engines that don't answer.
 test("an engine whose report does not end is silent", async () => {
   expect(await check((listener) => listener.onFailure("broken", "reset")))
