Take x-not-run of a pooled connection only with the attempt's id

The project's own fleet had the same fault: a refusal with x-not-run was taken for the attempt's without a look at its id. A late copy of one on a connection of the pool made a router answer "ran: no" for a call that ran. Calls that may not repeat were safe: they always use a new connection, on which nothing else can have been answered. An idempotent call was retried as well, which it may, but beyond the one retry that an unclear end allows.

Now the refusal needs the attempt's id, or a new connection. The stand-ins send the id with it, as docs/UPSTREAM_PROTOCOL.md asks of all answers; so does the reply of the filter's test.

The hop between routers of this fleet is unchanged: a router writes one answer to each request.

--- a/src/filters/upstream_filter.ts
+++ b/src/filters/upstream_filter.ts
@@ -47,6 +47,8 @@
   readonly pool: Pool;
   /** Monotonic time of sending, in milliseconds. */
   readonly sentAt: number;
+  /** Whether it was sent on a connection of its own. */
+  readonly isFresh: boolean;
 }
 
 const MAX_ATTEMPTS = 2;
@@ -130,7 +132,11 @@
       pool.release(grant, { fate: "not-sent", isOk: true });
       return undefined;
     }
-    const attempt = { grant, pool, sentAt: clock() };
+    // A retry avoids the connection pool: the first try may have used a
+    // connection that no longer responds.
+    const isFresh = !exchange.isIdempotent ||
+      grant.request.excluded.length > 0;
+    const attempt = { grant, pool, sentAt: clock(), isFresh };
     const sent = await client.send({
       address: grant.upstream.address,
       method: exchange.method,
@@ -140,9 +146,7 @@
       firstByteTimeoutMs: grant.service.firstByteTimeoutMs,
       betweenBytesTimeoutMs: grant.service.betweenBytesTimeoutMs,
       signal: exchange.signal,
-      // A retry avoids the connection pool: the first try may have used a
-      // connection that no longer responds.
-      isFresh: !exchange.isIdempotent || grant.request.excluded.length > 0,
+      isFresh,
     });
     if (sent.err) {
       return this.#handleSendFailure(exchange, { attempt, failure: sent.val });
@@ -203,7 +207,7 @@
     if (report !== undefined) {
       pool.recordReport(grant.upstream.name, report, attempt.sentAt);
     }
-    if (isNotRunResponse(answer)) {
+    if (isNotRunResponse(answer, attempt)) {
       await answer.body.dump();
       this.#release(attempt, { fate: "finished", isOk: false });
       const detail = `${grant.upstream.name} did not take the request.`;
@@ -332,8 +336,17 @@
   };
 }
 
-function isNotRunResponse({ status, headers }: IncomingResponse): boolean {
-  return status === NOT_RUN_STATUS && headers["x-not-run"] === "1";
+/**
+ * Whether the upstream states that it did not run the attempt. On a connection
+ * of the pool, a response without the attempt's id may be a late copy.
+ */
+function isNotRunResponse(
+  { status, headers }: IncomingResponse,
+  { grant, isFresh }: Attempt,
+): boolean {
+  if (status !== NOT_RUN_STATUS || headers["x-not-run"] !== "1") return false;
+  const statedId = headers["x-attempt-id"];
+  return statedId === undefined ? isFresh : statedId === grant.attemptId;
 }
 
 function isBufferable({ headers }: IncomingResponse): boolean {
--- a/src/filters/upstream_filter_test.ts
+++ b/src/filters/upstream_filter_test.ts
@@ -45,9 +45,10 @@
     createIncomingResponse(503, { ...loadHeaders, "content-length": "4" }, [
       "down",
     ]),
-  "did not run it": () =>
+  "did not run it": (id) =>
     createIncomingResponse(503, {
       ...loadHeaders,
+      "x-attempt-id": id,
       "x-not-run": "1",
       "content-length": "0",
     }),
@@ -148,6 +149,39 @@
   }
 });
 
+// Guards against a late copy of an earlier refusal, on a connection of the pool,
+// that makes a router say "not run" of a request which runs.
+test("not run is believed with the id of the attempt, or on a new connection", async () => {
+  const headers = { "x-not-run": "1", "content-length": "0" };
+  const ran: Record<string, unknown> = {};
+  for (const isIdempotent of [true, false]) {
+    for (const statedId of ["own", "other", undefined]) {
+      const { outcome } = await run([], {
+        isIdempotent,
+        budget: 0,
+        reply: (own) =>
+          createIncomingResponse(503, {
+            ...headers,
+            ...(statedId !== undefined && {
+              "x-attempt-id": statedId === "own" ? own : statedId,
+            }),
+          }),
+      });
+      const connection = isIdempotent ? "of the pool" : "new";
+      ran[`${connection}, id ${statedId ?? "absent"}`] =
+        outcome.kind === "refused" && outcome.refusal.ran;
+    }
+  }
+  expect(ran).toEqual({
+    "of the pool, id own": "no",
+    "of the pool, id other": "unknown",
+    "of the pool, id absent": "unknown",
+    "new, id own": "no",
+    "new, id other": "unknown",
+    "new, id absent": "no",
+  });
+});
+
 test("a retry uses a new connection", async () => {
   const { sent } = await run(["breaks off before the head"]);
   const posts = sent.filter(({ method }) => method === "POST");
--- a/testing/upstream_endpoint.ts
+++ b/testing/upstream_endpoint.ts
@@ -6,6 +6,7 @@
 import { applyControl, type Control, Faults } from "./upstream_control.ts";
 import {
   formatLoad,
+  getHeader,
   type Handler,
   type Headers,
   UpstreamServer,
@@ -61,6 +62,8 @@
     if (admission === "fell") return void response.destroy();
     const headers = this.getHeaders();
     if (admission === "leaving") headers["x-not-run"] = "1";
+    const id = getHeader(response.req, "x-attempt-id");
+    if (id !== undefined) headers["x-attempt-id"] = id;
     const body = { error: admission };
     this.server.sendJson(response, 503, { headers, body });
   }
