Ignore datagrams that are no message

What callers saw: a router ended by itself, and its open requests with it, as soon as any program sent it a datagram that is not a JSON object, such as "no json", "null" or nothing at all. A request whose id is deeply nested did the same.

Cause: the type guards of json-rpc-2.0 read fields of whatever they get, and a datagram that is not JSON was handed to them as `undefined`. The TypeError left the socket's handler, and nothing catches it there. The guards don't check the id either, which is sent back in the answer; serializing a nested one overflows the stack.

The guards now see only objects whose id is a text, a number, null or absent.

--- a/src/control/peer_messages.ts
+++ b/src/control/peer_messages.ts
@@ -7,6 +7,7 @@
  */
 import type { Buffer } from "node:buffer";
 import {
+  isJSONRPCID,
   isJSONRPCRequest,
   isJSONRPCResponse,
   type JSONRPCID,
@@ -235,6 +236,11 @@
     (value["word"] === undefined || isStoreUpdate(value["word"]));
 }
 
+/** Whether the id of a message, if any, can be echoed in a response. */
+function hasValidId({ id }: Record<string, unknown>): boolean {
+  return id === undefined || isJSONRPCID(id);
+}
+
 function parseJson(bytes: Buffer): unknown {
   try {
     return JSON.parse(bytes.toString("utf8"));
@@ -247,6 +253,8 @@
 /** Parses a datagram. Returns undefined if it is not a valid message. */
 export function parsePeerMessage(bytes: Buffer): PeerMessage | undefined {
   const message = parseJson(bytes);
+  // The checks of the library read fields of any value.
+  if (!isObject(message) || !hasValidId(message)) return undefined;
   if (isJSONRPCRequest(message)) {
     const { method, params, id } = message;
     if (method === "loads" && isLoadsMessage(params)) {
