Report an address that can't be connected to as a failure

What callers saw: 500 for 2 of 80 requests while an entry named port 99999 or the host 999.0.0.1, though other upstreams could have served them.

Cause: undici parses the address when a connection is created and throws "Invalid URL". The error left `send`, whose callers expect each failure at their listener, and ended the request.

Evidence: the two new tests of these addresses failed with "TypeError: Invalid URL" before the change and pass with it (npx jest src/transport/upstream_connections). Port 0, a name and a header that can't be sent were reported before, too.

The listener is told that the request was not sent, in a later turn as for other failures, so that it is tried elsewhere. Such entries are still decoded; that is a change of its own.

--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -68,6 +68,10 @@
 
 /** Pool of connections to all upstreams. */
 export interface UpstreamConnections {
+  /**
+   * Sends a request. Never throws: the listener is told of an address that can't
+   * be connected to, too.
+   */
   send(request: UpstreamRequest, listener: ResponseListener): UpstreamExchange;
   /**
    * Closes the idle connections to `address`. Used when a connection to it has
@@ -251,7 +255,12 @@
   }
 
   send(request: UpstreamRequest, listener: ResponseListener): UpstreamExchange {
-    const connection = this.#acquire(request);
+    let connection: Connection;
+    try {
+      connection = this.#acquire(request);
+    } catch (cause) {
+      return failExchange(listener, String(cause));
+    }
     const isReused = !connection.isUnused;
     connection.isUnused = false;
     this.#busy.add(connection);
@@ -437,6 +446,26 @@
   }
 }
 
+/**
+ * Reports a request that could not be sent, in a later turn of the event loop,
+ * as all failures are.
+ */
+function failExchange(
+  listener: ResponseListener,
+  detail: string,
+): UpstreamExchange {
+  let isCancelled = false;
+  setImmediate(() => {
+    if (!isCancelled) listener.onFailure("not-sent", detail);
+  });
+  return {
+    isReused: false,
+    cancel: () => isCancelled = true,
+    pause: () => {},
+    resume: () => {},
+  };
+}
+
 /** Creates a pool, which opens connections only when requests are sent. */
 export function createUpstreamConnections(
   options: UpstreamConnectionsOptions,
--- a/src/transport/upstream_connections_test.ts
+++ b/src/transport/upstream_connections_test.ts
@@ -46,7 +46,10 @@
 function send(
   connections: UpstreamConnections,
   address: string,
-  { isFresh = false }: { isFresh?: boolean } = {},
+  { isFresh = false, headers = [] }: {
+    isFresh?: boolean;
+    headers?: string[];
+  } = {},
 ) {
   return new Promise<string>((resolve) => {
     const chunks: Buffer[] = [];
@@ -54,7 +57,7 @@
       address,
       method: "GET",
       path: "/",
-      headers: [],
+      headers,
       body: undefined,
       maxIdleMs: 1_000,
       isFresh,
@@ -166,6 +169,33 @@
   await connections.close();
 });
 
+// Guards against 500 for requests to an upstream whose entry has a bad address.
+test.each([
+  "10.0.0.1:99999",
+  "999.0.0.1:80",
+  "127.0.0.1:0",
+  "nowhere",
+])("a request to %s is reported as not sent", async (address) => {
+  const connections = createUpstreamConnections({
+    clock: () => performance.now(),
+  });
+  expect(await send(connections, address)).toMatch(/^not-sent: /);
+  expect(await connections.isReachable(address)).toBe(false);
+  expect(await connections.isRefusing(address)).toBeDefined();
+  await connections.close();
+});
+
+test("a request with a header that can't be sent is reported as not sent", async () => {
+  const connections = createUpstreamConnections({
+    clock: () => performance.now(),
+  });
+  const header = ["x-name", "a\r\nb"];
+  expect(await send(connections, "127.0.0.1:9", { headers: header })).toMatch(
+    /^not-sent: /,
+  );
+  await connections.close();
+});
+
 /** Listens with a short queue of connections and accepts none of them. */
 const DEAF_SERVER = `require("node:net").createServer()
   .listen({ port: 0, host: "127.0.0.1", backlog: 1 }, function () {
