Add up loads by upstream ids of any name

What callers saw: with an upstream whose id is "constructor", "toString" or the like, no router learned of any other's loads, findings or changes while one had a request there: those messages were dropped as invalid, and requests went to upstreams that other routers had filled.

Cause: loads were added up in a plain object, in which such a name is a function of its prototype; the sum became a text, which receivers refuse with the whole message. Loads of "__proto__" were lost.

Maps hold the sums, and Object.fromEntries makes a property of each key.

--- a/src/control/peer_exchange.ts
+++ b/src/control/peer_exchange.ts
@@ -383,11 +383,11 @@
 }
 
 function addCounts(counts: LoadCounts, others: LoadCounts): LoadCounts {
-  const sum: Record<string, number> = { ...counts };
+  const sum = new Map(Object.entries(counts));
   for (const [upstream, count] of Object.entries(others)) {
-    sum[upstream] = (sum[upstream] ?? 0) + count;
+    sum.set(upstream, (sum.get(upstream) ?? 0) + count);
   }
-  return sum;
+  return Object.fromEntries(sum);
 }
 
 function countOnce(upstreams: readonly string[]): LoadCounts {
--- a/src/policy/upstream_loads.ts
+++ b/src/policy/upstream_loads.ts
@@ -53,11 +53,10 @@
 
   /** Returns the numbers of own requests by upstream, without zeros. */
   listOwn(): Record<string, number> {
-    const counts: Record<string, number> = {};
-    for (const [upstream, { own }] of this.#loads) {
-      if (own > 0) counts[upstream] = own;
-    }
-    return counts;
+    const counts = [...this.#loads]
+      .filter(([, { own }]) => own > 0)
+      .map(([upstream, { own }]) => [upstream, own] as const);
+    return Object.fromEntries(counts);
   }
 
   /**
