--- a/src/ingress/upstream_try_test.ts
+++ b/src/ingress/upstream_try_test.ts
@@ -53,6 +53,7 @@
       router: { lifeSignTimeoutMs: 1_000 },
       silenceTimeoutMs: Infinity,
       isSuspect: () => false,
+      isUpstreamAlive: () => Promise.resolve(true),
       mayReplaceTry: () => false,
       onStreamStart: () => {},
       onLoad: () => {},
