Bind a stream to the process that made its first event

Callers got streams that an engine began with one software version and another engine ended with a different one, in one answer or after they took them up.

An engine may be back at its address, under its id and with other software, and serve before its new entry has arrived. A stream was bound to the version in the entry by which its engine was chosen, told to the other routers so, and went on there. Whether the process was that of the entry was asked only where a stream went on, and a connection of 3 s counted as proof, also while the store was down.

Now an engine's process counts as that of its entry if it has stated the start time of the entry in its report, and a connection to it has been open ever since: all connections end with their process. Otherwise the router reads the report while the engine works on the request, so that no first event waits, once for all streams at that address. A report with the start time of the entry settles it at once; one with another start time settles it when that process's entry arrives, if the connection of the stream is still open. The header by which a router tells the one that has forwarded to it what began a stream leaves out a version in doubt, too.

The test that only a connection of three seconds proves a process is replaced: such a connection proves nothing while the store is silent. In its place a process is proven by its report alone, and only while a connection stays open, which is stricter. `isOpenSince` now also counts connections in use; its test is unchanged.

Not shown: the price on large fleets, where a router's last connection to an engine closes more often, with one report each time; hosts that lose power and return while the router still holds half-open connections to them. Engines that state no start time, and services without reports, are taken at their entry.

--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -146,6 +146,10 @@
     level: "info",
     message: "An upstream no longer limits its rejections.",
   },
+  "other-process": {
+    level: "info",
+    message: "An upstream has restarted, and its entry is not here yet.",
+  },
   "bad-brittle": {
     level: "warn",
     message: "An upstream states a limit of rejections that can't be read.",
--- a/src/daemon/testing/local_ingress.ts
+++ b/src/daemon/testing/local_ingress.ts
@@ -171,6 +171,8 @@
 export interface LocalIngressOptions {
   readonly upstreams?: number;
   readonly bounds?: Partial<IngressSettings["bounds"]>;
+  /** Whether the upstreams are engines, which report on themselves. */
+  readonly areEngines?: boolean;
   /** Whether the store holds a configuration; the router is ready only then. */
   readonly hasConfiguration?: boolean;
   /** Delay of each call to the store, in milliseconds. */
@@ -188,6 +190,7 @@
   settings!: IngressSettings;
   readonly #others = new Map<string, IngressDaemon>();
   #version = 1;
+  #areEngines = false;
 
   /**
    * Starts everything; resolves once the router reports its readiness or, with
@@ -197,6 +200,7 @@
     {
       upstreams = 2,
       bounds = {},
+      areEngines = false,
       hasConfiguration = true,
       storeDelayMs = 0,
       awaitsReadiness = true,
@@ -204,6 +208,7 @@
   ): Promise<this> {
     await this.store.open();
     this.store.faults.delayMs = storeDelayMs;
+    this.#areEngines = areEngines;
     if (hasConfiguration) this.putConfiguration();
     for (let index = 0; index < upstreams; index++) {
       this.putUpstream(await this.addUpstream(`up-${index}`));
@@ -283,7 +288,7 @@
    * or of engines.
    */
   putConfiguration(
-    { keys = [API_KEY], isEngine = false }: {
+    { keys = [API_KEY], isEngine = this.#areEngines }: {
       keys?: string[];
       isEngine?: boolean;
     } = {},
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -47,6 +47,7 @@
   type RouterForwarding,
 } from "./router_forwarding.ts";
 import { createRouterTry } from "./router_try.ts";
+import { ProcessChecks } from "./process_check.ts";
 import { StreamBinding, type StreamBindingOptions } from "./stream_binding.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import { type TryResult, UpstreamTry } from "./upstream_try.ts";
@@ -74,7 +75,7 @@
  * What an upstream states of itself: that it is leaving, that it wants no
  * request for a time, which may be longer than is granted, that it takes only
  * so many requests a second, or that it ends if it has to reject more than so many
- * a second, and when that ends.
+ * a second, and when that ends; or that it is another process than its entry says.
  */
 export type UpstreamNotice =
   | "leaving"
@@ -85,7 +86,8 @@
   | "bad-limit"
   | "brittle"
   | "brittle-ended"
-  | "bad-brittle";
+  | "bad-brittle"
+  | "other-process";
 
 /** What a notice says, for the log. */
 export interface NoticeDetails {
@@ -125,13 +127,24 @@
 export class ForwardFilter implements IngressFilter {
   readonly name = "forward";
   readonly #options: ForwardFilterOptions;
+  readonly #processes: ProcessChecks;
 
   constructor(options: ForwardFilterOptions) {
     this.#options = options;
+    this.#processes = new ProcessChecks(options);
   }
 
   handle(exchange: IngressExchange): Promise<IngressOutcome> {
-    const forwarding = new Forwarding(exchange, this.#options);
+    const binding = new StreamBinding(exchange, {
+      ...this.#options,
+      processes: this.#processes,
+      onOtherProcess: (upstream) =>
+        this.#options.onNotice("other-process", { upstream }),
+    });
+    const forwarding = new Forwarding(exchange, {
+      ...this.#options,
+      binding,
+    });
     return forwarding.run();
   }
 }
@@ -159,6 +172,10 @@
   | { readonly kind: "caller-left" }
   | { readonly kind: "timed-out" };
 
+interface ForwardingOptions extends ForwardFilterOptions {
+  readonly binding: StreamBinding;
+}
+
 /** Sends one request, with all its tries. */
 class Forwarding {
   readonly #exchange: IngressExchange;
@@ -183,7 +200,7 @@
   #digest: string | undefined;
   readonly #binding: StreamBinding;
 
-  constructor(exchange: IngressExchange, options: ForwardFilterOptions) {
+  constructor(exchange: IngressExchange, options: ForwardingOptions) {
     const { route, traits, table, response, workspace } = exchange;
     const key = getSharedPartId(traits.promptParts) ?? traits.requestId;
     const name = pickTarget(route!, key, options);
@@ -198,7 +215,7 @@
       maxAttempts: Math.min(route!.maxAttempts, triesLeft),
     });
     this.#isCounted = isCounted;
-    this.#binding = new StreamBinding(exchange, options);
+    this.#binding = options.binding;
     this.#subjects = {
       workspace: workspace?.name ?? "",
       parts: traits.promptParts.map(({ id }) => id),
@@ -234,6 +251,7 @@
         continue;
       }
       this.#countRequest();
+      await this.#binding.untilSettled();
       const place = placement.find(this.#createPlacementRequest());
       if (!("entry" in place)) return this.#endWithoutUpstream(place);
       if (this.#binding.needsProcessCheck(place.entry, this.#service)) {
@@ -331,7 +349,7 @@
       isFresh: this.#recordAddress(target.address),
       mayReplaceTry: () => this.#mayReplaceTry(),
       onStreamStart: ({ origin }) =>
-        this.#binding.recordStart(origin ?? { service: this.#service.name }),
+        this.#binding.recordOrigin(origin ?? { service: this.#service.name }),
       onNotice: (upstream, notice) => {
         const known = upstream &&
           this.#options.routing.directory.find(upstream);
@@ -490,6 +508,7 @@
         this.#recordNotice(place.entry, { status, traits, sentAt });
       },
     });
+    this.#binding.recordSent(place.entry, this.#service);
     const record: TryRecord = {
       upstream,
       softwareVersion: place.entry.softwareVersion,
@@ -501,6 +520,7 @@
     };
     this.#exchange.trace.push(record);
     const tryOutcome = await this.#waitForOutcome(attempt);
+    this.#binding.recordTryEnd();
     placement.recordEnded(upstream);
     record.ms = Math.round(clock() - sentAt);
     record.end = tryOutcome.kind === "ended" ? tryOutcome.end : tryOutcome.kind;
@@ -528,13 +548,10 @@
   }
 
   #recordStreamStart(entry: UpstreamEntry): void {
-    this.#binding.recordStart(entry);
-    const { service, softwareVersion } = entry;
-    if (this.#exchange.forwarded === undefined) return;
-    if (softwareVersion === undefined) return;
-    setServedHeaders(this.#exchange.response, {
-      origin: { service, softwareVersion },
-    });
+    this.#binding.recordStart(entry, this.#service);
+    const { origin } = this.#binding;
+    if (this.#exchange.forwarded === undefined || origin === undefined) return;
+    setServedHeaders(this.#exchange.response, { origin });
   }
 
   /** Tells the router that forwarded the request where its answer is from. */
--- a/src/ingress/process_check.ts
+++ b/src/ingress/process_check.ts
@@ -6,7 +6,11 @@
 import { Buffer } from "node:buffer";
 import { decodeReportedStart } from "../platform/documents.ts";
 import { ENGINE_REPORT_PATH } from "../platform/names.ts";
-import { RESTART_REPORT_MS } from "../policy/upstream_directory.ts";
+import {
+  isSameProcess,
+  ProcessProofs,
+  type ReportedStart,
+} from "../policy/process_proofs.ts";
 import type { UpstreamEntry } from "../routing/types.ts";
 import type { UpstreamConnections } from "../transport/upstream_connections.ts";
 
@@ -29,34 +33,77 @@
 const MAX_REPORT_BYTES = 1_048_576;
 const STATUS_OK = 200;
 
-/**
- * Whether the next request to an upstream reuses a connection that was opened so
- * long ago that a new entry of the process there would have arrived.
- */
-export function isProvenProcess(
-  { address }: UpstreamEntry,
-  { connections, clock }: ProcessCheckOptions,
-): boolean {
-  return connections.isOpenSince(address, clock() - RESTART_REPORT_MS);
-}
-
 /**
  * Asks an engine when it started. The next request to its address reuses the
  * connection that carried the answer.
  */
 export async function checkProcess(
-  { address, bornAt }: UpstreamEntry,
-  { connections }: ProcessCheckOptions,
+  entry: UpstreamEntry,
+  { connections }: Pick<ProcessCheckOptions, "connections">,
 ): Promise<ProcessState> {
+  const start = await findReportedStart(entry.address, connections);
+  if (start.kind === "silent") return "silent";
+  return isSameProcess(entry, start) ? "same" : "other";
+}
+
+/** What a process has stated of its start. */
+export interface ProcessAnswer {
+  readonly start: ReportedStart;
+  /** Monotonic time at which it was asked, in milliseconds. */
+  readonly askedAt: number;
+}
+
+/** Asks engines when they started, and remembers it while they are in contact. */
+export class ProcessChecks {
+  readonly #options: ProcessCheckOptions;
+  readonly #proofs = new ProcessProofs();
+  /** Calls in progress, by address. */
+  readonly #pending = new Map<string, Promise<ProcessAnswer>>();
+
+  constructor(options: ProcessCheckOptions) {
+    this.#options = options;
+  }
+
+  /** Whether an entry certainly describes the process that answers now. */
+  isProven(entry: UpstreamEntry): boolean {
+    const { connections } = this.#options;
+    return this.#proofs.isProven(
+      entry,
+      (since) => connections.isOpenSince(entry.address, since),
+    );
+  }
+
+  /** Asks the process at `address` when it started. */
+  ask(address: string): Promise<ProcessAnswer> {
+    const pending = this.#pending.get(address);
+    if (pending !== undefined) return pending;
+    const { connections, clock } = this.#options;
+    const call = findReportedStart(address, connections);
+    const askedAt = clock();
+    const recorded = call.then((start) => {
+      this.#pending.delete(address);
+      this.#proofs.record(address, { start, askedAt });
+      return { start, askedAt };
+    });
+    this.#pending.set(address, recorded);
+    return recorded;
+  }
+}
+
+async function findReportedStart(
+  address: string,
+  connections: ProcessCheckOptions["connections"],
+): Promise<ReportedStart> {
   let report = await fetchReport({ address, connections });
   if (report?.isReused && decodeReportedStart(report.text) === undefined) {
     // It may be a late copy of an answer to an earlier request.
     report = await fetchReport({ address, connections, isFresh: true });
   }
-  if (report === undefined) return "silent";
-  const reportedAt = decodeReportedStart(report.text);
-  const isUnstated = reportedAt === undefined || bornAt === undefined;
-  return isUnstated || reportedAt === bornAt ? "same" : "other";
+  if (report === undefined) return { kind: "silent" };
+  const bornAt = decodeReportedStart(report.text);
+  return bornAt === undefined
+    ? { kind: "unstated" }
+    : { kind: "stated", bornAt };
 }
 
 /** What an upstream answers to a request for its report. */
--- a/src/ingress/process_check_test.ts
+++ b/src/ingress/process_check_test.ts
@@ -5,8 +5,8 @@
 import type { UpstreamEntry } from "../routing/types.ts";
 import {
   checkProcess,
-  isProvenProcess,
   type ProcessCheckOptions,
+  ProcessChecks,
 } from "./process_check.ts";
 
 const ENTRY: UpstreamEntry = {
@@ -22,10 +22,7 @@
 };
 
 /** Returns connections on which `answer` handles the request for a report. */
-function createOptions(
-  answer: (listener: ResponseListener) => void,
-  openedAt = Infinity,
-) {
+function createOptions(answer: (listener: ResponseListener) => void) {
   let isCancelled = false;
   const exchange: UpstreamExchange = {
     isReused: false,
@@ -36,7 +33,7 @@
   const options: ProcessCheckOptions = {
     clock: () => 10_000,
     connections: {
-      isOpenSince: (_address, at) => openedAt <= at,
+      isOpenSince: () => false,
       send: (_request, listener) => {
         setImmediate(() => answer(listener));
         return exchange;
@@ -126,9 +123,34 @@
   expect(mute.isCancelled()).toBe(true);
 });
 
-test("only a connection of three seconds or more proves the process", () => {
-  const options = (openedAt: number) =>
-    createOptions(() => {}, openedAt).options;
-  expect(isProvenProcess(ENTRY, options(7_000))).toBe(true);
-  expect(isProvenProcess(ENTRY, options(7_001))).toBe(false);
+// Guards against a process that counts as that of its entry by the age of a
+// connection, while the store does not tell of a restart (ORDER).
+test("a process is proven by its report, while a connection stays open", async () => {
+  let openedAt = 5_000;
+  let reports = 0;
+  const { options } = createOptions((listener) => {
+    reports++;
+    respond(200, '{"born":7}')(listener);
+  });
+  const checks = new ProcessChecks({
+    clock: options.clock,
+    connections: {
+      ...options.connections,
+      isOpenSince: (_address, at) => openedAt <= at,
+    },
+  });
+  expect(checks.isProven(ENTRY)).toBe(false);
+  const answers = await Promise.all([
+    checks.ask(ENTRY.address),
+    checks.ask(ENTRY.address),
+  ]);
+  expect(answers[0]).toEqual({
+    start: { kind: "stated", bornAt: 7 },
+    askedAt: 10_000,
+  });
+  expect(reports).toBe(1);
+  expect(checks.isProven(ENTRY)).toBe(true);
+  expect(checks.isProven({ ...ENTRY, bornAt: 8 })).toBe(false);
+  openedAt = 10_001;
+  expect(checks.isProven(ENTRY)).toBe(false);
 });
--- a/src/ingress/stream_binding.ts
+++ b/src/ingress/stream_binding.ts
@@ -2,25 +2,29 @@
  * Binds a stream that may be resumed to the software version that makes its
  * first event, within the answer and for requests that resume it later.
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import type { RoutingView } from "../control/routing_controller.ts";
 import type { StreamExchange } from "../control/stream_exchange.ts";
 import { createStreamKey } from "../policy/request_digest.ts";
+import { isSameProcess, type ReportedStart } from "../policy/process_proofs.ts";
 import type { StreamOrigin } from "../policy/stream_origins.ts";
+import { RESTART_REPORT_MS } from "../policy/upstream_directory.ts";
 import type {
   RoutedService,
   ServiceRoute,
   UpstreamEntry,
 } from "../routing/types.ts";
 import type { IngressExchange } from "./ingress_exchange.ts";
-import {
-  checkProcess,
-  isProvenProcess,
-  type ProcessCheckOptions,
-} from "./process_check.ts";
+import type { ProcessChecks } from "./process_check.ts";
 
 /** Options of a `StreamBinding`. */
-export interface StreamBindingOptions extends ProcessCheckOptions {
-  readonly routing: RoutingView;
+export interface StreamBindingOptions {
+  readonly routing: Pick<RoutingView, "directory">;
+  readonly processes: Pick<ProcessChecks, "ask" | "isProven">;
+  /** Reads the monotonic clock, in milliseconds. */
+  readonly clock: () => number;
+  /** Called when an upstream is not the process of its entry. */
+  readonly onOtherProcess: (upstream: string) => void;
   readonly streams: Pick<
     StreamExchange,
     "find" | "recordStart" | "recordEnd"
@@ -35,6 +39,20 @@
 const MIN_STREAM_SPAN_MS = 30_000;
 /** No upstream has this version. */
 const NO_VERSION = "\u0000";
+/**
+ * Told to other routers in place of a version that is in doubt, so that they
+ * don't guess it. Routers of an older release look for upstreams that have it.
+ */
+const UNSETTLED_VERSION = "(unsettled)";
+/** Calls to an upstream that does not state when it started. */
+const MAX_ASKS = 3;
+/** Interval of these calls and of looks for a new entry, in milliseconds. */
+const SETTLE_INTERVAL_MS = 100;
+/**
+ * Time for which an answer that broke off waits for the version of its stream,
+ * in milliseconds; exceeds the time for a report.
+ */
+const MAX_SETTLE_WAIT_MS = 300;
 
 /** The binding of the stream that one request begins or resumes. */
 export class StreamBinding {
@@ -45,7 +63,13 @@
   #softwareVersion: string | undefined;
   /** Ids of the upstreams whose process was checked. */
   readonly #checked = new Set<string>();
+  #hasEnded = false;
   #isRunning = false;
+  #origin: StreamOrigin | undefined;
+  /** Whether the upstream that began the stream goes on with it. */
+  #isConnected = false;
+  /** Settles when the version of the stream is known or given up. */
+  #settling: Promise<void> | undefined;
 
   constructor(
     { traits, workspace, route }: IngressExchange,
@@ -64,6 +88,11 @@
     return this.#isResumption;
   }
 
+  /** What began the stream, as far as that is certain. */
+  get origin(): StreamOrigin | undefined {
+    return this.#origin;
+  }
+
   /** Version that the stream is bound to; undefined while it may have any. */
   get softwareVersion(): string | undefined {
     return this.#softwareVersion;
@@ -78,12 +107,45 @@
       service,
       spanMs: this.#spanMs,
     });
+    if (origin?.softwareVersion === UNSETTLED_VERSION) return undefined;
     this.#softwareVersion = origin?.softwareVersion;
     return origin;
   }
 
-  /** Binds the stream, whose first events are about to be sent. */
-  recordStart(
+  /**
+   * Records that a request was sent to an upstream. If its process may be another
+   * than that of its entry, it is asked while it works on the request.
+   */
+  recordSent(entry: UpstreamEntry, service: RoutedService): void {
+    if (this.#softwareVersion !== undefined) return;
+    this.#isConnected = true;
+    if (this.#isInDoubt(entry, service)) {
+      void this.#options.processes.ask(entry.address);
+    }
+  }
+
+  /** Records that an upstream no longer works on the request. */
+  recordTryEnd(): void {
+    this.#isConnected = false;
+  }
+
+  /** Binds the stream, whose first events from `entry` are about to be sent. */
+  recordStart(entry: UpstreamEntry, service: RoutedService): void {
+    const isBound = this.#softwareVersion !== undefined;
+    if (isBound || !this.#isInDoubt(entry, service)) {
+      this.recordOrigin(entry);
+      return;
+    }
+    this.#softwareVersion = NO_VERSION;
+    this.#tell({
+      service: entry.service,
+      softwareVersion: UNSETTLED_VERSION,
+    });
+    this.#settling = this.#settle(entry, service.coldStartMs);
+  }
+
+  /** Binds the stream to a version that is certain; undefined binds to none. */
+  recordOrigin(
     { service, softwareVersion }: Pick<
       UpstreamEntry,
       "service" | "softwareVersion"
@@ -92,18 +154,22 @@
     if (!this.#isResumable) return;
     this.#softwareVersion = softwareVersion ?? NO_VERSION;
     if (softwareVersion === undefined) return;
-    this.#isRunning = true;
-    this.#options.streams.recordStart({
-      key: this.#key,
-      service,
-      softwareVersion,
-      spanMs: this.#spanMs,
-    });
+    this.#origin = { service, softwareVersion };
+    this.#tell(this.#origin);
+  }
+
+  /** Waits a short time until the version of a stream that broke off is known. */
+  async untilSettled(): Promise<void> {
+    if (this.#settling === undefined) return;
+    const timeout = sleep(MAX_SETTLE_WAIT_MS, undefined, { ref: false });
+    await Promise.race([this.#settling, timeout]);
   }
 
   /** Records that this router no longer forwards the stream. */
   recordEnd(): void {
     if (this.#isRunning) this.#options.streams.recordEnd(this.#key);
+    this.#isRunning = false;
+    this.#hasEnded = true;
   }
 
   /**
@@ -115,7 +181,8 @@
     { isEngine }: RoutedService,
   ): boolean {
     return this.#softwareVersion !== undefined && isEngine &&
-      !this.#checked.has(entry.id) && !isProvenProcess(entry, this.#options);
+      !this.#checked.has(entry.id) &&
+      !this.#options.processes.isProven(entry);
   }
 
   /**
@@ -127,11 +194,74 @@
     { coldStartMs }: RoutedService,
   ): Promise<void> {
     this.#checked.add(entry.id);
-    const state = await checkProcess(entry, this.#options);
-    if (state === "same") return;
+    const { start } = await this.#options.processes.ask(entry.address);
+    if (!isSameProcess(entry, start)) {
+      this.#recordOther(entry, { start, coldStartMs });
+    }
+  }
+
+  #recordOther(
+    { id }: UpstreamEntry,
+    { start, coldStartMs }: { start: ReportedStart; coldStartMs: number },
+  ): void {
+    const { routing, clock, onOtherProcess } = this.#options;
+    const known = routing.directory.find(id)?.entry;
+    if (known !== undefined && isSameProcess(known, start)) return;
+    const coldMs = start.kind === "silent" ? 0 : coldStartMs;
+    routing.directory.recordRestarted(id, { coldMs, now: clock() });
+    if (start.kind !== "silent") onOtherProcess(id);
+  }
+
+  /** Whether a stream that an upstream begins may be of another version. */
+  #isInDoubt(entry: UpstreamEntry, { isEngine }: RoutedService): boolean {
+    return this.#isResumable && isEngine &&
+      entry.softwareVersion !== undefined &&
+      !this.#options.processes.isProven(entry);
+  }
+
+  #tell({ service, softwareVersion }: StreamOrigin): void {
+    const { streams } = this.#options;
+    streams.recordStart({
+      key: this.#key,
+      service,
+      softwareVersion,
+      spanMs: this.#spanMs,
+    });
+    if (this.#hasEnded) streams.recordEnd(this.#key);
+    else this.#isRunning = true;
+  }
+
+  /** Binds the stream once it is known which process began it. */
+  async #settle(entry: UpstreamEntry, coldStartMs: number): Promise<void> {
+    const { processes, clock } = this.#options;
+    const startedAt = clock();
+    for (let asks = 1; asks <= MAX_ASKS; asks++) {
+      const { start, askedAt } = await processes.ask(entry.address);
+      if (isSameProcess(entry, start)) {
+        // A process of the entry that runs after the first event has made it.
+        const isCertain = askedAt >= startedAt || processes.isProven(entry);
+        if (isCertain) return this.recordOrigin(entry);
+        continue;
+      }
+      this.#recordOther(entry, { start, coldStartMs });
+      if (start.kind === "stated") {
+        // Of a connection that has closed, the process may have been either.
+        if (!this.#isConnected) return;
+        return await this.#awaitEntry(entry.id, start.bornAt);
+      }
+      await sleep(SETTLE_INTERVAL_MS, undefined, { ref: false });
+    }
+  }
+
+  /** Binds the stream when the entry of the process that began it arrives. */
+  async #awaitEntry(id: string, bornAt: number): Promise<void> {
     const { routing, clock } = this.#options;
-    const coldMs = state === "other" ? coldStartMs : 0;
-    routing.directory.recordRestarted(entry.id, { coldMs, now: clock() });
+    const until = clock() + RESTART_REPORT_MS;
+    while (clock() < until) {
+      const entry = routing.directory.find(id)?.entry;
+      if (entry?.bornAt === bornAt) return this.recordOrigin(entry);
+      await sleep(SETTLE_INTERVAL_MS, undefined, { ref: false });
+    }
   }
 
   get #isResumable(): boolean {
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -79,9 +79,9 @@
    */
   closeIdle(address: string): void;
   /**
-   * Whether the connection that a request to `address` would reuse was opened
-   * before `at`, a monotonic time in milliseconds, so that the process there
-   * has run since then.
+   * Whether a connection to `address` is open that was opened before `at`, a
+   * monotonic time in milliseconds, so that the process there has run since
+   * then. It may be idle or in use.
    */
   isOpenSince(address: string, at: number): boolean;
   /**
@@ -292,9 +292,12 @@
   }
 
   isOpenSince(address: string, at: number): boolean {
-    const open = (this.#idle.get(address) ?? [])
-      .filter(({ isClosed }) => !isClosed);
-    return (open.at(-1)?.openedAt ?? Infinity) <= at;
+    function isOpen({ isClosed, openedAt }: Connection): boolean {
+      return !isClosed && openedAt <= at;
+    }
+    if (this.#idle.get(address)?.some(isOpen)) return true;
+    return [...this.#busy]
+      .some((each) => each.address === address && isOpen(each));
   }
 
   isRefusing(address: string): Promise<boolean> {
