Confirm the view of the store before a sole version is assumed

Callers that resumed a stream at a router which was out of step for a few seconds (cut off from the other routers and the store, with upstreams of another software version joining meanwhile) got events of two versions in one stream (ORDER).

Cause: a view of the upstreams that was up to 3 s old counted as proof that a service had one version only. A question that nobody answered within 0.2 s was decided by that view alone, and routers that answered could be as far behind. It is the class of a lease that is read as if it were a promise: an absence in a cached view was taken for an absence in the store.

A stream that nobody knows is now of the only version if the view holds all that the store had accepted when the question arrived, half of the routers asked have answered, and none of them has seen another version. A stream that began before the question did so at an upstream whose entry was in the store before. The store's revision is read apart from the watch, which may return nothing while the store has changes, with the records of versions; questions that arrive within 0.25 s share a read. Answers state the age of the view; those of older builds lack it and prove nothing, and older builds ignore the field. Questions are sent again after 0.1 s. Each end of an inquiry is logged with its reason, the routers asked and those that answered.

Tests of stream_exchange_test.ts now say what the store confirms; the test of a router that has just started states since when it has seen the version, and two more show that neither a gap in that time nor an older build proves anything.

--- a/src/control/peer_exchange_test.ts
+++ b/src/control/peer_exchange_test.ts
@@ -103,6 +103,8 @@
           sentAt: readClocks(),
           era: 0,
         })),
+      readVersions: () =>
+        respond(() => ({ records: [], revision: this.#revision, era: 0 })),
       poll: (after: number) => {
         this.polls.set(router, (this.polls.get(router) ?? 0) + 1);
         return respond((): StorePoll => ({
--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -30,6 +30,7 @@
 import type { SharedRoutingState } from "./peer_exchange.ts";
 import type { Task, TaskSystem } from "./task.ts";
 import { VersionRecorder } from "./version_recorder.ts";
+import { ViewConfirmation } from "./view_confirmation.ts";
 
 /**
  * Read-only view of the routing state, which has a single writer. Read it again
@@ -59,6 +60,11 @@
    * such a request may wait, or as soon as the store is lost.
    */
   awaitTable(remainingMs: number): Promise<RouteTable | undefined>;
+  /**
+   * Resolves with whether the view of the upstreams holds all that the store had
+   * accepted when this was called; false if that can't be found out soon.
+   */
+  confirmView(): Promise<boolean>;
   /** Stops and removes this router's registration from the store. */
   close(): Promise<void>;
 }
@@ -121,6 +127,7 @@
   readonly #poller: Task<Message>;
   readonly #registrar: Task<Message>;
   readonly #versions: VersionRecorder;
+  readonly #viewConfirmation: ViewConfirmation;
   #hasSnapshot = false;
   #table: RouteTable | undefined;
   /** Resolves the requests that wait for the first configuration. */
@@ -155,6 +162,16 @@
       directory: this.directory,
     });
     this.#confirmation = new Confirmation({ revocationMs });
+    this.#viewConfirmation = new ViewConfirmation({
+      store: options.store,
+      clock: () => options.now().steady,
+      hasRevision: (revision, era) =>
+        era === this.#era && this.#revision !== undefined &&
+        this.#revision >= revision,
+      onBehind: () => this.recordMissedChanges(),
+      onVersions: (record) =>
+        this.directory.recordVersions(record, options.now()),
+    });
     function onFailure(cause: unknown): void {
       log.error("A message failed.", { cause: String(cause) });
     }
@@ -176,6 +193,7 @@
   async close(): Promise<void> {
     this.#isClosed = true;
     this.#endTableWaits();
+    this.#viewConfirmation.close();
     clearTimeout(this.#pollTimer);
     clearTimeout(this.#renewTimer);
     this.#poller.stop();
@@ -231,6 +249,15 @@
     return this.#confirmation.isTrustedAt(now);
   }
 
+  async confirmView(): Promise<boolean> {
+    const { now, pace } = this.#options;
+    const isStoreLost = !this.#isStoreReachable &&
+      this.ageAt(now()) > pace.ownPollMs;
+    // A copy that the store has returned to may lack upstreams.
+    if (isStoreLost || this.#isRestoring()) return false;
+    return await this.#viewConfirmation.confirm();
+  }
+
   routers(): ReadonlyMap<string, string> {
     return this.#routers;
   }
@@ -434,6 +461,7 @@
   #advanceRevision(revision: number): void {
     this.#revision = revision;
     this.#journal.advance(revision, this.#options.now().steady);
+    this.#viewConfirmation.recordAdvance();
   }
 
   /**
--- a/src/control/stream_exchange.ts
+++ b/src/control/stream_exchange.ts
@@ -14,6 +14,11 @@
   type JSONRPCID,
 } from "json-rpc-2.0";
 import type { Hash } from "../policy/rendezvous.ts";
+import {
+  decideInquiry,
+  type InquiryAnswer,
+  type UnknownReason,
+} from "../policy/stream_inquiry.ts";
 import {
   listHolders,
   MAX_STREAM_MS,
@@ -41,10 +46,35 @@
   /** Sends a JSON-RPC message to a router; it may be lost. */
   readonly send: (message: object, router: string) => void;
   /**
-   * Returns what is known of the software versions that a service had in the
-   * last `spanMs` milliseconds.
+   * Returns what this router's view of the store says of the software versions
+   * that a service had in the last `spanMs` milliseconds.
    */
   readonly findVersions: (service: string, spanMs: number) => VersionFinding;
+  /**
+   * Time since the store confirmed that view, in milliseconds; infinite before
+   * the first time.
+   */
+  readonly getViewAgeMs: () => number;
+  /**
+   * Resolves with whether that view holds all that the store had accepted when
+   * this was called.
+   */
+  readonly confirmView: () => Promise<boolean>;
+  /** Called with the end of each inquiry about a stream unknown here. */
+  readonly onInquiryEnd?: (report: InquiryReport) => void;
+}
+
+/** How an inquiry about a stream has ended. */
+export interface InquiryReport {
+  readonly service: string;
+  readonly outcome: "told" | "sole-version" | UnknownReason;
+  /** Number of routers that were asked. */
+  readonly asked: number;
+  /** Number of them that answered. */
+  readonly answers: number;
+  readonly viewAgeMs: number;
+  /** Time that it took, in milliseconds. */
+  readonly ms: number;
 }
 
 /** A stream that this router forwards. */
@@ -55,16 +85,17 @@
 }
 
 interface PendingQuestion {
-  readonly service: string;
+  readonly question: StreamQuestion;
+  /** Monotonic time at which the question arrived, in milliseconds. */
+  readonly askedAt: number;
+  readonly askedCount: number;
   /** Routers that have not answered yet. */
-  readonly asked: Set<string>;
-  /** Answers without the stream after which a sole version counts. */
-  readonly quorum: number;
-  answerCount: number;
-  /** Sole versions that this router and others have seen. */
-  readonly soleVersions: Set<string>;
-  /** Whether one of them has seen several versions. */
-  hasSeveralVersions: boolean;
+  readonly unanswered: Set<string>;
+  /** Answers without the stream. */
+  readonly answers: InquiryAnswer[];
+  isDue: boolean;
+  view: "pending" | "confirmed" | "unconfirmed";
+  readonly timers: NodeJS.Timeout[];
   readonly resolve: (origin: StreamOrigin | undefined) => void;
 }
 
@@ -75,6 +106,18 @@
  * trip between hosts that are busy.
  */
 const ANSWER_TIMEOUT_MS = 200;
+/** Time after which a question is sent again, in milliseconds. */
+const RESEND_MS = 100;
+/**
+ * Time after which a view counts as unconfirmed, in milliseconds; a slow store
+ * takes some hundred milliseconds for a read and a poll.
+ */
+const CONFIRMATION_TIMEOUT_MS = 1_000;
+/**
+ * Age of the view up to which routers of older builds are told the only version,
+ * in milliseconds; those take it as it is.
+ */
+const MAX_SOLE_VERSION_AGE_MS = 3_000;
 
 /** Exchanges what began streams with the other routers. */
 export class StreamExchange {
@@ -101,7 +144,9 @@
   /** Stops; open questions end without a result. */
   close(): void {
     clearInterval(this.#timer);
-    for (const id of [...this.#pending.keys()]) this.#settle(id, undefined);
+    for (const id of [...this.#pending.keys()]) {
+      this.#endQuestion(id, undefined);
+    }
   }
 
   /** Records a stream whose first event is about to be sent to the caller. */
@@ -124,36 +169,33 @@
     key: string,
     { service, spanMs: requestedMs }: { service: string; spanMs: number },
   ): Promise<StreamOrigin | undefined> {
-    const { self, clock, findVersions, send } = this.#options;
+    const { self, clock } = this.#options;
     const known = this.#origins.find(key, clock());
     if (known !== undefined) return Promise.resolve(known);
     const spanMs = Math.min(requestedMs, MAX_STREAM_MS);
-    const own = findVersions(service, spanMs);
-    const ownVersion = own.kind === "sole" ? own.version : undefined;
-    const ownOrigin = createOrigin(service, ownVersion);
-    const asked = new Set(this.#listHolders(key));
-    if (asked.size === 0) return Promise.resolve(ownOrigin);
+    const unanswered = new Set(this.#listHolders(key));
     const id = `stream-${++this.#questionCount}`;
     return new Promise((resolve) => {
-      const timer = setTimeout(
-        () => this.#settleUnanswered(id),
-        ANSWER_TIMEOUT_MS,
-      );
       this.#pending.set(id, {
-        service,
-        asked,
-        quorum: Math.ceil(asked.size / 2),
-        answerCount: 0,
-        soleVersions: new Set(ownVersion === undefined ? [] : [ownVersion]),
-        hasSeveralVersions: own.kind === "several",
-        resolve: (origin) => {
-          clearTimeout(timer);
-          resolve(origin);
-        },
+        question: { router: self, key, service, spanMs },
+        askedAt: clock(),
+        askedCount: unanswered.size,
+        unanswered,
+        answers: [],
+        isDue: false,
+        view: "pending",
+        timers: [
+          setTimeout(() => this.#ask(id), RESEND_MS),
+          setTimeout(() => this.#recordDue(id), ANSWER_TIMEOUT_MS),
+          setTimeout(
+            () => this.#recordView(id, false),
+            CONFIRMATION_TIMEOUT_MS,
+          ),
+        ],
+        resolve,
       });
-      const question: StreamQuestion = { router: self, key, service, spanMs };
-      const message = createJSONRPCRequest(id, "find-stream", question);
-      for (const router of asked) send(message, router);
+      this.#ask(id);
+      void this.#confirmView(id);
     });
   }
 
@@ -169,49 +211,122 @@
     } else this.#receiveFinding(received.id, received.finding);
   }
 
+  /** Asks the routers that have not answered. */
+  #ask(id: JSONRPCID): void {
+    const pending = this.#pending.get(id);
+    if (pending === undefined) return;
+    const message = createJSONRPCRequest(id, "find-stream", pending.question);
+    for (const router of [...pending.unanswered]) {
+      this.#options.send(message, router);
+    }
+  }
+
+  async #confirmView(id: JSONRPCID): Promise<void> {
+    const pending = this.#pending.get(id);
+    if (pending === undefined) return;
+    const { findVersions, confirmView } = this.#options;
+    const { service, spanMs } = pending.question;
+    // A confirmation could not lessen the versions that are known.
+    if (findVersions(service, spanMs).kind === "several") this.#decide(id);
+    else this.#recordView(id, await confirmView());
+  }
+
+  #recordView(id: JSONRPCID, isConfirmed: boolean): void {
+    const pending = this.#pending.get(id);
+    if (pending === undefined) return;
+    pending.view = isConfirmed ? "confirmed" : "unconfirmed";
+    this.#decide(id);
+  }
+
+  /** Records that the time for answers has passed. */
+  #recordDue(id: JSONRPCID): void {
+    const pending = this.#pending.get(id);
+    if (pending === undefined) return;
+    pending.isDue = true;
+    this.#decide(id);
+  }
+
   #answer(id: JSONRPCID, { router, key, service, spanMs }: StreamQuestion) {
-    const { self, clock, findVersions, send } = this.#options;
+    const { self, clock, findVersions, getViewAgeMs, send } = this.#options;
     const stream = this.#origins.find(key, clock());
     const versions = findVersions(service, spanMs);
+    const viewAgeMs = Math.ceil(getViewAgeMs());
+    const isSole = versions.kind === "sole" &&
+      viewAgeMs <= MAX_SOLE_VERSION_AGE_MS;
     const finding: StreamFinding = {
       router: self,
       ...(stream !== undefined && { stream: roundRemaining(stream) }),
-      ...(versions.kind === "sole" && { soleVersion: versions.version }),
+      ...(isSole && { soleVersion: versions.version }),
       ...(versions.kind === "several" && { hasSeveralVersions: true }),
+      ...(Number.isFinite(viewAgeMs) && { viewAgeMs }),
     };
     send(createJSONRPCSuccessResponse(id, finding), router);
   }
 
   #receiveFinding(
     id: JSONRPCID,
-    { router, stream, soleVersion, hasSeveralVersions }: StreamFinding,
+    { router, stream, ...answer }: StreamFinding,
   ): void {
     const pending = this.#pending.get(id);
-    if (pending === undefined || !pending.asked.delete(router)) return;
+    if (pending === undefined || !pending.unanswered.delete(router)) return;
     if (stream !== undefined) {
       this.#origins.record(stream, this.#options.clock());
-      this.#settle(id, stream);
+      this.#settle(id, { outcome: "told", origin: stream });
       return;
     }
-    pending.answerCount++;
-    if (soleVersion !== undefined) pending.soleVersions.add(soleVersion);
-    if (hasSeveralVersions === true) pending.hasSeveralVersions = true;
-    const origin = getSoleOrigin(pending);
-    const isEnough = pending.answerCount >= pending.quorum;
-    if (pending.asked.size === 0 || isEnough && origin !== undefined) {
-      this.#settle(id, origin);
+    pending.answers.push(answer);
+    this.#decide(id);
+  }
+
+  #decide(id: JSONRPCID): void {
+    const pending = this.#pending.get(id);
+    if (pending === undefined) return;
+    const { clock, findVersions } = this.#options;
+    const { key, service, spanMs } = pending.question;
+    const told = this.#origins.find(key, clock());
+    if (told !== undefined) {
+      this.#settle(id, { outcome: "told", origin: told });
+      return;
     }
+    const decision = decideInquiry({
+      ...pending,
+      findVersions: (ms) => findVersions(service, ms),
+      spanMs,
+      elapsedMs: clock() - pending.askedAt,
+    });
+    if (decision.kind === "pending") return;
+    if (decision.kind === "unknown") {
+      this.#settle(id, { outcome: decision.reason, origin: undefined });
+      return;
+    }
+    const origin = { service, softwareVersion: decision.version };
+    this.#settle(id, { outcome: "sole-version", origin });
   }
 
-  /** Ends a question for which some routers have not answered in time. */
-  #settleUnanswered(id: JSONRPCID): void {
+  #settle(
+    id: JSONRPCID,
+    { outcome, origin }: Pick<InquiryReport, "outcome"> & {
+      origin: StreamOrigin | undefined;
+    },
+  ): void {
     const pending = this.#pending.get(id);
-    if (pending !== undefined) this.#settle(id, getSoleOrigin(pending));
+    if (pending === undefined) return;
+    const { clock, getViewAgeMs, onInquiryEnd } = this.#options;
+    this.#endQuestion(id, origin);
+    onInquiryEnd?.({
+      service: pending.question.service,
+      outcome,
+      asked: pending.askedCount,
+      answers: pending.askedCount - pending.unanswered.size,
+      viewAgeMs: Math.round(getViewAgeMs()),
+      ms: Math.round(clock() - pending.askedAt),
+    });
   }
 
-  #settle(id: JSONRPCID, origin: StreamOrigin | undefined): void {
+  #endQuestion(id: JSONRPCID, origin: StreamOrigin | undefined): void {
     const pending = this.#pending.get(id);
     this.#pending.delete(id);
+    for (const timer of pending?.timers ?? []) clearTimeout(timer);
     pending?.resolve(origin);
   }
 
@@ -263,24 +378,3 @@
 function roundRemaining(stream: StreamRecord): StreamRecord {
   return { ...stream, remainingMs: Math.floor(stream.remainingMs) };
 }
-
-function createOrigin(
-  service: string,
-  softwareVersion: string | undefined,
-): StreamOrigin | undefined {
-  return softwareVersion === undefined
-    ? undefined
-    : { service, softwareVersion };
-}
-
-/**
- * Returns the origin of a stream that no router knows, if the routers have seen
- * one version only.
- */
-function getSoleOrigin(
-  { service, soleVersions, hasSeveralVersions }: PendingQuestion,
-): StreamOrigin | undefined {
-  const [version, ...others] = soleVersions;
-  if (hasSeveralVersions || others.length > 0) return undefined;
-  return createOrigin(service, version);
-}
--- a/src/control/stream_exchange_test.ts
+++ b/src/control/stream_exchange_test.ts
@@ -1,7 +1,7 @@
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import type { VersionFinding } from "../policy/version_history.ts";
 import { parsePeerMessage } from "./peer_messages.ts";
-import { StreamExchange } from "./stream_exchange.ts";
+import { type InquiryReport, StreamExchange } from "./stream_exchange.ts";
 
 const STREAM = {
   key: "stream",
@@ -10,6 +10,7 @@
   spanMs: 10_000,
 };
 const QUESTION = { service: "engine", spanMs: 10_000 };
+const VIEW_AGE_MS = 100;
 
 let hash: Hash;
 beforeAll(async () => {
@@ -23,6 +24,13 @@
   readonly methods: string[] = [];
   /** Versions that each router has seen; none if it can't tell. */
   readonly versions = new Map<string, readonly string[]>();
+  /** Time for which routers that started late have seen them, in ms. */
+  readonly coveredMs = new Map<string, number>();
+  /** Routers whose view the store does not confirm. */
+  readonly unconfirmed = new Set<string>();
+  /** Routers of a build that does not state the age of its view. */
+  readonly older = new Set<string>();
+  readonly reports: InquiryReport[] = [];
 
   constructor(count: number) {
     const names = Array.from({ length: count }, (_, each) => `router-${each}`);
@@ -33,7 +41,10 @@
         clock: () => 0,
         listRouters: () => names,
         send: (message, router) => this.#send(message, router),
-        findVersions: () => this.#findVersions(self),
+        findVersions: (_, spanMs) => this.#findVersions(self, spanMs),
+        getViewAgeMs: () => VIEW_AGE_MS,
+        confirmView: () => Promise.resolve(!this.unconfirmed.has(self)),
+        onInquiryEnd: (report) => this.reports.push(report),
       });
       this.routers.set(self, exchange);
     }
@@ -43,10 +54,17 @@
     return this.routers.get(`router-${index}`)!;
   }
 
-  #findVersions(router: string): VersionFinding {
+  setVersions(...versions: string[]): this {
+    for (const name of this.routers.keys()) this.versions.set(name, versions);
+    return this;
+  }
+
+  #findVersions(router: string, spanMs: number): VersionFinding {
     const [version, ...others] = this.versions.get(router) ?? [];
-    if (version === undefined) return { kind: "unknown" };
-    return others.length > 0 ? { kind: "several" } : { kind: "sole", version };
+    if (others.length > 0) return { kind: "several" };
+    const isCovered = spanMs <= (this.coveredMs.get(router) ?? Infinity);
+    if (version === undefined || !isCovered) return { kind: "unknown" };
+    return { kind: "sole", version };
   }
 
   #send(message: object, router: string): void {
@@ -56,7 +74,12 @@
     this.methods.push(parsed.kind);
     if (parsed.kind === "ask" || parsed.kind === "loads") return;
     if (parsed.kind === "answer" || this.down.has(router)) return;
-    this.routers.get(router)!.receive(parsed);
+    if (parsed.kind === "stream-finding") {
+      const { viewAgeMs: _, ...older } = parsed.finding;
+      const isOlder = this.older.has(older.router);
+      const finding = isOlder ? older : parsed.finding;
+      this.routers.get(router)!.receive({ ...parsed, finding });
+    } else this.routers.get(router)!.receive(parsed);
   }
 }
 
@@ -89,44 +112,105 @@
   const fleet = new Fleet(3);
   fleet.down.add("router-0").add("router-2");
   expect(await fleet.get(1).find("stream", QUESTION)).toBeUndefined();
+  fleet.setVersions("v1");
+  expect(await fleet.get(1).find("stream", QUESTION)).toBeUndefined();
 });
 
 // Guards against a router that ends with what nobody else knows: it began the
 // stream while its service had one version, and another has joined since (LOST).
 test("a stream of a sole version is told to its holders", async () => {
-  const fleet = new Fleet(6);
-  for (const name of fleet.routers.keys()) fleet.versions.set(name, ["v1"]);
+  const fleet = new Fleet(6).setVersions("v1");
   fleet.get(0).recordStart(STREAM);
   expect(fleet.methods).toEqual(Array.from({ length: 5 }, () => "streams"));
   fleet.down.add("router-0");
-  for (const name of fleet.routers.keys()) {
-    fleet.versions.set(name, ["v1", "v2"]);
+  fleet.setVersions("v1", "v2");
+  for (let each = 1; each < 6; each++) {
+    expect(await fleet.get(each).find("stream", QUESTION))
+      .toMatchObject({ softwareVersion: "v1" });
   }
+});
+
+// Guards against a store that is down, which must not lose what holders know.
+test("a stream that holders know is found without the store", async () => {
+  const fleet = new Fleet(6);
+  fleet.get(0).recordStart(STREAM);
+  fleet.down.add("router-0");
+  for (const name of fleet.routers.keys()) fleet.unconfirmed.add(name);
   for (let each = 1; each < 6; each++) {
     expect(await fleet.get(each).find("stream", QUESTION))
       .toMatchObject({ softwareVersion: "v1" });
   }
 });
 
+test("a version that is told again in place of another replaces it", async () => {
+  const fleet = new Fleet(6);
+  fleet.get(0).recordStart(STREAM);
+  fleet.get(0).recordStart({ ...STREAM, softwareVersion: "v2" });
+  for (let each = 0; each < 6; each++) {
+    expect(await fleet.get(each).find("stream", QUESTION))
+      .toMatchObject({ softwareVersion: "v2" });
+  }
+});
+
 // Pattern: a service has had one version for as long as its streams last.
 test("a stream of a sole version that nobody was told of is known to all", async () => {
-  const fleet = new Fleet(6);
-  for (const name of fleet.routers.keys()) fleet.versions.set(name, ["v1"]);
+  const fleet = new Fleet(6).setVersions("v1");
   for (let each = 1; each < 6; each++) {
     expect(await fleet.get(each).find("stream", QUESTION))
       .toEqual({ service: "engine", softwareVersion: "v1" });
   }
+  expect(await new Fleet(1).setVersions("v1").get(0).find("stream", QUESTION))
+    .toEqual({ service: "engine", softwareVersion: "v1" });
 });
 
+// Guards against a router that decides by its own view, which is behind (ORDER).
+test.each([0, 1, 2, 3])(
+  "of 5 others, %i that answer do not replace the store",
+  async (answering) => {
+    const fleet = new Fleet(6).setVersions("v1");
+    fleet.unconfirmed.add("router-0");
+    for (let each = answering + 1; each < 6; each++) {
+      fleet.down.add(`router-${each}`);
+    }
+    expect(await fleet.get(0).find("stream", QUESTION)).toBeUndefined();
+    fleet.unconfirmed.clear();
+    const origin = await fleet.get(0).find("stream", QUESTION);
+    expect(origin !== undefined).toBe(answering >= 3);
+    expect(fleet.reports.map(({ outcome }) => outcome)).toEqual([
+      "view-unconfirmed",
+      answering >= 3 ? "sole-version" : "too-few-answers",
+    ]);
+  },
+);
+
 test("a router that has just started takes the sole version from others", async () => {
-  const fleet = new Fleet(6);
-  for (const name of fleet.routers.keys()) fleet.versions.set(name, ["v1"]);
-  fleet.versions.delete("router-1");
-  fleet.versions.delete("router-2");
+  const fleet = new Fleet(6).setVersions("v1");
+  fleet.coveredMs.set("router-1", 2_000).set("router-2", 2_000);
   expect(await fleet.get(1).find("stream", QUESTION))
     .toEqual({ service: "engine", softwareVersion: "v1" });
 });
 
+// Guards against a version that joined and left between the view of the router
+// that answers and the start of the one that asks (ORDER).
+test("a router does not take a sole version from before it started", async () => {
+  const fleet = new Fleet(6).setVersions("v1");
+  fleet.coveredMs.set("router-1", VIEW_AGE_MS);
+  expect(await fleet.get(1).find("stream", QUESTION)).toBeUndefined();
+});
+
+// Pattern: routers of two builds serve side by side.
+test("an answer of an older build proves no sole version", async () => {
+  const fleet = new Fleet(6).setVersions("v1");
+  for (const name of fleet.routers.keys()) fleet.older.add(name);
+  expect(await fleet.get(1).find("stream", QUESTION))
+    .toEqual({ service: "engine", softwareVersion: "v1" });
+  fleet.coveredMs.set("router-1", 2_000);
+  expect(await fleet.get(1).find("stream", QUESTION)).toBeUndefined();
+  fleet.coveredMs.clear();
+  fleet.versions.set("router-2", ["v2"]);
+  expect(await fleet.get(1).find("stream", QUESTION)).toBeUndefined();
+});
+
 // Guards against a router that has not seen a new version yet, and takes a
 // stream of it for one of the version before.
 test("a holder's record counts more than a sole version", async () => {
@@ -159,6 +243,9 @@
     answer({ stream: { ...record, softwareVersion: 1 } }),
     answer({ soleVersion: 1 }),
     answer({ hasSeveralVersions: "yes" }),
+    answer({ viewAgeMs: 5, later: true }),
+    answer({ viewAgeMs: -1 }),
+    answer({ viewAgeMs: 0.5 }),
     parse({
       id: "stream-1",
       method: "find-stream",
--- a/src/control/stream_messages.ts
+++ b/src/control/stream_messages.ts
@@ -32,6 +32,11 @@
   readonly soleVersion?: string;
   /** Whether it had several; absent, as `soleVersion`, if that is unknown. */
   readonly hasSeveralVersions?: boolean;
+  /**
+   * Time since the store confirmed what the router knows of the versions, in
+   * milliseconds; absent if it never did, and from older builds.
+   */
+  readonly viewAgeMs?: number;
 }
 
 /** A message about streams that was parsed and validated. */
@@ -64,6 +69,10 @@
     (value as number) <= MAX_STREAM_MS;
 }
 
+function isAge(value: unknown): boolean {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
 function isStreamRecord(value: unknown): value is StreamRecord {
   if (typeof value !== "object" || value === null) return false;
   const { key, service, softwareVersion, remainingMs } = value as Partial<
@@ -92,13 +101,12 @@
 /** Whether `value` is the result of a `find-stream` request. */
 export function isStreamFinding(value: unknown): value is StreamFinding {
   if (typeof value !== "object" || value === null) return false;
-  const { router, stream, soleVersion, hasSeveralVersions } = value as Record<
-    string,
-    unknown
-  >;
+  const { router, stream, soleVersion, hasSeveralVersions, viewAgeMs } =
+    value as Record<string, unknown>;
   return typeof router === "string" &&
     (stream === undefined || isStreamRecord(stream)) &&
     (soleVersion === undefined || isText(soleVersion, MAX_NAME_LENGTH)) &&
     (hasSeveralVersions === undefined ||
-      typeof hasSeveralVersions === "boolean");
+      typeof hasSeveralVersions === "boolean") &&
+    (viewAgeMs === undefined || isAge(viewAgeMs));
 }
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -25,7 +25,10 @@
   createPeerExchange,
   type PeerExchange,
 } from "../control/peer_exchange.ts";
-import { StreamExchange } from "../control/stream_exchange.ts";
+import {
+  type InquiryReport,
+  StreamExchange,
+} from "../control/stream_exchange.ts";
 import { createTaskSystem, type TaskSystem } from "../control/task.ts";
 import { createFilterChain, type FilterChain } from "../filters/exchange.ts";
 import {
@@ -63,7 +66,6 @@
 import { findUnreadyReason } from "../policy/readiness.ts";
 import { type Hash, loadHash } from "../policy/rendezvous.ts";
 import { createRetryBudget, type RetryBudget } from "../policy/retry_budget.ts";
-import type { VersionFinding } from "../policy/version_history.ts";
 import type { Instant, RoutingConfiguration } from "../routing/types.ts";
 import { bindServer } from "../transport/address.ts";
 import { handleClientErrors } from "../transport/client_error.ts";
@@ -111,11 +113,6 @@
  * counts its retries separately.
  */
 const RETRY_BUDGET_SHARE = 0.9;
-/**
- * Age of the view of the upstreams up to which it tells which versions there
- * are, in milliseconds; exceeds that of a router which asks a relay.
- */
-const MAX_SOLE_VERSION_AGE_MS = 3_000;
 /** Log line of each notice. */
 const NOTICE_LINES: Readonly<
   Record<UpstreamNotice, { level: "info" | "warn"; message: string }>
@@ -292,7 +289,14 @@
       clock: readSteadyClock,
       listRouters: () => [...this.#routing.routers().keys()],
       send: (message, name) => this.#peerExchange.send(message, name),
-      findVersions: (service, spanMs) => this.#findVersions(service, spanMs),
+      findVersions: (service, spanMs) =>
+        this.#routing.directory.findVersions(service, {
+          now: readSteadyClock(),
+          spanMs,
+        }),
+      getViewAgeMs: () => this.#routing.ageAt(readClocks()),
+      confirmView: () => this.#routing.confirmView(),
+      onInquiryEnd: (report) => this.#logInquiry(report),
     });
     this.#peerExchange = createPeerExchange({
       self: router.name,
@@ -507,16 +511,22 @@
     return server;
   }
 
-  /** An outdated view of the upstreams does not prove that there is no other. */
-  #findVersions(service: string, spanMs: number): VersionFinding {
-    const instant = readClocks();
-    const { directory } = this.#routing;
-    const now = instant.steady;
-    const finding = directory.findVersions(service, { now, spanMs });
-    const isOutdated = this.#routing.ageAt(instant) > MAX_SOLE_VERSION_AGE_MS;
-    return finding.kind === "sole" && isOutdated
-      ? { kind: "unknown" }
-      : finding;
+  #logInquiry({ service, outcome, ...fields }: InquiryReport): void {
+    const log = this.#logs("route");
+    if (outcome === "told") {
+      log.debug("Another router knows a stream.", { service, ...fields });
+    } else if (outcome === "sole-version") {
+      log.info("A stream that no router knows is of the only version.", {
+        service,
+        ...fields,
+      });
+    } else {
+      log.info("A stream that no router knows is refused.", {
+        service,
+        reason: outcome,
+        ...fields,
+      });
+    }
   }
 
   #recordNotice(kind: UpstreamNotice, details: NoticeDetails): void {
--- a/src/ingress/process_check_test.ts
+++ b/src/ingress/process_check_test.ts
@@ -79,7 +79,6 @@
 ) {
   const isFresh: boolean[] = [];
   const state = await checkProcess(ENTRY, {
-    clock: () => 10_000,
     connections: {
       isOpenSince: () => false,
       send: (request, listener) => {
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -49,6 +49,14 @@
   /** The store no longer keeps these changes; read a snapshot instead. */
   | { readonly kind: "compacted" };
 
+/** The versions that services had, as the store keeps them. */
+export interface StoreVersions {
+  readonly records: readonly VersionRecord[];
+  /** Revision of the store at the time of the call. */
+  readonly revision: number;
+  readonly era: number;
+}
+
 /** A router's entry in the store. */
 export interface Registration {
   readonly name: string;
@@ -62,6 +70,8 @@
 export interface MetadataStore {
   /** Reads all items, page by page. */
   readAll(): Promise<Result<StoreSnapshot, PlatformFailure>>;
+  /** Reads the versions of the services and the store's revision. */
+  readVersions(): Promise<Result<StoreVersions, PlatformFailure>>;
   /** Waits a limited time for changes after revision `after`. */
   poll(after: number): Promise<Result<StorePoll, PlatformFailure>>;
   /** Registers `router` under a new lease; returns the id of the lease. */
@@ -160,7 +170,7 @@
     let era: number | undefined;
     let after: string | undefined;
     for (;;) {
-      const page = await this.#readPage(after);
+      const page = await this.#readPage({ prefix: "", after });
       if (page.err) return page;
       era ??= page.val.era;
       if (page.val.era !== era) {
@@ -177,6 +187,16 @@
     return Ok({ changes, revision, sentAt, era });
   }
 
+  async readVersions(): Promise<Result<StoreVersions, PlatformFailure>> {
+    const page = await this.#readPage({ prefix: KEYS.versions });
+    return page.map(({ items, revision, era }) => ({
+      records: items.flatMap(decodeChanges)
+        .flatMap((change) => change.kind === "versions" ? [change.record] : []),
+      revision,
+      era,
+    }));
+  }
+
   async poll(after: number): Promise<Result<StorePoll, PlatformFailure>> {
     const { now, pollWaitMs } = this.#options;
     const sentAt = now();
@@ -261,12 +281,13 @@
   }
 
   async #readPage(
-    after: string | undefined,
+    { prefix, after }: { prefix: string; after?: string | undefined },
   ): Promise<Result<Page, PlatformFailure>> {
     const from = after === undefined
       ? ""
       : `&after=${encodeURIComponent(after)}`;
-    const answer = await this.#get(`${STORE_PATHS.range}?prefix=${from}`);
+    const query = `prefix=${encodeURIComponent(prefix)}${from}`;
+    const answer = await this.#get(`${STORE_PATHS.range}?${query}`);
     if (answer.err) return answer;
     return this.#decode(() => readPage(answer.val));
   }
