--- a/src/control/routing_controller_test.ts
+++ b/src/control/routing_controller_test.ts
@@ -70,6 +70,7 @@
         sentAt: readClocks(),
         era,
       }),
+    readVersions: () => respond({ records: [], revision, era }),
     register: () => respond("lease"),
     renew: () => respond(true),
     deregister: () => respond(undefined),
