Wait in a stop until answers are written

Cause: a request counted as done once its answer had been handed to the response. The stop then closed the server, and Node's close also ends the connections whose response has ended but isn't written yet.

Now a request is in flight until its response has been written to the connection, or the connection has closed. The grace time still bounds the stop, so that a caller that reads nothing delays it by no more than that.

Evidence: 'a stop waits until a large answer is written' failed before ('aborted'), with a caller that starts to read 0.5 s after the drain time; it passes now. The test of a stream to an HTTP/1.0 caller that breaks off passed before as well; it is here since nothing else covers the reset that such a caller needs.

Not shown: what the kernel still holds when the process ends, which it goes on sending; on loopback all of it arrived.

--- a/src/daemon/ingress_cut_answers_test.ts
+++ b/src/daemon/ingress_cut_answers_test.ts
@@ -2,8 +2,13 @@
  * Answers that end with their connection, and answers that are cut off: by the
  * end of an upstream's process, or by the stop of the router.
  */
+import { connect } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { BALANCER_DRAIN_MS } from "../policy/stop_plan.ts";
 import {
+  API_KEY,
   createSignedHead,
+  HOST,
   LocalIngress,
   type ReceivedRequest,
   sendCompleteResponse,
@@ -144,3 +149,52 @@
   const cut = await fleet.ask({ id: "id-2", path: "/plan/x" });
   expect(cut).toMatchObject({ text: renderEvents({ to: 2 }), isReset: true });
 });
+
+/** More than the socket buffers of both sides hold. */
+const LARGE_BODY = "x".repeat(15 * 1_048_576);
+const LARGE_TIMEOUT_MS = 6_000;
+
+// Guards against a planned stop that cuts an answer which was handed to the
+// response and is still being written (LOST).
+test("a stop waits until a large answer is written", async () => {
+  fleet.script((request) =>
+    sendCompleteResponse(request, { body: LARGE_BODY })
+  );
+  const answer = await fleet.open({
+    id: "id-1",
+    deadlineMs: LARGE_TIMEOUT_MS,
+  });
+  const stopped = fleet.daemon.stop();
+  await sleep(BALANCER_DRAIN_MS + 500);
+  let size = 0;
+  for await (const chunk of answer) size += (chunk as Uint8Array).length;
+  expect(size).toBe(LARGE_BODY.length);
+  expect(answer.complete).toBe(true);
+  await stopped;
+});
+
+/** Sends a request on a connection of its own; resolves with how it ends. */
+async function askRaw(version: "1.0" | "1.1") {
+  const [host, port] = fleet.settings.listen.callers.split(":");
+  const socket = connect(Number(port), host);
+  let text = "";
+  let end = "closed";
+  socket.on("data", (chunk) => text += chunk.toString());
+  socket.on("error", ({ code }: NodeJS.ErrnoException) => end = code ?? "");
+  socket.write(
+    `GET /plan/x HTTP/${version}\r\nhost: ${HOST}\r\nx-attempt-id: id-1\r\n` +
+      `x-deadline-ms: 2000\r\nauthorization: Bearer ${API_KEY}\r\n\r\n`,
+  );
+  await new Promise((resolve) => socket.once("close", resolve));
+  return { text, end };
+}
+
+test("a stream that breaks off is reset at an HTTP/1.0 caller", async () => {
+  endFirstProcess((request) => {
+    beginUnframed(request);
+    request.socket.write(renderEvents({ to: 2 }));
+  }, sendCompleteResponse);
+  const { text, end } = await askRaw("1.0");
+  expect(text).toContain("d2");
+  expect(end).toBe("ECONNRESET");
+});
--- a/src/transport/in_flight.ts
+++ b/src/transport/in_flight.ts
@@ -37,7 +37,7 @@
   };
 }
 
-/** Serves one request; resolves when its response has been written. */
+/** Serves one request; resolves when it has ended the response. */
 export type RequestHandler = (
   request: IncomingMessage,
   response: ServerResponse,
@@ -50,8 +50,31 @@
 }
 
 /**
- * Wraps `serve` in a request listener that counts requests in flight. If
- * `serve` rejects, the error is logged and the connection is closed.
+ * Resolves when the response has been written to the connection, or the
+ * connection has closed. A response that waits for an earlier one on its
+ * connection does not learn that the connection has closed.
+ */
+function waitUntilWritten(
+  { socket }: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  return new Promise((resolve) => {
+    function finish(): void {
+      response.off("close", finish);
+      socket.off("close", finish);
+      resolve();
+    }
+    // Requests that are pipelined each add a listener.
+    socket.setMaxListeners(0);
+    response.once("close", finish);
+    socket.once("close", finish);
+  });
+}
+
+/**
+ * Wraps `serve` in a request listener that counts requests in flight, each until
+ * its response is written. If `serve` rejects, the error is logged and the
+ * connection is closed.
  */
 export function createCountedHandler(
   serve: RequestHandler,
@@ -61,12 +84,14 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
+    const written = waitUntilWritten(request, response);
     inFlight.recordStart();
     serve(request, response)
       .catch((cause) => {
         log.error("A request handler failed.", { cause: String(cause) });
         response.destroy();
       })
+      .then(() => written)
       .finally(() => inFlight.recordEnd());
   };
 }
