Reset what a stop cuts

Callers that speak HTTP/1.0 saw a stream that a stop cut at the end of its grace time as complete, since such a stream has no length and the connection was closed.

Cause: the stop closed the connections of what was still in flight, as it closes idle ones.

Now it resets those of the requests in flight, of callers and of other routers, when the grace time is over, before the server is closed: its close would end a connection whose answer is only partly written. If all requests have ended in time, nothing is reset, also not a request that has just arrived.

Not chosen: to close them if the answer is in chunks, by which a slow caller would still get what lies in the kernel's buffer.

--- a/src/daemon/ingress_cut_answers_test.ts
+++ b/src/daemon/ingress_cut_answers_test.ts
@@ -189,6 +189,29 @@
   return { text, end };
 }
 
+// Guards against a stream that a stop cuts at the end of its grace time and that
+// looks complete (ORDER).
+test.each(["1.0", "1.1"] as const)(
+  "a stream that a stop cuts is reset at an HTTP/%s caller",
+  async (version) => {
+    fleet.daemon.reload({
+      ...fleet.settings,
+      bounds: { ...fleet.settings.bounds, graceS: 1 },
+    });
+    fleet.script((request) => {
+      beginUnframed(request);
+      request.socket.write(renderEvents({ to: 2 }));
+    });
+    const asked = askRaw(version);
+    while (fleet.arrived.length === 0) await sleep(EVENT_INTERVAL_MS);
+    await fleet.daemon.stop();
+    const { text, end } = await asked;
+    expect(text).toContain("d2");
+    expect(text).not.toMatch(/\r\n0\r\n\r\n$/);
+    expect(end).toBe("ECONNRESET");
+  },
+);
+
 test("a stream that breaks off is reset at an HTTP/1.0 caller", async () => {
   endFirstProcess((request) => {
     beginUnframed(request);
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -393,18 +393,10 @@
     await sleep(
       Math.min(BALANCER_DRAIN_MS, this.#getStopProgress()!.lifetimeMs),
     );
-    await Promise.race([
-      this.#inFlight.waitUntilIdle(),
-      sleep(this.#getStopProgress()!.lifetimeMs),
-    ]);
+    await this.#endInFlight();
     this.#callers.close();
     // Wait for requests that arrived while the last answers were being sent.
-    await Promise.race([
-      this.#inFlight.waitUntilIdle(),
-      sleep(this.#getStopProgress()!.lifetimeMs),
-    ]);
-    // Ends the remaining requests by closing the callers' connections before
-    // those to the upstreams, so that none is retried at another upstream.
+    await this.#endInFlight();
     this.#callers.closeAllConnections();
     for (const { name, cause } of await this.#lifeCycle.close()) {
       log.warn("A resource failed to close.", { name, cause: String(cause) });
@@ -416,6 +408,19 @@
     });
   }
 
+  /**
+   * Waits for the requests in flight, at most until the grace time ends, and
+   * ends the remaining ones: by resetting the callers' connections before those
+   * to the upstreams are closed, so that none is retried at another upstream.
+   */
+  async #endInFlight(): Promise<void> {
+    const isIdle = await Promise.race([
+      this.#inFlight.waitUntilIdle().then(() => true),
+      sleep(this.#getStopProgress()!.lifetimeMs, false),
+    ]);
+    if (!isIdle) this.#inFlight.resetConnections();
+  }
+
   #getStopProgress(): StopProgress | undefined {
     if (this.#stopStartedAt === undefined) return undefined;
     const stoppingMs = readSteadyClock() - this.#stopStartedAt;
--- a/src/transport/in_flight.ts
+++ b/src/transport/in_flight.ts
@@ -1,39 +1,50 @@
 /**
- * Counts the requests that a server has in flight, for a graceful shutdown.
+ * Keeps the requests that a server has in flight, for a graceful shutdown.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Log } from "../log.ts";
 
-/** Counter of requests in flight. */
+/** A request in flight, with its connection. */
+export type RequestInFlight = Pick<IncomingMessage, "socket">;
+
+/** The requests in flight. */
 export interface InFlightCounter {
   readonly count: number;
-  recordStart(): void;
-  recordEnd(): void;
+  recordStart(request: RequestInFlight): void;
+  recordEnd(request: RequestInFlight): void;
   /** Resolves when no request is in flight. */
   waitUntilIdle(): Promise<void>;
+  /**
+   * Resets the connections of the requests in flight. Unlike a close, a reset
+   * can't be taken for the end of a response.
+   */
+  resetConnections(): void;
 }
 
-/** Creates a counter that starts at zero. */
+/** Creates a counter without requests. */
 export function createInFlightCounter(): InFlightCounter {
-  let count = 0;
+  const requests = new Set<RequestInFlight>();
   let idleWaiters: (() => void)[] = [];
   return {
     get count() {
-      return count;
+      return requests.size;
     },
-    recordStart() {
-      count++;
+    recordStart(request) {
+      requests.add(request);
     },
-    recordEnd() {
-      count--;
-      if (count > 0) return;
+    recordEnd(request) {
+      requests.delete(request);
+      if (requests.size > 0) return;
       for (const resolve of idleWaiters) resolve();
       idleWaiters = [];
     },
     waitUntilIdle() {
-      if (count === 0) return Promise.resolve();
+      if (requests.size === 0) return Promise.resolve();
       return new Promise((resolve) => idleWaiters.push(resolve));
     },
+    resetConnections() {
+      for (const { socket } of requests) socket.resetAndDestroy();
+    },
   };
 }
 
@@ -85,13 +96,13 @@
     response: ServerResponse,
   ): void {
     const written = waitUntilWritten(request, response);
-    inFlight.recordStart();
+    inFlight.recordStart(request);
     serve(request, response)
       .catch((cause) => {
         log.error("A request handler failed.", { cause: String(cause) });
         response.destroy();
       })
       .then(() => written)
-      .finally(() => inFlight.recordEnd());
+      .finally(() => inFlight.recordEnd(request));
   };
 }
