Use new connections for a while after an answer that proves nothing

Callers saw: 502 for a third of the requests that may not repeat, though they ran, at an upstream that writes earlier refusals, with their ids, once more on kept connections; the true answer followed 15 ms later on the connection that the router had closed. Since what has no id proves nothing on a reused connection, the same for what an upstream refuses without ids.

Cause: each such request was sent on a kept connection again, though the upstream had just shown that answers there can't be told apart.

Now the next 16 requests that may not repeat to that address, within 10 s, get new connections, where nothing can be repeated and the first answer needs no id. Such a connection replaces an idle one, so that the upstream does not have more open connections than before. What may repeat keeps using kept ones. A router logs and counts the notice "unclear" for each such period. It is not told to other routers: it costs each of them one request at that upstream.

The tests on a reused connection now send 17 requests first, so that the address is trusted again; they assert the same.

Weighed: reading on after an answer with another id, for the request's own on the same connection. Undici ends a connection on which a response comes with no request waiting, so that this needs a parser of ours between socket and client, for every byte of every answer.

--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -151,6 +151,10 @@
     level: "warn",
     message: "An upstream states a limit of rejections that can't be read.",
   },
+  "unclear": {
+    level: "warn",
+    message: "An upstream's answer may be for an earlier request.",
+  },
 };
 const MS_PER_SECOND = 1_000;
 const STATUS_OK = 200;
--- a/src/daemon/ingress_late_copies_test.ts
+++ b/src/daemon/ingress_late_copies_test.ts
@@ -17,6 +17,8 @@
 const COPY_SHARE = 0.6;
 /** Time from a late copy to the answer of the request that runs. */
 const RUN_MS = 15;
+/** Requests that get new connections after an unclear answer. */
+const MAX_NEW_CONNECTIONS = 16;
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 type Refusal = (request: ReceivedRequest) => string;
@@ -118,21 +120,26 @@
     await fleet.close();
   });
 
-  beforeEach(() => {
-    fleet.upstreams[0]!.arrived.length = 0;
-  });
+  async function ask(id: string): Promise<number> {
+    return (await fleet.ask({ id, path: "/book/x" })).status;
+  }
 
-  /** Sends two requests and answers the second with `text`. */
+  /** Sends a request on a reused connection and answers it with `text`. */
   async function answerSecond(text: string) {
+    const { arrived } = fleet.upstreams[0]!;
+    arrived.length = 0;
     fleet.script((request) => sendCompleteResponse(request));
-    const first = await fleet.ask({ id: "first", path: "/book/x" });
+    // After an unclear answer, some requests get new connections.
+    for (let count = 0; count <= MAX_NEW_CONNECTIONS; count++) {
+      expect(await ask("first")).toBe(200);
+    }
     fleet.script(({ socket }) => socket.write(text));
-    const second = await fleet.ask({ id: "second", path: "/book/x" });
-    const { arrived } = fleet;
+    const status = await ask("second");
+    const [first, second] = arrived.slice(MAX_NEW_CONNECTIONS);
     return {
-      statuses: [first.status, second.status],
-      arrived: arrived.map(({ id }) => id),
-      sockets: new Set(arrived.map(({ socket }) => socket)).size,
+      status,
+      arrived: arrived.slice(MAX_NEW_CONNECTIONS).map(({ id }) => id),
+      isReused: first!.socket === second!.socket,
     };
   }
 
@@ -148,22 +155,35 @@
     ["421", "without an id", ""],
   ])("promises nothing: %s %s", async (status, _reason, headers) => {
     expect(await answerSecond(createRefusal(Number(status), headers)))
-      .toEqual({
-        statuses: [200, 502],
-        arrived: ["first", "second"],
-        sockets: 1,
-      });
+      .toEqual({ status: 502, arrived: ["first", "second"], isReused: true });
   });
 
   // Guards against true refusals that are no longer believed.
   test("is a refusal if it has the id of the request", async () => {
     const headers = "x-attempt-id: second\r\nx-not-executed: 1\r\n";
     expect(await answerSecond(createRefusal(503, headers))).toEqual({
-      statuses: [200, 503],
+      status: 503,
       arrived: ["first", "second"],
-      sockets: 1,
+      isReused: true,
     });
   });
+
+  // Guards against an upstream that goes on repeating answers, or refuses without
+  // ids, and so costs one request in a few that may not repeat.
+  test("is followed by requests on new connections if it is unclear", async () => {
+    const refusal = createRefusal(503, "x-not-executed: 1\r\n");
+    await answerSecond(refusal);
+    fleet.script(({ socket }) => socket.write(refusal));
+    const statuses: number[] = [];
+    for (let count = 0; count <= MAX_NEW_CONNECTIONS; count++) {
+      statuses.push(await ask(`third-${count}`));
+    }
+    expect(statuses.slice(0, -1)).toEqual(Array(MAX_NEW_CONNECTIONS).fill(503));
+    expect(statuses.at(-1)).toBe(502);
+    expect(fleet.lines).toContainEqual(expect.objectContaining({
+      message: "route: An upstream's answer may be for an earlier request.",
+    }));
+  });
 });
 
 // Guards against a second try of a request, at another upstream of the address,
@@ -213,6 +233,11 @@
       const twice = runs.filter((id, index) => runs.indexOf(id) !== index);
       expect({ refused, twice }).toEqual({ refused: [], twice: [] });
       for (const [id, text] of texts) expect(text).toBe(`ran ${id}`);
+      const lost = [...statuses.values()].filter((status) => status === 502);
+      // Each is followed by tries on new connections, on which there are no copies.
+      expect(lost.length).toBeLessThanOrEqual(
+        upstreams * (1 + REQUESTS / (MAX_NEW_CONNECTIONS + 1)),
+      );
       expect(copies).toBeGreaterThan(0);
       expect(texts.size).toBeGreaterThan(0);
     },
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -8,6 +8,7 @@
 import { STATUS_MISDIRECTED } from "../policy/answer_proof.ts";
 import { AttemptPlan } from "../policy/attempt_plan.ts";
 import { createRequestDigest } from "../policy/request_digest.ts";
+import { ConnectionTrust } from "../policy/connection_trust.ts";
 import type { Hash } from "../policy/rendezvous.ts";
 import { pickTarget } from "../policy/route_table.ts";
 import type {
@@ -75,7 +76,8 @@
  * What an upstream states of itself: that it is leaving, that it wants no
  * request for a time, which may be longer than is granted, that it takes only
  * so many requests a second, or that it ends if it has to reject more than so many
- * a second, and when that ends; or that it is another process than its entry says.
+ * a second, and when that ends; that it is another process than its entry says,
+ * or that it answers what may be for another request.
  */
 export type UpstreamNotice =
   | "leaving"
@@ -87,7 +89,8 @@
   | "brittle"
   | "brittle-ended"
   | "bad-brittle"
-  | "other-process";
+  | "other-process"
+  | "unclear";
 
 /** What a notice says, for the log. */
 export interface NoticeDetails {
@@ -128,6 +131,7 @@
   readonly name = "forward";
   readonly #options: ForwardFilterOptions;
   readonly #processes: ProcessChecks;
+  readonly #trust = new ConnectionTrust();
 
   constructor(options: ForwardFilterOptions) {
     this.#options = options;
@@ -144,6 +148,7 @@
     const forwarding = new Forwarding(exchange, {
       ...this.#options,
       binding,
+      trust: this.#trust,
     });
     return forwarding.run();
   }
@@ -172,14 +177,16 @@
   | { readonly kind: "caller-left" }
   | { readonly kind: "timed-out" };
 
+/** Options of a `Forwarding`. */
 interface ForwardingOptions extends ForwardFilterOptions {
   readonly binding: StreamBinding;
+  readonly trust: ConnectionTrust;
 }
 
 /** Sends one request, with all its tries. */
 class Forwarding {
   readonly #exchange: IngressExchange;
-  readonly #options: ForwardFilterOptions;
+  readonly #options: ForwardingOptions;
   readonly #route: ServiceRoute;
   /** Fixed before the first try. */
   #service: RoutedService;
@@ -632,6 +639,7 @@
       return;
     }
     if (tryOutcome.kind !== "ended") return;
+    if (tryOutcome.isUnclear === true) this.#recordUnclear(entry);
     if (tryOutcome.end === "misdirected") {
       routing.directory.recordMisdirected(entry.id, clock());
       connections.closeIdle(entry.address);
@@ -653,6 +661,12 @@
     placement.recordHealth(entry.id, "failed");
   }
 
+  #recordUnclear({ id, address }: UpstreamEntry): void {
+    const { trust, clock, onNotice } = this.#options;
+    const isNew = trust.recordUnclear(address, clock());
+    if (isNew) onNotice("unclear", { upstream: id });
+  }
+
   /** Records what an upstream says of itself in the head of a response. */
   #recordNotice(
     entry: UpstreamEntry,
@@ -735,10 +749,17 @@
       }),
       body: body !== undefined && body.length > 0 ? body : undefined,
       maxIdleMs: this.#maxIdleMs,
-      isFresh: this.#recordAddress(entry.address),
+      isFresh: this.#needsNewConnection(entry.address),
     };
   }
 
+  #needsNewConnection(address: string): boolean {
+    const { trust, clock } = this.#options;
+    if (this.#recordAddress(address)) return true;
+    return !this.#plan.isRepeatable &&
+      trust.takeNewConnection(address, clock());
+  }
+
   /**
    * Records that the request is sent to `address`. Returns whether it was before:
    * on the same connection, a late copy of the earlier answer has its id.
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -48,6 +48,8 @@
     readonly isCutOff?: boolean;
     /** Whether the try was given up because no data arrived for too long. */
     readonly isSilent?: boolean;
+    /** Whether the response may be a late copy of an earlier one. */
+    readonly isUnclear?: boolean;
     /** Whether the upstream asked for a pause. */
     readonly isPause?: boolean;
     /** Headers of the response, if a router serves the request. */
@@ -264,7 +266,8 @@
       const detail = statedId === undefined
         ? `status ${status} may answer another request`
         : `the answer is for ${statedId}`;
-      this.#reject({ end: "no-answer", detail });
+      const isUnclear = this.isReused;
+      this.#reject({ end: "no-answer", detail, isUnclear });
       return;
     }
     if (traits.load !== undefined) onLoad(traits.load);
@@ -428,7 +431,12 @@
   }
 
   #reject(
-    ended: { end: TryFailure; detail: string; isSilent?: boolean },
+    ended: {
+      end: TryFailure;
+      detail: string;
+      isSilent?: boolean;
+      isUnclear?: boolean;
+    },
   ): void {
     if (this.#isDone) return;
     this.#exchange.cancel();
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -22,7 +22,10 @@
   readonly body: Buffer | undefined;
   /** Maximum idle time of a reused connection, in milliseconds. */
   readonly maxIdleMs: number;
-  /** Whether it needs a new connection; false by default. */
+  /**
+   * Whether it needs a new connection, which replaces an idle one; false by
+   * default.
+   */
   readonly isFresh?: boolean;
 }
 
@@ -324,8 +327,12 @@
   #acquire(
     { address, maxIdleMs, isFresh = false }: UpstreamRequest,
   ): Connection {
-    const { clock, connectTimeoutMs, idleMs, onOpen } = this.#options;
-    const idle = isFresh ? [] : this.#idle.get(address) ?? [];
+    const { clock } = this.#options;
+    const idle = this.#idle.get(address) ?? [];
+    if (isFresh) {
+      idle.shift()?.destroy();
+      return this.#open(address);
+    }
     for (let newest = idle.pop(); newest !== undefined; newest = idle.pop()) {
       if (newest.isClosed) continue;
       if (clock() - newest.idleSince <= maxIdleMs) return newest;
@@ -334,6 +341,11 @@
       idle.push(newest);
       break;
     }
+    return this.#open(address);
+  }
+
+  #open(address: string): Connection {
+    const { clock, connectTimeoutMs, idleMs, onOpen } = this.#options;
     onOpen(address);
     const openedAt = clock();
     return new Connection(address, { connectTimeoutMs, idleMs, openedAt });
--- a/src/transport/upstream_connections_test.ts
+++ b/src/transport/upstream_connections_test.ts
@@ -146,7 +146,7 @@
 
 // Guards against a second try of a request on the connection of the first, where
 // a late copy of the first answer has the id of the request.
-test("a request that needs a new connection gets one, and others stay idle", async () => {
+test("a request that needs a new connection gets one, which others reuse", async () => {
   await withUpstream(
     (socket) => void socket.write(COMPLETE_RESPONSE),
     async (upstream, connections) => {
