--- a/src/control/stream_exchange.ts
+++ b/src/control/stream_exchange.ts
@@ -172,7 +172,8 @@
     const { self, clock } = this.#options;
     const known = this.#origins.find(key, clock());
     if (known !== undefined) return Promise.resolve(known);
-    const spanMs = Math.min(requestedMs, MAX_STREAM_MS);
+    // Others count the span back from the time at which they answer.
+    const spanMs = Math.min(requestedMs + ANSWER_TIMEOUT_MS, MAX_STREAM_MS);
     const unanswered = new Set(this.#listHolders(key));
     const id = `stream-${++this.#questionCount}`;
     return new Promise((resolve) => {
--- a/src/policy/stream_inquiry.ts
+++ b/src/policy/stream_inquiry.ts
@@ -38,9 +38,12 @@
    * question arrived.
    */
   readonly view: "pending" | "confirmed" | "unconfirmed";
-  /** Versions of the service in the last `spanMs` milliseconds. */
+  /** Versions of the service in a span of milliseconds that ends now. */
   readonly findVersions: (spanMs: number) => VersionFinding;
-  /** Time in which the stream may have begun, in milliseconds. */
+  /**
+   * Time before the question arrived in which the stream may have begun, in
+   * milliseconds.
+   */
   readonly spanMs: number;
   /** Time since the question arrived, in milliseconds. */
   readonly elapsedMs: number;
@@ -64,13 +67,14 @@
 
 /** Decides on a stream that no router has named so far. */
 export function decideInquiry(state: InquiryState): InquiryDecision {
-  const { askedCount, answers, isDue, view, findVersions, spanMs } = state;
+  const { askedCount, answers, isDue, view } = state;
   const areAllIn = isDue || answers.length >= askedCount;
   function refuse(reason: UnknownReason): InquiryDecision {
     // A router that has not answered yet may know the stream.
     return areAllIn ? { kind: "unknown", reason } : PENDING;
   }
-  const own = findVersions(spanMs);
+  // The span ended when the question arrived.
+  const own = state.findVersions(state.spanMs + state.elapsedMs);
   if (hasSeveralVersions(own, answers)) return refuse("several-versions");
   if (view === "unconfirmed") return refuse("view-unconfirmed");
   if (answers.length < Math.ceil(askedCount / 2)) {
