Confirm no view while lost state of the store stays in use

A store that returns to an older copy may do so between a question about a stream and the answer that confirms the view: the new era's revision then counted, though the copy may lack upstreams until they have written their entries again. The check now comes after the confirmation.

Evidence: read in the code. The test added, of a version that joined after the copy, passes without the change, too, since the record of versions is written again within a second and names that version; it guards the behaviour.

--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -253,9 +253,9 @@
     const { now, pace } = this.#options;
     const isStoreLost = !this.#isStoreReachable &&
       this.ageAt(now()) > pace.ownPollMs;
+    if (isStoreLost || !await this.#viewConfirmation.confirm()) return false;
     // A copy that the store has returned to may lack upstreams.
-    if (isStoreLost || this.#isRestoring()) return false;
-    return await this.#viewConfirmation.confirm();
+    return !this.#isRestoring();
   }
 
   routers(): ReadonlyMap<string, string> {
--- a/src/daemon/ingress_cut_test.ts
+++ b/src/daemon/ingress_cut_test.ts
@@ -168,6 +168,27 @@
   checkRefused(answers);
 });
 
+// Guards against the same where the store has returned to a copy from before the
+// version joined (ORDER).
+test("a store that has returned to a copy does not prove a sole version", async () => {
+  datagrams.add(fleet.settings.listen.peers);
+  fleet.store.saveCopy();
+  await cutStore();
+  await addOtherVersion();
+  await beginStreams("other", fleet.settings);
+  fleet.store.returnToCopy();
+  await relay.setFaults({ cutOneWay: "none" });
+  for (const router of ["router-2", "router-3"]) {
+    await fleet.untilLogged({
+      message: "config: The store has returned to an older copy of its state.",
+      router,
+    });
+  }
+  const answers = await resumeAll("other", late);
+  expect(countMixed("other")).toBe(0);
+  checkRefused(answers);
+});
+
 // Guards against streams that are refused where others know them (LOST).
 test("a router whose view of the store stands still resumes what others know", async () => {
   await beginStreams("first", fleet.settings);
