Send nothing after the end of a stand-in's process

A timer that was due with the kill ran between the end of the process and the close of its connections, counted an event as sent and wrote it to a destroyed socket. The stand-in now stops with its process.

--- a/testing/registered_upstream.ts
+++ b/testing/registered_upstream.ts
@@ -482,8 +482,9 @@
     let sent = half;
     this.#watchCut(response, { requestId, getSent: () => sent });
     response.write(body.slice(0, half));
+    const server = this.#server;
     await sleep(SERVICE_MS);
-    if (response.destroyed) return;
+    if (response.destroyed || this.#server !== server) return;
     if (this.resetsAnswers) {
       this.#reset(response, { requestId, sent });
       return;
@@ -537,12 +538,14 @@
     response.setHeader("content-type", "text/event-stream");
     const hasNoLength = isUnframed(streamId);
     if (hasNoLength) makeCloseDelimited(response);
+    const server = this.#server;
     const version = this.#runningVersion;
     const last = getEventCount(streamId);
     let sent = lastEventId;
     this.#watchCut(response, { requestId, getSent: () => sent });
     for (let id = lastEventId + 1; id <= last; id++) {
-      if (response.destroyed) return;
+      // Connections close some time after the process has ended.
+      if (response.destroyed || this.#server !== server) return;
       const isHalf = id > lastEventId + (last - lastEventId) / 2;
       if (hasNoLength && isHalf && this.resetsAnswers) {
         this.#reset(response, { requestId, sent });
