Count only engines that requests reach as serving in the soak

At that moment, 11.8 s into the run, version v1 had three engines: one was killed (engine-0, 10833 to 12271 ms) and the links to the other two were cut (engine-1, 10960 to 13358; engine-2, 11770 to 16018). The logs of the routers say "no upstream of version v1" for all of them within 0.2 s. The check asks for two engines of the version that serve, and took engines behind a cut link for such. They no longer count; all else of the check is as it was.

--- a/bench/store_chaos_fleet.ts
+++ b/bench/store_chaos_fleet.ts
@@ -147,10 +147,13 @@
     return this.#options.engineVersions;
   }
 
-  /** Number of engines with `version` that take new requests. */
+  /** Number of engines with `version` that new requests reach. */
   countServing(version: string): number {
-    return this.upstreams.filter(({ name, isServing, softwareVersion }) =>
-      name.startsWith("engine") && isServing && softwareVersion === version
+    return this.upstreams.filter((
+      { name, isServing, softwareVersion, relay },
+    ) =>
+      name.startsWith("engine") && isServing && !relay.isCut &&
+      softwareVersion === version
     ).length;
   }
 
--- a/testing/relay.ts
+++ b/testing/relay.ts
@@ -39,6 +39,8 @@
   readonly address: string;
   setFaults(faults: Partial<RelayFaults>): Promise<RelayFaults>;
   getStats(): RelayStats;
+  /** Whether bytes are kept from passing in a direction. */
+  readonly isCut: boolean;
   /** Relays new connections to another target, `ip:port`. */
   setTarget(target: string): void;
   close(): Promise<void>;
@@ -92,6 +94,10 @@
     return this.#faults;
   }
 
+  get isCut(): boolean {
+    return this.#faults.cut || this.#faults.cutOneWay !== "none";
+  }
+
   getStats(): RelayStats {
     return { ...this.#stats };
   }
