Hold a framed answer to the same rule in the soak

An upstream may close the connection of an answer without a length itself, which the protocol can't tell from its end, and the judge of the users allows. The soak allowed that only where the answer reached the caller without a length. A router may as well frame it, and the caller then sees a complete answer with the same bytes. Both are now "short", and allowed at the same place only: the last event or byte that the upstream sent, and only if the upstream's own answer had no length. A framed answer of an upstream that is passed on short is a violation as before. `npx jest bench/store_chaos_verdict bench/store_chaos_calls` shows both sides.

--- a/bench/store_chaos_calls.ts
+++ b/bench/store_chaos_calls.ts
@@ -244,8 +244,6 @@
   const body = Buffer.concat(chunks);
   // Without framing, a close completes the answer (RFC 9112, section 6.3), and
   // only a reset does not.
-  const isFramed = response.headers["transfer-encoding"] !== undefined ||
-    response.headers["content-length"] !== undefined;
   const isComplete = response.complete && !isBroken && !connection.isReset;
   const signature = response.headers["x-response-stamp"];
   if (status === STATUS_OK) {
@@ -257,15 +255,9 @@
       ? checkStream(body, {
         streamId: resumed?.id ?? attemptId,
         lastEventId: resumed?.lastEventId ?? 0,
-        isFramed,
         isComplete,
       })
-      : checkBody(body, {
-        requestId: attemptId,
-        isFramed,
-        isComplete,
-        signature,
-      });
+      : checkBody(body, { requestId: attemptId, isComplete, signature });
   }
   if (NOT_RUN_STATUSES.has(status)) {
     return { end: "refused", detail: `${status} ${body.toString()}` };
@@ -280,9 +272,8 @@
 
 function checkBody(
   body: Buffer,
-  { requestId, isFramed, isComplete, signature }: {
+  { requestId, isComplete, signature }: {
     requestId: string;
-    isFramed: boolean;
     isComplete: boolean;
     signature: string;
   },
@@ -293,7 +284,7 @@
   const expected = JSON.stringify({ requestId, upstream });
   const isExpected = signature === createResponseStamp(upstream, requestId) &&
     text === expected;
-  if (!isFramed && !isExpected && expected.startsWith(text)) {
+  if (text.length < expected.length && expected.startsWith(text)) {
     const detail = `response complete after only ${text.length} bytes`;
     return { end: "short", detail, received: text.length };
   }
@@ -304,10 +295,9 @@
 
 function checkStream(
   body: Buffer,
-  { streamId, lastEventId, isFramed, isComplete }: {
+  { streamId, lastEventId, isComplete }: {
     streamId: string;
     lastEventId: number;
-    isFramed: boolean;
     isComplete: boolean;
   },
 ): CallResult {
@@ -325,7 +315,8 @@
   const received = lastEventId + events.length;
   if (isComplete && received !== getEventCount(streamId)) {
     const detail = `response complete after only ${events.length} events`;
-    return { end: isFramed ? "wrong" : "short", detail, events, received };
+    const isShort = received < getEventCount(streamId);
+    return { end: isShort ? "short" : "wrong", detail, events, received };
   }
   return isComplete
     ? { end: "whole", detail: "", events }
--- a/bench/store_chaos_calls_test.ts
+++ b/bench/store_chaos_calls_test.ts
@@ -20,11 +20,17 @@
   ).join("");
 }
 
-/** Answers a request with `body`, without a length, and ends it with `end`. */
+/**
+ * Answers a request with `body`, by default without a length, and ends it with
+ * `end`.
+ */
 async function call(
   kind: "plan" | "read",
   body: string,
-  end: (socket: Socket) => void,
+  { end, hasLength = false }: {
+    end: (socket: Socket) => void;
+    hasLength?: boolean;
+  },
 ) {
   const server = createServer((socket) => {
     socket.on("error", () => {});
@@ -32,8 +38,9 @@
       const type = kind === "plan" ? "text/event-stream" : "application/json";
       socket.write(
         `HTTP/1.1 200 OK\r\ncontent-type: ${type}\r\n` +
-          `x-response-stamp: up/${REQUEST_ID}\r\nconnection: close\r\n\r\n` +
-          body,
+          `x-response-stamp: up/${REQUEST_ID}\r\nconnection: close\r\n` +
+          (hasLength ? `content-length: ${body.length}\r\n` : "") +
+          `\r\n${body}`,
       );
       await sleep(20);
       end(socket);
@@ -64,19 +71,29 @@
 // Guards against a check that takes a stream which looks complete for one that
 // visibly broke off (ORDER).
 test("a close completes a stream without a length, a reset does not", async () => {
-  expect(await call("plan", renderEvents(EVENTS), close))
+  expect(await call("plan", renderEvents(EVENTS), { end: close }))
     .toMatchObject({ end: "whole", versions: ["v1"] });
-  expect(await call("plan", renderEvents(2), close))
+  expect(await call("plan", renderEvents(2), { end: close }))
     .toMatchObject({ end: "short", last: { received: 2 } });
-  expect(await call("plan", renderEvents(2), reset))
+  expect(await call("plan", renderEvents(2), { end: reset }))
     .toMatchObject({ end: "broken", versions: ["v1"] });
 });
 
 test("a close completes a body without a length, a reset does not", async () => {
   const body = JSON.stringify({ requestId: REQUEST_ID, upstream: "up" });
-  expect(await call("read", body, close)).toMatchObject({ end: "whole" });
-  expect(await call("read", body.slice(0, 9), close))
+  expect(await call("read", body, { end: close })).toMatchObject({
+    end: "whole",
+  });
+  expect(await call("read", body.slice(0, 9), { end: close }))
     .toMatchObject({ end: "short", last: { received: 9 } });
-  expect(await call("read", body.slice(0, 9), reset))
+  expect(await call("read", body.slice(0, 9), { end: reset }))
     .toMatchObject({ end: "broken" });
 });
+
+test("a length completes an answer that ends early", async () => {
+  const options = { end: reset, hasLength: true };
+  expect(await call("plan", renderEvents(2), options))
+    .toMatchObject({ end: "short", last: { received: 2 } });
+  expect(await call("read", '{"req', options))
+    .toMatchObject({ end: "short", last: { received: 5 } });
+});
--- a/bench/store_chaos_evidence.ts
+++ b/bench/store_chaos_evidence.ts
@@ -27,7 +27,10 @@
   | "failed"
   /** Ended early, which the caller can detect. */
   | "broken"
-  /** Ended early by a close that completes an answer without a length. */
+  /**
+   * Complete by the protocol before its last event or byte: by its framing or,
+   * without a length, by a close.
+   */
   | "short"
   | "no-connection"
   /** A response that must never occur; the detail gives the reason. */
--- a/bench/store_chaos_verdict.ts
+++ b/bench/store_chaos_verdict.ts
@@ -107,8 +107,8 @@
 }
 
 /**
- * An answer without a length ends with its connection. It may end early only
- * where its upstream has itself closed the connection there.
+ * An answer may be complete before its last part only where its upstream has
+ * itself closed the connection of an answer without a length there.
  */
 function checkEnds(
   { calls, recovery, crashing, overload, cuts }: StoreChaosEvidence,
@@ -116,8 +116,8 @@
   return [...calls, ...recovery, ...crashing, ...overload]
     .filter(({ end }) => end === "short")
     .filter(({ last }) =>
-      !cuts.some(({ requestId, how, sent }) =>
-        requestId === last.requestId && how === "close" &&
+      !cuts.some(({ requestId, how, isFramed, sent }) =>
+        requestId === last.requestId && how === "close" && !isFramed &&
         sent === last.received
       )
     )
--- a/bench/store_chaos_verdict_test.ts
+++ b/bench/store_chaos_verdict_test.ts
@@ -311,8 +311,8 @@
     .toEqual(["brittle upstreams are kept from falling over"]);
 });
 
-// Guards against answers without a length that a router or a reset cuts off and
-// that look complete (ORDER).
+// Guards against answers that a router or a reset cuts off and that look complete
+// (ORDER).
 test("an answer that ends early is found unless its upstream closed it there", () => {
   const promise = "an answer ends only after its last part";
   const calls = [
@@ -322,6 +322,7 @@
     upstream: "up-1",
     requestId: "r-1",
     how: "close",
+    isFramed: false,
     sent: 4,
     atMs: 10_030,
   } as const;
@@ -329,6 +330,8 @@
   expect(findViolations({ calls, cuts: [cut] })).toEqual([]);
   expect(findViolations({ calls, cuts: [{ ...cut, how: "reset" }] }))
     .toEqual([promise]);
+  expect(findViolations({ calls, cuts: [{ ...cut, isFramed: true }] }))
+    .toEqual([promise]);
   expect(findViolations({ calls, cuts: [{ ...cut, sent: 5 }] }))
     .toEqual([promise]);
   expect(findViolations({ calls, cuts: [{ ...cut, requestId: "r" }] }))
--- a/testing/registered_upstream.ts
+++ b/testing/registered_upstream.ts
@@ -72,6 +72,8 @@
   readonly requestId: string;
   /** Whether the connection was closed, as by the end of a process, or reset. */
   readonly how: "close" | "reset";
+  /** Whether a length or chunks tell that the answer was cut off. */
+  readonly isFramed: boolean;
   /** Id of the last event that was sent, or bytes of another body. */
   readonly sent: number;
   /** Time on the monotonic clock, in milliseconds. */
@@ -480,7 +482,11 @@
     makeCloseDelimited(response);
     const half = Math.floor(body.length / 2);
     let sent = half;
-    this.#watchCut(response, { requestId, getSent: () => sent });
+    this.#watchCut(response, {
+      requestId,
+      isFramed: false,
+      getSent: () => sent,
+    });
     response.write(body.slice(0, half));
     const server = this.#server;
     await sleep(SERVICE_MS);
@@ -496,7 +502,12 @@
   /** Reports the end of this process if that cuts off the answer. */
   #watchCut(
     response: ServerResponse,
-    { requestId, getSent }: { requestId: string; getSent: () => number },
+    { requestId, isFramed, getSent }:
+      & Pick<
+        UpstreamCut,
+        "requestId" | "isFramed"
+      >
+      & { getSent: () => number },
   ): void {
     const server = this.#server;
     const upstream = this.id;
@@ -507,6 +518,7 @@
         upstream,
         requestId,
         how: "close",
+        isFramed,
         sent: getSent(),
         atMs: performance.now(),
       });
@@ -521,6 +533,7 @@
       upstream: this.id,
       requestId,
       how: "reset",
+      isFramed: false,
       sent,
       atMs: performance.now(),
     });
@@ -542,7 +555,11 @@
     const version = this.#runningVersion;
     const last = getEventCount(streamId);
     let sent = lastEventId;
-    this.#watchCut(response, { requestId, getSent: () => sent });
+    this.#watchCut(response, {
+      requestId,
+      isFramed: !hasNoLength,
+      getSent: () => sent,
+    });
     for (let id = lastEventId + 1; id <= last; id++) {
       // Connections close some time after the process has ended.
       if (response.destroyed || this.#server !== server) return;
