Bound what entries and configurations may hold

What callers saw: 500 for some requests while an entry had an address that can't exist. An entry with `slots` of 1e308 scored as empty under any load, one with `coldLeftMs` of 1e300 stayed cold after good entries had followed, and a configuration of version 1e300 kept every later one out. A router's entry at port 99999 ended every router that sent to it.

Cause: decoders checked types and finiteness only, so that any number, text and depth reached timers, sums, headers and messages.

Class of fault: input is checked for its type at the boundary and for its range where it is used, or nowhere.

Now field_limits.ts holds what a field may be (range, integer or not, length, characters, depth, bytes), and checked_state.ts copies the known fields within these limits, for entries of upstreams and routers, versions, configurations, also those that routers fetch from each other, for reports and for load and rate headers. Depth is measured on the text, before it is parsed: JSON.parse takes any depth (tried up to 500,000), while JSON.stringify, structuredClone and isDeepStrictEqual overflow the stack at 10,000. An item that stays unreadable for the same reason causes a log line and a removal once, not with each heartbeat; the reason quotes nothing of the value. For a configuration it says that the one before stays in force.

With the decoders before, the two new tests of ingress_store_test.ts failed: no odd entry was reported, and no later configuration came into force. A timer of 1e300 ms fires after 1 ms (measured with Node.js 20).

Not shown: what slots and coldLeftMs did was read from the code, not run. A line is lost if the answer of the store that brought it is discarded, which happens when the era changes or another router was faster. A router that starts while the configuration in the store is odd has none.

--- a/src/control/configuration_relay.ts
+++ b/src/control/configuration_relay.ts
@@ -8,6 +8,9 @@
 import { promisify } from "node:util";
 import { gunzip, gzipSync } from "node:zlib";
 import { Err, Ok, type Result } from "ts-results/result";
+import { checkConfiguration } from "../platform/checked_state.ts";
+import { MAX_CONFIGURATION_BYTES } from "../platform/field_limits.ts";
+import { parseJson } from "../platform/fields.ts";
 import type { RoutingConfiguration } from "../routing/types.ts";
 import { createHttpJsonClient } from "../store/http_json.ts";
 import { PlatformFailure } from "../store/key_value.ts";
@@ -37,18 +40,9 @@
  * until a change is applied.
  */
 const TIMEOUT_MS = 800;
-/** Fits a configuration of the size planned for in two years. */
-const MAX_DECOMPRESSED_BYTES = 67_108_864;
 
 const gunzipAsync = promisify(gunzip);
 
-function isConfiguration(value: unknown): value is RoutingConfiguration {
-  const fields = value as Partial<RoutingConfiguration> | null;
-  return typeof fields === "object" && fields !== null &&
-    typeof fields.version === "number" && Array.isArray(fields.routes) &&
-    Array.isArray(fields.services) && typeof fields.limits === "object";
-}
-
 /** Whether a request of another router is for the configuration. */
 export function isConfigurationRequest({ url }: IncomingMessage): boolean {
   return url === CONFIGURATION_PATH;
@@ -94,11 +88,13 @@
   const { gzip, version } = value as { gzip?: unknown; version?: unknown };
   if (gzip === undefined && typeof version === "number") return undefined;
   const bytes = await gunzipAsync(Buffer.from(String(gzip), "base64"), {
-    maxOutputLength: MAX_DECOMPRESSED_BYTES,
+    maxOutputLength: MAX_CONFIGURATION_BYTES,
+  });
+  const configuration = parseJson(bytes.toString("utf8"), {
+    name: "configuration",
+    maxLength: MAX_CONFIGURATION_BYTES,
   });
-  const configuration: unknown = JSON.parse(bytes.toString("utf8"));
-  if (isConfiguration(configuration)) return configuration;
-  throw new TypeError("the document is not a configuration");
+  return checkConfiguration(configuration);
 }
 
 /** Reads the configuration of another router over HTTP. */
--- a/src/daemon/ingress_store_test.ts
+++ b/src/daemon/ingress_store_test.ts
@@ -117,6 +117,59 @@
   expect((await ask()).status).toBe(200);
 }, 20_000);
 
+// Guards against 500, an upstream that is cold or preferred for good, and a log
+// line with each heartbeat.
+test(
+  "odd entries cost their own upstreams only, with a log line each",
+  async () => {
+    const odd = [
+      { address: "127.0.0.1:99999" },
+      { address: "999.0.0.1:80" },
+      { address: "127.0.0.1:0" },
+      { slots: 1e308 },
+      { coldLeftMs: 1e300 },
+      { born: 1e300 },
+      { version: "v1\r\nx-tenant: other" },
+    ];
+    const address = fleet.upstreams[0]!.address;
+    for (let seq = 1; seq <= 3; seq++) {
+      odd.forEach((fields, index) =>
+        fleet.putUpstream({ id: `odd-${index}`, address }, { seq, ...fields })
+      );
+      await new Promise((resolve) => setTimeout(resolve, 200));
+    }
+    fleet.putUpstream({ id: "new", address: fleet.upstreams[1]!.address });
+    await fleet.untilLogged({ upstream: "new" });
+    const statuses = new Set<number>();
+    for (let request = 0; request < 80; request++) {
+      statuses.add((await ask()).status);
+    }
+    expect([...statuses]).toEqual([200]);
+    const keys = fleet.lines
+      .filter(({ kind }) => kind === "unreadable")
+      .map(({ key }) => key);
+    expect(keys.sort()).toEqual(odd.map((_, index) => `servers/odd-${index}`));
+  },
+  20_000,
+);
+
+test(
+  "a configuration with an odd number leaves the one before in force",
+  async () => {
+    fleet.store.put("op/config", {
+      ...JSON.parse(fleet.store.read("op/config")),
+      version: 1e300,
+    });
+    await fleet.untilLogged({ key: "op/config" });
+    const line = fleet.lines.find(({ key }) => key === "op/config");
+    expect(line?.["reason"]).toContain("stays in force");
+    expect((await ask()).status).toBe(200);
+    fleet.putConfiguration();
+    await fleet.untilLogged({ version: 2 });
+  },
+  20_000,
+);
+
 test(
   "a stopping router is not ready but serves and closes connections",
   async () => {
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -3,89 +3,88 @@
  */
 import { Buffer } from "node:buffer";
 import type {
-  KeyedWorkspace,
-  RoutedService,
   RouteKind,
-  RouteTarget,
   RoutingConfiguration,
-  ServiceRoute,
   StoreChange,
   UpstreamEntry,
   VersionRecord,
 } from "../routing/types.ts";
+import {
+  checkConfiguration,
+  checkRouter,
+  checkUpstream,
+  checkVersionRecord,
+} from "./checked_state.ts";
+import {
+  MAX_CONFIGURATION_BYTES,
+  MAX_ENTRY_BYTES,
+  NUMBERS,
+  TEXTS,
+} from "./field_limits.ts";
 import {
   asFields,
   FieldError,
-  type Fields,
-  getFlag,
   getList,
   getNumber,
-  getString,
+  getText,
+  parseJson,
   tryNumber,
 } from "./fields.ts";
 import { KEYS } from "./names.ts";
 
-const ROUTE_KINDS: ReadonlyMap<string, RouteKind> = new Map([
+/** Names that the platform and this project have for the same values. */
+const ROUTE_KINDS: ReadonlyMap<unknown, RouteKind> = new Map([
   ["idempotent", "idempotent"],
   ["non_idempotent", "non-idempotent"],
   ["stream", "stream"],
 ]);
+const STATES: ReadonlyMap<unknown, UpstreamEntry["state"]> = new Map([
+  ["ready", "ready"],
+  ["draining", "leaving"],
+]);
 
 const MS_PER_SECOND = 1_000;
-const ADDRESS_PATTERN = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/;
-
-function decodeTargets(fields: Fields): RouteTarget[] {
-  if (fields["split"] === undefined) {
-    return [{ service: getString(fields, "service"), weight: 1 }];
-  }
-  return getList(fields, "split").map((each) => {
-    const target = asFields(each, "split");
-    return {
-      service: getString(target, "service"),
-      weight: getNumber(target, "weight"),
-    };
-  });
-}
+/** Longest report of an engine that is decoded, in characters. */
+const MAX_REPORT_LENGTH = 1_048_576;
 
-function decodeRoute(value: unknown): ServiceRoute {
+function mapRoute(value: unknown): object {
   const fields = asFields(value, "route");
-  const kind = ROUTE_KINDS.get(getString(fields, "kind"));
-  if (kind === undefined) {
-    throw new FieldError("kind", "one of idempotent, non_idempotent, stream");
-  }
   return {
-    name: getString(fields, "name"),
-    host: getString(fields, "host").toLowerCase(),
-    prefix: getString(fields, "prefix"),
-    kind,
-    targets: decodeTargets(fields),
-    timeoutMs: getNumber(fields, "timeoutMs"),
+    name: fields["name"],
+    host: fields["host"],
+    prefix: fields["prefix"],
+    kind: ROUTE_KINDS.get(fields["kind"]),
+    targets: fields["split"] ?? [{ service: fields["service"], weight: 1 }],
+    timeoutMs: fields["timeoutMs"],
     // The platform calls the latency objective a goal.
-    objectiveMs: tryNumber(fields, "goalMs") ?? getNumber(fields, "timeoutMs"),
-    maxAttempts: Math.max(1, tryNumber(fields, "maxAttempts") ?? 1),
-    priority: tryNumber(fields, "priority") ?? 0,
-    isPublic: getFlag(fields, "public"),
-    isSticky: getFlag(fields, "sticky"),
-    isResumable: getFlag(fields, "resumable"),
+    objectiveMs: fields["goalMs"],
+    maxAttempts: fields["maxAttempts"],
+    priority: fields["priority"],
+    isPublic: fields["public"],
+    isSticky: fields["sticky"],
+    isResumable: fields["resumable"],
   };
 }
 
-function decodeService(value: unknown): RoutedService {
+function mapService(value: unknown): object {
   const fields = asFields(value, "service");
+  const { coldStartS } = fields;
   return {
-    name: getString(fields, "name"),
-    coldStartMs: (tryNumber(fields, "coldStartS") ?? 0) * MS_PER_SECOND,
-    coldRequestsPerSecond: tryNumber(fields, "coldPerS") ?? 0,
+    name: fields["name"],
+    coldStartMs: typeof coldStartS === "number"
+      ? coldStartS * MS_PER_SECOND
+      : coldStartS,
+    coldRequestsPerSecond: fields["coldPerS"],
     isEngine: fields["engine"] !== undefined,
   };
 }
 
-function decodeWorkspace(value: unknown): KeyedWorkspace {
+function mapWorkspace(value: unknown): object {
   const fields = asFields(value, "tenant");
   return {
-    name: getString(fields, "name"),
-    keys: getList(fields, "apiKeys").map(String),
-    priority: tryNumber(fields, "priority"),
+    name: fields["name"],
+    keys: fields["apiKeys"],
+    priority: fields["priority"],
   };
 }
 
@@ -95,34 +94,15 @@
  */
 export function decodeConfiguration(value: unknown): RoutingConfiguration {
   const fields = asFields(value, "configuration");
-  const limits = asFields(fields["limits"], "limits");
-  return {
-    version: getNumber(fields, "version"),
-    routes: getList(fields, "routes").map(decodeRoute),
-    services: getList(fields, "services").map(decodeService),
-    limits: {
-      maxHeaderBytes: getNumber(limits, "maxHeaderBytes"),
-      maxBodyBytes: getNumber(limits, "maxBodyBytes"),
-      headerTimeoutMs: getNumber(limits, "headerTimeoutMs"),
-      idleTimeoutMs: getNumber(limits, "idleTimeoutMs"),
-    },
+  return checkConfiguration({
+    version: fields["version"],
+    routes: getList(fields, "routes").map(mapRoute),
+    services: getList(fields, "services").map(mapService),
+    limits: fields["limits"],
     workspaces: fields["tenants"] === undefined
       ? undefined
-      : getList(fields, "tenants").map(decodeWorkspace),
-  };
-}
-
-function decodeState(fields: Fields): UpstreamEntry["state"] {
-  const state = getString(fields, "state");
-  if (state === "ready") return "ready";
-  if (state === "draining") return "leaving";
-  throw new FieldError("state", "one of ready, draining");
-}
-
-function getAddress(fields: Fields): string {
-  const address = getString(fields, "address");
-  if (ADDRESS_PATTERN.test(address)) return address;
-  throw new FieldError("address", "an ip:port address");
+      : getList(fields, "tenants").map(mapWorkspace),
+  });
 }
 
 /**
@@ -132,22 +112,18 @@
 export function decodeUpstream(id: string, value: unknown): UpstreamEntry {
   const fields = asFields(value, "upstream");
   // Not used, but a document without it was not written by an upstream.
-  getNumber(fields, "seq");
-  const bornAt = tryNumber(fields, "born");
-  if (bornAt !== undefined && !Number.isInteger(bornAt)) {
-    throw new FieldError("born", "an integer");
-  }
-  return {
+  getNumber(fields, "seq", NUMBERS.counter);
+  return checkUpstream({
     id,
-    service: getString(fields, "service"),
-    address: getAddress(fields),
-    failureDomain: getString(fields, "zone"),
-    slots: Math.max(1, getNumber(fields, "slots")),
-    state: decodeState(fields),
-    coldLeftMs: getNumber(fields, "coldLeftMs"),
-    softwareVersion: getString(fields, "version"),
-    bornAt,
-  };
+    service: fields["service"],
+    address: fields["address"],
+    failureDomain: fields["zone"],
+    slots: fields["slots"],
+    state: STATES.get(fields["state"]),
+    coldLeftMs: fields["coldLeftMs"],
+    softwareVersion: getText(fields, "version", TEXTS.headerName),
+    bornAt: fields["born"],
+  });
 }
 
 /**
@@ -156,7 +132,11 @@
  */
 export function decodeReportedStart(report: string): number | undefined {
   try {
-    return tryNumber(asFields(JSON.parse(report), "report"), "born");
+    const value = parseJson(report, {
+      name: "report",
+      maxLength: MAX_REPORT_LENGTH,
+    });
+    return tryNumber(asFields(value, "report"), "born", NUMBERS.startMs);
   } catch {
     // An upstream that doesn't know the path answers with anything.
     return undefined;
@@ -173,17 +153,8 @@
   service: string,
   value: unknown,
 ): VersionRecord {
-  const versions = getList(asFields(value, "versions"), "versions");
-  return {
-    service,
-    versions: versions.map((each) => {
-      const fields = asFields(each, "version");
-      return {
-        version: getString(fields, "version"),
-        goneAt: tryNumber(fields, "goneAt"),
-      };
-    }),
-  };
+  const { versions } = asFields(value, "versions");
+  return checkVersionRecord({ service, versions });
 }
 
 /** An item of the store as it was read. */
@@ -193,8 +164,15 @@
   readonly value: string | undefined;
 }
 
-function parseValue(value: string): unknown {
-  return JSON.parse(Buffer.from(value, "base64").toString("utf8"));
+function parseValue(value: string, maxBytes = MAX_ENTRY_BYTES): unknown {
+  const bytes = Buffer.from(value, "base64");
+  if (bytes.length > maxBytes) {
+    throw new FieldError("value", `at most ${maxBytes} bytes long`);
+  }
+  return parseJson(bytes.toString("utf8"), {
+    name: "value",
+    maxLength: maxBytes,
+  });
 }
 
 /** Returns the rest of `key` after `prefix`; undefined without that prefix. */
@@ -205,7 +183,8 @@
 /** Decodes an item; undefined if its key is of no use to a router. */
 function decodeChange({ key, value }: RawItem): StoreChange | undefined {
   if (key === KEYS.configuration && value !== undefined) {
-    const configuration = decodeConfiguration(parseValue(value));
+    const document = parseValue(value, MAX_CONFIGURATION_BYTES);
+    const configuration = decodeConfiguration(document);
     return { kind: "configuration", configuration };
   }
   const failureDomain = trySuffix(key, KEYS.domainsOut);
@@ -216,9 +195,8 @@
   const name = trySuffix(key, KEYS.routers);
   if (name !== undefined) {
     if (value === undefined) return { kind: "router-gone", name };
-    const fields = asFields(parseValue(value), "router");
-    const linkMbps = tryNumber(fields, "linkMbps") ?? 0;
-    return { kind: "router", name, address: getAddress(fields), linkMbps };
+    const { address, linkMbps } = asFields(parseValue(value), "router");
+    return checkRouter({ name, address, linkMbps });
   }
   const service = trySuffix(key, KEYS.versions);
   if (service !== undefined && value !== undefined) {
@@ -231,10 +209,18 @@
   return { kind: "upstream", entry: decodeUpstream(id, parseValue(value)) };
 }
 
+/** Says what an unreadable item means for the state that is in use. */
+function describeEffect(key: string): string {
+  if (key === KEYS.configuration) {
+    return "the configuration before it stays in force";
+  }
+  return "it is not used";
+}
+
 /**
  * Decodes an item into the changes that it causes. A malformed item yields an
- * `unreadable` change; a malformed upstream entry also removes the upstream,
- * because its earlier entry is no longer valid.
+ * `unreadable` change; a malformed entry of an upstream or a router also removes
+ * that one, because its earlier entry is no longer valid.
  */
 export function decodeItem(item: RawItem): StoreChange[] {
   try {
@@ -242,9 +228,15 @@
     return change === undefined ? [] : [change];
   } catch (cause) {
     const reason = cause instanceof Error ? cause.message : String(cause);
-    const unreadable = { kind: "unreadable" as const, key: item.key, reason };
+    const unreadable = {
+      kind: "unreadable" as const,
+      key: item.key,
+      reason: `${reason}; ${describeEffect(item.key)}`,
+    };
     const id = trySuffix(item.key, KEYS.upstreams);
-    if (id === undefined) return [unreadable];
-    return [unreadable, { kind: "upstream-gone", id }];
+    if (id !== undefined) return [unreadable, { kind: "upstream-gone", id }];
+    const name = trySuffix(item.key, KEYS.routers);
+    if (name !== undefined) return [unreadable, { kind: "router-gone", name }];
+    return [unreadable];
   }
 }
--- /dev/null
+++ b/src/platform/field_limits.ts
@@ -0,0 +1,134 @@
+/**
+ * What a field that comes from outside may hold: in items of the metadata store,
+ * in upstreams' reports and headers, and in messages of other routers.
+ *
+ * Any program may write there. A value beyond these limits does not come from an
+ * upstream, an operator or a router, and would act on timers, sums, headers and
+ * messages that others depend on.
+ */
+
+/** Range of a number; both ends belong to it. */
+export interface NumberLimit {
+  readonly min: number;
+  readonly max: number;
+  readonly isInteger: boolean;
+}
+
+/** Length and characters of a text, in UTF-16 units. */
+export interface TextLimit {
+  readonly minLength: number;
+  readonly maxLength: number;
+  readonly pattern: RegExp;
+  /** Completes "is not" in error messages. */
+  readonly expected: string;
+}
+
+/** Longest delay of a timer in Node.js, in milliseconds; a longer one is 1. */
+const MAX_TIMER_MS = 2_147_483_647;
+/** End of the year 9999, in milliseconds of the Unix time. */
+const MAX_TIME_MS = 253_402_300_799_999;
+/** The platform bounds keys, and thus the names in them, to 200 bytes. */
+const MAX_NAME_LENGTH = 200;
+
+function integer(max: number, min = 0): NumberLimit {
+  return { min, max, isInteger: true };
+}
+
+function decimal(max: number): NumberLimit {
+  return { min: 0, max, isInteger: false };
+}
+
+/** Limits of numbers by what they measure. */
+export const NUMBERS = {
+  /** Revisions, eras, versions of configurations, counters of writers. */
+  counter: integer(Number.MAX_SAFE_INTEGER),
+  /** Requests that run at the same time at one upstream, or wait there. */
+  requests: integer(1_000_000),
+  /** Routers of a fleet; the users' largest has hundreds. */
+  routers: integer(100_000, 1),
+  /** Durations, in milliseconds. */
+  durationMs: decimal(MAX_TIMER_MS),
+  /** Remaining time of a cold start, in milliseconds; an hour. */
+  coldMs: decimal(3_600_000),
+  /** Wall-clock times, in milliseconds. */
+  timeMs: decimal(MAX_TIME_MS),
+  /** Start times of processes, which the platform states as whole numbers. */
+  startMs: integer(MAX_TIME_MS),
+  /** Requests or rejections a second. */
+  rate: decimal(1_000_000_000),
+  /** Relative shares of targets. */
+  weight: decimal(1_000_000_000),
+  /** Bandwidth of a link, in Mbit/s. */
+  linkMbps: decimal(1_000_000_000),
+  /** Sizes, in bytes. */
+  bytes: integer(Number.MAX_SAFE_INTEGER),
+  /** Upstreams that a request may be sent to; 0 counts as 1. */
+  attempts: integer(1_000_000),
+  /** Ranks of priorities, 0 first. */
+  priority: integer(1_000_000),
+} as const satisfies Record<string, NumberLimit>;
+
+/**
+ * Text without control characters. Such text may be logged, and sent as part of
+ * a message.
+ */
+// deno-lint-ignore no-control-regex
+const PLAIN_TEXT = /^[^\u0000-\u001f\u007f-\u009f]*$/;
+/** Printable ASCII without spaces at its ends, as a header field carries it. */
+const HEADER_TEXT = /^[!-~](?:[ -~]*[!-~])?$/;
+/** Limits of texts by what they name. */
+export const TEXTS = {
+  /** Ids of upstreams, services, software versions and workspaces. */
+  headerName: {
+    minLength: 1,
+    maxLength: MAX_NAME_LENGTH,
+    pattern: HEADER_TEXT,
+    expected: "a name of 1 to 200 printable ASCII characters",
+  },
+  /** Names that stay in the routers: of routers, domains, routes and hosts. */
+  name: {
+    minLength: 1,
+    maxLength: MAX_NAME_LENGTH,
+    pattern: PLAIN_TEXT,
+    expected: "a name of 1 to 200 characters without control characters",
+  },
+  /** Names that are only compared, such as those of items that are gone. */
+  anyName: {
+    minLength: 0,
+    maxLength: MAX_NAME_LENGTH,
+    pattern: /^/,
+    expected: "a name of at most 200 characters",
+  },
+  /** Prefixes of paths and API keys, which a request's head has to hold. */
+  requestPart: {
+    minLength: 1,
+    maxLength: 8_192,
+    pattern: PLAIN_TEXT,
+    expected: "1 to 8192 characters without control characters",
+  },
+} as const satisfies Record<string, TextLimit>;
+
+/** Deepest nesting of a document; those that are known have five levels. */
+export const MAX_DEPTH = 32;
+/** Length of the entry of an upstream or a router, or a record, in bytes. */
+export const MAX_ENTRY_BYTES = 65_536;
+/** Length of a configuration, in bytes; its size planned for in two years. */
+export const MAX_CONFIGURATION_BYTES = 67_108_864;
+
+/** Whether `value` is a number within `limit`. */
+export function isNumberWithin(
+  value: unknown,
+  { min, max, isInteger }: NumberLimit,
+): value is number {
+  return typeof value === "number" && value >= min && value <= max &&
+    (!isInteger || Number.isInteger(value));
+}
+
+/** Whether `value` is a text within `limit`. */
+export function isTextWithin(
+  value: unknown,
+  { minLength, maxLength, pattern }: TextLimit,
+): value is string {
+  return typeof value === "string" && value.length >= minLength &&
+    value.length <= maxLength && pattern.test(value);
+}
--- a/src/platform/fields.ts
+++ b/src/platform/fields.ts
@@ -1,7 +1,14 @@
 /**
  * Reads typed fields of untrusted JSON documents. The functions throw
- * `FieldError` if a value is missing or malformed.
+ * `FieldError` if a value is missing, malformed or out of its limits.
  */
+import {
+  isNumberWithin,
+  isTextWithin,
+  MAX_DEPTH,
+  type NumberLimit,
+  type TextLimit,
+} from "./field_limits.ts";
 
 /** A field of a document is missing or not of the expected type or range. */
 export class FieldError extends Error {
@@ -14,6 +21,50 @@
 /** A JSON object whose fields are not checked yet. */
 export type Fields = Readonly<Record<string, unknown>>;
 
+const BACKSLASH = 0x5c;
+const QUOTE = 0x22;
+const OPENING: readonly number[] = [0x5b, 0x7b];
+const CLOSING: readonly number[] = [0x5d, 0x7d];
+
+/** Whether the nesting of a JSON text is deeper than `maxDepth`. */
+function isDeeper(text: string, maxDepth: number): boolean {
+  let depth = 0;
+  let isInString = false;
+  for (let index = 0; index < text.length; index++) {
+    const code = text.charCodeAt(index);
+    if (code === QUOTE) isInString = !isInString;
+    else if (isInString && code === BACKSLASH) index++;
+    else if (isInString) continue;
+    else if (OPENING.includes(code)) depth++;
+    else if (CLOSING.includes(code)) depth--;
+    if (depth > maxDepth) return true;
+  }
+  return false;
+}
+
+/**
+ * Parses a JSON text called `name` in errors, which don't quote it. The nesting
+ * is bounded first: `JSON.parse` accepts any, on which all that recurses later
+ * overflows the stack.
+ */
+export function parseJson(
+  text: string,
+  { name, maxLength }: { name: string; maxLength: number },
+): unknown {
+  if (text.length > maxLength) {
+    throw new FieldError(name, `at most ${maxLength} characters long`);
+  }
+  if (isDeeper(text, MAX_DEPTH)) {
+    throw new FieldError(name, `nested at most ${MAX_DEPTH} levels deep`);
+  }
+  try {
+    return JSON.parse(text);
+  } catch {
+    // The message of the error holds parts of the text.
+    throw new FieldError(name, "JSON");
+  }
+}
+
 /** Checks that `value`, called `name` in errors, is a JSON object. */
 export function asFields(value: unknown, name: string): Fields {
   if (typeof value === "object" && value !== null && !Array.isArray(value)) {
@@ -29,25 +80,55 @@
   throw new FieldError(name, "an array");
 }
 
-/** Reads a non-empty string. */
-export function getString(fields: Fields, name: string): string {
-  const value = fields[name];
-  if (typeof value === "string" && value !== "") return value;
-  throw new FieldError(name, "a non-empty string");
+/** Checks a text, called `name` in errors. */
+export function asText(value: unknown, name: string, limit: TextLimit): string {
+  if (isTextWithin(value, limit)) return value;
+  throw new FieldError(name, limit.expected);
+}
+
+/** Reads a text. */
+export function getText(
+  fields: Fields,
+  name: string,
+  limit: TextLimit,
+): string {
+  return asText(fields[name], name, limit);
+}
+
+/** Reads a text like `getText`; undefined if the field is absent. */
+export function tryText(
+  fields: Fields,
+  name: string,
+  limit: TextLimit,
+): string | undefined {
+  return fields[name] === undefined ? undefined : getText(fields, name, limit);
 }
 
-/** Reads a finite number that is 0 or greater. */
-export function getNumber(fields: Fields, name: string): number {
+/** Reads a number. */
+export function getNumber(
+  fields: Fields,
+  name: string,
+  limit: NumberLimit,
+): number {
   const value = fields[name];
-  if (typeof value === "number" && Number.isFinite(value) && value >= 0) {
-    return value;
+  if (isNumberWithin(value, limit)) {
+    // Without the sign of a zero, by which equal entries would differ.
+    return value === 0 ? 0 : value;
   }
-  throw new FieldError(name, "a finite number of 0 or greater");
+  const { min, max, isInteger } = limit;
+  const kind = isInteger ? "an integer" : "a number";
+  throw new FieldError(name, `${kind} from ${min} to ${max}`);
 }
 
 /** Reads a number like `getNumber`; undefined if the field is absent. */
-export function tryNumber(fields: Fields, name: string): number | undefined {
-  return fields[name] === undefined ? undefined : getNumber(fields, name);
+export function tryNumber(
+  fields: Fields,
+  name: string,
+  limit: NumberLimit,
+): number | undefined {
+  return fields[name] === undefined
+    ? undefined
+    : getNumber(fields, name, limit);
 }
 
 /** Reads a boolean; false if the field is absent. */
--- a/src/platform/message_headers.ts
+++ b/src/platform/message_headers.ts
@@ -11,6 +11,7 @@
 } from "../routing/types.ts";
 import { HOP_BY_HOP_HEADERS } from "../transport/hop_by_hop.ts";
 import { PRIVATE_HEADER_PREFIX } from "../transport/router_hop.ts";
+import { isNumberWithin, NUMBERS } from "./field_limits.ts";
 import { HEADERS, SYSTEM_HEADERS } from "./names.ts";
 
 const BEARER = /^Bearer +(\S+)$/i;
@@ -58,12 +59,12 @@
 
 /** Parses `running,waiting,slots`; undefined if it is malformed. */
 function parseLoad(text: string | undefined): UpstreamLoad | undefined {
-  const [running, waiting, slots] = (text ?? "").split(",").map(Number);
-  if (!Number.isInteger(running) || !Number.isInteger(waiting)) {
-    return undefined;
-  }
-  if (!Number.isInteger(slots) || slots! < 1) return undefined;
-  return { running: running!, waiting: waiting!, slots: slots! };
+  const counts = (text ?? "").split(",").map(Number);
+  const [running = NaN, waiting = NaN, slots = NaN] = counts;
+  const isLoad = [running, waiting, slots].every((each) =>
+    isNumberWithin(each, NUMBERS.requests)
+  );
+  return isLoad && slots > 0 ? { running, waiting, slots } : undefined;
 }
 
 const STATUS_UNAVAILABLE = 503;
@@ -80,7 +81,8 @@
 /** Parses a number for each second; undefined if it is malformed. */
 function parseRate(text: string | undefined): StatedRate | undefined {
   if (text === undefined) return "none";
-  return DECIMAL.test(text) ? Number(text) : undefined;
+  const rate = DECIMAL.test(text) ? Number(text) : undefined;
+  return isNumberWithin(rate, NUMBERS.rate) ? rate : undefined;
 }
 
 /** Decodes the status and the headers of an upstream's response. */
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -13,7 +13,8 @@
   type HttpJsonClient,
 } from "../store/http_json.ts";
 import { PlatformFailure } from "../store/key_value.ts";
-import { decodeItem, encodeVersionRecord } from "./documents.ts";
+import { decodeItem, encodeVersionRecord, type RawItem } from "./documents.ts";
+import { NUMBERS } from "./field_limits.ts";
 import { asFields, getFlag, getList, getNumber } from "./fields.ts";
 import { decodeStoreEra } from "./message_headers.ts";
 import { KEYS, STORE_PATHS } from "./names.ts";
@@ -107,6 +108,8 @@
 const POLL_WAIT_MS = 400;
 /** A slow store responds within a few hundred milliseconds. */
 const CALL_TIMEOUT_MS = 1_500;
+/** Unreadable items that are remembered, to log each once. */
+const MAX_UNREADABLE = 1_024;
 const STATUS_NOT_FOUND = 404;
 const STATUS_GONE = 410;
 
@@ -130,17 +133,14 @@
     era,
     items: getList(fields, "items"),
     isTruncated: getFlag(fields, "truncated"),
-    revision: getNumber(fields, "currentRev"),
+    revision: getNumber(fields, "currentRev", NUMBERS.counter),
   };
 }
 
-function decodeChanges(item: unknown): StoreChange[] {
+function toRawItem(item: unknown): RawItem {
   const { key, value, deleted } = asFields(item, "item");
   const isDeleted = deleted === true || typeof value !== "string";
-  return decodeItem({
-    key: String(key),
-    value: isDeleted ? undefined : value,
-  });
+  return { key: String(key), value: isDeleted ? undefined : value };
 }
 
 function getLastKey(items: readonly unknown[]): string {
@@ -148,12 +148,14 @@
 }
 
 function getRevision(item: unknown): number {
-  return getNumber(asFields(item, "event"), "rev");
+  return getNumber(asFields(item, "event"), "rev", NUMBERS.counter);
 }
 
 class HttpMetadataStore implements MetadataStore {
   readonly #http: HttpJsonClient;
   readonly #options: Required<MetadataStoreOptions>;
+  /** Why items can't be decoded, by key, as last returned. */
+  readonly #unreadable = new Map<string, string>();
 
   constructor(options: Required<MetadataStoreOptions>) {
     this.#options = options;
@@ -165,7 +167,7 @@
 
   async readAll(): Promise<Result<StoreSnapshot, PlatformFailure>> {
     const sentAt = this.#options.now();
-    const changes: StoreChange[] = [];
+    const items: unknown[] = [];
     let revision: number | undefined;
     let era: number | undefined;
     let after: string | undefined;
@@ -180,11 +182,15 @@
       // Later pages may be of later revisions. Polling from the revision of the
       // first page delivers every change made between the pages.
       revision ??= page.val.revision;
-      changes.push(...page.val.items.flatMap(decodeChanges));
+      items.push(...page.val.items);
       if (!page.val.isTruncated) break;
       after = getLastKey(page.val.items);
     }
-    return Ok({ changes, revision, sentAt, era });
+    const changes = this.#decode(() =>
+      items.flatMap((each) => this.#decodeItem(each))
+    );
+    const position = { revision, sentAt, era };
+    return changes.map((decoded) => ({ changes: decoded, ...position }));
   }
 
   async readVersions(): Promise<Result<StoreVersions, PlatformFailure>> {
@@ -210,7 +216,7 @@
       const { value, era } = answer.val;
       const fields = asFields(value, "watch");
       const events = getList(fields, "events");
-      const current = getNumber(fields, "currentRev");
+      const current = getNumber(fields, "currentRev", NUMBERS.counter);
       const last = events.reduce<number>(
         (highest, event) => Math.max(highest, getRevision(event)),
         after,
@@ -220,7 +226,7 @@
       const isComplete = current <= last;
       return {
         kind: "changes",
-        changes: events.flatMap(decodeChanges),
+        changes: events.flatMap((each) => this.#decodeItem(each)),
         revision: last,
         sentAt: isComplete ? sentAt : undefined,
         era,
@@ -236,7 +242,7 @@
     });
     if (granted.err) return granted;
     const lease = this.#decode(() =>
-      getNumber(asFields(granted.val, "lease"), "lease")
+      getNumber(asFields(granted.val, "lease"), "lease", NUMBERS.counter)
     );
     if (lease.err) return lease;
     const fields = JSON.stringify({ address, linkMbps });
@@ -292,6 +298,25 @@
     return this.#decode(() => readPage(answer.val));
   }
 
+  /**
+   * Decodes an item. One that stays unreadable for the same reason causes no
+   * changes again: its writer repeats it with each heartbeat.
+   */
+  #decodeItem(item: unknown): StoreChange[] {
+    const raw = toRawItem(item);
+    const changes = decodeItem(raw);
+    const unreadable = changes.find(({ kind }) => kind === "unreadable");
+    const known = this.#unreadable.get(raw.key);
+    this.#unreadable.delete(raw.key);
+    if (unreadable?.kind !== "unreadable") return changes;
+    this.#unreadable.set(raw.key, unreadable.reason);
+    if (this.#unreadable.size > MAX_UNREADABLE) {
+      const [oldest] = this.#unreadable.keys();
+      this.#unreadable.delete(oldest!);
+    }
+    return known === unreadable.reason ? [] : changes;
+  }
+
   #decode<T>(read: () => T): Result<T, PlatformFailure> {
     try {
       return Ok(read());
--- a/testing/metadata_store.ts
+++ b/testing/metadata_store.ts
@@ -109,6 +109,12 @@
     this.#write(key, Buffer.from(text).toString("base64"), 0);
   }
 
+  /** Returns the text of an item. */
+  read(key: string): string {
+    const { value } = this.#items.get(key)!;
+    return Buffer.from(value, "base64").toString("utf8");
+  }
+
   /** Removes an item. */
   remove(key: string): void {
     if (!this.#items.delete(key)) return;
