Check what other routers pass on field by field

What callers saw: a router of an older build that takes an odd entry over passes it on as it is, and each router that follows it used it, too: an address that can't be connected to, or `slots` of 1e308. A change of a kind that is not known, or one statement of a rate that JSON can't represent, cost the whole message with all loads and changes.

Cause: of a change in an update only its kind was checked, of a configuration that is fetched only that its lists are lists; of findings, one odd item made the list invalid.

Now messages are read into copies of their known fields with the table of field limits. An odd change removes the upstream or the router that it is about and is logged; kinds of changes that are not known and odd findings are left out; the rest of the message holds. Numbers of messages have ranges, and ids are finite.

Not shown: routers of an older build still take over what other old relays pass on.

--- a/src/control/peer_messages.ts
+++ b/src/control/peer_messages.ts
@@ -11,6 +11,7 @@
   isJSONRPCRequest,
   isJSONRPCResponse,
   type JSONRPCID,
+  type JSONRPCRequest,
 } from "json-rpc-2.0";
 import {
   MAX_CRASH_WORKSPACES,
@@ -30,6 +31,15 @@
   MAX_REPORTED_RATES,
   type RateReport,
 } from "../policy/upstream_rates.ts";
+import { checkPassedChange } from "../platform/checked_state.ts";
+import {
+  isNumberWithin,
+  isTextWithin,
+  MAX_ENTRY_BYTES,
+  NUMBERS,
+  TEXTS,
+} from "../platform/field_limits.ts";
+import { parseJson } from "../platform/fields.ts";
 import type { StoreChange, StoreUpdate } from "../routing/types.ts";
 import {
   isStreamFinding,
@@ -101,19 +111,9 @@
 const MAX_UPSTREAMS = 12_000;
 /** Exceeds the length of the keys of prompt parts, requests and upstreams. */
 const MAX_KEY_LENGTH = 32;
-/** Exceeds the length of names of services and routers. */
-const MAX_NAME_LENGTH = 200;
-const CHANGE_KINDS: ReadonlySet<unknown> = new Set<StoreChange["kind"]>([
-  "upstream",
-  "upstream-gone",
-  "domain-out",
-  "domain-back",
-  "router",
-  "router-gone",
-]);
 
 function isCount(value: unknown): value is number {
-  return Number.isInteger(value) && (value as number) >= 0;
+  return isNumberWithin(value, NUMBERS.counter);
 }
 
 function isOptionalCount(value: unknown): boolean {
@@ -126,8 +126,11 @@
 
 function isLoadCounts(value: unknown): value is LoadCounts {
   if (!isObject(value)) return false;
-  const counts = Object.values(value);
-  return counts.length <= MAX_UPSTREAMS && counts.every(isCount);
+  const counts = Object.entries(value);
+  return counts.length <= MAX_UPSTREAMS &&
+    counts.every(([upstream, count]) =>
+      isName(upstream) && isNumberWithin(count, NUMBERS.requests)
+    );
 }
 
 function isAge(value: unknown): boolean {
@@ -146,7 +149,7 @@
 }
 
 function isName(value: unknown): value is string {
-  return typeof value === "string" && value.length <= MAX_NAME_LENGTH;
+  return isTextWithin(value, TEXTS.anyName);
 }
 
 function isSubjectCrash(value: unknown): value is SubjectCrash {
@@ -169,10 +172,10 @@
 }
 
 function isRateReport(value: unknown): value is RateReport {
-  if (!isObject(value) || typeof value["upstream"] !== "string") return false;
-  const { rate, ageMs } = value;
-  const isRate = rate === "none" || typeof rate === "number" && rate >= 0;
-  return isRate && isAge(ageMs);
+  if (!isObject(value)) return false;
+  const { upstream, rate, ageMs } = value;
+  const isRate = rate === "none" || isNumberWithin(rate, NUMBERS.rate);
+  return isName(upstream) && isRate && isAge(ageMs);
 }
 
 function isLinkReport(value: unknown): value is LinkReport {
@@ -182,17 +185,37 @@
     ageMs <= MAX_LINK_REPORT_AGE_MS;
 }
 
-function isFindingsReport(value: unknown): value is FindingsReport {
-  if (!isObject(value)) return false;
+/**
+ * Reads the valid items of a list; an odd one, which one upstream may have caused,
+ * is left out. Undefined if the list itself is not valid.
+ */
+function readList<T>(
+  value: unknown,
+  { max, isItem }: { max: number; isItem: (item: unknown) => item is T },
+): readonly T[] | undefined {
+  if (!Array.isArray(value) || value.length > max) return undefined;
+  return value.filter(isItem);
+}
+
+function readFindings(value: unknown): FindingsReport | undefined {
+  if (!isObject(value)) return undefined;
   const { promptParts = [], rates = [], rejections = [], links = [] } = value;
-  return isBoundedList(promptParts, {
+  const readRates = (list: unknown) =>
+    readList(list, { max: MAX_REPORTED_RATES, isItem: isRateReport });
+  const parts = readList(promptParts, {
     max: MAX_REPORTED_SUBJECTS,
     isItem: isSubjectReport,
-  }) &&
-    [rates, rejections].every((each) =>
-      isBoundedList(each, { max: MAX_REPORTED_RATES, isItem: isRateReport })
-    ) &&
-    isBoundedList(links, { max: MAX_LINK_REPORTS, isItem: isLinkReport });
+  });
+  const limits = readRates(rates);
+  const refusals = readRates(rejections);
+  const down = readList(links, { max: MAX_LINK_REPORTS, isItem: isLinkReport });
+  if (!parts || !limits || !refusals || !down) return undefined;
+  return {
+    promptParts: parts,
+    rates: limits,
+    rejections: refusals,
+    links: down,
+  };
 }
 
 /** Whether a report holds nothing, so that it need not be sent. */
@@ -203,78 +226,150 @@
     .every((each) => each.length === 0);
 }
 
-function isLoadsMessage(value: unknown): value is LoadsMessage {
-  return isObject(value) && typeof value["router"] === "string" &&
-    isCount(value["sequence"]) && isOptionalCount(value["routers"]) &&
-    (value["unreachable"] === undefined ||
-      isLoadCounts(value["unreachable"])) &&
-    (value["findings"] === undefined || isFindingsReport(value["findings"])) &&
-    isLoadCounts(value["counts"]);
+/** Reads the known fields of a message with loads; undefined if one is odd. */
+function readLoads(value: unknown): LoadsMessage | undefined {
+  if (!isObject(value)) return undefined;
+  const { router, sequence, counts, routers, unreachable } = value;
+  if (!isName(router) || !isCount(sequence) || !isLoadCounts(counts)) {
+    return undefined;
+  }
+  const hasRouters = routers !== undefined;
+  if (hasRouters && !isNumberWithin(routers, NUMBERS.routers)) return undefined;
+  const hasUnreachable = unreachable !== undefined;
+  if (hasUnreachable && !isLoadCounts(unreachable)) return undefined;
+  const findings = value["findings"] === undefined
+    ? undefined
+    : readFindings(value["findings"]);
+  if (value["findings"] !== undefined && findings === undefined) {
+    return undefined;
+  }
+  return {
+    router,
+    sequence,
+    counts,
+    ...(hasRouters && { routers }),
+    ...(hasUnreachable && { unreachable }),
+    ...(findings !== undefined && { findings }),
+  };
 }
 
-function isAskMessage(value: unknown): value is AskMessage {
-  if (!isLoadsMessage(value)) return false;
+function readAsk(value: unknown): AskMessage | undefined {
+  const loads = readLoads(value);
+  if (loads === undefined) return undefined;
   const { after, era } = value as { after?: unknown; era?: unknown };
-  return isOptionalCount(after) && isOptionalCount(era);
+  if (after !== undefined && !isCount(after)) return undefined;
+  if (era === undefined) return { ...loads, after };
+  return isCount(era) ? { ...loads, after, era } : undefined;
 }
 
-function isStoreChange(value: unknown): value is StoreChange {
-  return isObject(value) && CHANGE_KINDS.has(value["kind"]);
+/**
+ * Reads a change that a relay passes on. An odd one costs only what it is about:
+ * an upstream or a router whose new entry can't be used is gone.
+ */
+function readChange(value: unknown): StoreChange[] {
+  try {
+    const change = checkPassedChange(value);
+    return change === undefined ? [] : [change];
+  } catch (cause) {
+    const { kind, entry, name } = isObject(value) ? value : {};
+    const id = isObject(entry) ? entry["id"] : undefined;
+    const key = isName(id) ? id : isName(name) ? name : "";
+    const unreadable: StoreChange = {
+      kind: "unreadable",
+      key,
+      reason: cause instanceof Error ? cause.message : String(cause),
+    };
+    if (kind === "upstream" && isName(id)) {
+      return [unreadable, { kind: "upstream-gone", id }];
+    }
+    if (kind === "router" && isName(name)) {
+      return [unreadable, { kind: "router-gone", name }];
+    }
+    return [unreadable];
+  }
 }
 
-function isStoreUpdate(value: unknown): value is StoreUpdate {
-  return isObject(value) && isCount(value["revision"]) &&
-    isOptionalCount(value["era"]) &&
-    isCount(value["version"]) && isCount(value["ageMs"]) &&
-    typeof value["isStoreLost"] === "boolean" &&
-    isOptionalCount(value["storeBackMs"]) &&
-    Array.isArray(value["changes"]) && value["changes"].every(isStoreChange);
+function readStoreUpdate(value: unknown): StoreUpdate | undefined {
+  if (!isObject(value)) return undefined;
+  const { era, revision, version, ageMs, isStoreLost, storeBackMs, changes } =
+    value;
+  if (!isCount(revision) || !isCount(version) || !isCount(ageMs)) {
+    return undefined;
+  }
+  if (!isOptionalCount(era) || !isOptionalCount(storeBackMs)) return undefined;
+  if (typeof isStoreLost !== "boolean" || !Array.isArray(changes)) {
+    return undefined;
+  }
+  return {
+    ...(era !== undefined && { era: era as number }),
+    revision,
+    changes: changes.flatMap(readChange),
+    version,
+    ageMs,
+    isStoreLost,
+    storeBackMs: storeBackMs as number | undefined,
+  };
 }
 
-function isAskResponse(value: unknown): value is AskResponse {
-  return isObject(value) && isLoadsMessage(value["loads"]) &&
-    (value["word"] === undefined || isStoreUpdate(value["word"]));
+function readAskResponse(value: unknown): AskResponse | undefined {
+  if (!isObject(value)) return undefined;
+  const loads = readLoads(value["loads"]);
+  if (loads === undefined) return undefined;
+  if (value["word"] === undefined) return { loads, word: undefined };
+  const word = readStoreUpdate(value["word"]);
+  return word === undefined ? undefined : { loads, word };
 }
 
 /** Whether the id of a message, if any, can be echoed in a response. */
 function hasValidId({ id }: Record<string, unknown>): boolean {
-  return id === undefined || isJSONRPCID(id);
+  const isIdOrAbsent = id === undefined || isJSONRPCID(id);
+  // JSON represents other numbers as null.
+  return isIdOrAbsent && (typeof id !== "number" || Number.isFinite(id));
 }
 
-function parseJson(bytes: Buffer): unknown {
+function parseDatagram(bytes: Buffer): unknown {
   try {
-    return JSON.parse(bytes.toString("utf8"));
+    return parseJson(bytes.toString("utf8"), {
+      name: "message",
+      maxLength: MAX_ENTRY_BYTES,
+    });
   } catch {
     // Not JSON; the caller counts the datagram as invalid.
     return undefined;
   }
 }
 
+function readRequest(
+  { method, params, id }: JSONRPCRequest,
+): PeerMessage | undefined {
+  const hasId = id !== undefined;
+  if (method === "loads") {
+    const loads = readLoads(params);
+    return loads && { kind: "loads", loads };
+  }
+  if (method === "ask" && hasId) {
+    const ask = readAsk(params);
+    return ask && { kind: "ask", id, ask };
+  }
+  if (method === "streams" && isStreamsMessage(params)) {
+    return { kind: "streams", message: params };
+  }
+  if (method === "find-stream" && hasId && isStreamQuestion(params)) {
+    return { kind: "find-stream", id, question: params };
+  }
+  return undefined;
+}
+
 /** Parses a datagram. Returns undefined if it is not a valid message. */
 export function parsePeerMessage(bytes: Buffer): PeerMessage | undefined {
-  const message = parseJson(bytes);
+  const message = parseDatagram(bytes);
   // The checks of the library read fields of any value.
   if (!isObject(message) || !hasValidId(message)) return undefined;
-  if (isJSONRPCRequest(message)) {
-    const { method, params, id } = message;
-    if (method === "loads" && isLoadsMessage(params)) {
-      return { kind: "loads", loads: params };
-    }
-    if (method === "ask" && isAskMessage(params) && id !== undefined) {
-      return { kind: "ask", id, ask: params };
-    }
-    if (method === "streams" && isStreamsMessage(params)) {
-      return { kind: "streams", message: params };
-    }
-    const isQuestion = method === "find-stream" && isStreamQuestion(params);
-    if (isQuestion && id !== undefined) {
-      return { kind: "find-stream", id, question: params };
-    }
-    return undefined;
-  }
+  if (isJSONRPCRequest(message)) return readRequest(message);
   if (!isJSONRPCResponse(message)) return undefined;
   const { id, result } = message;
-  if (isAskResponse(result)) return { kind: "answer", id, answer: result };
+  const answer = readAskResponse(result);
+  if (answer !== undefined) return { kind: "answer", id, answer };
   if (isStreamFinding(result)) {
     return { kind: "stream-finding", id, finding: result };
   }
--- a/src/control/peer_messages_test.ts
+++ b/src/control/peer_messages_test.ts
@@ -1,12 +1,25 @@
 import { Buffer } from "node:buffer";
 import { createSocket } from "node:dgram";
 import { once } from "node:events";
+import { createServer } from "node:http";
+import fc from "fast-check";
 import { findFreeAddress } from "../../testing/free_address.ts";
 import { createLogFactory } from "../log.ts";
+import { checkRouter, checkUpstream } from "../platform/checked_state.ts";
+import {
+  createOddTexts,
+  FUZZ_RUNS,
+  FUZZ_SEED,
+} from "../platform/testing/odd_values.ts";
 import { PeerLoads } from "../policy/peer_loads.ts";
 import { RelayPlan } from "../policy/relay_plan.ts";
 import { loadHash } from "../policy/rendezvous.ts";
-import { parseAddress } from "../transport/address.ts";
+import type { RoutingConfiguration } from "../routing/types.ts";
+import { bindServer, parseAddress } from "../transport/address.ts";
+import {
+  createConfigurationHandler,
+  fetchConfiguration,
+} from "./configuration_relay.ts";
 import {
   createPeerExchange,
   type SharedRoutingState,
@@ -14,6 +27,12 @@
 import { parsePeerMessage, type PeerMessage } from "./peer_messages.ts";
 
 const LOADS = { router: "r", sequence: 1, counts: {} };
+const LIMITS = {
+  maxHeaderBytes: 1,
+  maxBodyBytes: 1,
+  headerTimeoutMs: 1,
+  idleTimeoutMs: 1,
+};
 /** Depth at which serialization overflows the stack; fits a datagram. */
 const DEPTH = 20_000;
 
@@ -147,3 +166,187 @@
     }
   },
 );
+
+const ENTRY = {
+  id: "up",
+  service: "svc",
+  address: "10.0.0.1:80",
+  failureDomain: "east",
+  slots: 4,
+  state: "ready",
+  coldLeftMs: 0.5,
+  softwareVersion: "v1",
+  bornAt: 5,
+};
+const ROUTER = {
+  kind: "router",
+  name: "r2",
+  address: "10.0.0.2:70",
+  linkMbps: 9,
+};
+const RATE = { upstream: "up", rate: 5, ageMs: 1 };
+const FULL_LOADS = {
+  ...LOADS,
+  counts: { up: 3 },
+  unreachable: { up: 1 },
+  routers: 2,
+  findings: {
+    promptParts: [{
+      part: "p",
+      crashes: [{ upstream: "h", workspaces: ["w"], sentAgeMs: 2, ageMs: 1 }],
+      clearedAgeMs: 3,
+    }],
+    rates: [RATE],
+    rejections: [{ ...RATE, rate: "none" }],
+    links: [{ router: "r", service: "svc", ageMs: 1 }],
+  },
+};
+const WORD = {
+  era: 1,
+  revision: 7,
+  version: 3,
+  ageMs: 20,
+  isStoreLost: false,
+  storeBackMs: 5,
+  changes: [
+    { kind: "upstream", entry: ENTRY },
+    { kind: "upstream-gone", id: "old" },
+    { kind: "domain-out", failureDomain: "west" },
+    ROUTER,
+    { kind: "router-gone", name: "r3" },
+  ],
+};
+const STREAM = {
+  key: "k",
+  service: "svc",
+  softwareVersion: "v1",
+  remainingMs: 9,
+};
+
+function createAnswer(word: object): object {
+  return { jsonrpc: "2.0", id: 1, result: { loads: FULL_LOADS, word } };
+}
+
+const MESSAGES: Record<string, object> = {
+  loads: { jsonrpc: "2.0", method: "loads", params: FULL_LOADS },
+  ask: {
+    jsonrpc: "2.0",
+    id: 1,
+    method: "ask",
+    params: { ...FULL_LOADS, after: 6, era: 1 },
+  },
+  answer: createAnswer(WORD),
+  streams: {
+    jsonrpc: "2.0",
+    method: "streams",
+    params: { router: "r", streams: [STREAM] },
+  },
+  question: {
+    jsonrpc: "2.0",
+    id: 1,
+    method: "find-stream",
+    params: { router: "r", key: "k", service: "svc", spanMs: 9 },
+  },
+  finding: {
+    jsonrpc: "2.0",
+    id: 1,
+    result: { router: "r", stream: STREAM, soleVersion: "v1" },
+  },
+};
+
+test("each valid message is read", () => {
+  expect(Object.values(MESSAGES).map((each) => parse(JSON.stringify(each))))
+    .toMatchSnapshot();
+});
+
+// Guards against an error, or a value beyond its limits, from another router.
+test.each(Object.entries(MESSAGES))(
+  "what is read of an odd message is within limits (%s)",
+  (_, valid) => {
+    fc.assert(
+      fc.property(createOddTexts(valid), (text) => {
+        const message = parse(text);
+        // JSON represents other numbers as null, which routers refuse.
+        JSON.stringify(message, (_, value) => {
+          if (typeof value === "number" && !Number.isFinite(value)) {
+            throw new RangeError(`the message holds ${value}`);
+          }
+          return value;
+        });
+        if (message?.kind !== "answer") return;
+        for (const change of message.answer.word?.changes ?? []) {
+          if (change.kind === "upstream") checkUpstream(change.entry);
+          if (change.kind === "router") checkRouter(change);
+        }
+      }),
+      { numRuns: FUZZ_RUNS, seed: FUZZ_SEED, endOnFailure: true },
+    );
+  },
+);
+
+// Guards against entries that relays of an older build pass on.
+test.each<[string, object, object[]]>([
+  ["an address", { kind: "upstream", entry: { ...ENTRY, address: "a:1" } }, [
+    { kind: "upstream-gone", id: "up" },
+  ]],
+  ["a number", { kind: "upstream", entry: { ...ENTRY, slots: 1e308 } }, [
+    { kind: "upstream-gone", id: "up" },
+  ]],
+  ["no entry", { kind: "upstream" }, []],
+  ["a router's port", { ...ROUTER, address: "10.0.0.2:99999" }, [
+    { kind: "router-gone", name: "r2" },
+  ]],
+])("an odd change costs only what it is about: %s", (_, change, instead) => {
+  const word = { ...WORD, changes: [change, WORD.changes[1]] };
+  const message = parse(JSON.stringify(createAnswer(word)));
+  expect(message).toMatchObject({
+    answer: {
+      word: {
+        revision: 7,
+        changes: [
+          { kind: "unreadable" },
+          ...instead,
+          { kind: "upstream-gone", id: "old" },
+        ],
+      },
+    },
+  });
+});
+
+test("changes of kinds that a later version adds are left out", () => {
+  const changes = [{ kind: "later" }, WORD.changes[1]];
+  const text = JSON.stringify(createAnswer({ ...WORD, changes, later: 1 }));
+  expect(parse(text)).toMatchObject({
+    answer: { word: { changes: [{ kind: "upstream-gone", id: "old" }] } },
+  });
+});
+
+// Guards against one upstream's rate that costs all that a message holds.
+test("an odd finding costs only itself", () => {
+  const rates = [{ ...RATE, rate: null }, RATE];
+  const findings = { ...FULL_LOADS.findings, rates };
+  const params = { ...FULL_LOADS, findings };
+  const text = JSON.stringify({ ...MESSAGES["loads"], params });
+  expect(parse(text)).toMatchObject({ loads: { findings: { rates: [RATE] } } });
+});
+
+// Guards against a configuration of another router that no decoder has checked.
+test.each([
+  ["a number", { version: 1e300 }],
+  ["a text", { services: [{ name: "s\r\n" }] }],
+  ["no limits", { limits: null }],
+])("an odd configuration of another router is not used: %s", async (_, odd) => {
+  const valid = { version: 2, routes: [], services: [], limits: LIMITS };
+  const server = createServer(
+    createConfigurationHandler(
+      () => ({ ...valid, ...odd }) as unknown as RoutingConfiguration,
+    ),
+  );
+  const address = await findFreeAddress();
+  await bindServer(server, address);
+  try {
+    expect((await fetchConfiguration(address)).err).toBe(true);
+  } finally {
+    server.close();
+  }
+});
