--- a/src/platform/fields.ts
+++ b/src/platform/fields.ts
@@ -23,25 +23,35 @@
 
 const BACKSLASH = 0x5c;
 const QUOTE = 0x22;
-const OPENING: readonly number[] = [0x5b, 0x7b];
-const CLOSING: readonly number[] = [0x5d, 0x7d];
+/** By this bit braces differ from brackets. */
+const BRACE_BIT = 0x20;
+const OPENING_BRACE = 0x7b;
+const CLOSING_BRACE = 0x7d;
 
 /** Whether the nesting of a JSON text is deeper than `maxDepth`. */
 function isDeeper(text: string, maxDepth: number): boolean {
   let depth = 0;
-  let isInString = false;
   for (let index = 0; index < text.length; index++) {
     const code = text.charCodeAt(index);
-    if (code === QUOTE) isInString = !isInString;
-    else if (isInString && code === BACKSLASH) index++;
-    else if (isInString) continue;
-    else if (OPENING.includes(code)) depth++;
-    else if (CLOSING.includes(code)) depth--;
+    if (code === QUOTE) index = findEndOfString(text, index);
+    else if ((code | BRACE_BIT) === OPENING_BRACE) depth++;
+    else if ((code | BRACE_BIT) === CLOSING_BRACE) depth--;
     if (depth > maxDepth) return true;
   }
   return false;
 }
 
+/** Returns the index of the quote that ends the string that begins at `start`. */
+function findEndOfString(text: string, start: number): number {
+  let index = start + 1;
+  for (; index < text.length; index++) {
+    const code = text.charCodeAt(index);
+    if (code === BACKSLASH) index++;
+    else if (code === QUOTE) break;
+  }
+  return index;
+}
+
 /**
  * Parses a JSON text called `name` in errors, which don't quote it. The nesting
  * is bounded first: `JSON.parse` accepts any, on which all that recurses later
