Bound numbers in the headers of upstreams and callers

What callers saw: an upstream that states a limit of some hundred digits made every message with its rate invalid, and with it the loads and changes for all routers. Prompt parts could state infinite, negative or fractional tokens, an upstream negative loads.

Cause: digits were converted without a range. Such a rate is Infinity, which JSON represents as null, and the receivers refuse that.

Not shown: which requests went elsewhere for it; the message that is refused was shown by the tests of messages between routers.

--- a/src/platform/message_headers.ts
+++ b/src/platform/message_headers.ts
@@ -37,7 +37,8 @@
   if (text === undefined || text === "") return [];
   return text.split(",").map((each) => {
     const [id = "", tokens = "0"] = each.trim().split(":");
-    return { id, tokens: Number(tokens) || 0 };
+    const count = Number(tokens);
+    return { id, tokens: isNumberWithin(count, NUMBERS.counter) ? count : 0 };
   });
 }
 
--- /dev/null
+++ b/src/platform/message_headers_test.ts
@@ -0,0 +1,51 @@
+import { decodeRequest, decodeResponse } from "./message_headers.ts";
+
+const STATUS_OK = 200;
+const LONG_NUMBER = "9".repeat(400);
+
+// Guards against a rate that JSON can't represent: each message with it is invalid.
+test.each(["server-limit", "server-brittle"])(
+  "a rate beyond any upstream's can't be read from %s",
+  (name) => {
+    const { rate, rejectionLimit } = decodeResponse(STATUS_OK, {
+      [name]: LONG_NUMBER,
+    });
+    const [read, absent] = name === "server-limit"
+      ? [rate, rejectionLimit]
+      : [rejectionLimit, rate];
+    expect([read, absent]).toEqual([undefined, "none"]);
+  },
+);
+
+// Guards against loads that outweigh all others, or that are negative.
+test.each([
+  "-1,0,4",
+  "1e308,0,4",
+  "1,1e400,4",
+  "1,0,0",
+  "1,0,1e300",
+  "1,0",
+  "",
+])(
+  "the load %s is not used",
+  (load) => {
+    const { load: decoded } = decodeResponse(STATUS_OK, {
+      "x-runner-load": load,
+    });
+    expect(decoded).toBeUndefined();
+  },
+);
+
+// Guards against sums of tokens that are not numbers.
+test.each(["1e400", "-5", "0.5", "x", "99999999999999999999"])(
+  "a prompt part with %s tokens counts as one without",
+  (tokens) => {
+    const { promptParts } = decodeRequest({
+      "x-prompt-prefix": `a:${tokens},b:7`,
+    });
+    expect(promptParts).toEqual([
+      { id: "a", tokens: 0 },
+      { id: "b", tokens: 7 },
+    ]);
+  },
+);
