--- a/bench/store_chaos_fleet.ts
+++ b/bench/store_chaos_fleet.ts
@@ -28,6 +28,11 @@
   readonly plainServices: number;
   /** Path of the daemon program; the built bundle by default. */
   readonly program?: string;
+  /**
+   * Program of another build, which every second router runs at first; the same
+   * by default.
+   */
+  readonly otherProgram?: string;
   /** Versions of the engines' software, in turn; "v1" by default. */
   readonly engineVersions?: readonly string[];
   /** Time between two events of a stream, in milliseconds. */
@@ -97,10 +102,14 @@
   #version = 0;
   #keys: string[] = [];
   readonly #domainsOut = new Set<string>();
+  /** Names of the routers that run the program of the other build. */
+  readonly #ofOtherBuild = new Set<string>();
 
   constructor(options: StoreFleetOptions) {
+    const { program = PROGRAM } = options;
     this.#options = {
-      program: PROGRAM,
+      program,
+      otherProgram: program,
       engineVersions: ["v1"],
       eventIntervalMs: EVENT_INTERVAL_MS,
       ...options,
@@ -127,6 +136,7 @@
     await this.#startUpstreams("plain", this.#options.plainServices);
     for (let index = 0; index < this.#options.routers; index++) {
       this.routers.push(await this.#prepareRouter(index));
+      if (index % 2 === 1) this.switchBuild(this.routers[index]!);
     }
     await Promise.all(this.routers.map((router) => this.start(router)));
     return this;
@@ -157,11 +167,23 @@
     ).length;
   }
 
+  /** Whether routers of two builds run side by side. */
+  get hasOtherBuild(): boolean {
+    return this.#options.otherProgram !== this.#options.program;
+  }
+
+  /** Lets a router run the other build of the two from its next start on. */
+  switchBuild({ name }: StoreRouter): void {
+    if (!this.#ofOtherBuild.delete(name)) this.#ofOtherBuild.add(name);
+  }
+
   /** Starts a router and waits until it is ready. */
   async start(
     { name, settingsFile, linkFaultsFile }: StoreRouter,
   ): Promise<void> {
-    await this.#processes.start(this.#options.program, [], {
+    const { program, otherProgram } = this.#options;
+    const isOther = this.#ofOtherBuild.has(name);
+    await this.#processes.start(isOther ? otherProgram : program, [], {
       name,
       env: {
         CORIANDERFLOW_SETTINGS: settingsFile,
--- a/bench/store_chaos_main.ts
+++ b/bench/store_chaos_main.ts
@@ -3,12 +3,15 @@
  * schedule and checks the result.
  *
  * `node dist/bench/store_chaos_main.js [--seed N] [--seeds N] [--seconds S]
- * [--routers N] [--only-streams] [--without-streams] [--without-links]` exits with
- * 0 only if every check passes for every seed. Logs are in
- * `out/store-chaos-<seed>`. With `--only-streams` it draws only faults that cut off
- * answers, twice as many. With `--without-streams` a seed draws the faults that it drew before there were
- * answers that are reset and engines that change their version, with
- * `--without-links` those before routers without links and brittle upstreams.
+ * [--routers N] [--only-streams] [--without-streams] [--without-links]
+ * [--other-bundle PATH]` exits with 0 only if every check passes for every seed.
+ * Logs are in `out/store-chaos-<seed>`. With `--only-streams` it draws only faults
+ * that cut off answers, twice as many. With `--without-streams` a seed draws the
+ * faults that it drew before there were answers that are reset and engines that
+ * change their version, with `--without-links` those before routers without links
+ * and brittle upstreams. With `--other-bundle`, a `corianderflowd.js` of another
+ * commit, every second router runs that build, and each is replaced by one of the
+ * other build during the run.
  */
 import { rmSync } from "node:fs";
 import process from "node:process";
@@ -42,6 +45,7 @@
     routers: { type: "string", default: "6" },
     "only-streams": { type: "boolean", default: false },
     "without-streams": { type: "boolean", default: false },
+    "other-bundle": { type: "string" },
     "without-links": { type: "boolean", default: false },
   },
 });
@@ -75,6 +79,7 @@
 async function runSeed(seed: number): Promise<boolean> {
   const directory = `out/store-chaos-${seed}`;
   rmSync(directory, { recursive: true, force: true });
+  const otherProgram = values["other-bundle"];
   const fleet = new StoreFleet({
     directory,
     routers: Number(values.routers),
@@ -82,6 +87,7 @@
     plainServices: 3,
     engineVersions: ["v1", "v2"],
     ...(hasStreamFaults && { eventIntervalMs: EVENT_INTERVAL_MS }),
+    ...(otherProgram !== undefined && { otherProgram }),
   });
   await fleet.open();
   const durationMs = Number(values.seconds) * MS_PER_SECOND;
--- a/bench/store_chaos_run.ts
+++ b/bench/store_chaos_run.ts
@@ -199,6 +199,7 @@
         onEvent(event);
         await this.#performAfterPrevious(event);
       }),
+      this.#replaceBuilds(durationMs),
     ]);
     clearInterval(configureTimer);
     await sleep(SETTLE_MS);
@@ -250,6 +251,22 @@
     return withdrawals.findLast(({ what }) => what === "key")?.name ?? key;
   }
 
+  /** Replaces each router by one of the other build, one after the other. */
+  async #replaceBuilds(durationMs: number): Promise<void> {
+    const { fleet } = this.#options;
+    if (!fleet.hasOtherBuild) return;
+    for (const router of fleet.routers) {
+      await sleep(durationMs / (fleet.routers.length + 1));
+      fleet.switchBuild(router);
+      await this.#performAfterPrevious({
+        kind: "router-stopped",
+        target: router.name,
+        atMs: 0,
+        durationMs: 0,
+      });
+    }
+  }
+
   /** Injects a fault once the previous fault at its target has ended. */
   #performAfterPrevious(event: ChaosEvent): Promise<void> {
     const previous = this.#lastFaultByTarget.get(event.target) ??
