Keep the logs of both builds in the soak

The log of a router that is replaced was overwritten by that of its successor, so that the messages which the first had not understood were not seen.

--- a/bench/store_chaos_fleet.ts
+++ b/bench/store_chaos_fleet.ts
@@ -3,7 +3,7 @@
  * store and the upstreams in this process, behind relays that inject faults.
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import { mkdirSync, renameSync, writeFileSync } from "node:fs";
+import { existsSync, mkdirSync, renameSync, writeFileSync } from "node:fs";
 import { performance } from "node:perf_hooks";
 import { join, resolve } from "node:path";
 import { findFreeAddress, findFreePort } from "../testing/free_address.ts";
@@ -104,6 +104,7 @@
   readonly #domainsOut = new Set<string>();
   /** Names of the routers that run the program of the other build. */
   readonly #ofOtherBuild = new Set<string>();
+  #keptLogs = 0;
 
   constructor(options: StoreFleetOptions) {
     const { program = PROGRAM } = options;
@@ -182,6 +183,7 @@
     { name, settingsFile, linkFaultsFile }: StoreRouter,
   ): Promise<void> {
     const { program, otherProgram } = this.#options;
+    if (this.hasOtherBuild) this.#keepLog(name);
     const isOther = this.#ofOtherBuild.has(name);
     await this.#processes.start(isOther ? otherProgram : program, [], {
       name,
@@ -194,6 +196,14 @@
     });
   }
 
+  /** Keeps the log of a router's last process, which the next overwrites. */
+  #keepLog(name: string): void {
+    const { directory } = this.#options;
+    const log = join(directory, `${name}.log`);
+    if (!existsSync(log)) return;
+    renameSync(log, join(directory, `${name}-ended-${++this.#keptLogs}.log`));
+  }
+
   /**
    * Stops a router gracefully.
    *
