--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -195,8 +195,10 @@
 
   async readVersions(): Promise<Result<StoreVersions, PlatformFailure>> {
     const page = await this.#readPage({ prefix: KEYS.versions });
-    return page.map(({ items, revision, era }) => ({
-      records: items.flatMap(decodeChanges)
+    if (page.err) return page;
+    const { items, revision, era } = page.val;
+    return this.#decode(() => ({
+      records: items.flatMap((each) => this.#decodeItem(each))
         .flatMap((change) => change.kind === "versions" ? [change.record] : []),
       revision,
       era,
