Wait until a dead process no longer listens

Callers could still see an answer without a length as complete although its upstream was killed amid it, if the router was quick.

Cause: the kernel closes the sockets of a dead process one after the other, the one that accepts connections late.

Engines needed no change: their answer to the report shows that they run, a connection alone does not.

Not chosen: to hold the connection open and watch whether it is reset, since an upstream may give a slot to a new connection, and resets those above its limit. Not shown: processes with many thousands of sockets, whose end may take the kernel longer.

CrashWatch asks in the same way (isRefusing), without a wait, and so may miss that a request crashed its upstream; left as it is, since the wait would delay the next try of each request whose connection broke.

--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -549,7 +549,7 @@
    */
   async #isAlive(entry: UpstreamEntry): Promise<boolean> {
     if (!this.#service.isEngine) {
-      return await this.#options.connections.isReachable(entry.address);
+      return await this.#options.connections.isStillListening(entry.address);
     }
     return await checkProcess(entry, this.#options) === "same";
   }
