--- a/bench/store_chaos_test.ts
+++ b/bench/store_chaos_test.ts
@@ -18,6 +18,7 @@
   STORE_LINK_KINDS,
   STORE_RESTORE_KINDS,
   STORE_SOAK_KINDS,
+  STREAM_CUT_KINDS,
 } from "./store_chaos_run.ts";
 import { findStoreChaosViolations } from "./store_chaos_verdict.ts";
 
@@ -113,3 +114,24 @@
   },
   TEST_TIMEOUT_MS,
 );
+
+// Guards against answers that look complete and are not, and streams of two
+// versions, when routers and engines end amid them (ORDER).
+test(
+  "a fleet with relays meets them while answers are cut off",
+  async () => {
+    const evidence = await runFaults(7213, STREAM_CUT_KINDS);
+    expect(evidence.windows.map(({ kind }) => kind)).toEqual(
+      expect.arrayContaining([
+        "router-killed",
+        "router-stopped",
+        "engine-killed",
+        "engine-upgraded",
+        "answers-reset",
+      ]),
+    );
+    expect(evidence.cuts.length).toBeGreaterThan(0);
+    expect(findStoreChaosViolations(evidence)).toEqual([]);
+  },
+  TEST_TIMEOUT_MS,
+);
