Ask engines for their start only where a stream breaks off or is taken up

Cause: whether an engine's process is that of its entry was asked beside each first stream on a new connection, though nearly all streams end by themselves and nobody takes them up.

A process now counts as that of its entry also if a connection to it has been open for so long that the view, as the store last confirmed it, would hold the entry of another process (3 s more than the view's age). A stream stays in doubt until then. If it breaks off meanwhile, its router asks; other routers are told which process began the stream if the entry was right, and the one at which a caller takes it up asks that process.

--- a/src/control/stream_exchange.ts
+++ b/src/control/stream_exchange.ts
@@ -370,10 +370,10 @@
 }
 
 function createRecord(
-  { key, service, softwareVersion, spanMs }: RunningStream,
+  { spanMs, ...stream }: RunningStream,
 ): StreamRecord {
   const remainingMs = Math.round(Math.min(spanMs, MAX_STREAM_MS));
-  return { key, service, softwareVersion, remainingMs };
+  return { ...stream, remainingMs };
 }
 
 function roundRemaining(stream: StreamRecord): StreamRecord {
--- a/src/control/stream_messages.ts
+++ b/src/control/stream_messages.ts
@@ -6,7 +6,11 @@
  * result is a `StreamFinding`.
  */
 import type { JSONRPCID } from "json-rpc-2.0";
-import { MAX_STREAM_MS, type StreamRecord } from "../policy/stream_origins.ts";
+import {
+  MAX_STREAM_MS,
+  type StreamRecord,
+  type UnprovenOrigin,
+} from "../policy/stream_origins.ts";
 
 /** Streams that `router` has begun. */
 export interface StreamsMessage {
@@ -69,17 +73,27 @@
     (value as number) <= MAX_STREAM_MS;
 }
 
-function isAge(value: unknown): boolean {
+function isWholeNumber(value: unknown): boolean {
   return Number.isSafeInteger(value) && (value as number) >= 0;
 }
 
-function isStreamRecord(value: unknown): value is StreamRecord {
+function isUnprovenOrigin(value: unknown): value is UnprovenOrigin {
   if (typeof value !== "object" || value === null) return false;
-  const { key, service, softwareVersion, remainingMs } = value as Partial<
-    Record<keyof StreamRecord, unknown>
+  const { upstream, bornAt, softwareVersion } = value as Record<
+    string,
+    unknown
   >;
+  return isText(upstream, MAX_NAME_LENGTH) && isWholeNumber(bornAt) &&
+    isText(softwareVersion, MAX_NAME_LENGTH);
+}
+
+function isStreamRecord(value: unknown): value is StreamRecord {
+  if (typeof value !== "object" || value === null) return false;
+  const { key, service, softwareVersion, unproven, remainingMs } =
+    value as Partial<Record<keyof StreamRecord, unknown>>;
   return isText(key, MAX_KEY_LENGTH) && isText(service, MAX_NAME_LENGTH) &&
-    isText(softwareVersion, MAX_NAME_LENGTH) && isSpan(remainingMs);
+    isText(softwareVersion, MAX_NAME_LENGTH) && isSpan(remainingMs) &&
+    (unproven === undefined || isUnprovenOrigin(unproven));
 }
 
 /** Whether `value` is the content of a `streams` notification. */
@@ -108,5 +122,5 @@
     (soleVersion === undefined || isText(soleVersion, MAX_NAME_LENGTH)) &&
     (hasSeveralVersions === undefined ||
       typeof hasSeveralVersions === "boolean") &&
-    (viewAgeMs === undefined || isAge(viewAgeMs));
+    (viewAgeMs === undefined || isWholeNumber(viewAgeMs));
 }
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -458,6 +458,7 @@
         streams: this.#streams,
         retries: this.#retryBudget,
         clock: readSteadyClock,
+        getViewAgeMs: () => routing.ageAt(readClocks()),
         hash,
         onTry: (service, end) => this.#metrics.tries.inc({ service, end }),
         onNotice: (kind, details) => this.#recordNotice(kind, details),
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -65,6 +65,11 @@
   readonly retries: RetryBudget;
   /** Reads the monotonic clock, in milliseconds. */
   readonly clock: () => number;
+  /**
+   * Time since the view of the upstreams was last confirmed as current, in
+   * milliseconds.
+   */
+  readonly getViewAgeMs: () => number;
   readonly hash: Hash;
   /** Called when a try of `service` has ended, with how it ended. */
   readonly onTry: (service: string, end: string) => void;
@@ -515,7 +520,7 @@
         this.#recordNotice(place.entry, { status, traits, sentAt });
       },
     });
-    this.#binding.recordSent(place.entry, this.#service);
+    this.#binding.recordSent();
     const record: TryRecord = {
       upstream,
       softwareVersion: place.entry.softwareVersion,
@@ -549,7 +554,7 @@
    */
   async #isAlive(entry: UpstreamEntry): Promise<boolean> {
     if (!this.#service.isEngine) {
-      return await this.#options.connections.isStillListening(entry.address);
+      return await this.#options.connections.isReachable(entry.address);
     }
     return await checkProcess(entry, this.#options) === "same";
   }
--- a/src/ingress/process_check.ts
+++ b/src/ingress/process_check.ts
@@ -11,6 +11,7 @@
   ProcessProofs,
   type ReportedStart,
 } from "../policy/process_proofs.ts";
+import { RESTART_REPORT_MS } from "../policy/upstream_directory.ts";
 import type { UpstreamEntry } from "../routing/types.ts";
 import type { UpstreamConnections } from "../transport/upstream_connections.ts";
 
@@ -19,6 +20,11 @@
   readonly connections: Pick<UpstreamConnections, "isOpenSince" | "send">;
   /** Reads the monotonic clock, in milliseconds. */
   readonly clock: () => number;
+  /**
+   * Time since the view of the upstreams was last confirmed as current, in
+   * milliseconds; infinite before the first time.
+   */
+  readonly getViewAgeMs: () => number;
 }
 
 /**
@@ -64,13 +70,17 @@
     this.#options = options;
   }
 
-  /** Whether an entry certainly describes the process that answers now. */
+  /**
+   * Whether an entry certainly describes the process that answers now. It does
+   * if a connection has been open for so long that the view would hold the entry
+   * of another process.
+   */
   isProven(entry: UpstreamEntry): boolean {
-    const { connections } = this.#options;
-    return this.#proofs.isProven(
-      entry,
-      (since) => connections.isOpenSince(entry.address, since),
-    );
+    const { connections, clock, getViewAgeMs } = this.#options;
+    const isOpenSince = (since: number) =>
+      connections.isOpenSince(entry.address, since);
+    return this.#proofs.isProven(entry, isOpenSince) ||
+      isOpenSince(clock() - getViewAgeMs() - RESTART_REPORT_MS);
   }
 
   /** Asks the process at `address` when it started. */
--- a/src/ingress/process_check_test.ts
+++ b/src/ingress/process_check_test.ts
@@ -32,6 +32,7 @@
   };
   const options: ProcessCheckOptions = {
     clock: () => 10_000,
+    getViewAgeMs: () => Infinity,
     connections: {
       isOpenSince: () => false,
       send: (_request, listener) => {
@@ -132,7 +133,7 @@
     respond(200, '{"born":7}')(listener);
   });
   const checks = new ProcessChecks({
-    clock: options.clock,
+    ...options,
     connections: {
       ...options.connections,
       isOpenSince: (_address, at) => openedAt <= at,
@@ -153,3 +154,22 @@
   openedAt = 10_001;
   expect(checks.isProven(ENTRY)).toBe(false);
 });
+
+// Guards against a report for each new connection, which is priced, though the
+// view of the upstreams would hold the entry of another process.
+test("a process is proven by a view that was confirmed while a connection was open", () => {
+  const { options } = createOptions(() => {});
+  const isProven = (openedAt: number, viewAgeMs: number) =>
+    new ProcessChecks({
+      clock: options.clock,
+      getViewAgeMs: () => viewAgeMs,
+      connections: {
+        ...options.connections,
+        isOpenSince: (_address, at) => openedAt <= at,
+      },
+    }).isProven(ENTRY);
+  expect(isProven(6_000, 1_000)).toBe(true);
+  expect(isProven(6_001, 1_000)).toBe(false);
+  expect(isProven(0, 8_000)).toBe(false);
+  expect(isProven(0, Infinity)).toBe(false);
+});
--- a/src/ingress/router_try.ts
+++ b/src/ingress/router_try.ts
@@ -89,7 +89,7 @@
         : NON_REPEATABLE_LIFE_SIGN_TIMEOUT_MS,
     },
     silenceTimeoutMs: options.silenceTimeoutMs + REPLACEMENT_MS,
-    isUpstreamAlive: () => options.connections.isStillListening(target.address),
+    isUpstreamAlive: () => options.connections.isReachable(target.address),
     mayReplaceTry: () => options.mayReplaceTry(),
     isSuspect: () => false,
     onStreamStart: (headers) => options.onStreamStart(decodeServed(headers)),
--- a/src/ingress/stream_binding.ts
+++ b/src/ingress/stream_binding.ts
@@ -8,7 +8,6 @@
 import { createStreamKey } from "../policy/request_digest.ts";
 import { isSameProcess, type ReportedStart } from "../policy/process_proofs.ts";
 import type { StreamOrigin } from "../policy/stream_origins.ts";
-import { RESTART_REPORT_MS } from "../policy/upstream_directory.ts";
 import type {
   RoutedService,
   ServiceRoute,
@@ -46,14 +45,26 @@
 const UNSETTLED_VERSION = "(unsettled)";
 /** Calls to an upstream that does not state when it started. */
 const MAX_ASKS = 3;
-/** Interval of these calls and of looks for a new entry, in milliseconds. */
+/** Interval of these calls, in milliseconds. */
 const SETTLE_INTERVAL_MS = 100;
+/** Interval of looks at the view of the upstreams, in milliseconds. */
+const LOOK_INTERVAL_MS = 250;
 /**
  * Time for which an answer that broke off waits for the version of its stream,
  * in milliseconds; exceeds the time for a report.
  */
 const MAX_SETTLE_WAIT_MS = 300;
 
+/** A stream of which it is not certain which process began it. */
+interface StreamDoubt {
+  /** Entry by which the upstream was chosen. */
+  readonly entry: UpstreamEntry;
+  /** Time for which an upstream that has started is cold, in milliseconds. */
+  readonly coldStartMs: number;
+  /** Monotonic time of the first event, in milliseconds. */
+  readonly startedAt: number;
+}
+
 /** The binding of the stream that one request begins or resumes. */
 export class StreamBinding {
   readonly #route: ServiceRoute;
@@ -68,6 +79,8 @@
   #origin: StreamOrigin | undefined;
   /** Whether the upstream that began the stream goes on with it. */
   #isConnected = false;
+  #doubt: StreamDoubt | undefined;
+  #lookTimer: NodeJS.Timeout | undefined;
   /** Settles when the version of the stream is known or given up. */
   #settling: Promise<void> | undefined;
 
@@ -107,21 +120,34 @@
       service,
       spanMs: this.#spanMs,
     });
-    if (origin?.softwareVersion === UNSETTLED_VERSION) return undefined;
-    this.#softwareVersion = origin?.softwareVersion;
-    return origin;
+    const proven = origin?.softwareVersion === UNSETTLED_VERSION
+      ? await this.#proveOrigin(origin)
+      : origin;
+    this.#softwareVersion = proven?.softwareVersion;
+    return proven;
   }
 
   /**
-   * Records that a request was sent to an upstream. If its process may be another
-   * than that of its entry, it is asked while it works on the request.
+   * Asks the upstream that began a stream, if its process was that of its entry,
+   * whether that process still runs; it has made the first event then.
    */
-  recordSent(entry: UpstreamEntry, service: RoutedService): void {
-    if (this.#softwareVersion !== undefined) return;
-    this.#isConnected = true;
-    if (this.#isInDoubt(entry, service)) {
-      void this.#options.processes.ask(entry.address);
-    }
+  async #proveOrigin(
+    { service, unproven }: StreamOrigin,
+  ): Promise<StreamOrigin | undefined> {
+    if (unproven === undefined) return undefined;
+    const { upstream, bornAt, softwareVersion } = unproven;
+    const { routing, processes } = this.#options;
+    const entry = routing.directory.find(upstream)?.entry;
+    if (entry?.bornAt !== bornAt) return undefined;
+    const { start } = await processes.ask(entry.address);
+    return isSameProcess(entry, start)
+      ? { service, softwareVersion }
+      : undefined;
+  }
+
+  /** Records that a request was sent to an upstream. */
+  recordSent(): void {
+    if (this.#softwareVersion === undefined) this.#isConnected = true;
   }
 
   /** Records that an upstream no longer works on the request. */
@@ -136,12 +162,24 @@
       this.recordOrigin(entry);
       return;
     }
+    const { id, bornAt, softwareVersion } = entry;
     this.#softwareVersion = NO_VERSION;
+    this.#doubt = {
+      entry,
+      coldStartMs: service.coldStartMs,
+      startedAt: this.#options.clock(),
+    };
     this.#tell({
       service: entry.service,
       softwareVersion: UNSETTLED_VERSION,
+      unproven: {
+        upstream: id,
+        bornAt: bornAt!,
+        softwareVersion: softwareVersion!,
+      },
     });
-    this.#settling = this.#settle(entry, service.coldStartMs);
+    this.#lookTimer = setInterval(() => this.#look(), LOOK_INTERVAL_MS);
+    this.#lookTimer.unref();
   }
 
   /** Binds the stream to a version that is certain; undefined binds to none. */
@@ -152,15 +190,20 @@
     >,
   ): void {
     if (!this.#isResumable) return;
+    this.#endDoubt();
     this.#softwareVersion = softwareVersion ?? NO_VERSION;
     if (softwareVersion === undefined) return;
     this.#origin = { service, softwareVersion };
     this.#tell(this.#origin);
   }
 
-  /** Waits a short time until the version of a stream that broke off is known. */
+  /**
+   * Asks for the version of a stream that broke off while it was in doubt, and
+   * waits a short time until it is known.
+   */
   async untilSettled(): Promise<void> {
-    if (this.#settling === undefined) return;
+    if (this.#doubt === undefined) return;
+    this.#settling ??= this.#settle(this.#doubt);
     const timeout = sleep(MAX_SETTLE_WAIT_MS, undefined, { ref: false });
     await Promise.race([this.#settling, timeout]);
   }
@@ -170,6 +213,7 @@
     if (this.#isRunning) this.#options.streams.recordEnd(this.#key);
     this.#isRunning = false;
     this.#hasEnded = true;
+    this.#endDoubt();
   }
 
   /**
@@ -219,24 +263,40 @@
       !this.#options.processes.isProven(entry);
   }
 
-  #tell({ service, softwareVersion }: StreamOrigin): void {
+  #tell(origin: StreamOrigin): void {
     const { streams } = this.#options;
-    streams.recordStart({
-      key: this.#key,
-      service,
-      softwareVersion,
-      spanMs: this.#spanMs,
-    });
+    streams.recordStart({ ...origin, key: this.#key, spanMs: this.#spanMs });
     if (this.#hasEnded) streams.recordEnd(this.#key);
     else this.#isRunning = true;
   }
 
-  /** Binds the stream once it is known which process began it. */
-  async #settle(entry: UpstreamEntry, coldStartMs: number): Promise<void> {
-    const { processes, clock } = this.#options;
-    const startedAt = clock();
+  #endDoubt(): void {
+    clearInterval(this.#lookTimer);
+    this.#doubt = undefined;
+  }
+
+  /**
+   * Binds the stream once the view of the upstreams tells which process began
+   * it: that of a new entry, or that of the known one if none has come in time.
+   */
+  #look(): void {
+    const { processes, routing } = this.#options;
+    if (this.#doubt === undefined || !this.#isConnected) return;
+    const { entry } = this.#doubt;
+    const known = routing.directory.find(entry.id)?.entry;
+    if (known?.address !== entry.address) return;
+    const isOther = known.bornAt !== entry.bornAt;
+    if (isOther || processes.isProven(entry)) this.recordOrigin(known);
+  }
+
+  /** Asks the upstream which process began the stream, and binds the stream. */
+  async #settle(
+    { entry, coldStartMs, startedAt }: StreamDoubt,
+  ): Promise<void> {
+    const { processes } = this.#options;
     for (let asks = 1; asks <= MAX_ASKS; asks++) {
       const { start, askedAt } = await processes.ask(entry.address);
+      if (this.#doubt === undefined) return;
       if (isSameProcess(entry, start)) {
         // A process of the entry that runs after the first event has made it.
         const isCertain = askedAt >= startedAt || processes.isProven(entry);
@@ -244,22 +304,8 @@
         continue;
       }
       this.#recordOther(entry, { start, coldStartMs });
-      if (start.kind === "stated") {
-        // Of a connection that has closed, the process may have been either.
-        if (!this.#isConnected) return;
-        return await this.#awaitEntry(entry.id, start.bornAt);
-      }
-      await sleep(SETTLE_INTERVAL_MS, undefined, { ref: false });
-    }
-  }
-
-  /** Binds the stream when the entry of the process that began it arrives. */
-  async #awaitEntry(id: string, bornAt: number): Promise<void> {
-    const { routing, clock } = this.#options;
-    const until = clock() + RESTART_REPORT_MS;
-    while (clock() < until) {
-      const entry = routing.directory.find(id)?.entry;
-      if (entry?.bornAt === bornAt) return this.recordOrigin(entry);
+      // The connection has closed, so that it may have been either process.
+      if (start.kind === "stated") return;
       await sleep(SETTLE_INTERVAL_MS, undefined, { ref: false });
     }
   }
--- a/src/policy/stream_origins.ts
+++ b/src/policy/stream_origins.ts
@@ -15,6 +15,20 @@
   readonly service: string;
   /** Version of the upstream's software. */
   readonly softwareVersion: string;
+  /** Set while it is not certain which process began the stream. */
+  readonly unproven?: UnprovenOrigin;
+}
+
+/**
+ * What began a stream if the upstream's process was that of its entry, which may
+ * not have been known for a process that had just started.
+ */
+export interface UnprovenOrigin {
+  /** Id of the upstream. */
+  readonly upstream: string;
+  /** Start time of the process in its entry, in Unix milliseconds. */
+  readonly bornAt: number;
+  readonly softwareVersion: string;
 }
 
 /** A stream as routers tell it to each other. */
@@ -69,14 +83,18 @@
 
   /** Records what began a stream. */
   record(
-    { key, service, softwareVersion, remainingMs }: StreamRecord,
+    { key, service, softwareVersion, unproven, remainingMs }: StreamRecord,
     now: number,
   ): void {
     const expiresAt = now + Math.min(remainingMs, MAX_STREAM_MS);
     // Moves the stream to the end, so that the first ones are the oldest.
     this.#streams.delete(key);
     this.#streams.set(key, {
-      origin: { service, softwareVersion },
+      origin: {
+        service,
+        softwareVersion,
+        ...(unproven !== undefined && { unproven }),
+      },
       expiresAt,
     });
     for (const [oldest, stream] of this.#streams) {
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -7,7 +7,6 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import { connect, type Socket } from "node:net";
-import { setTimeout as sleep } from "node:timers/promises";
 import { Client, type Dispatcher } from "undici";
 import { parseAddress } from "./address.ts";
 
@@ -95,11 +94,6 @@
   isRefusing(address: string): Promise<boolean>;
   /** Whether a new connection to `address` opens within a short time. */
   isReachable(address: string): Promise<boolean>;
-  /**
-   * Whether a process at `address`, which has just closed a connection, still
-   * accepts others. False if that can't be found out in time.
-   */
-  isStillListening(address: string): Promise<boolean>;
   close(): Promise<void>;
 }
 
@@ -115,11 +109,6 @@
  * milliseconds; many round trips, since its process need not accept it.
  */
 const REACHABLE_TIMEOUT_MS = 200;
-/**
- * Time in which the kernel closes all sockets of a process that has died, in
- * milliseconds. It closes the listening one late, and accepts until then.
- */
-const PROCESS_END_MS = 50;
 /** Below the idle timeout of 10 s that upstreams announce. */
 const IDLE_TIMEOUT_MS = 9_000;
 /**
@@ -328,11 +317,6 @@
     return checkReachable(address);
   }
 
-  async isStillListening(address: string): Promise<boolean> {
-    await sleep(PROCESS_END_MS);
-    return await this.isReachable(address);
-  }
-
   async close(): Promise<void> {
     clearInterval(this.#sweeper);
     for (const address of [...this.#idle.keys()]) this.closeIdle(address);
