Bind streams in doubt by the versions of their service if the upstream has ended

If a process that began a stream has ended, the stream is now of the only version that its service had, by a view that the store confirms after the break or the take-up.

Not covered: a process that begins a stream and ends before its entry was ever written, while its service has one version.

--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -49,6 +49,11 @@
   isTrustedAt(now: Instant): boolean;
   /** Peer addresses of the fleet's routers by name, this one included. */
   routers(): ReadonlyMap<string, string>;
+  /**
+   * Resolves with whether the view of the upstreams holds all that the store had
+   * accepted when this was called; false if that can't be found out soon.
+   */
+  confirmView(): Promise<boolean>;
 }
 
 /** Keeps the routing state up to date and this router registered. */
@@ -60,11 +65,6 @@
    * such a request may wait, or as soon as the store is lost.
    */
   awaitTable(remainingMs: number): Promise<RouteTable | undefined>;
-  /**
-   * Resolves with whether the view of the upstreams holds all that the store had
-   * accepted when this was called; false if that can't be found out soon.
-   */
-  confirmView(): Promise<boolean>;
   /** Stops and removes this router's registration from the store. */
   close(): Promise<void>;
 }
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -520,7 +520,7 @@
         this.#recordNotice(place.entry, { status, traits, sentAt });
       },
     });
-    this.#binding.recordSent();
+    this.#binding.recordSent(place.entry, this.#service);
     const record: TryRecord = {
       upstream,
       softwareVersion: place.entry.softwareVersion,
--- a/src/ingress/stream_binding.ts
+++ b/src/ingress/stream_binding.ts
@@ -7,7 +7,8 @@
 import type { StreamExchange } from "../control/stream_exchange.ts";
 import { createStreamKey } from "../policy/request_digest.ts";
 import { isSameProcess, type ReportedStart } from "../policy/process_proofs.ts";
-import type { StreamOrigin } from "../policy/stream_origins.ts";
+import { MAX_STREAM_MS, type StreamOrigin } from "../policy/stream_origins.ts";
+import type { VersionFinding } from "../policy/version_history.ts";
 import type {
   RoutedService,
   ServiceRoute,
@@ -18,7 +19,7 @@
 
 /** Options of a `StreamBinding`. */
 export interface StreamBindingOptions {
-  readonly routing: Pick<RoutingView, "directory">;
+  readonly routing: Pick<RoutingView, "directory" | "confirmView">;
   readonly processes: Pick<ProcessChecks, "ask" | "isProven">;
   /** Reads the monotonic clock, in milliseconds. */
   readonly clock: () => number;
@@ -51,9 +52,10 @@
 const LOOK_INTERVAL_MS = 250;
 /**
  * Time for which an answer that broke off waits for the version of its stream,
- * in milliseconds; exceeds the time for a report.
+ * in milliseconds; exceeds the time for a report and a read of the store. Callers
+ * abandon a stream after two seconds without an event.
  */
-const MAX_SETTLE_WAIT_MS = 300;
+const MAX_SETTLE_WAIT_MS = 800;
 
 /** A stream of which it is not certain which process began it. */
 interface StreamDoubt {
@@ -137,17 +139,49 @@
     if (unproven === undefined) return undefined;
     const { upstream, bornAt, softwareVersion } = unproven;
     const { routing, processes } = this.#options;
+    const origin = { service, softwareVersion };
     const entry = routing.directory.find(upstream)?.entry;
-    if (entry?.bornAt !== bornAt) return undefined;
-    const { start } = await processes.ask(entry.address);
-    return isSameProcess(entry, start)
-      ? { service, softwareVersion }
-      : undefined;
+    if (entry?.bornAt === bornAt) {
+      const { start } = await processes.ask(entry.address);
+      if (isSameProcess(entry, start)) return origin;
+      if (start.kind === "stated") return undefined;
+    }
+    return await this.#isSoleVersion(origin) ? origin : undefined;
+  }
+
+  /**
+   * Whether a service has had one version only for as long as the stream can
+   * have lasted, by a view that the store confirms now. Decides for a process
+   * that has ended, which can't be asked.
+   */
+  async #isSoleVersion(
+    { service, softwareVersion }: StreamOrigin,
+  ): Promise<boolean> {
+    if (!await this.#options.routing.confirmView()) return false;
+    const finding = this.#findVersions(service);
+    return finding.kind === "sole" && finding.version === softwareVersion;
   }
 
-  /** Records that a request was sent to an upstream. */
-  recordSent(): void {
-    if (this.#softwareVersion === undefined) this.#isConnected = true;
+  #findVersions(service: string): VersionFinding {
+    const { routing, clock } = this.#options;
+    const spanMs = Math.min(this.#spanMs, MAX_STREAM_MS);
+    return routing.directory.findVersions(service, { now: clock(), spanMs });
+  }
+
+  /**
+   * Records that a request was sent to an upstream. While a service has several
+   * versions, a process that may not be that of its entry is asked beside the
+   * request: nothing else tells its version once it has ended.
+   */
+  recordSent(entry: UpstreamEntry, service: RoutedService): void {
+    if (this.#softwareVersion !== undefined) return;
+    this.#isConnected = true;
+    if (
+      this.#isInDoubt(entry, service) &&
+      this.#findVersions(entry.service).kind !== "sole"
+    ) {
+      void this.#options.processes.ask(entry.address);
+    }
   }
 
   /** Records that an upstream no longer works on the request. */
@@ -306,6 +340,12 @@
       this.#recordOther(entry, { start, coldStartMs });
       // The connection has closed, so that it may have been either process.
       if (start.kind === "stated") return;
+      const { service, softwareVersion } = entry;
+      const isSole = await this.#isSoleVersion({
+        service,
+        softwareVersion: softwareVersion!,
+      });
+      if (isSole && this.#doubt !== undefined) return this.recordOrigin(entry);
       await sleep(SETTLE_INTERVAL_MS, undefined, { ref: false });
     }
   }
