--- a/src/platform/metadata_store_test.ts
+++ b/src/platform/metadata_store_test.ts
@@ -1,3 +1,6 @@
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import fc from "fast-check";
 import { MetadataStoreServer } from "../../testing/metadata_store.ts";
 import type { StoreChange } from "../routing/types.ts";
@@ -91,3 +94,26 @@
   expect(await putAndPoll({ seq: 5 })).toEqual(["upstream"]);
   expect(await putAndPoll({ born: 1e300, seq: 6 })).toEqual(reported);
 });
+
+// Guards against an answer of the store that ends the process that reads it.
+test("a malformed answer with the versions is a failed call", async () => {
+  const odd = createServer((_, response) => {
+    response.setHeader("content-type", "application/json");
+    response.end('{"items":[1],"truncated":false,"currentRev":5}');
+  });
+  odd.listen(0, "127.0.0.1");
+  await once(odd, "listening");
+  const { port } = odd.address() as AddressInfo;
+  const client = createMetadataStore({
+    address: `127.0.0.1:${port}`,
+    now: () => ({ steady: performance.now(), wall: Date.now() }),
+  });
+  try {
+    const read = await client.readVersions();
+    expect(read.err && read.val.kind).toBe("unavailable");
+  } finally {
+    await client.close();
+    odd.closeAllConnections();
+    odd.close();
+  }
+});
