Ignore an answer about a stream that was not asked for

A router numbers its questions from 1 after each start, so that a late answer to a question from before a restart could match a new one and bind its stream to the version of another (ORDER). The key in the answer has to be that of the question. Found by reading; 'an answer about another stream is ignored' failed before.

--- a/src/control/stream_exchange.ts
+++ b/src/control/stream_exchange.ts
@@ -269,7 +269,10 @@
     { router, stream, ...answer }: StreamFinding,
   ): void {
     const pending = this.#pending.get(id);
-    if (pending === undefined || !pending.unanswered.delete(router)) return;
+    if (pending === undefined) return;
+    // An answer that is late may be to a question from before a restart.
+    const isOther = stream !== undefined && stream.key !== pending.question.key;
+    if (isOther || !pending.unanswered.delete(router)) return;
     if (stream !== undefined) {
       this.#origins.record(stream, this.#options.clock());
       this.#settle(id, { outcome: "told", origin: stream });
--- a/src/control/stream_exchange_test.ts
+++ b/src/control/stream_exchange_test.ts
@@ -223,6 +223,26 @@
   }
 });
 
+// Guards against an answer to a question that the router asked before it was
+// restarted, since its questions are numbered anew (ORDER).
+test("an answer about another stream is ignored", async () => {
+  const fleet = new Fleet(2);
+  fleet.down.add("router-1");
+  const found = fleet.get(0).find("stream", QUESTION);
+  const stream = {
+    key: "other",
+    service: "engine",
+    softwareVersion: "v2",
+    remainingMs: 5,
+  };
+  fleet.get(0).receive({
+    kind: "stream-finding",
+    id: "stream-1",
+    finding: { router: "router-1", stream },
+  });
+  expect(await found).toBeUndefined();
+});
+
 test("malformed messages are refused", () => {
   const record = { ...STREAM, remainingMs: 5 };
   const parse = (message: object) =>
