--- a/src/control/older_copy_entries_test.ts
+++ b/src/control/older_copy_entries_test.ts
@@ -88,7 +88,7 @@
   // As the ingress router passes the age of the view.
   const processes = new ProcessChecks({
     clock: () => performance.now(),
-    getViewAgeMs: () => routing.ageAt(readClocks()),
+    getViewAgeMs: () => routing.getViewAgeMs(),
     connections: {
       // To the process that runs, for a minute.
       isOpenSince: (_, at) => at >= performance.now() - 60_000,
--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -45,6 +45,11 @@
    * milliseconds; infinite before the first confirmation.
    */
   ageAt(now: Instant): number;
+  /**
+   * Time since the store last confirmed the view of the upstreams, in
+   * milliseconds; infinite while state that it has lost stays in use.
+   */
+  getViewAgeMs(): number;
   /** Whether the configuration is recent enough to accept its API keys. */
   isTrustedAt(now: Instant): boolean;
   /** Peer addresses of the fleet's routers by name, this one included. */
@@ -135,6 +140,8 @@
   #journal = new ChangeJournal();
   /** Era of the store; undefined before its first answer. */
   #era: number | undefined;
+  /** Era in which other routers were asked for a newer configuration. */
+  #askedEra = 0;
   /** Monotonic time until which lost state stays in use, in milliseconds. */
   #restoredUntil = -Infinity;
   /** Failure domains out of service that the store has lost. */
@@ -245,6 +252,11 @@
     return this.#confirmation.ageAt(now);
   }
 
+  getViewAgeMs(): number {
+    // Entries of a copy may be those of earlier processes.
+    return this.#isRestoring() ? Infinity : this.ageAt(this.#options.now());
+  }
+
   isTrustedAt(now: Instant): boolean {
     return this.#confirmation.isTrustedAt(now);
   }
@@ -412,18 +424,20 @@
 
   /**
    * Asks other routers for a configuration that is newer than that of a first
-   * snapshot, which may be of an older copy.
+   * snapshot of an era, which may be of an older copy.
    */
-  async #fetchLostConfiguration(
+  async #fetchLostConfigurations(
     { changes, era }: StoreSnapshot,
-  ): Promise<void> {
+  ): Promise<RoutingConfiguration[]> {
     const { self, random = Math.random } = this.#options;
-    const addresses = new Map<string, string>();
-    let newerThan: number | undefined;
+    if (era === this.#askedEra) return [];
+    this.#askedEra = era;
+    const addresses = new Map(this.#routers);
+    let newerThan = this.#table?.configuration.version;
     for (const change of changes) {
       if (change.kind === "router") addresses.set(change.name, change.address);
       if (change.kind === "configuration") {
-        newerThan = change.configuration.version;
+        newerThan = Math.max(newerThan ?? 0, change.configuration.version);
       }
     }
     const peers = chooseStartPeers([...addresses.keys()], {
@@ -431,7 +445,7 @@
       self: self.name,
       random,
     });
-    await Promise.all(
+    const fetched = await Promise.all(
       peers.map((name) =>
         this.#fetchFromPeer(name, {
           address: addresses.get(name)!,
@@ -439,12 +453,13 @@
         })
       ),
     );
+    return fetched.filter((each) => each !== undefined);
   }
 
   async #fetchFromPeer(
     from: string,
     { address, newerThan }: { address: string; newerThan: number | undefined },
-  ): Promise<void> {
+  ): Promise<RoutingConfiguration | undefined> {
     const { fetchConfiguration, log } = this.#options;
     const fetched = await fetchConfiguration(address, { newerThan });
     if (fetched.err) {
@@ -452,9 +467,9 @@
         from,
         cause: fetched.val.message,
       });
-    } else if (fetched.val !== undefined) {
-      this.#applyConfiguration(fetched.val);
+      return undefined;
     }
+    return fetched.val;
   }
 
   /** Records that all changes up to `revision` are known. */
@@ -474,7 +489,8 @@
       const snapshot = await store.readAll();
       if (snapshot.err) return this.#recordStoreFailure(snapshot.val);
       this.#recordStoreAnswer();
-      if (!this.#hasSnapshot) await this.#fetchLostConfiguration(snapshot.val);
+      const lost = await this.#fetchLostConfigurations(snapshot.val);
+      for (const each of lost) this.#applyConfiguration(each);
       this.#applySnapshot(snapshot.val);
       return true;
     }
@@ -651,7 +667,10 @@
         this.#applyUpstream(change.entry, instant);
         break;
       case "upstream-gone":
-        log.info("An upstream's entry was removed.", { upstream: change.id });
+        // An entry that is not valid is gone with each of its heartbeats.
+        if (this.directory.find(change.id) !== undefined) {
+          log.info("An upstream's entry was removed.", { upstream: change.id });
+        }
         this.directory.remove(change.id, steady);
         this.#journal.recordChange(change);
         break;
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -298,7 +298,7 @@
           now: readSteadyClock(),
           spanMs,
         }),
-      getViewAgeMs: () => this.#routing.ageAt(readClocks()),
+      getViewAgeMs: () => this.#routing.getViewAgeMs(),
       confirmView: () => this.#routing.confirmView(),
       onInquiryEnd: (report) => this.#logInquiry(report),
     });
@@ -458,7 +458,7 @@
         streams: this.#streams,
         retries: this.#retryBudget,
         clock: readSteadyClock,
-        getViewAgeMs: () => routing.ageAt(readClocks()),
+        getViewAgeMs: () => routing.getViewAgeMs(),
         hash,
         onTry: (service, end) => this.#metrics.tries.inc({ service, end }),
         onNotice: (kind, details) => this.#recordNotice(kind, details),
