Keep what is known of a stream over a doubt that comes late

A holder that had missed the message by which a doubt ended answered with the doubt, or took it from its own memory, so that a stream that all others knew was refused (LOST). A doubt no longer replaces a known version, and a router that has only a doubt goes on asking until the others have answered or the time is over.

unsettled_streams_test.ts failed before and passes.

--- a/src/control/stream_exchange.ts
+++ b/src/control/stream_exchange.ts
@@ -171,7 +171,9 @@
   ): Promise<StreamOrigin | undefined> {
     const { self, clock } = this.#options;
     const known = this.#origins.find(key, clock());
-    if (known !== undefined) return Promise.resolve(known);
+    if (known !== undefined && known.unproven === undefined) {
+      return Promise.resolve(known);
+    }
     // Others count the span back from the time at which they answer.
     const spanMs = Math.min(requestedMs + ANSWER_TIMEOUT_MS, MAX_STREAM_MS);
     const unanswered = new Set(this.#listHolders(key));
@@ -275,7 +277,7 @@
     if (isOther || !pending.unanswered.delete(router)) return;
     if (stream !== undefined) {
       this.#origins.record(stream, this.#options.clock());
-      this.#settle(id, { outcome: "told", origin: stream });
+      this.#decide(id);
       return;
     }
     pending.answers.push(answer);
@@ -289,7 +291,12 @@
     const { key, service, spanMs } = pending.question;
     const told = this.#origins.find(key, clock());
     if (told !== undefined) {
-      this.#settle(id, { outcome: "told", origin: told });
+      const isDoubt = told.unproven !== undefined;
+      // Another router may know what this one has in doubt.
+      const isFinal = pending.isDue || pending.unanswered.size === 0;
+      if (!isDoubt || isFinal) {
+        this.#settle(id, { outcome: "told", origin: told });
+      }
       return;
     }
     const decision = decideInquiry({
--- a/src/policy/stream_origins.ts
+++ b/src/policy/stream_origins.ts
@@ -86,6 +86,11 @@
     { key, service, softwareVersion, unproven, remainingMs }: StreamRecord,
     now: number,
   ): void {
+    const known = this.#streams.get(key);
+    const isKnown = known !== undefined && known.expiresAt > now &&
+      known.origin.unproven === undefined;
+    // A doubt that is told late says less than what is known.
+    if (unproven !== undefined && isKnown) return;
     const expiresAt = now + Math.min(remainingMs, MAX_STREAM_MS);
     // Moves the stream to the end, so that the first ones are the oldest.
     this.#streams.delete(key);
