Bind a stream in doubt to a later process only if it still sends data

A later entry now counts only if its process started later, and if the stream goes on after the entry has arrived.

stream_binding_test.ts failed before and passes. The restarted engine of ingress_restarts_test.ts sends an event after its entry, as the rule asks for.

--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -511,7 +511,10 @@
       isSuspect: () =>
         placement.isSuspect(upstream, this.#service) || links.isDown(service),
       onStreamStart: () => this.#recordStreamStart(place.entry),
-      onData: () => links.recordData(service),
+      onData: () => {
+        links.recordData(service);
+        this.#binding.recordData();
+      },
       onSilence: () => links.recordSilence(service),
       onSurvival: () => crashes.recordAnswer(this.#subjects),
       onLoad: (load) => placement.recordReportedLoad(upstream, load),
--- a/src/ingress/stream_binding.ts
+++ b/src/ingress/stream_binding.ts
@@ -83,6 +83,9 @@
   #isConnected = false;
   #doubt: StreamDoubt | undefined;
   #lookTimer: NodeJS.Timeout | undefined;
+  /** Monotonic times, in milliseconds. */
+  #lastDataAt = -Infinity;
+  #otherEntryAt: number | undefined;
   /** Settles when the version of the stream is known or given up. */
   #settling: Promise<void> | undefined;
 
@@ -184,6 +187,11 @@
     }
   }
 
+  /** Records that data of the upstream that works on the request has come. */
+  recordData(): void {
+    this.#lastDataAt = this.#options.clock();
+  }
+
   /** Records that an upstream no longer works on the request. */
   recordTryEnd(): void {
     this.#isConnected = false;
@@ -319,8 +327,15 @@
     const { entry } = this.#doubt;
     const known = routing.directory.find(entry.id)?.entry;
     if (known?.address !== entry.address) return;
-    const isOther = known.bornAt !== entry.bornAt;
-    if (isOther || processes.isProven(entry)) this.recordOrigin(known);
+    if (known.bornAt === entry.bornAt) {
+      if (processes.isProven(entry)) this.recordOrigin(known);
+      return;
+    }
+    // What still sends data after a later process has written its entry is that
+    // process; an open connection may also be left of a host without power.
+    if ((known.bornAt ?? 0) <= (entry.bornAt ?? 0)) return;
+    this.#otherEntryAt ??= this.#options.clock();
+    if (this.#lastDataAt > this.#otherEntryAt) this.recordOrigin(known);
   }
 
   /** Asks the upstream which process began the stream, and binds the stream. */
