Take an error in place of a report for no answer

A 503 to the question for an engine's start counted as an engine that states none, and so as the process of the entry (ORDER). Only 404 and a report without a start do now.

--- a/src/ingress/process_check.ts
+++ b/src/ingress/process_check.ts
@@ -38,6 +38,7 @@
 /** Longest report that is read; one of a full engine has some kilobytes. */
 const MAX_REPORT_BYTES = 1_048_576;
 const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
 
 /**
  * Asks an engine when it started. The next request to its address reuses the
@@ -109,7 +110,7 @@
     // It may be a late copy of an answer to an earlier request.
     report = await fetchReport({ address, connections, isFresh: true });
   }
-  if (report === undefined) return { kind: "silent" };
+  if (report === undefined || report.isError) return { kind: "silent" };
   const bornAt = decodeReportedStart(report.text);
   return bornAt === undefined
     ? { kind: "unstated" }
@@ -122,6 +123,8 @@
   readonly text: string;
   /** Whether the connection had carried another request before. */
   readonly isReused: boolean;
+  /** Whether it is an error, which says nothing of the process. */
+  readonly isError: boolean;
 }
 
 /** Returns an engine's report of itself; undefined if it does not answer. */
@@ -158,10 +161,11 @@
       },
       onEnd: () => {
         const body = Buffer.concat(chunks).toString("utf8");
+        const isError = status !== STATUS_OK && status !== STATUS_NOT_FOUND;
         const text = status === STATUS_OK ? body : "";
         const { isReused } = exchange;
         // The connection becomes idle after this turn of the event loop.
-        setImmediate(() => finish({ text, isReused }));
+        setImmediate(() => finish({ text, isReused, isError }));
       },
       onFailure: () => finish(undefined),
     });
