Read the versions of all services, and take names that were in use before

Only the first page of the records of versions was read, so that a confirmed view might lack a version (ORDER). One workspace with a letter beyond ASCII, or a host of more than 200 characters, refused a whole configuration, and with it the removal of keys (CONFIG). An entry that was odd again for the same reason left the sound one in use that a relay had passed on.

--- a/src/platform/checked_state.ts
+++ b/src/platform/checked_state.ts
@@ -112,7 +112,7 @@
   const maxAttempts = tryNumber(fields, "maxAttempts", NUMBERS.attempts) ?? 1;
   return {
     name: getText(fields, "name", TEXTS.name),
-    host: getText(fields, "host", TEXTS.name).toLowerCase(),
+    host: getText(fields, "host", TEXTS.host).toLowerCase(),
     prefix: getText(fields, "prefix", TEXTS.requestPart),
     kind: getWord<RouteKind>(fields, "kind", ROUTE_KINDS),
     targets: getList(fields, "targets").map(checkTarget),
@@ -141,7 +141,7 @@
 function checkWorkspace(value: unknown): KeyedWorkspace {
   const fields = asFields(value, "workspace");
   return {
-    name: getText(fields, "name", TEXTS.headerName),
+    name: getText(fields, "name", TEXTS.workspace),
     keys: getList(fields, "keys").map((each) =>
       asText(each, "key", TEXTS.requestPart)
     ),
--- a/src/platform/field_limits.ts
+++ b/src/platform/field_limits.ts
@@ -68,6 +68,8 @@
   priority: integer(1_000_000),
 } as const satisfies Record<string, NumberLimit>;
 
+/** Longest name of a host in the domain name system (RFC 1035). */
+const MAX_HOST_LENGTH = 253;
 /**
  * Text without control characters. Such text may be logged, and sent as part of
  * a message.
@@ -76,16 +78,33 @@
 const PLAIN_TEXT = /^[^\u0000-\u001f\u007f-\u009f]*$/;
 /** Printable ASCII without spaces at its ends, as a header field carries it. */
 const HEADER_TEXT = /^[!-~](?:[ -~]*[!-~])?$/;
+/** The same with letters of Latin-1, which a header field carries as well. */
+const LATIN1_HEADER_TEXT =
+  /^[!-~\u00a1-\u00ff](?:[ -~\u00a0-\u00ff]*[!-~\u00a1-\u00ff])?$/;
 /** Limits of texts by what they name. */
 export const TEXTS = {
-  /** Ids of upstreams, services, software versions and workspaces. */
+  /** Ids of upstreams, services and software versions. */
   headerName: {
     minLength: 1,
     maxLength: MAX_NAME_LENGTH,
     pattern: HEADER_TEXT,
     expected: "a name of 1 to 200 printable ASCII characters",
   },
-  /** Names that stay in the routers: of routers, domains, routes and hosts. */
+  /** Names of workspaces, which the operators choose. */
+  workspace: {
+    minLength: 1,
+    maxLength: MAX_NAME_LENGTH,
+    pattern: LATIN1_HEADER_TEXT,
+    expected: "a name of 1 to 200 printable Latin-1 characters",
+  },
+  /** Names of the domain name system. */
+  host: {
+    minLength: 1,
+    maxLength: MAX_HOST_LENGTH,
+    pattern: PLAIN_TEXT,
+    expected: "a host of 1 to 253 characters without control characters",
+  },
+  /** Names that stay in the routers: of routers, domains and routes. */
   name: {
     minLength: 1,
     maxLength: MAX_NAME_LENGTH,
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -167,36 +167,21 @@
 
   async readAll(): Promise<Result<StoreSnapshot, PlatformFailure>> {
     const sentAt = this.#options.now();
-    const items: unknown[] = [];
-    let revision: number | undefined;
-    let era: number | undefined;
-    let after: string | undefined;
-    for (;;) {
-      const page = await this.#readPage({ prefix: "", after });
-      if (page.err) return page;
-      era ??= page.val.era;
-      if (page.val.era !== era) {
-        const detail = "the store returned to a copy while it was read";
-        return Err(new PlatformFailure("unavailable", detail));
-      }
-      // Later pages may be of later revisions. Polling from the revision of the
-      // first page delivers every change made between the pages.
-      revision ??= page.val.revision;
-      items.push(...page.val.items);
-      if (!page.val.isTruncated) break;
-      after = getLastKey(page.val.items);
-    }
-    const changes = this.#decode(() =>
-      items.flatMap((each) => this.#decodeItem(each))
-    );
-    const position = { revision, sentAt, era };
-    return changes.map((decoded) => ({ changes: decoded, ...position }));
+    const read = await this.#readItems("");
+    if (read.err) return read;
+    const { items, revision, era } = read.val;
+    return this.#decode(() => ({
+      changes: items.flatMap((each) => this.#decodeItem(each)),
+      revision,
+      sentAt,
+      era,
+    }));
   }
 
   async readVersions(): Promise<Result<StoreVersions, PlatformFailure>> {
-    const page = await this.#readPage({ prefix: KEYS.versions });
-    if (page.err) return page;
-    const { items, revision, era } = page.val;
+    const read = await this.#readItems(KEYS.versions);
+    if (read.err) return read;
+    const { items, revision, era } = read.val;
     return this.#decode(() => ({
       records: items.flatMap((each) => this.#decodeItem(each))
         .flatMap((change) => change.kind === "versions" ? [change.record] : []),
@@ -205,6 +190,34 @@
     }));
   }
 
+  /** Reads the items below a prefix, page by page. */
+  async #readItems(
+    prefix: string,
+  ): Promise<Result<Omit<Page, "isTruncated">, PlatformFailure>> {
+    const items: unknown[] = [];
+    let first: Page | undefined;
+    let after: string | undefined;
+    for (;;) {
+      const read = await this.#readPage({ prefix, after });
+      if (read.err) return read;
+      const page = read.val;
+      // Later pages may be of later revisions. Polling from the revision of the
+      // first page delivers every change made between the pages.
+      first ??= page;
+      if (page.era !== first.era) {
+        const detail = "the store returned to a copy while it was read";
+        return Err(new PlatformFailure("unavailable", detail));
+      }
+      items.push(...page.items);
+      if (!page.isTruncated) break;
+      const last = this.#decode(() => getLastKey(page.items));
+      if (last.err) return last;
+      after = last.val;
+    }
+    const { revision, era } = first;
+    return Ok({ items, revision, era });
+  }
+
   async poll(after: number): Promise<Result<StorePoll, PlatformFailure>> {
     const { now, pollWaitMs } = this.#options;
     const sentAt = now();
@@ -301,8 +314,8 @@
   }
 
   /**
-   * Decodes an item. One that stays unreadable for the same reason causes no
-   * changes again: its writer repeats it with each heartbeat.
+   * Decodes an item. One that stays unreadable for the same reason is not
+   * reported again: its writer repeats it with each heartbeat.
    */
   #decodeItem(item: unknown): StoreChange[] {
     const raw = toRawItem(item);
@@ -316,7 +329,9 @@
       const [oldest] = this.#unreadable.keys();
       this.#unreadable.delete(oldest!);
     }
-    return known === unreadable.reason ? [] : changes;
+    return known === unreadable.reason
+      ? changes.filter(({ kind }) => kind !== "unreadable")
+      : changes;
   }
 
   #decode<T>(read: () => T): Result<T, PlatformFailure> {
