Let a slow caller hold up a sound stream

The time without data of a try ran on while reading waited for the caller, so that a sound upstream ended as silent. slow_caller_test.ts failed before and passes.

--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -149,6 +149,8 @@
   readonly #splitter = new EventSplitter();
   #resolve!: (result: TryResult) => void;
   #silenceTimer: NodeJS.Timeout | undefined;
+  /** Whether reading waits for the caller. */
+  #isPaused = false;
   #suspectTimer: NodeJS.Timeout | undefined;
   /** Runs until the head arrives. */
   #headTimer: NodeJS.Timeout | undefined;
@@ -225,6 +227,11 @@
     const { silenceTimeoutMs } = this.#options;
     if (!Number.isFinite(silenceTimeoutMs)) return;
     this.#silenceTimer = setTimeout(() => {
+      // A slow caller holds the upstream up, which may be sound.
+      if (this.#isPaused) {
+        this.#silenceTimer?.refresh();
+        return;
+      }
       if (!this.#options.mayReplaceTry()) return;
       this.#endSilent(silenceTimeoutMs);
     }, silenceTimeoutMs);
@@ -337,8 +344,15 @@
     this.#eventCount += events.length;
     this.#startStream();
     const isInOrder = relay.forward(events, {
-      pause: () => this.#exchange.pause(),
-      resume: () => this.#exchange.resume(),
+      pause: () => {
+        this.#isPaused = true;
+        this.#exchange.pause();
+      },
+      resume: () => {
+        this.#isPaused = false;
+        if (!this.#isDone) this.#silenceTimer?.refresh();
+        this.#exchange.resume();
+      },
     });
     if (!isInOrder) {
       this.#reject({ end: "no-answer", detail: "an event is missing" });
