--- a/src/control/routing_controller_test.ts
+++ b/src/control/routing_controller_test.ts
@@ -1,142 +1,174 @@
-/** A router that starts after the store has returned to an older copy. */
-import { Err, Ok, type Result } from "ts-results/result";
-import { createLogFactory } from "../log.ts";
-import type {
-  MetadataStore,
-  StorePoll,
-  StoreSnapshot,
-} from "../platform/metadata_store.ts";
-import { getStorePollIntervals } from "../policy/poll_pause.ts";
-import { RelayPlan } from "../policy/relay_plan.ts";
-import { loadHash } from "../policy/rendezvous.ts";
-import type {
-  Instant,
-  RoutingConfiguration,
-  StoreChange,
-} from "../routing/types.ts";
+/** Routers after the store has returned to an older copy. */
+import { Err, Ok } from "ts-results/result";
+import { ProcessChecks } from "../ingress/process_check.ts";
+import type { StoreChange, UpstreamEntry } from "../routing/types.ts";
 import { PlatformFailure } from "../store/key_value.ts";
 import type { FetchConfiguration } from "./configuration_relay.ts";
 import {
-  createRoutingController,
-  type RoutingController,
-} from "./routing_controller.ts";
-import { createTaskSystem } from "./task.ts";
+  createConfiguration,
+  readClocks,
+  SELF,
+  StubRouting,
+  until,
+} from "./testing/stub_routing.ts";
 
 const COPIED_VERSION = 1;
-const SELF = { name: "router-2", address: "127.0.0.1:12", linkMbps: 0 };
-const PACE = getStorePollIntervals({ drainMs: 2_000, applyMs: 2_000 });
+const SILENT_MS = 300;
+const NOW: UpstreamEntry = {
+  id: "up",
+  service: "engine",
+  address: "10.0.0.1:80",
+  failureDomain: "east",
+  slots: 4,
+  state: "ready",
+  coldLeftMs: 0,
+  softwareVersion: "v2",
+  bornAt: 8,
+};
+/** That of the process before, which has ended long ago. */
+const COPIED: UpstreamEntry = { ...NOW, softwareVersion: "v1", bornAt: 7 };
 
-function readClocks(): Instant {
-  return { steady: performance.now(), wall: Date.now() };
-}
+let stub: StubRouting;
+let era: number;
+let asked: { address: string; newerThan: number | undefined }[];
 
-function createConfiguration(version: number): RoutingConfiguration {
-  return {
-    version,
-    routes: [],
-    services: [],
-    limits: {
-      maxHeaderBytes: 1,
-      maxBodyBytes: 1,
-      headerTimeoutMs: 1,
-      idleTimeoutMs: 1,
-    },
-    workspaces: undefined,
-  };
-}
+beforeEach(() => {
+  stub = new StubRouting();
+  era = 0;
+  asked = [];
+});
 
-/** A store that holds a configuration and two other routers. */
-function createStore(era: number): MetadataStore {
-  const changes: StoreChange[] = [
+afterEach(async () => {
+  await stub.close();
+});
+
+/** Returns what the store holds: a configuration, two routers, an upstream. */
+function listChanges(): StoreChange[] {
+  const router = { ...SELF, kind: "router" } as const;
+  return [
     {
       kind: "configuration",
       configuration: createConfiguration(COPIED_VERSION),
     },
-    { ...SELF, kind: "router", name: "router-0", address: "127.0.0.1:10" },
-    { ...SELF, kind: "router", name: "router-1", address: "127.0.0.1:11" },
+    { ...router, name: "router-0", address: "127.0.0.1:10" },
+    { ...router, name: "router-1", address: "127.0.0.1:11" },
+    { kind: "upstream", entry: era === 0 ? NOW : COPIED },
   ];
-  const revision = 100;
-  function respond<T>(value: T): Promise<Result<T, PlatformFailure>> {
-    return Promise.resolve(Ok(value));
-  }
-  return {
-    readAll: () =>
-      respond<StoreSnapshot>({ changes, revision, sentAt: readClocks(), era }),
-    poll: () =>
-      respond<StorePoll>({
-        kind: "changes",
-        changes: [],
-        revision,
-        sentAt: readClocks(),
-        era,
-      }),
-    readVersions: () => respond({ records: [], revision, era }),
-    register: () => respond("lease"),
-    renew: () => respond(true),
-    deregister: () => respond(undefined),
-    writeVersions: () => respond(undefined),
-    close: () => Promise.resolve(),
-  };
 }
 
-let asked: { address: string; newerThan: number | undefined }[];
-let routing: RoutingController;
-/** Versions that were in force while their API keys were accepted. */
-let trusted: Set<number | undefined>;
-
-async function start(
-  era: number,
-  answer: ReturnType<FetchConfiguration>,
-): Promise<void> {
-  const tasks = createTaskSystem();
-  asked = [];
-  trusted = new Set();
-  routing = createRoutingController({
-    self: SELF,
-    store: createStore(era),
-    now: readClocks,
-    log: createLogFactory({ router: SELF.name, level: "error" })("config"),
-    tasks,
-    revocationMs: 5_000,
-    pace: PACE,
-    plan: new RelayPlan({ self: SELF.name, hash: await loadHash(), ...PACE }),
-    fetchConfiguration: (address, { newerThan } = {}) => {
-      asked.push({ address, newerThan });
-      return answer;
+async function start(fetchConfiguration: FetchConfiguration): Promise<void> {
+  await stub.open({
+    listChanges,
+    getEra: () => era,
+    fetchConfiguration: (address, options = {}) => {
+      asked.push({ address, newerThan: options.newerThan });
+      return fetchConfiguration(address, options);
     },
-    heartbeatMs: 1_200,
   });
-  routing.open();
-  while (!routing.isTrustedAt(readClocks())) {
-    await new Promise((resolve) => setTimeout(resolve, 1));
-  }
-  trusted.add(routing.table()?.configuration.version);
-  await routing.close();
-  tasks.close();
+}
+
+function isTrusted(): boolean {
+  return stub.routing.isTrustedAt(readClocks());
+}
+
+function findEntry(): UpstreamEntry | undefined {
+  return stub.routing.directory.find("up")?.entry;
+}
+
+function findNewer(): ReturnType<FetchConfiguration> {
+  return Promise.resolve(Ok(createConfiguration(2)));
 }
 
 // Guards against keys that were taken away and run at a router which starts
 // before the operators have written again what the store has lost.
 test("a configuration that the store has lost is in force at the start", async () => {
-  await start(1, Promise.resolve(Ok(createConfiguration(2))));
-  expect([...trusted]).toEqual([2]);
+  era = 1;
+  await start(findNewer);
+  await until(isTrusted);
+  expect(stub.version).toBe(2);
   expect(asked).toHaveLength(2);
   expect(asked).toContainEqual({ address: "127.0.0.1:10", newerThan: 1 });
 });
 
 test("the copy is in force if no router knows a newer one", async () => {
-  await start(1, Promise.resolve(Ok(undefined)));
-  expect([...trusted]).toEqual([COPIED_VERSION]);
+  era = 1;
+  await start(() => Promise.resolve(Ok(undefined)));
+  await until(isTrusted);
+  expect(stub.version).toBe(COPIED_VERSION);
 });
 
 test("the copy is in force if no router answers", async () => {
+  era = 1;
   const failure = new PlatformFailure("unavailable", "no answer");
-  await start(1, Promise.resolve(Err(failure)));
-  expect([...trusted]).toEqual([COPIED_VERSION]);
+  await start(() => Promise.resolve(Err(failure)));
+  await until(isTrusted);
+  expect(stub.version).toBe(COPIED_VERSION);
 });
 
 test("a store that never returned to a copy is believed at once", async () => {
-  await start(0, Promise.resolve(Ok(createConfiguration(2))));
-  expect([...trusted]).toEqual([COPIED_VERSION]);
+  await start(findNewer);
+  await until(isTrusted);
+  expect(stub.version).toBe(COPIED_VERSION);
   expect(asked).toEqual([]);
 });
+
+// Guards against keys that were taken away and run at a router that was cut off
+// from the removal: it has run since before the store returned to a copy, and
+// takes its own older configuration for the newest (CONFIG).
+test("a running router asks others for what the store has lost", async () => {
+  await start(findNewer);
+  await until(() => findEntry() !== undefined);
+  era = 1;
+  await until(() => findEntry()?.bornAt !== NOW.bornAt);
+  expect({ isTrusted: isTrusted(), version: stub.version })
+    .toEqual({ isTrusted: true, version: 2 });
+});
+
+// Guards against requests that a starting router refuses, instead of waiting with
+// them, since a configuration is in force without a confirmation and upstreams.
+test("a configuration of another router is in force with the snapshot only", async () => {
+  era = 1;
+  await start(async (address) => {
+    if (address === "127.0.0.1:10") return await findNewer();
+    await new Promise((resolve) => setTimeout(resolve, SILENT_MS));
+    return Ok(undefined);
+  });
+  let isInForceEarly = false;
+  await until(() => {
+    if (isTrusted()) return true;
+    isInForceEarly ||= stub.version !== undefined;
+    return false;
+  });
+  expect(isInForceEarly).toBe(false);
+});
+
+// Guards against streams of a version that go on at, or are told for, a process
+// of another one, since the store has returned to a copy from before its start
+// and a connection is taken to prove what that copy says (ORDER).
+test("a connection does not prove an entry of an older copy of the store", async () => {
+  await start(() => Promise.resolve(Ok(undefined)));
+  const { routing } = stub;
+  const processes = new ProcessChecks({
+    clock: () => performance.now(),
+    // As the ingress router passes the age of the view.
+    getViewAgeMs: () => routing.getViewAgeMs(),
+    connections: {
+      // To the process that runs, for a minute.
+      isOpenSince: (_, at) => at >= performance.now() - 60_000,
+      send: () => {
+        throw new Error("not asked");
+      },
+    },
+  });
+  await until(() => findEntry() !== undefined);
+  expect(processes.isProven(findEntry()!)).toBe(true);
+  era = 1;
+  await until(() => findEntry()?.bornAt !== NOW.bornAt);
+  const hasVersion = routing.directory.hasVersion(
+    "up",
+    "v1",
+    performance.now(),
+  );
+  // The router would send a stream of v1 there without a question.
+  expect(hasVersion && processes.isProven(findEntry()!)).toBe(false);
+});
