--- a/src/ingress/stream_binding.ts
+++ b/src/ingress/stream_binding.ts
@@ -183,7 +183,8 @@
       this.#isInDoubt(entry, service) &&
       this.#findVersions(entry.service).kind !== "sole"
     ) {
-      void this.#options.processes.ask(entry.address);
+      void this.#options.processes.ask(entry.address)
+        .then(() => this.#look());
     }
   }
 
