Answer requests that are still running when the grace time ends

Callers of a router that is stopped got a reset in place of an answer, if their requests took longer than was left of the grace time, non_idempotent ones too.

Cause: each request of the first 2.9 s after SIGTERM was taken, whatever its limit, and what still ran at the end was reset, whether or not its response had begun.

Change: when the grace time ends, requests whose response has not begun are answered, with 502 if they may have run and 503 if not. Before, a request that usually takes longer than the rest of the grace time is refused at once, as not run. What is usual comes from the last answers of the route; with too few of them the limit of the request counts. Streams that have begun are still reset.

--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -31,16 +31,14 @@
 } from "../control/stream_exchange.ts";
 import { createTaskSystem, type TaskSystem } from "../control/task.ts";
 import { createFilterChain, type FilterChain } from "../filters/exchange.ts";
-import {
-  RequestBodyFilter,
-  type StopProgress,
-} from "../ingress/body_filter.ts";
+import { RequestBodyFilter } from "../ingress/body_filter.ts";
 import { CrashWatch } from "../ingress/crash_watch.ts";
 import {
   ForwardFilter,
   type NoticeDetails,
   type UpstreamNotice,
 } from "../ingress/forward_filter.ts";
+import { GraceEnd } from "../ingress/grace_end.ts";
 import type {
   IngressExchange,
   IngressOutcome,
@@ -55,6 +53,7 @@
 import { Placement } from "../ingress/placement.ts";
 import { RouteFilter } from "../ingress/route_filter.ts";
 import { RouterForwarding } from "../ingress/router_forwarding.ts";
+import { StopFilter, type StopProgress } from "../ingress/stop_filter.ts";
 import { createLogFactory, type LogFactory } from "../log.ts";
 import { createStdoutLogWriter, type LogWriter } from "../log_writer.ts";
 import { createMetadataStore } from "../platform/metadata_store.ts";
@@ -94,6 +93,11 @@
 
 /** Part of the grace time reserved for ending the process. */
 const EXIT_MARGIN_MS = 500;
+/**
+ * Time in which requests are answered whose response has not begun when the
+ * grace time ends, in milliseconds; part of the margin.
+ */
+const LAST_ANSWERS_MS = 200;
 const READINESS_CHECK_INTERVAL_MS = 500;
 /** Timeouts of the caller port until the first configuration is applied. */
 const INITIAL_HEADER_TIMEOUT_MS = 3_000;
@@ -187,6 +191,7 @@
   readonly #tasks: TaskSystem = createTaskSystem();
   readonly #metrics: IngressMetrics = createIngressMetrics();
   readonly #inFlight = createInFlightCounter();
+  readonly #graceEnd = new GraceEnd();
   readonly #retryBudget: RetryBudget;
   readonly #routing: RoutingController;
   readonly #placement: Placement;
@@ -413,16 +418,30 @@
   }
 
   /**
-   * Waits for the requests in flight, at most until the grace time ends, and
-   * ends the remaining ones: by resetting the callers' connections before those
-   * to the upstreams are closed, so that none is retried at another upstream.
+   * Waits for the requests in flight, at most until the grace time ends. Then
+   * answers those whose response has not begun, and ends the remaining ones: by
+   * resetting the callers' connections before those to the upstreams are closed,
+   * so that none is retried at another upstream.
    */
   async #endInFlight(): Promise<void> {
-    const isIdle = await Promise.race([
+    if (await this.#waitUntilIdle(this.#getStopProgress()!.lifetimeMs)) return;
+    const unanswered = this.#inFlight.count;
+    this.#graceEnd.reach();
+    await this.#waitUntilIdle(LAST_ANSWERS_MS);
+    this.#logs("daemon").warn("The grace time ended amid requests.", {
+      unanswered,
+      reset: this.#inFlight.count,
+    });
+    this.#inFlight.resetConnections();
+  }
+
+  /** Whether no request is in flight within `timeoutMs` milliseconds. */
+  #waitUntilIdle(timeoutMs: number): Promise<boolean> {
+    return Promise.race([
       this.#inFlight.waitUntilIdle().then(() => true),
-      sleep(this.#getStopProgress()!.lifetimeMs, false),
+      // The connections of the requests keep the process running.
+      sleep(timeoutMs, false, { ref: false }),
     ]);
-    if (!isIdle) this.#inFlight.resetConnections();
   }
 
   #getStopProgress(): StopProgress | undefined {
@@ -439,7 +458,8 @@
     return createFilterChain<IngressExchange, IngressOutcome>([
       new RouteFilter({ routing, now: readClocks }),
       new KeyFilter({ routing, now: readClocks }),
-      new RequestBodyFilter({
+      new RequestBodyFilter(),
+      new StopFilter({
         getStop: () => this.#getStopProgress(),
         clock: readSteadyClock,
       }),
@@ -457,6 +477,7 @@
         }),
         streams: this.#streams,
         retries: this.#retryBudget,
+        graceEnd: this.#graceEnd,
         clock: readSteadyClock,
         getViewAgeMs: () => routing.getViewAgeMs(),
         hash,
--- a/src/daemon/testing/local_ingress.ts
+++ b/src/daemon/testing/local_ingress.ts
@@ -24,6 +24,8 @@
 /** Host name of the routes. */
 export const HOST = "chats.example";
 
+const DEFAULT_TIMEOUT_MS = 2_000;
+
 /** A request that reached an upstream. */
 export interface ReceivedRequest {
   readonly id: string;
@@ -43,6 +45,13 @@
   script: Script;
   /** Refuses new connections; the open ones stay. */
   stopListening(): void;
+  /**
+   * Writes `text` to `last` and closes all connections and the port, as for a
+   * process that ends.
+   */
+  crash(last: Socket, text: string): void;
+  /** Listens at its address again, as a process that starts after `crash`. */
+  restart(): Promise<void>;
   close(): void;
 }
 
@@ -136,6 +145,15 @@
     stopListening() {
       server.close();
     },
+    crash(last: Socket, text: string) {
+      last.end(text);
+      for (const socket of sockets) if (socket !== last) socket.destroy();
+      server.close();
+    },
+    async restart() {
+      server.listen(port, "127.0.0.1");
+      await once(server, "listening");
+    },
     close() {
       for (const socket of sockets) socket.destroy();
       server.close();
@@ -177,6 +195,8 @@
   readonly hasConfiguration?: boolean;
   /** Delay of each call to the store, in milliseconds. */
   readonly storeDelayMs?: number;
+  /** Timeout of all routes, in milliseconds. */
+  readonly timeoutMs?: number;
   /** Whether to wait until the router has read the store. */
   readonly awaitsReadiness?: boolean;
 }
@@ -191,6 +211,7 @@
   readonly #others = new Map<string, IngressDaemon>();
   #version = 1;
   #areEngines = false;
+  #timeoutMs = DEFAULT_TIMEOUT_MS;
 
   /**
    * Starts everything; resolves once the router reports its readiness or, with
@@ -203,12 +224,14 @@
       areEngines = false,
       hasConfiguration = true,
       storeDelayMs = 0,
+      timeoutMs = DEFAULT_TIMEOUT_MS,
       awaitsReadiness = true,
     }: LocalIngressOptions = {},
   ): Promise<this> {
     await this.store.open();
     this.store.faults.delayMs = storeDelayMs;
     this.#areEngines = areEngines;
+    this.#timeoutMs = timeoutMs;
     if (hasConfiguration) this.putConfiguration();
     for (let index = 0; index < upstreams; index++) {
       this.putUpstream(await this.addUpstream(`up-${index}`));
@@ -296,7 +319,7 @@
     const service = { name: "svc", maxConns: 50, coldStartS: 0, coldPerS: 0 };
     const route = {
       host: HOST,
-      timeoutMs: 2_000,
+      timeoutMs: this.#timeoutMs,
       goalMs: 200,
       priority: 1,
       service: "svc",
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -31,6 +31,7 @@
   TryRecord,
 } from "./ingress_exchange.ts";
 import type { CrashWatch } from "./crash_watch.ts";
+import type { GraceEnd } from "./grace_end.ts";
 import type { LinkWatch } from "./link_watch.ts";
 import {
   getSharedPartId,
@@ -63,6 +64,7 @@
   readonly routers: RouterForwarding;
   readonly streams: StreamBindingOptions["streams"];
   readonly retries: RetryBudget;
+  readonly graceEnd: GraceEnd;
   /** Reads the monotonic clock, in milliseconds. */
   readonly clock: () => number;
   /**
@@ -180,7 +182,8 @@
 type TryOutcome =
   | TryResult
   | { readonly kind: "caller-left" }
-  | { readonly kind: "timed-out" };
+  | { readonly kind: "timed-out" }
+  | { readonly kind: "router-ended" };
 
 /** Options of a `Forwarding`. */
 interface ForwardingOptions extends ForwardFilterOptions {
@@ -241,6 +244,7 @@
 
   async run(): Promise<IngressOutcome> {
     if (this.#binding.isResumption && !await this.#findOrigin()) {
+      if (this.#isCutByStop) return this.#endStopped();
       return this.#endUnknownStream();
     }
     try {
@@ -251,9 +255,10 @@
   }
 
   async #tryUpstreams(): Promise<IngressOutcome> {
-    const { placement } = this.#options;
+    const { placement, graceEnd } = this.#options;
     for (;;) {
       if (this.#exchange.response.destroyed) return { kind: "caller-left" };
+      if (this.#isCutByStop) return this.#endStopped();
       if (this.#getRemainingMs() < MIN_REMAINING_MS) return this.#endTimedOut();
       const subject = this.#options.crashes.find(this.#subjects);
       if (subject !== undefined) return this.#endQuarantined(subject);
@@ -263,11 +268,14 @@
         continue;
       }
       this.#countRequest();
-      await this.#binding.untilSettled();
+      await graceEnd.limit(this.#binding.untilSettled());
+      if (this.#isCutByStop) continue;
       const place = placement.find(this.#createPlacementRequest());
       if (!("entry" in place)) return this.#endWithoutUpstream(place);
       if (this.#binding.needsProcessCheck(place.entry, this.#service)) {
-        await this.#binding.checkProcess(place.entry, this.#service);
+        await graceEnd.limit(
+          this.#binding.checkProcess(place.entry, this.#service),
+        );
         // The choice may be outdated by now.
         continue;
       }
@@ -293,6 +301,9 @@
       case "timed-out":
         this.#plan.abandon();
         return this.#endTimedOut();
+      case "router-ended":
+        this.#plan.abandon();
+        return this.#endStopped();
       case "answered":
         return { kind: "whole", ...tryOutcome.answer };
       case "stream-complete":
@@ -609,13 +620,18 @@
   }
 
   /**
-   * Waits until the try ends, the caller disconnects or the deadline passes,
-   * then cancels a try that is still running.
+   * Waits until the try ends, the caller disconnects, the deadline passes or the
+   * stop of this router cuts the request, then cancels a try that is still
+   * running.
    */
   #waitForOutcome(attempt: UpstreamTry): Promise<TryOutcome> {
     const { response } = this.#exchange;
+    const { graceEnd } = this.#options;
     return new Promise((resolve) => {
       const onClose = () => finish({ kind: "caller-left" });
+      const onGraceEnd = () => {
+        if (this.#isCutByStop) finish({ kind: "router-ended" });
+      };
       const timer = setTimeout(
         () => finish({ kind: "timed-out" }),
         this.#getRemainingMs(),
@@ -623,6 +639,7 @@
       function finish(tryOutcome: TryOutcome): void {
         clearTimeout(timer);
         response.off("close", onClose);
+        graceEnd.removeListener(onGraceEnd);
         attempt.cancel();
         resolve(tryOutcome);
       }
@@ -631,6 +648,7 @@
         return;
       }
       response.once("close", onClose);
+      graceEnd.addListener(onGraceEnd);
       void attempt.result.then(finish);
     });
   }
@@ -814,7 +832,10 @@
    * the route still has it; false if no router knows the stream.
    */
   async #findOrigin(): Promise<boolean> {
-    const origin = await this.#binding.findOrigin(this.#service.name);
+    const search = this.#binding.findOrigin(this.#service.name);
+    await this.#options.graceEnd.limit(search);
+    if (this.#isCutByStop) return false;
+    const origin = await search;
     if (origin === undefined) return false;
     const isTarget = this.#route.targets
       .some(({ service, weight }) => service === origin.service && weight > 0);
@@ -825,6 +846,15 @@
     return true;
   }
 
+  /**
+   * Whether the grace time has ended before the response has begun. A stream
+   * that has begun can't be answered otherwise; it goes on until its connection
+   * is reset.
+   */
+  get #isCutByStop(): boolean {
+    return this.#options.graceEnd.isReached && !this.#relay.isStarted;
+  }
+
   #getRemainingMs(): number {
     return this.#exchange.deadlineAt - this.#options.clock();
   }
@@ -885,6 +915,22 @@
     });
   }
 
+  #endStopped(): IngressOutcome {
+    if (!this.#plan.isNotRun) {
+      const detail = "The router stopped before an answer came.";
+      const refusal = createRefusal("outcome-unknown", detail, {
+        ran: "unknown",
+      });
+      return { kind: "refused", refusal };
+    }
+    return refuseRetryable(this.#exchange, {
+      code: "router-stopping",
+      detail: "The router stopped before an upstream took the request.",
+      cause: "this-router",
+      closes: true,
+    });
+  }
+
   #endTimedOut(): IngressOutcome {
     if (this.#relay.isStarted) return this.#abortStream();
     const refusal = createRefusal(
--- /dev/null
+++ b/src/ingress/stop_filter.ts
@@ -0,0 +1,75 @@
+/**
+ * While the router stops, refuses requests that would outlast the process.
+ */
+import { AnswerDurations } from "../policy/answer_durations.ts";
+import { mayServeWhileStopping } from "../policy/stop_plan.ts";
+import type {
+  IngressExchange,
+  IngressFilter,
+  IngressOutcome,
+} from "./ingress_exchange.ts";
+import { refuseRetryable } from "./refusals.ts";
+
+/** Progress of a graceful stop of this router. */
+export interface StopProgress {
+  /** Time since the router was asked to stop, in milliseconds. */
+  readonly stoppingMs: number;
+  /** Time until the process ends, in milliseconds. */
+  readonly lifetimeMs: number;
+}
+
+/** Options of the filter. */
+export interface StopFilterOptions {
+  /** Returns the progress of the stop; undefined while the router runs. */
+  readonly getStop: () => StopProgress | undefined;
+  /** Reads the monotonic clock, in milliseconds. */
+  readonly clock: () => number;
+}
+
+/**
+ * Refuses requests at a router that stops; must follow the filter that reads the
+ * body, which may take a while.
+ */
+export class StopFilter implements IngressFilter {
+  readonly name = "stop";
+  readonly #options: StopFilterOptions;
+  readonly #durations = new AnswerDurations();
+
+  constructor(options: StopFilterOptions) {
+    this.#options = options;
+  }
+
+  async handle(
+    exchange: IngressExchange,
+    next: () => Promise<IngressOutcome>,
+  ): Promise<IngressOutcome> {
+    const { getStop, clock } = this.#options;
+    const { name } = exchange.route!;
+    const stop = getStop();
+    const startedAt = clock();
+    const remainingMs = exchange.deadlineAt - startedAt;
+    const isServed = stop === undefined || mayServeWhileStopping({
+      ...stop,
+      remainingMs,
+      usualMs: this.#durations.findUsualMs(name),
+    });
+    if (!isServed) {
+      return refuseRetryable(exchange, {
+        code: "router-stopping",
+        detail: `This router stops in ${Math.round(stop.lifetimeMs)} ms.`,
+        cause: "this-router",
+        closes: true,
+      });
+    }
+    const outcome = await next();
+    if (isWholeAnswer(outcome)) {
+      this.#durations.record(name, clock() - startedAt);
+    }
+    return outcome;
+  }
+}
+
+function isWholeAnswer(outcome: IngressOutcome): boolean {
+  return outcome.kind === "whole" ||
+    outcome.kind === "streamed" && outcome.end === "complete";
+}
--- a/src/policy/stop_plan.ts
+++ b/src/policy/stop_plan.ts
@@ -1,10 +1,12 @@
 /**
  * Decides which requests a router still accepts after it was asked to stop.
  *
- * The balancer continues to send requests for some seconds. Requests that
- * arrive in that time are served, since the grace period is longer than nearly
- * every response takes. Later requests are served only if their timeout ends
- * before the process does.
+ * Load pattern: the balancer continues to send requests for some seconds, among
+ * them streams that may take longer than is left of the grace time. A caller
+ * that is refused at once can send its request to another router; one whose
+ * request is cut at the end of the grace time has lost it, if it may not run
+ * twice. So those requests are refused that usually take longer, and after the
+ * seconds of the balancer also those that may take longer.
  */
 
 /** State that determines whether a request is accepted. */
@@ -15,6 +17,11 @@
   readonly lifetimeMs: number;
   /** Maximum time for which the caller still waits, in milliseconds. */
   readonly remainingMs: number;
+  /**
+   * Time within which nearly all answers of the route end, in milliseconds;
+   * undefined if it isn't known, so that the caller's limit counts.
+   */
+  readonly usualMs: number | undefined;
 }
 
 /**
@@ -30,8 +37,9 @@
 
 /** Whether a request that has just arrived is still served. */
 export function mayServeWhileStopping(
-  { stoppingMs, lifetimeMs, remainingMs }: StopInput,
+  { stoppingMs, lifetimeMs, remainingMs, usualMs }: StopInput,
 ): boolean {
-  if (stoppingMs <= BALANCER_DRAIN_MS - ARRIVAL_MARGIN_MS) return true;
-  return remainingMs < lifetimeMs;
+  if (remainingMs < lifetimeMs) return true;
+  if (stoppingMs > BALANCER_DRAIN_MS - ARRIVAL_MARGIN_MS) return false;
+  return usualMs !== undefined && usualMs < lifetimeMs;
 }
