Prove the end of an answer without a length by an older connection

Callers got half of an answer without a length as the whole, framed, with status 200, bookings among them, when the upstream's process ended amid it and a listener was back at its address within milliseconds. And whole answers of engines were taken for cut ones when the question for their start got no answer in time.

Cause: the close of such an answer counted as its end if a new connection was accepted afterwards. That shows a listener, not the process that wrote the answer; a process that is back at once, or that closes its connections before its listener, passes for alive.

Change: one rule for engines, plain services and hops (policy/answer_end.ts). All connections of a process end with it, so an answer is whole if a connection that was established before its head came is still open shortly after its end. For services that have answered without a length, and until their first answer is known, the router keeps a connection without requests for it. An address that refuses connections, or an engine that states another start, has ended. Without proof the answer doesn't count as whole: a request that may be repeated is tried again, another gets 502. Not covered: several processes behind one listener, a process that closes the other connection later than 25 ms after the answer's.

What it costs: an answer that ended within 25 ms before its upstream did is not proven either.

--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -30,6 +30,7 @@
   IngressOutcome,
   TryRecord,
 } from "./ingress_exchange.ts";
+import { AnswerEndChecks } from "./answer_end_checks.ts";
 import type { CrashWatch } from "./crash_watch.ts";
 import type { GraceEnd } from "./grace_end.ts";
 import type { LinkWatch } from "./link_watch.ts";
@@ -40,7 +41,6 @@
   type PlacementRequest,
   type PlacementResult,
 } from "./placement.ts";
-import { checkProcess } from "./process_check.ts";
 import { refuseRetryable } from "./refusals.ts";
 import {
   type ForwardTarget,
@@ -139,9 +139,11 @@
   readonly #options: ForwardFilterOptions;
   readonly #processes: ProcessChecks;
   readonly #trust = new ConnectionTrust();
+  readonly #endChecks: AnswerEndChecks;
 
   constructor(options: ForwardFilterOptions) {
     this.#options = options;
+    this.#endChecks = new AnswerEndChecks(options);
     this.#processes = new ProcessChecks(options);
   }
 
@@ -156,6 +158,7 @@
       ...this.#options,
       binding,
       trust: this.#trust,
+      endChecks: this.#endChecks,
     });
     return forwarding.run();
   }
@@ -189,6 +192,7 @@
 interface ForwardingOptions extends ForwardFilterOptions {
   readonly binding: StreamBinding;
   readonly trust: ConnectionTrust;
+  readonly endChecks: AnswerEndChecks;
 }
 
 /** Sends one request, with all its tries. */
@@ -356,8 +360,10 @@
     const { connections, clock, routers, onTry } = this.#options;
     const { isRepeatable } = this.#plan;
     const sentAt = clock();
+    const endCheck = this.#options.endChecks.begin({ address: target.address });
     const attempt = createRouterTry(this.#exchange, {
       target,
+      endCheck,
       connections,
       clock,
       relay: this.#relay,
@@ -388,6 +394,7 @@
     this.#exchange.trace.push(record);
     routers.recordSent(target.name);
     const tryOutcome = await this.#waitForOutcome(attempt);
+    endCheck.close();
     routers.recordEnded(target.name);
     record.ms = Math.round(clock() - sentAt);
     record.end = tryOutcome.kind === "ended" ? tryOutcome.end : tryOutcome.kind;
@@ -509,6 +516,13 @@
     const sentAt = clock();
     placement.recordSent(place);
     this.#excluded.add(upstream);
+    const { address } = place.entry;
+    const engine = this.#service.isEngine ? place.entry : undefined;
+    const endCheck = this.#options.endChecks.begin({
+      address,
+      service,
+      engine,
+    });
     const attempt = new UpstreamTry({
       connections,
       clock,
@@ -517,7 +531,7 @@
       isRepeatable: this.#plan.isRepeatable,
       relay: this.#relay,
       silenceTimeoutMs: this.#getSilenceTimeoutMs(),
-      isUpstreamAlive: () => this.#isAlive(place.entry),
+      endCheck,
       mayReplaceTry: () => this.#mayReplaceTry(),
       isSuspect: () =>
         placement.isSuspect(upstream, this.#service) || links.isDown(service),
@@ -546,6 +560,7 @@
     };
     this.#exchange.trace.push(record);
     const tryOutcome = await this.#waitForOutcome(attempt);
+    endCheck.close();
     this.#binding.recordTryEnd();
     placement.recordEnded(upstream);
     record.ms = Math.round(clock() - sentAt);
@@ -562,17 +577,6 @@
     return tryOutcome;
   }
 
-  /**
-   * Whether the process of an upstream certainly still runs. Only engines tell
-   * a process that has started since from the one of the entry.
-   */
-  async #isAlive(entry: UpstreamEntry): Promise<boolean> {
-    if (!this.#service.isEngine) {
-      return await this.#options.connections.isReachable(entry.address);
-    }
-    return await checkProcess(entry, this.#options) === "same";
-  }
-
   #recordStreamStart(entry: UpstreamEntry): void {
     this.#binding.recordStart(entry, this.#service);
     const { origin } = this.#binding;
--- a/src/ingress/router_try.ts
+++ b/src/ingress/router_try.ts
@@ -11,6 +11,7 @@
   type ServedTraits,
 } from "../transport/router_hop.ts";
 import type { UpstreamConnections } from "../transport/upstream_connections.ts";
+import type { AnswerEndCheck } from "./answer_end_checks.ts";
 import type { IngressExchange } from "./ingress_exchange.ts";
 import {
   type ForwardTarget,
@@ -26,6 +27,7 @@
   readonly connections: UpstreamConnections;
   /** Reads the monotonic clock, in milliseconds. */
   readonly clock: () => number;
+  readonly endCheck: AnswerEndCheck;
   readonly relay: StreamRelay;
   readonly forwarded: ForwardedTraits;
   /** Time until the caller's deadline, in milliseconds. */
@@ -89,7 +91,7 @@
         : NON_REPEATABLE_LIFE_SIGN_TIMEOUT_MS,
     },
     silenceTimeoutMs: options.silenceTimeoutMs + REPLACEMENT_MS,
-    isUpstreamAlive: () => options.connections.isReachable(target.address),
+    endCheck: options.endCheck,
     mayReplaceTry: () => options.mayReplaceTry(),
     isSuspect: () => false,
     onStreamStart: (headers) => options.onStreamStart(decodeServed(headers)),
--- a/src/ingress/slow_caller_test.ts
+++ b/src/ingress/slow_caller_test.ts
@@ -54,7 +54,10 @@
     } as unknown as StreamRelay,
     silenceTimeoutMs: SILENCE_MS,
     isSuspect: () => false,
-    isUpstreamAlive: () => Promise.resolve(true),
+    endCheck: {
+      recordHead: () => {},
+      judge: () => Promise.resolve("whole" as const),
+    },
     mayReplaceTry: () => true,
     onStreamStart: () => {},
     onLoad: () => {},
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -24,6 +24,7 @@
   UpstreamExchange,
   UpstreamRequest,
 } from "../transport/upstream_connections.ts";
+import type { AnswerEndCheck } from "./answer_end_checks.ts";
 import type { StreamRelay } from "./stream_relay.ts";
 
 /** A response that was received to its end. */
@@ -79,12 +80,8 @@
   readonly silenceTimeoutMs: number;
   /** Reads the monotonic clock, in milliseconds. */
   readonly clock: () => number;
-  /**
-   * Whether the process that served the request certainly still runs. Asked if
-   * the close of its connection ended a response without a length, since the
-   * kernel also closes the connections of a process that has died.
-   */
-  isUpstreamAlive(): Promise<boolean>;
+  /** Judges the end of a response without a length. */
+  readonly endCheck: Pick<AnswerEndCheck, "recordHead" | "judge">;
   /** Whether the upstream should be avoided by now. */
   isSuspect(): boolean;
   /** Whether another try may replace this one, which receives no data. */
@@ -285,6 +282,9 @@
       return;
     }
     this.#head = { status, headers, traits, meaning, isStream };
+    if (isSuccess(status)) {
+      this.#options.endCheck.recordHead({ isFramed: this.#isFramed });
+    }
     if (router !== undefined) this.#startSilenceTimer();
   }
 
@@ -383,14 +383,17 @@
     return isFramed({ method, status, headers });
   }
 
-  /** Ends with `result` unless the upstream has died with its connection. */
+  /** Ends with `result` if it is proven that the upstream sent all of it. */
   async #checkEnd(result: TryResult): Promise<void> {
     this.#clearTimers();
-    if (await this.#options.isUpstreamAlive()) {
+    const end = await this.#options.endCheck.judge();
+    if (end === "whole") {
       this.#end(result);
       return;
     }
-    const detail = "the upstream ended with its connection";
+    const detail = end === "cut"
+      ? "the upstream ended with its connection"
+      : "nothing proves that the answer without a length is whole";
     this.#end({ kind: "ended", end: "no-answer", detail, isCutOff: true });
   }
 
--- a/src/ingress/upstream_try_test.ts
+++ b/src/ingress/upstream_try_test.ts
@@ -53,7 +53,10 @@
       router: { lifeSignTimeoutMs: 1_000 },
       silenceTimeoutMs: Infinity,
       isSuspect: () => false,
-      isUpstreamAlive: () => Promise.resolve(true),
+      endCheck: {
+        recordHead: () => {},
+        judge: () => Promise.resolve("whole" as const),
+      },
       mayReplaceTry: () => false,
       onStreamStart: () => {},
       onLoad: () => {},
--- /dev/null
+++ b/src/policy/answer_end.ts
@@ -0,0 +1,67 @@
+/**
+ * Decides whether the close of a connection is the end of an answer that states
+ * none. The kernel also closes the connections of a process that has ended.
+ *
+ * Load pattern: upstreams end amid answers without a length and are back at
+ * their address within milliseconds, so that a new connection shows a listener,
+ * but not the process that wrote the answer. All connections of a process end
+ * with it: one that was open before the answer began and is open afterwards
+ * proves that the process has not ended.
+ *
+ * Bounds: an upstream with several processes behind one listener may hold that
+ * connection in another process than the one that wrote the answer. A process
+ * that ends in order may close it later than `SETTLE_MS` after the answer's. After
+ * a loss of power it counts as open until a keep-alive probe ends it.
+ */
+
+/** What is known after the connection of an answer was closed. */
+export interface EndEvidence {
+  /**
+   * Whether a connection to the upstream that was open before the answer began
+   * is open still.
+   */
+  readonly hasOldConnection: boolean;
+  /** What a new connection to the upstream met. */
+  readonly contact: Contact;
+  /**
+   * Whether the process at the address states the start that the upstream's
+   * entry states; undefined if it was not asked.
+   */
+  readonly process?: "same" | "other" | "unknown";
+}
+
+/** What a new connection met; pending if that is not known yet. */
+export type Contact = "accepted" | "refused" | "silent" | "pending";
+
+/** Whether an answer is whole; without proof, it doesn't count as whole. */
+export type AnswerEnd = "whole" | "cut" | "unproven";
+
+/**
+ * Time after the close of an answer's connection in which the other closes of a
+ * process that ended arrive, in milliseconds: several network delays.
+ */
+export const SETTLE_MS = 25;
+
+/** Judges the end of an answer without a length. */
+export function judgeEnd(
+  { hasOldConnection, contact, process }: EndEvidence,
+): AnswerEnd {
+  if (contact === "refused" || process === "other") return "cut";
+  return hasOldConnection || process === "same" ? "whole" : "unproven";
+}
+
+/** Which services have answered without a length. */
+export class FramingHistory {
+  readonly #hasUnframed = new Map<string, boolean>();
+
+  /** Records a successful answer. */
+  record(service: string, isFramed: boolean): void {
+    const hasUnframed = this.#hasUnframed.get(service) ?? false;
+    this.#hasUnframed.set(service, hasUnframed || !isFramed);
+  }
+
+  /** Whether the next answer may have no length, for all that is known. */
+  mayBeUnframed(service: string): boolean {
+    return this.#hasUnframed.get(service) ?? true;
+  }
+}
--- /dev/null
+++ b/src/policy/answer_end_test.ts
@@ -0,0 +1,31 @@
+import { type Contact, FramingHistory, judgeEnd } from "./answer_end.ts";
+
+// Guards against half of an answer that passes for the whole since something
+// listens at the address of its upstream (MIXED).
+test("what the close of an answer without a length means", () => {
+  const rows: Record<string, string> = {};
+  const contacts: Contact[] = ["accepted", "refused", "silent", "pending"];
+  for (const contact of contacts) {
+    for (const hasOldConnection of [true, false]) {
+      for (const process of [undefined, "same", "other", "unknown"] as const) {
+        const old = hasOldConnection ? "old connection open" : "none open";
+        rows[`${contact}, ${old}, process ${process}`] = judgeEnd({
+          hasOldConnection,
+          contact,
+          process,
+        });
+      }
+    }
+  }
+  expect(rows).toMatchSnapshot();
+});
+
+test("a service that has answered without a length may do so again", () => {
+  const history = new FramingHistory();
+  expect(history.mayBeUnframed("plain")).toBe(true);
+  history.record("plain", true);
+  expect(history.mayBeUnframed("plain")).toBe(false);
+  history.record("plain", false);
+  history.record("plain", true);
+  expect(history.mayBeUnframed("plain")).toBe(true);
+});
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -6,9 +6,10 @@
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
-import { parseAddress } from "./address.ts";
+import { SentinelConnections } from "./sentinel_connections.ts";
+import { openSocket } from "./socket.ts";
 
 /** A request to an upstream. */
 export interface UpstreamRequest {
@@ -58,6 +59,9 @@
   resume(): void;
 }
 
+/** What a new connection met; silent if it was not opened in time. */
+export type ContactResult = "accepted" | "refused" | "silent";
+
 /** Options for `createUpstreamConnections`. */
 export interface UpstreamConnectionsOptions {
   /** Returns the monotonic time in milliseconds. */
@@ -87,6 +91,16 @@
    * then. It may be idle or in use.
    */
   isOpenSince(address: string, at: number): boolean;
+  /**
+   * The same of a connection that was established before `at`. One that was being
+   * opened then may have met a later process.
+   */
+  isEstablishedSince(address: string, at: number): boolean;
+  /**
+   * Keeps a connection without requests to `address` open, for
+   * `isEstablishedSince`, until the function that is returned is called.
+   */
+  hold(address: string): () => void;
   /**
    * Whether `address` refuses connections, as when the process there has ended.
    * False if that can't be found out in time.
@@ -94,6 +108,8 @@
   isRefusing(address: string): Promise<boolean>;
   /** Whether a new connection to `address` opens within a short time. */
   isReachable(address: string): Promise<boolean>;
+  /** Opens a new connection to `address` and returns what it met. */
+  findContact(address: string): Promise<ContactResult>;
   close(): Promise<void>;
 }
 
@@ -116,8 +132,6 @@
  * request may be in transit when the timeout expires.
  */
 const IDLE_MARGIN_MS = 400;
-/** Idle time before TCP keep-alive probes, which detect lost connections. */
-const KEEP_ALIVE_PROBE_DELAY_MS = 1_000;
 /**
  * Per upstream. Corresponds to the requests that a router of a small fleet has
  * in flight at one upstream.
@@ -126,57 +140,19 @@
 /** Interval between scans for expired idle connections. */
 const SWEEP_INTERVAL_MS = 1_000;
 
-/**
- * Connects to `address`, `ip:port`; rejects if that takes longer than
- * `timeoutMs` milliseconds. Undici's own timeout is up to a second late.
- */
-function openSocket(address: string, timeoutMs: number): Promise<Socket> {
-  const { host, port } = parseAddress(address);
-  return new Promise((resolve, reject) => {
-    const socket = connect({
-      host,
-      port,
-      noDelay: true,
-      keepAlive: true,
-      keepAliveInitialDelay: KEEP_ALIVE_PROBE_DELAY_MS,
-    });
-    const timer = setTimeout(
-      () => socket.destroy(new Error(`not connected within ${timeoutMs} ms`)),
-      timeoutMs,
-    );
-    function onConnect(): void {
-      clearTimeout(timer);
-      socket.off("error", onError);
-      resolve(socket);
-    }
-    function onError(cause: Error): void {
-      clearTimeout(timer);
-      socket.off("connect", onConnect);
-      reject(cause);
-    }
-    socket.once("connect", onConnect);
-    socket.once("error", onError);
-  });
-}
-
-async function checkRefusal(address: string): Promise<boolean> {
+/** Opens a connection to `address` and closes it at once. */
+async function findContact(
+  address: string,
+  timeoutMs: number,
+): Promise<ContactResult> {
   try {
-    const socket = await openSocket(address, REFUSAL_TIMEOUT_MS);
+    const socket = await openSocket(address, timeoutMs);
     socket.destroy();
-    return false;
+    return "accepted";
   } catch (cause) {
-    return (cause as NodeJS.ErrnoException).code === "ECONNREFUSED";
-  }
-}
-
-async function checkReachable(address: string): Promise<boolean> {
-  try {
-    const socket = await openSocket(address, REACHABLE_TIMEOUT_MS);
-    socket.destroy();
-    return true;
-  } catch {
-    // The caller acts on any failure in the same way.
-    return false;
+    // The caller reports the outcome.
+    const { code } = cause as NodeJS.ErrnoException;
+    return code === "ECONNREFUSED" ? "refused" : "silent";
   }
 }
 
@@ -207,21 +183,24 @@
   isUnused = true;
   /** Monotonic time in milliseconds. */
   readonly openedAt: number;
+  /** Monotonic time in milliseconds; infinite until it is established. */
+  establishedAt = Infinity;
 
   constructor(
     address: string,
-    { connectTimeoutMs, idleMs, openedAt }: {
+    { connectTimeoutMs, idleMs, clock }: {
       connectTimeoutMs: number;
       idleMs: number;
-      openedAt: number;
+      clock: () => number;
     },
   ) {
     this.address = address;
-    this.openedAt = openedAt;
+    this.openedAt = clock();
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       connect: (_options, callback) => {
         openSocket(address, connectTimeoutMs).then((socket) => {
+          this.establishedAt = clock();
           recordReset(socket, () => this.hasFailed = true);
           callback(null, socket);
         }, (cause) => callback(cause, null));
@@ -249,10 +228,12 @@
   readonly #busy = new Set<Connection>();
   /** Checks in progress, by address. */
   readonly #refusalChecks = new Map<string, Promise<boolean>>();
+  readonly #sentinels: SentinelConnections;
   readonly #sweeper: NodeJS.Timeout;
 
   constructor(options: Required<UpstreamConnectionsOptions>) {
     this.#options = options;
+    this.#sentinels = new SentinelConnections(options);
     this.#sweeper = setInterval(() => this.#sweep(), SWEEP_INTERVAL_MS);
     this.#sweeper.unref();
   }
@@ -292,38 +273,64 @@
   closeIdle(address: string): void {
     for (const each of this.#idle.get(address) ?? []) each.destroy();
     this.#idle.delete(address);
+    this.#sentinels.closeAddress(address);
   }
 
   isOpenSince(address: string, at: number): boolean {
-    function isOpen({ isClosed, openedAt }: Connection): boolean {
-      return !isClosed && openedAt <= at;
-    }
-    if (this.#idle.get(address)?.some(isOpen)) return true;
-    return [...this.#busy]
-      .some((each) => each.address === address && isOpen(each));
+    return this.#hasConnection(
+      address,
+      ({ isClosed, openedAt }) => !isClosed && openedAt <= at,
+    );
+  }
+
+  isEstablishedSince(address: string, at: number): boolean {
+    return this.#sentinels.isOpenSince(address, at) ||
+      this.#hasConnection(
+        address,
+        ({ isClosed, establishedAt }) => !isClosed && establishedAt <= at,
+      );
+  }
+
+  hold(address: string): () => void {
+    return this.#sentinels.hold(address);
   }
 
   isRefusing(address: string): Promise<boolean> {
     const pending = this.#refusalChecks.get(address);
     if (pending !== undefined) return pending;
-    const check = checkRefusal(address)
+    const check = findContact(address, REFUSAL_TIMEOUT_MS)
+      .then((contact) => contact === "refused")
       .finally(() => this.#refusalChecks.delete(address));
     this.#refusalChecks.set(address, check);
     return check;
   }
 
-  isReachable(address: string): Promise<boolean> {
+  async isReachable(address: string): Promise<boolean> {
+    return await this.findContact(address) === "accepted";
+  }
+
+  findContact(address: string): Promise<ContactResult> {
     this.#options.onOpen(address);
-    return checkReachable(address);
+    return findContact(address, REACHABLE_TIMEOUT_MS);
   }
 
   async close(): Promise<void> {
     clearInterval(this.#sweeper);
+    this.#sentinels.close();
     for (const address of [...this.#idle.keys()]) this.closeIdle(address);
     const busy = [...this.#busy];
     await Promise.all(busy.map(({ client }) => client.destroy()));
   }
 
+  #hasConnection(
+    address: string,
+    matches: (connection: Connection) => boolean,
+  ): boolean {
+    if (this.#idle.get(address)?.some(matches)) return true;
+    return [...this.#busy]
+      .some((each) => each.address === address && matches(each));
+  }
+
   #acquire(
     { address, maxIdleMs, isFresh = false }: UpstreamRequest,
   ): Connection {
@@ -347,8 +354,7 @@
   #open(address: string): Connection {
     const { clock, connectTimeoutMs, idleMs, onOpen } = this.#options;
     onOpen(address);
-    const openedAt = clock();
-    return new Connection(address, { connectTimeoutMs, idleMs, openedAt });
+    return new Connection(address, { connectTimeoutMs, idleMs, clock });
   }
 
   #release(connection: Connection, isReusable: boolean): void {
