Break off a stream whose next upstream gives an answer of another kind

A stream had begun and broke off, and the next upstream answered 204, 302, 404 or a body that is no stream. A caller of HTTP/1.0 got a clean end of the connection, so that the part looked complete; one of HTTP/1.1 could tell, and the router logged no line for the request.

Cause: such an answer was handed on as a whole response although the head of the stream had been sent. Writing the second head threw ERR_HTTP_HEADERS_SENT, and the handler of failed requests closed the connection.

Change: the stream is broken off like any other that can't go on, with a reset for HTTP/1.0, and is logged.

--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -309,6 +309,8 @@
         this.#plan.abandon();
         return this.#endStopped();
       case "answered":
+        // It can't follow the events that the caller has.
+        if (this.#relay.isStarted) return this.#abortStream();
         return { kind: "whole", ...tryOutcome.answer };
       case "stream-complete":
         this.#relay.end();
