Accept requests at a stop by how long their route's answers take

At a router that stops, requests were refused if 95 in 100 answers of their route did not end before the process, and all with long limits if fewer than 20 answers were known.

Change: what counts is the share of refused callers that are not served elsewhere, about a tenth. A request that may not run twice is accepted if nine in ten answers of its route would end in time, one that its caller can send again if half of them would, or if nothing is known. Five answers are enough to know.

--- a/src/ingress/stop_filter.ts
+++ b/src/ingress/stop_filter.ts
@@ -2,7 +2,8 @@
  * While the router stops, refuses requests that would outlast the process.
  */
 import { AnswerDurations } from "../policy/answer_durations.ts";
-import { mayServeWhileStopping } from "../policy/stop_plan.ts";
+import { isRepeatable } from "../policy/attempt_plan.ts";
+import { getCoveredShare, mayServeWhileStopping } from "../policy/stop_plan.ts";
 import type {
   IngressExchange,
   IngressFilter,
@@ -44,14 +45,16 @@
     next: () => Promise<IngressOutcome>,
   ): Promise<IngressOutcome> {
     const { getStop, clock } = this.#options;
-    const { name } = exchange.route!;
+    const route = exchange.route!;
     const stop = getStop();
     const startedAt = clock();
     const remainingMs = exchange.deadlineAt - startedAt;
+    const mayRepeat = isRepeatable(route);
     const isServed = stop === undefined || mayServeWhileStopping({
       ...stop,
       remainingMs,
-      usualMs: this.#durations.findUsualMs(name),
+      isRepeatable: mayRepeat,
+      usualMs: this.#durations.findMs(route.name, getCoveredShare(mayRepeat)),
     });
     if (!isServed) {
       return refuseRetryable(exchange, {
@@ -63,7 +66,7 @@
     }
     const outcome = await next();
     if (isWholeAnswer(outcome)) {
-      this.#durations.record(name, clock() - startedAt);
+      this.#durations.record(route.name, clock() - startedAt);
     }
     return outcome;
   }
--- a/src/policy/answer_durations.ts
+++ b/src/policy/answer_durations.ts
@@ -9,9 +9,7 @@
 /** Answers of a route that are kept. */
 const MAX_SAMPLES = 200;
 /** Fewer answers give no estimate. */
-const MIN_SAMPLES = 20;
-/** Share of the answers that take no longer than the estimate. */
-const COVERED_SHARE = 0.95;
+const MIN_SAMPLES = 5;
 /** Routes that are kept; those without answers for longest are dropped. */
 const MAX_ROUTES = 1_024;
 
@@ -39,13 +37,13 @@
   }
 
   /**
-   * Returns a time within which nearly all answers of `route` end, in
+   * Returns a time within which `share` of the answers of `route` end, in
    * milliseconds; undefined if too few are known.
    */
-  findUsualMs(route: string): number | undefined {
+  findMs(route: string, share: number): number | undefined {
     const values = this.#routes.get(route)?.values ?? [];
     if (values.length < MIN_SAMPLES) return undefined;
     const sorted = [...values].sort((a, b) => a - b);
-    return sorted[Math.ceil(sorted.length * COVERED_SHARE) - 1];
+    return sorted[Math.ceil(sorted.length * share) - 1];
   }
 }
--- a/src/policy/attempt_plan.ts
+++ b/src/policy/attempt_plan.ts
@@ -39,6 +39,13 @@
 /** Maximum number of tries that don't reach the intended upstream. */
 const MAX_UNSENT_TRIES = 3;
 
+/** Whether a request of a route may run more than once. */
+export function isRepeatable(
+  { kind, isResumable }: Pick<TryLimits, "kind" | "isResumable">,
+): boolean {
+  return kind === "idempotent" || (kind === "stream" && isResumable);
+}
+
 /** Tracks the tries of one request. */
 export class AttemptPlan {
   readonly #limits: TryLimits;
@@ -62,8 +69,7 @@
 
   /** Whether the request may run more than once. */
   get isRepeatable(): boolean {
-    const { kind, isResumable } = this.#limits;
-    return kind === "idempotent" || (kind === "stream" && isResumable);
+    return isRepeatable(this.#limits);
   }
 
   /**
