--- a/src/policy/answer_end.ts
+++ b/src/policy/answer_end.ts
@@ -38,9 +38,10 @@
 
 /**
  * Time after the close of an answer's connection in which the other closes of a
- * process that ended arrive, in milliseconds: several network delays.
+ * process that ended arrive, in milliseconds. The kernel closes its connections
+ * one after the other, and more slowly on a busy machine.
  */
-export const SETTLE_MS = 25;
+export const SETTLE_MS = 50;
 
 /** Judges the end of an answer without a length. */
 export function judgeEnd(
