Pass on errors of upstreams that come without a length

Since a 404 or 500 of an upstream without a length was replaced by a 502 of the router: "nothing proves that the answer without a length is whole".

Cause: the time at which the answer began was recorded for successful answers only, so that no older connection could prove the end of another. The time is now recorded for each; that a service frames its errors still says nothing of its other answers. And a connection without requests that the upstream closes is opened again only while a request needs it.

Test: "an answer 404 without a length arrives" and the one of 500 failed before.

--- a/src/daemon/ingress_unframed_test.ts
+++ b/src/daemon/ingress_unframed_test.ts
@@ -27,10 +27,10 @@
 /** Returns an answer without a length. */
 function createUnframed(
   request: ReceivedRequest,
-  { type = "text/plain", body = BODY } = {},
+  { status = 200, type = "text/plain", body = BODY } = {},
 ): string {
   const more = `content-type: ${type}\r\nconnection: close\r\n\r\n${body}`;
-  return createSignedHead(request, { more });
+  return createSignedHead(request, { status, more });
 }
 
 /** Sends `count` requests at once and returns their answers. */
@@ -101,6 +101,21 @@
   }
 });
 
+// Guards against errors of upstreams that are replaced by the router's own.
+test.each([404, 500])(
+  "an answer %d without a length arrives",
+  async (status) => {
+    fleet = await new LocalIngress().start({ upstreams: 2 });
+    fleet.script((request) =>
+      request.socket.end(createUnframed(request, { status }))
+    );
+    for (const path of ["/book/x", "/read/x"]) {
+      const [answer] = await askAll(path, { round: 1, count: 1 });
+      expect(answer).toMatchObject({ status, text: BODY });
+    }
+  },
+);
+
 // Guards against whole answers that are lost because a question to their
 // upstream, such as a busy one, gets no answer in time.
 test("a whole stream of an engine that does not report itself arrives", async () => {
--- a/src/ingress/answer_end_checks.ts
+++ b/src/ingress/answer_end_checks.ts
@@ -78,10 +78,10 @@
       : () => {};
   }
 
-  /** Records that the head of a successful answer has come. */
-  recordHead({ isFramed }: { isFramed: boolean }): void {
+  /** Records that the head of the answer has come. */
+  recordHead(head: { status: number; isFramed: boolean }): void {
     this.#headAt = this.#options.clock();
-    this.#history.record(this.#source.service ?? ROUTERS, isFramed);
+    this.#history.record(this.#source.service ?? ROUTERS, head);
   }
 
   /** Judges the end of an answer without a length, whose connection was closed. */
--- a/src/ingress/answer_end_checks_test.ts
+++ b/src/ingress/answer_end_checks_test.ts
@@ -61,7 +61,7 @@
         body: undefined,
         maxIdleMs: 0,
       }, {
-        onHead: () => check.recordHead({ isFramed: false }),
+        onHead: () => check.recordHead({ status: 200, isFramed: false }),
         onData,
         onEnd: () => resolve(check.judge()),
         onFailure: () => resolve("cut"),
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -282,9 +282,7 @@
       return;
     }
     this.#head = { status, headers, traits, meaning, isStream };
-    if (isSuccess(status)) {
-      this.#options.endCheck.recordHead({ isFramed: this.#isFramed });
-    }
+    this.#options.endCheck.recordHead({ status, isFramed: this.#isFramed });
     if (router !== undefined) this.#startSilenceTimer();
   }
 
--- a/src/policy/answer_end.ts
+++ b/src/policy/answer_end.ts
@@ -13,6 +13,7 @@
  * that ends in order may close it later than `SETTLE_MS` after the answer's. After
  * a loss of power it counts as open until a keep-alive probe ends it.
  */
+import { isSuccess } from "./answer_proof.ts";
 
 /** What is known after the connection of an answer was closed. */
 export interface EndEvidence {
@@ -55,10 +56,17 @@
 export class FramingHistory {
   readonly #hasUnframed = new Map<string, boolean>();
 
-  /** Records a successful answer. */
-  record(service: string, isFramed: boolean): void {
-    const hasUnframed = this.#hasUnframed.get(service) ?? false;
-    this.#hasUnframed.set(service, hasUnframed || !isFramed);
+  /**
+   * Records an answer. That errors have a length says nothing of other answers.
+   */
+  record(
+    service: string,
+    { status, isFramed }: { status: number; isFramed: boolean },
+  ): void {
+    if (!isFramed) this.#hasUnframed.set(service, true);
+    else if (isSuccess(status) && !this.#hasUnframed.has(service)) {
+      this.#hasUnframed.set(service, false);
+    }
   }
 
   /** Whether the next answer may have no length, for all that is known. */
--- a/src/policy/answer_end_test.ts
+++ b/src/policy/answer_end_test.ts
@@ -23,9 +23,11 @@
 test("a service that has answered without a length may do so again", () => {
   const history = new FramingHistory();
   expect(history.mayBeUnframed("plain")).toBe(true);
-  history.record("plain", true);
+  history.record("plain", { status: 503, isFramed: true });
+  expect(history.mayBeUnframed("plain")).toBe(true);
+  history.record("plain", { status: 200, isFramed: true });
   expect(history.mayBeUnframed("plain")).toBe(false);
-  history.record("plain", false);
-  history.record("plain", true);
+  history.record("plain", { status: 404, isFramed: false });
+  history.record("plain", { status: 200, isFramed: true });
   expect(history.mayBeUnframed("plain")).toBe(true);
 });
--- a/src/transport/sentinel_connections.ts
+++ b/src/transport/sentinel_connections.ts
@@ -81,15 +81,13 @@
     return this.#hasOpenSocket && this.#openSince <= at;
   }
 
-  /** Opens a connection if there is none, or none that is young enough. */
+  /** While it is held, opens a connection if none is open and young enough. */
   check(): void {
-    if (this.#isOpening || this.#isClosed) return;
-    if (!this.#hasOpenSocket) void this.#open();
-    else if (this.#holders > 0) {
-      const { clock, maxAgeMs } = this.#options;
-      const ageMs = clock() - this.#current!.establishedAt;
-      if (ageMs > maxAgeMs) void this.#open();
-    }
+    if (this.#holders === 0 || this.#isOpening || this.#isClosed) return;
+    const { clock, maxAgeMs } = this.#options;
+    const isYoung = this.#current !== undefined && this.#hasOpenSocket &&
+      clock() - this.#current.establishedAt <= maxAgeMs;
+    if (!isYoung) void this.#open();
   }
 
   close(): void {
