--- a/src/policy/answer_end.ts
+++ b/src/policy/answer_end.ts
@@ -31,8 +31,11 @@
   readonly process?: "same" | "other" | "unknown";
 }
 
+/** What a new connection met; silent if it was not opened in time. */
+export type ContactResult = "accepted" | "refused" | "silent";
+
 /** What a new connection met; pending if that is not known yet. */
-export type Contact = "accepted" | "refused" | "silent" | "pending";
+export type Contact = ContactResult | "pending";
 
 /** Whether an answer is whole; without proof, it doesn't count as whole. */
 export type AnswerEnd = "whole" | "cut" | "unproven";
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -8,6 +8,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
+import type { ContactResult } from "../policy/answer_end.ts";
 import { SentinelConnections } from "./sentinel_connections.ts";
 import { openSocket } from "./socket.ts";
 
@@ -59,9 +60,6 @@
   resume(): void;
 }
 
-/** What a new connection met; silent if it was not opened in time. */
-export type ContactResult = "accepted" | "refused" | "silent";
-
 /** Options for `createUpstreamConnections`. */
 export interface UpstreamConnectionsOptions {
   /** Returns the monotonic time in milliseconds. */
