Pass on the first answer without a length of a service that frames its own

Cause: a router that has seen framed answers of a service only keeps no connection without requests to it. If the request is on the sole connection to its upstream, nothing can prove the end of the answer, and a booking can't be tried again.

Change: in this case alone a listener has to do that accepts a connection 50 ms after the end, as for all plain services before. From then on the router keeps a connection for the service. A process that is back within 50 ms passes for the one before in that one answer. Requests that may be repeated are tried again.

Test: "the first answer without a length of a service arrives" failed before, with 502, and passes.

--- a/src/daemon/ingress_unframed_test.ts
+++ b/src/daemon/ingress_unframed_test.ts
@@ -17,6 +17,8 @@
 const CALLERS = 8;
 /** Exceeds the time in which an answer without a length is checked. */
 const PAUSE_MS = 100;
+/** Exceeds the time for which connections without requests are kept. */
+const UNWATCHED_MS = 10_500;
 
 let fleet: LocalIngress;
 
@@ -101,6 +103,18 @@
   }
 });
 
+// Guards against a booking that is lost although its upstream is sound, since
+// its service has framed all its answers so far.
+test("the first answer without a length of a service arrives", async () => {
+  fleet = await new LocalIngress().start({ upstreams: 1 });
+  fleet.script(sendCompleteResponse);
+  await askAll("/read/x", { round: 1, count: 1 });
+  await sleep(UNWATCHED_MS);
+  fleet.script((request) => request.socket.end(createUnframed(request)));
+  const [booking] = await askAll("/book/x", { round: 2, count: 1 });
+  expect(booking).toMatchObject({ status: 200, text: BODY });
+});
+
 // Guards against errors of upstreams that are replaced by the router's own.
 test.each([404, 500])(
   "an answer %d without a length arrives",
--- a/src/ingress/answer_end_checks.ts
+++ b/src/ingress/answer_end_checks.ts
@@ -36,6 +36,8 @@
   readonly service?: string;
   /** Entry of an engine, which states when it started. */
   readonly engine?: UpstreamEntry;
+  /** Whether the request may run more than once. */
+  readonly isRepeatable: boolean;
 }
 
 /** Checks the ends of answers, and keeps what they need for it. */
@@ -61,6 +63,8 @@
   readonly #source: AnswerSource;
   readonly #history: FramingHistory;
   readonly #options: AnswerEndChecksOptions;
+  /** Whether a connection without requests is kept for the check. */
+  readonly #isWatched: boolean;
   readonly #release: () => void;
   #headAt = -Infinity;
 
@@ -73,7 +77,8 @@
     this.#history = history;
     this.#options = options;
     const { address, service = ROUTERS } = source;
-    this.#release = history.mayBeUnframed(service)
+    this.#isWatched = history.mayBeUnframed(service);
+    this.#release = this.#isWatched
       ? options.connections.hold(address)
       : () => {};
   }
@@ -86,9 +91,10 @@
 
   /** Judges the end of an answer without a length, whose connection was closed. */
   async judge(): Promise<AnswerEnd> {
-    const { address, engine } = this.#source;
+    const { address, engine, isRepeatable } = this.#source;
+    const { connections } = this.#options;
     let contact: Contact = "pending";
-    const search = this.#options.connections.findContact(address)
+    const search = connections.findContact(address)
       .then((found) => contact = found);
     const check = engine?.bornAt === undefined
       ? undefined
@@ -100,7 +106,14 @@
     const process = state === "silent" ? "unknown" : state;
     const end = judgeEnd({ ...this.#getEvidence(contact), process });
     if (end !== "unproven") return end;
-    return judgeEnd({ ...this.#getEvidence(await search), process });
+    const laterContact = this.#isWatched || isRepeatable
+      ? undefined
+      : await connections.findContact(address);
+    return judgeEnd({
+      ...this.#getEvidence(await search),
+      process,
+      laterContact,
+    });
   }
 
   /** Ends the check; must be called once. */
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -362,7 +362,10 @@
     const { connections, clock, routers, onTry } = this.#options;
     const { isRepeatable } = this.#plan;
     const sentAt = clock();
-    const endCheck = this.#options.endChecks.begin({ address: target.address });
+    const endCheck = this.#options.endChecks.begin({
+      address: target.address,
+      isRepeatable,
+    });
     const attempt = createRouterTry(this.#exchange, {
       target,
       endCheck,
@@ -524,6 +527,7 @@
       address,
       service,
       engine,
+      isRepeatable: this.#plan.isRepeatable,
     });
     const attempt = new UpstreamTry({
       connections,
--- a/src/policy/answer_end.ts
+++ b/src/policy/answer_end.ts
@@ -8,7 +8,11 @@
  * with it: one that was open before the answer began and is open afterwards
  * proves that the process has not ended.
  *
- * Bounds: an upstream with several processes behind one listener may hold that
+ * Where no such connection was kept, since the service has framed all its
+ * answers so far, a request that may be repeated is tried again. For another a
+ * listener has to do that accepts connections a while after the end.
+ *
+ * Bounds: that listener may be a later process. An upstream with several processes behind one listener may hold that
  * connection in another process than the one that wrote the answer. A process
  * that ends in order may close it later than `SETTLE_MS` after the answer's. After
  * a loss of power it counts as open until a keep-alive probe ends it.
@@ -29,6 +33,11 @@
    * entry states; undefined if it was not asked.
    */
   readonly process?: "same" | "other" | "unknown";
+  /**
+   * What a new connection met after SETTLE_MS; undefined unless no connection
+   * was kept for a request that may not be repeated.
+   */
+  readonly laterContact?: ContactResult;
 }
 
 /** What a new connection met; silent if it was not opened in time. */
@@ -49,10 +58,13 @@
 
 /** Judges the end of an answer without a length. */
 export function judgeEnd(
-  { hasOldConnection, contact, process }: EndEvidence,
+  { hasOldConnection, contact, process, laterContact }: EndEvidence,
 ): AnswerEnd {
-  if (contact === "refused" || process === "other") return "cut";
-  return hasOldConnection || process === "same" ? "whole" : "unproven";
+  const isRefused = contact === "refused" || laterContact === "refused";
+  if (isRefused || process === "other") return "cut";
+  const isWhole = hasOldConnection || process === "same" ||
+    laterContact === "accepted";
+  return isWhole ? "whole" : "unproven";
 }
 
 /** Which services have answered without a length. */
--- a/src/policy/answer_end_test.ts
+++ b/src/policy/answer_end_test.ts
@@ -20,6 +20,18 @@
   expect(rows).toMatchSnapshot();
 });
 
+// Guards against the first answer without a length of a service, a booking, that
+// is lost although its upstream is sound.
+test("a listener proves the end only if asked after the wait", () => {
+  const evidence = { hasOldConnection: false, contact: "accepted" } as const;
+  expect(judgeEnd(evidence)).toBe("unproven");
+  expect(judgeEnd({ ...evidence, laterContact: "accepted" })).toBe("whole");
+  expect(judgeEnd({ ...evidence, laterContact: "refused" })).toBe("cut");
+  expect(judgeEnd({ ...evidence, laterContact: "silent" })).toBe("unproven");
+  const other = { ...evidence, process: "other" } as const;
+  expect(judgeEnd({ ...other, laterContact: "accepted" })).toBe("cut");
+});
+
 test("a service that has answered without a length may do so again", () => {
   const history = new FramingHistory();
   expect(history.mayBeUnframed("plain")).toBe(true);
