--- a/src/config/ingress_settings.ts
+++ b/src/config/ingress_settings.ts
@@ -77,6 +77,11 @@
       maximum: 1_048_576,
       description: "a whole number from 1 to 1048576",
     }),
+    /** Memory that the host grants the process, in MB. */
+    memoryMb: Type.Number({
+      exclusiveMinimum: 0,
+      description: "a number of MB above 0",
+    }),
   }, strict),
   log: Type.Object({
     level: LogLevelSchema,
@@ -106,7 +111,7 @@
     applyMs: 2_000,
     heartbeatMs: 1_200,
   },
-  limits: { maxConnections: 2_000 },
+  limits: { maxConnections: 2_000, memoryMb: 350 },
   log: { level: "info", linesPerS: 200 },
 } as const satisfies Defaults;
 
--- /dev/null
+++ b/src/policy/memory_budget.ts
@@ -0,0 +1,203 @@
+/**
+ * Bounds the memory that a router holds for others: bodies, answers and events
+ * that have not been passed on. Each message has a limit of its own; this is the
+ * limit of all together.
+ *
+ * Pattern of load: many senders at once that each stay below the limit of one
+ * message, such as an upstream whose answers never end, or callers that send
+ * all but the end of their bodies.
+ */
+
+/** What is held. */
+export type HoldingKind =
+  /** The body of a request, for as long as the request may be sent again. */
+  | "request-body"
+  /** An answer or an event that is not complete. */
+  | "answer"
+  /** What a caller has not read yet. */
+  | "unread-answer";
+
+/** Options of a holding. */
+export interface HoldingOptions {
+  readonly kind: HoldingKind;
+  /** Who sends it: the id of an upstream or a router, or a caller's address. */
+  readonly source: string;
+  /** Size that the sender has announced, in bytes; undefined if it has not. */
+  readonly expectedBytes?: number | undefined;
+  /**
+   * Called when the holding is given up in favor of others. It is closed by
+   * then; its owner must drop the data.
+   */
+  readonly onEvict: () => void;
+}
+
+/** Memory that is held for one message. */
+export interface Holding {
+  /** Bytes that are held, as they lie in memory. */
+  readonly bytes: number;
+  /**
+   * Sets the bytes that are held. Other holdings, or this one, may be given up
+   * to stay within the limit; returns false if this one was.
+   */
+  resize(bytes: number): boolean;
+  /** Records that the message is complete, so that it is given up last. */
+  complete(): void;
+  /** Ends the holding; further calls have no effect. */
+  close(): void;
+}
+
+/** Options of a budget. */
+export interface MemoryBudgetOptions {
+  /** Limit of all holdings together, in bytes. */
+  readonly limitBytes: number;
+}
+
+/**
+ * Share of the limit above which the sender of answers is given up first: no
+ * sound upstream needs that much at a time.
+ */
+const MAX_SOURCE_SHARE = 0.25;
+
+class BudgetHolding implements Holding {
+  readonly options: HoldingOptions;
+  readonly #budget: MemoryBudget;
+  bytes = 0;
+  isComplete = false;
+  isClosed = false;
+
+  constructor(budget: MemoryBudget, options: HoldingOptions) {
+    this.#budget = budget;
+    this.options = options;
+  }
+
+  /** Share of the message that is there; 0 if its size is unknown. */
+  get progress(): number {
+    const { expectedBytes } = this.options;
+    return expectedBytes === undefined ? 0 : this.bytes / expectedBytes;
+  }
+
+  resize(bytes: number): boolean {
+    if (this.isClosed) return false;
+    this.#budget.resize(this, bytes);
+    return !this.isClosed;
+  }
+
+  complete(): void {
+    this.isComplete = true;
+  }
+
+  close(): void {
+    this.#budget.close(this);
+  }
+}
+
+/** The memory that is held for all messages. */
+export class MemoryBudget {
+  readonly limitBytes: number;
+  readonly #holdings = new Set<BudgetHolding>();
+  readonly #bytesBySource = new Map<string, number>();
+  #heldBytes = 0;
+  #evictions = 0;
+
+  constructor({ limitBytes }: MemoryBudgetOptions) {
+    this.limitBytes = limitBytes;
+  }
+
+  /** Bytes of all holdings. */
+  get heldBytes(): number {
+    return this.#heldBytes;
+  }
+
+  /** Number of holdings that were given up. */
+  get evictions(): number {
+    return this.#evictions;
+  }
+
+  /** Begins a holding of 0 bytes. */
+  open(options: HoldingOptions): Holding {
+    const holding = new BudgetHolding(this, options);
+    this.#holdings.add(holding);
+    return holding;
+  }
+
+  /**
+   * Whether a message of `bytes` fits without giving up others. One that does
+   * not is refused before it is read.
+   */
+  hasRoomFor(bytes: number): boolean {
+    return this.#heldBytes + bytes <= this.limitBytes;
+  }
+
+  /** Called by a holding. */
+  resize(holding: BudgetHolding, bytes: number): void {
+    this.#add(holding, bytes - holding.bytes);
+    while (this.#heldBytes > this.limitBytes) {
+      const victim = this.#findVictim() ?? holding;
+      this.close(victim);
+      this.#evictions++;
+      victim.options.onEvict();
+      if (victim === holding) return;
+    }
+  }
+
+  /** Called by a holding. */
+  close(holding: BudgetHolding): void {
+    if (holding.isClosed) return;
+    holding.isClosed = true;
+    this.#add(holding, -holding.bytes);
+    this.#holdings.delete(holding);
+  }
+
+  #add(holding: BudgetHolding, bytes: number): void {
+    const { source } = holding.options;
+    holding.bytes += bytes;
+    this.#heldBytes += bytes;
+    const ofSource = (this.#bytesBySource.get(source) ?? 0) + bytes;
+    if (ofSource > 0) this.#bytesBySource.set(source, ofSource);
+    else this.#bytesBySource.delete(source);
+  }
+
+  /**
+   * Chooses what is given up: answers of an upstream that takes more than its
+   * share, then requests that have just begun to arrive, which have not run,
+   * then answers of the upstream that holds most, and what callers don't read.
+   * Messages that are complete are kept.
+   */
+  #findVictim(): BudgetHolding | undefined {
+    let victim: BudgetHolding | undefined;
+    for (const each of this.#holdings) {
+      if (each.isComplete || each.bytes === 0) continue;
+      if (victim === undefined || this.#goesBefore(each, victim)) victim = each;
+    }
+    return victim;
+  }
+
+  #goesBefore(one: BudgetHolding, other: BudgetHolding): boolean {
+    const rank = this.#getRank(one) - this.#getRank(other);
+    if (rank !== 0) return rank < 0;
+    if (one.options.kind === "request-body") {
+      return one.progress < other.progress;
+    }
+    const bytes = this.#getSourceBytes(one) - this.#getSourceBytes(other);
+    return bytes === 0 ? one.bytes > other.bytes : bytes > 0;
+  }
+
+  #getRank(holding: BudgetHolding): number {
+    switch (holding.options.kind) {
+      case "answer":
+        return this.#isGreedy(holding) ? 0 : 2;
+      case "request-body":
+        return 1;
+      case "unread-answer":
+        return 3;
+    }
+  }
+
+  #isGreedy(holding: BudgetHolding): boolean {
+    return this.#getSourceBytes(holding) > this.limitBytes * MAX_SOURCE_SHARE;
+  }
+
+  #getSourceBytes({ options }: BudgetHolding): number {
+    return this.#bytesBySource.get(options.source) ?? 0;
+  }
+}
