--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -70,6 +70,7 @@
 import { handleClientErrors } from "../transport/client_error.ts";
 import { createInFlightCounter } from "../transport/in_flight.ts";
 import { createUpstreamConnections } from "../transport/upstream_connections.ts";
+import { getCodeCacheState } from "./code_cache.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
 
 /** Options of `startIngressDaemon`. */
@@ -379,6 +380,7 @@
       router: router.name,
       failureDomain: router.failureDomain,
       callers: addresses.callers,
+      codeCache: getCodeCacheState(),
     });
   }
 
