Install packages again unless the locked ones are there for this platform

What was seen: the build line kept any node_modules that is newer than the lock file. A checkout whose lock file is newer than sound packages, as in a new worktree, installed them again.

npm writes node_modules/.package-lock.json when an install has finished and removes it before the next. deploy/check_packages.cjs compares this list with the lock file: each package that is meant for this platform, architecture and C library must be listed with the same integrity and have its files. Node's ABI is not compared: the binaries among the locked packages are programs or use Node-API (their .node files refer to no symbol of V8).

--- a/Makefile
+++ b/Makefile
@@ -8,16 +8,13 @@
 
 .PHONY: install build check test demo soak chaos store-chaos measure slopes
 
-node_modules: package.json package-lock.json
-	npm ci
-	touch node_modules
+install:
+	node deploy/check_packages.cjs || npm ci
 
-install: node_modules
-
-build: node_modules
+build: install
 	npm run --silent build
 
-check: node_modules
+check: install
 	npm run --silent format:check
 	npm run --silent lint
 
