Bound the start that makes the code cache, and notice one that was stopped

A writer of the code cache whose build had ended and whose router never logged its start ran on without end, since it waits for that line and no longer for a fixed time. It now gives up after 30 s. A router that is stopped by a signal ends with code 0, which the build took for a cache; it says now that there is none.

Trials on a copy: a line that never comes and a signal 300 ms after the start both end the build with code 0, its line on standard error and no bundle.cache.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -25,7 +25,7 @@
 import { sealBundle } from "./code_cache.cjs";
 
 const TARGET = process.argv[2] ?? "target";
-/** A start takes a few hundred milliseconds, and longer on a busy machine. */
+/** Exceeds the time that deploy/write_code_cache.cjs gives the router. */
 const CACHE_TIMEOUT_MS = 60_000;
 
 /**
@@ -118,6 +118,7 @@
 }
 
 function tryWriteCache(directory) {
+  const file = join(directory, "bundle.cache");
   const command = [
     ...readNodeFlags(),
     "deploy/write_code_cache.cjs",
@@ -129,11 +130,13 @@
       timeout: CACHE_TIMEOUT_MS,
       killSignal: "SIGKILL",
     });
+    // A signal ends the router with code 0.
+    if (!existsSync(file)) throw new Error("the router was stopped");
   } catch (cause) {
     process.stderr.write(
       `deploy/build.mjs: routers will start without a code cache: ${cause.message}\n`,
     );
-    rmSync(join(directory, "bundle.cache"), { force: true });
+    rmSync(file, { force: true });
   }
 }
 
--- a/deploy/write_code_cache.cjs
+++ b/deploy/write_code_cache.cjs
@@ -15,6 +15,9 @@
 const STARTED_LINE = "The router has started.";
 /** Time in which the router does what follows its start for the first time. */
 const FIRST_TASKS_MS = 200;
+/** A start takes a few hundred milliseconds, and longer on a busy machine. */
+const MAX_START_MS = 30_000;
+const EXIT_FAILED = 1;
 const FREE_LOOPBACK_ADDRESS = "127.0.0.1:0";
 const SETTINGS = `[router]
 name = cache
@@ -48,6 +51,10 @@
 writeFileSync(settingsFile, SETTINGS);
 process.env["CORIANDERFLOW_SETTINGS"] = settingsFile;
 
+setTimeout(() => {
+  process.stderr.write(`no start within ${MAX_START_MS} ms\n`);
+  process.exit(EXIT_FAILED);
+}, MAX_START_MS).unref();
 watchStart(() => {
   setTimeout(() => {
     const { script, bundle } = require(join(target, "corianderflowd.js"));
