Drop log lines instead of ending when the log has no reader

Callers saw: all connections lost at the next log line after a log collector closed its end; the process ended with code 1 and a stack (EPIPE). Cause: no handler for 'error' of standard output, which is an unhandled event.

The writer now learns of a failed write from its callback, counts the line as dropped, and tries again after a second, since a named pipe may get its reader back and a disk room. In between, no line is rendered. The early messages on standard error tolerate the same.

--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -222,7 +222,7 @@
     this.#logs = logs ?? createLogFactory({
       router: router.name,
       level: settings.log.level,
-      write: (line) => this.#logWriter.write(line),
+      writer: this.#logWriter,
     });
     this.#retryBudget = createRetryBudget({
       ratio: bounds.retryRatio * RETRY_BUDGET_SHARE,
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -17,12 +17,14 @@
   type SettingFault,
 } from "../config/ini_sections.ts";
 import type { Settings } from "../config/settings.ts";
+import { tolerateLostReader } from "../log_writer.ts";
 import type { IngressDaemon } from "./ingress_daemon.ts";
 
 const EXIT_FAILED = 1;
 const EXIT_USAGE = 2;
 
 function exitWithError(message: string, code: number): never {
+  tolerateLostReader(process.stderr);
   process.stderr.write(`corianderflowd: ${message}\n`);
   process.exit(code);
 }
@@ -136,6 +138,7 @@
   const fleetKey = getFleetKey(settings, { minLength: MIN_FLEET_KEY_LENGTH });
   signals.setDaemon(await startDaemon({ settings, fleetKey }));
   const { callers: listening } = settings.listen;
+  tolerateLostReader(process.stdout);
   process.stdout.write(JSON.stringify({ listening }) + "\n");
 }
 
--- a/src/log.ts
+++ b/src/log.ts
@@ -2,7 +2,7 @@
  * Structured logs with a fixed message prefix per component of the daemon.
  */
 import { Logger } from "tslog";
-import { createStdoutLogWriter } from "./log_writer.ts";
+import { createStdoutLogWriter, type LogWriter } from "./log_writer.ts";
 
 /** Component of the daemon that a log line comes from. */
 export type LogComponent =
@@ -42,10 +42,14 @@
   /** Lowest level that is written; `info` by default. */
   level?: LogLevel;
   format?: "json" | "pretty";
-  /** Receives each JSON line; standard output with a rate limit by default. */
+  /** Writes the JSON lines; standard output with a rate limit by default. */
+  writer?: LineWriter;
+  /** Receives each JSON line in place of a writer. */
   write?: (line: string) => void;
 }
 
+type LineWriter = Pick<LogWriter, "write" | "isReaderLost" | "drop">;
+
 const LEVEL_IDS: Readonly<Record<LogLevel, number>> = {
   debug: 2,
   info: 3,
@@ -56,10 +60,13 @@
 /** Lines above this rate are dropped and counted. */
 const MAX_LINES_PER_SECOND = 2_000;
 
-function createDefaultWrite(router: string): (line: string) => void {
+function createDefaultWriter(router: string): LineWriter {
   const linesPerSecond = MAX_LINES_PER_SECOND;
-  const writer = createStdoutLogWriter({ router, linesPerSecond });
-  return (line) => writer.write(line);
+  return createStdoutLogWriter({ router, linesPerSecond });
+}
+
+function createCallbackWriter(write: (line: string) => void): LineWriter {
+  return { write, isReaderLost: () => false, drop() {} };
 }
 
 /** Creates the factory of the component logs of one router. */
@@ -68,7 +75,10 @@
     router,
     level = "info",
     format = "json",
-    write = createDefaultWrite(router),
+    write,
+    writer = write === undefined
+      ? createDefaultWriter(router)
+      : createCallbackWriter(write),
   }: LogOptions,
 ): LogFactory {
   const root = new Logger<Record<string, unknown>>({
@@ -85,24 +95,32 @@
       };
       const at = date.toISOString();
       const level = logLevelName.toLowerCase();
-      write(JSON.stringify({ at, level, router, ...rest }));
+      writer.write(JSON.stringify({ at, level, router, ...rest }));
     });
   }
-  return (part) => createLog(root, part);
+  return (part) => createLog(part, { root, writer, minLevel: level });
 }
 
 function createLog(
-  root: Logger<Record<string, unknown>>,
   part: LogComponent,
+  { root, writer, minLevel }: {
+    root: Logger<Record<string, unknown>>;
+    writer: LineWriter;
+    minLevel: LogLevel;
+  },
 ): Log {
-  function createRecord(message: string, fields: LogFields = {}) {
-    return { message: `${part}: ${message}`, ...fields };
+  function createMethod(level: LogLevel): Log[LogLevel] {
+    if (LEVEL_IDS[level] < LEVEL_IDS[minLevel]) return () => {};
+    return (message, fields = {}) => {
+      if (writer.isReaderLost()) writer.drop();
+      else root[level]({ message: `${part}: ${message}`, ...fields });
+    };
   }
   return {
-    debug: (message, fields) => root.debug(createRecord(message, fields)),
-    info: (message, fields) => root.info(createRecord(message, fields)),
-    warn: (message, fields) => root.warn(createRecord(message, fields)),
-    error: (message, fields) => root.error(createRecord(message, fields)),
+    debug: createMethod("debug"),
+    info: createMethod("info"),
+    warn: createMethod("warn"),
+    error: createMethod("error"),
   };
 }
 
--- a/src/log_writer.ts
+++ b/src/log_writer.ts
@@ -3,15 +3,21 @@
  *
  * Lines above a rate limit, or while too many bytes are buffered for the
  * reader, are dropped and counted. The count is written before the next line
- * that is not dropped.
+ * that is not dropped. Lines that can't be written, because the reader is gone
+ * or the disk is full, are dropped too, with all lines of the next second.
  */
 import { performance } from "node:perf_hooks";
 import process from "node:process";
 import type { Writable } from "node:stream";
 
+/** The part of a stream to which lines are written. */
+export interface LogStream extends Pick<Writable, "writableLength"> {
+  write(text: string, callback: (cause?: Error | null) => void): boolean;
+}
+
 /** Options for `createLogWriter`. */
 export interface LogWriterOptions {
-  readonly stream: Pick<Writable, "write" | "writableLength">;
+  readonly stream: LogStream;
   /** Returns the monotonic time in milliseconds. */
   readonly clock: () => number;
   /** Rate limit, in lines per second. */
@@ -25,6 +31,13 @@
 /** Writes log lines and drops those above its limits. */
 export interface LogWriter {
   write(line: string): void;
+  /**
+   * Whether lines are dropped because the last ones could not be written. A
+   * caller need not render a line then, and counts it by `drop`.
+   */
+  isReaderLost(): boolean;
+  /** Counts a line that was not rendered. */
+  drop(): void;
   /** Number of lines dropped since the writer was created. */
   readonly droppedLines: number;
 }
@@ -33,6 +46,11 @@
 const MAX_BUFFERED_BYTES = 262_144;
 /** Largest burst of lines, in seconds of the rate limit. */
 const BURST_SECONDS = 2;
+/**
+ * Time in which no line is written after one could not be, in milliseconds. The
+ * reader of a named pipe may return, and a full disk may get room.
+ */
+const LOST_READER_PAUSE_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 
 /** Creates a writer with a token-bucket rate limit. */
@@ -50,6 +68,7 @@
   let lastRefillAt = clock();
   let dropped = 0;
   let unreportedDropped = 0;
+  let lostUntil = -Infinity;
 
   function refill(): void {
     const now = clock();
@@ -58,31 +77,77 @@
     lastRefillAt = now;
   }
 
+  function drop(count = 1): void {
+    dropped += count;
+    unreportedDropped += count;
+  }
+
+  function recordLostReader(): void {
+    lostUntil = clock() + LOST_READER_PAUSE_MS;
+  }
+
+  function writeLine(line: string, onFailure: () => void): void {
+    function finish(cause?: Error | null): void {
+      if (!cause) return;
+      recordLostReader();
+      onFailure();
+    }
+    try {
+      stream.write(line + "\n", finish);
+    } catch (cause) {
+      // A stream of a file may throw instead of calling back.
+      finish(cause as Error);
+    }
+  }
+
+  function writeDropReport(): void {
+    const count = unreportedDropped;
+    unreportedDropped = 0;
+    writeLine(renderDropReport(count), () => {
+      unreportedDropped += count;
+    });
+  }
+
   return {
     get droppedLines() {
       return dropped;
     },
+    isReaderLost: () => clock() < lostUntil,
+    drop: () => drop(),
     write(line) {
       refill();
-      if (tokens < 1 || stream.writableLength > maxBufferedBytes) {
-        dropped++;
-        unreportedDropped++;
+      const isLost = lastRefillAt < lostUntil;
+      if (
+        isLost || tokens < 1 || stream.writableLength > maxBufferedBytes
+      ) {
+        drop();
         return;
       }
       tokens--;
-      if (unreportedDropped > 0) {
-        stream.write(renderDropReport(unreportedDropped) + "\n");
-        unreportedDropped = 0;
-      }
-      stream.write(line + "\n");
+      if (unreportedDropped > 0) writeDropReport();
+      writeLine(line, () => drop());
     },
   };
 }
 
+/**
+ * Keeps the loss of the reader of `stream` (EPIPE, EIO) from ending the
+ * process. Who writes learns of it from the callback of `write`, and the
+ * stream's own event has nothing to add.
+ */
+export function tolerateLostReader(stream: Writable): void {
+  if (!stream.listeners("error").includes(ignoreLostReader)) {
+    stream.on("error", ignoreLostReader);
+  }
+}
+
+function ignoreLostReader(): void {}
+
 /** Creates a writer to standard output that reports drops as JSON lines. */
 export function createStdoutLogWriter(
   { router, linesPerSecond }: { router: string; linesPerSecond: number },
 ): LogWriter {
+  tolerateLostReader(process.stdout);
   return createLogWriter({
     stream: process.stdout,
     clock: () => performance.now(),
--- a/src/log_writer_test.ts
+++ b/src/log_writer_test.ts
@@ -4,8 +4,12 @@
   const lines: string[] = [];
   const stream = {
     writableLength,
-    write(line: string) {
-      lines.push(line.trimEnd());
+    isLost: false,
+    calls: 0,
+    write(line: string, callback: (cause?: Error | null) => void) {
+      stream.calls++;
+      if (!stream.isLost) lines.push(line.trimEnd());
+      callback(stream.isLost ? new Error("write EPIPE") : null);
       return true;
     },
   };
@@ -53,3 +57,21 @@
   // A burst of two seconds, ten lines a second, and one drop report a second.
   expect(lines.length).toBeLessThanOrEqual(20 + 60 * 10 + 60);
 });
+
+// Guards against the loss of the log's reader costing more than lines.
+test("lines are dropped without a try for a second after one could not be written", () => {
+  const { lines, stream, writer, advance } = createFixture();
+  stream.isLost = true;
+  for (let line = 0; line < 5; line++) writer.write(`lost ${line}`);
+  expect(stream.calls).toBe(1);
+  expect(writer.isReaderLost()).toBe(true);
+  advance(1_000);
+  writer.write("lost 5");
+  writer.write("lost 6");
+  stream.isLost = false;
+  advance(1_000);
+  expect(writer.isReaderLost()).toBe(false);
+  writer.write("seen");
+  expect(lines).toEqual(["dropped 7", "seen"]);
+  expect(writer.droppedLines).toBe(7);
+});
