Wait for ports that are taken, and serve without those callers don't need

Callers saw: a router that did not start (code 1, EADDRINUSE) because the process before it, or an outgoing connection, still held one of its four ports for a moment; the metrics port too, which no caller needs.

A stop ends the wait at once. The project's own fleet waits for its three ports alike, all of them required.

Servers have a handler of 'error' for their whole life: before, the second connection that could not be accepted would have ended the process. An unbound datagram socket no longer sends, which would bind it to a random port.

--- a/src/control/peer_exchange.ts
+++ b/src/control/peer_exchange.ts
@@ -96,7 +96,10 @@
 
 /** The exchange of state with the other routers. */
 export interface PeerExchange {
-  /** Binds the socket and starts. Rejects if the address can't be bound. */
+  /**
+   * Binds the socket and starts. Rejects if the address can't be bound; `open`
+   * can then be called again, and messages are lost until then.
+   */
   open(): Promise<void>;
   /** Sends a JSON-RPC message to a router of the fleet; it may be lost. */
   send(message: object, router: string): void;
@@ -129,6 +132,7 @@
   // Starting at the wall-clock time keeps the sequence rising over restarts.
   #sequence = Date.now();
   #invalidCount = 0;
+  #isBound = false;
   #isClosed = false;
   #relay: string | undefined;
   #joinedRelays = "";
@@ -139,6 +143,8 @@
     this.#socket = createSocket("udp4");
     this.#socket.on("message", (bytes, from) => this.#receive(bytes, from));
     this.#socket.on("error", (cause) => {
+      // Who opens the exchange learns of the failure before that.
+      if (!this.#isBound) return;
       options.log.warn("The peer socket failed.", {
         cause: cause.message,
       });
@@ -148,12 +154,20 @@
   open(): Promise<void> {
     const { host, port } = parseAddress(this.#options.address);
     return new Promise((resolve, reject) => {
-      this.#socket.once("error", reject);
-      this.#socket.bind(port, host, () => {
-        this.#socket.off("error", reject);
-        this.#schedule();
+      const socket = this.#socket;
+      const onListening = () => {
+        socket.off("error", onBindError);
+        this.#isBound = true;
+        if (!this.#isClosed) this.#schedule();
         resolve();
-      });
+      };
+      function onBindError(cause: Error): void {
+        socket.off("listening", onListening);
+        reject(cause);
+      }
+      socket.once("error", onBindError);
+      socket.once("listening", onListening);
+      socket.bind(port, host);
     });
   }
 
@@ -357,8 +371,9 @@
 
   #send(bytes: Buffer, router: string): void {
     const address = this.#options.keeper.routers().get(router);
-    // Streams can begin until the last connection to a caller is closed.
-    if (address === undefined || this.#isClosed) return;
+    // A send binds an unbound socket to a port that nobody knows. Streams can
+    // begin until the last connection to a caller is closed.
+    if (address === undefined || !this.#isBound || this.#isClosed) return;
     const { host, port } = parseAddress(address);
     this.#socket.send(bytes, port, host);
   }
--- a/src/control/peer_exchange_test.ts
+++ b/src/control/peer_exchange_test.ts
@@ -164,7 +164,11 @@
   const server = createServer(
     createConfigurationHandler(() => routing.table()?.configuration),
   );
-  await bindServer(server, address);
+  await bindServer(server, address, {
+    onError(cause) {
+      throw cause;
+    },
+  });
   const exchange = createPeerExchange({
     self: name,
     address,
--- a/src/control/peer_messages_test.ts
+++ b/src/control/peer_messages_test.ts
@@ -343,7 +343,11 @@
     ),
   );
   const address = await findFreeAddress();
-  await bindServer(server, address);
+  await bindServer(server, address, {
+    onError(cause) {
+      throw cause;
+    },
+  });
   try {
     expect((await fetchConfiguration(address)).err).toBe(true);
   } finally {
--- a/src/control/peers_controller.ts
+++ b/src/control/peers_controller.ts
@@ -157,7 +157,13 @@
     const { listenAddress, heartbeatMs } = this.#options;
     this.#server = await listenForPeers(
       listenAddress,
-      this.#createPeerOptions(),
+      {
+        ...this.#createPeerOptions(),
+        onError: (cause) =>
+          this.#options.log.warn("The control server failed.", {
+            cause: cause.message,
+          }),
+      },
     );
     this.#timer = setInterval(
       () => this.#task.send({ kind: "tick" }),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -90,12 +90,18 @@
 import { createLogFactory, type LogFactory } from "../log.ts";
 import { createMetrics, type Metrics, setUpstreamGauges } from "./metrics.ts";
 import { type ChatQuery, createAdminHandler } from "./admin.ts";
+import { openOrClose, PortBinding } from "./port_binding.ts";
 
 /** Options of `startDaemon`. */
 export interface DaemonOptions {
   readonly settings: Settings;
   readonly fleetKey: string;
   readonly logs?: LogFactory;
+  /**
+   * Ends the wait for ports that are taken. The start then resolves with a
+   * daemon that has to be stopped.
+   */
+  readonly stopSignal?: AbortSignal;
 }
 
 /** A running router. */
@@ -120,7 +126,7 @@
 export async function startDaemon(options: DaemonOptions): Promise<Daemon> {
   const hash = await loadHash();
   const daemon = new RouterDaemon({ ...options, hash });
-  await daemon.open();
+  await openOrClose(daemon, options);
   return daemon;
 }
 
@@ -136,6 +142,8 @@
   readonly #tasks: TaskSystem = createTaskSystem();
   readonly #metrics: Metrics = createMetrics();
   readonly #inFlight = createInFlightCounter();
+  readonly #ports: PortBinding;
+  #isListening = false;
   readonly #retryBudget = createRetryBudget({ floor: MIN_RETRIES_PER_MINUTE });
   readonly #workspaceLimits = createWorkspaceLimits();
   readonly #client: HttpClient;
@@ -165,6 +173,10 @@
       router: settings.router.name,
       ...settings.log,
     });
+    this.#ports = new PortBinding({
+      log: this.#logs("daemon"),
+      clock: this.#clock,
+    });
     this.#self = {
       name: settings.router.name,
       failureDomain: settings.router.failureDomain,
@@ -223,13 +235,16 @@
   async open(): Promise<void> {
     const log = this.#logs("daemon");
     this.#reportInvariantBreaches();
-    const { callers, forward } = this.#settings.listen;
-    const forwardServer = await listenForHttp(forward, {
-      limits: this.#getServerLimits(),
-      handle: this.#createForwardHandler(),
+    const { callers, forward, control } = this.#settings.listen;
+    await this.#openPort("forward", forward, async () => {
+      const server = await listenForHttp(forward, {
+        limits: this.#getServerLimits(),
+        handle: this.#createForwardHandler(),
+        onError: (cause) => this.#recordServerError(forward, cause),
+      });
+      this.#addServerCloser("forward server", server);
     });
-    this.#addServerCloser("forward server", forwardServer);
-    await this.#peers.open();
+    await this.#openPort("control", control, () => this.#peers.open());
     this.#lifeCycle.addCleanup("peers", () => this.#peers.close());
     this.#configuration.open();
     this.#lifeCycle.addCleanup(
@@ -247,23 +262,58 @@
     this.#lifeCycle.addCleanup("orders", () => this.#orders.close());
     this.#cacheEvents.open();
     this.#lifeCycle.addCleanup("cache events", () => this.#cacheEvents.close());
-    const callerServer = await listenForHttp(callers, {
-      limits: this.#getServerLimits(),
-      handle: this.#createCallerHandler(),
+    await this.#openPort("callers", callers, async () => {
+      const server = await listenForHttp(callers, {
+        limits: this.#getServerLimits(),
+        handle: this.#createCallerHandler(),
+        onError: (cause) => this.#recordServerError(callers, cause),
+      });
+      this.#addServerCloser("caller server", server);
+      this.#isListening = true;
     });
-    this.#addServerCloser("caller server", callerServer);
+    if (!this.#isListening) return;
     log.info("The router is listening.", {
       callers,
       incarnation: this.#incarnation,
+      portsWaitedMs: this.#ports.waitedMs,
+    });
+  }
+
+  /** Releases what is open after a failed start. */
+  async abandon(): Promise<void> {
+    this.#ports.close();
+    await this.#lifeCycle.close();
+  }
+
+  /** Ends the wait for ports that are taken. */
+  endWait(): void {
+    this.#ports.close();
+  }
+
+  /** All ports are needed: the owner of a pool is reached by the others. */
+  #openPort(
+    key: "callers" | "forward" | "control",
+    address: string,
+    bind: () => Promise<void>,
+  ): Promise<void> {
+    const setting = `[listen] ${key}`;
+    return this.#ports.open({ setting, address, use: "required", bind });
+  }
+
+  #recordServerError(address: string, cause: Error): void {
+    this.#logs("daemon").warn("A server failed.", {
+      address,
+      cause: cause.message,
     });
   }
 
   async stop(): Promise<void> {
     const log = this.#logs("daemon");
     log.info("Graceful stop started.", { inFlight: this.#inFlight.count });
+    this.#ports.close();
     this.#peers.announceLeaving(await this.#returnLoans());
     await this.#registry.deregister();
-    await sleep(this.#settings.limits.drainMs);
+    if (this.#isListening) await sleep(this.#settings.limits.drainMs);
     await this.#inFlight.waitUntilIdle();
     const failures = await this.#lifeCycle.close();
     for (const { name, cause } of failures) {
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -59,6 +59,7 @@
 import { createMetadataStore } from "../platform/metadata_store.ts";
 import { READY_PATH } from "../platform/names.ts";
 import { BALANCER_DRAIN_MS } from "../policy/stop_plan.ts";
+import type { PortUse } from "../policy/bind_retry.ts";
 import { PeerLoads } from "../policy/peer_loads.ts";
 import { getStorePollIntervals } from "../policy/poll_pause.ts";
 import { RelayPlan } from "../policy/relay_plan.ts";
@@ -71,11 +72,17 @@
 import { createInFlightCounter } from "../transport/in_flight.ts";
 import { createUpstreamConnections } from "../transport/upstream_connections.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
+import { openOrClose, PortBinding } from "./port_binding.ts";
 
 /** Options of `startIngressDaemon`. */
 export interface IngressDaemonOptions {
   readonly settings: IngressSettings;
   readonly logs?: LogFactory;
+  /**
+   * Ends the wait for ports that are taken. The start then resolves with a
+   * daemon that has to be stopped.
+   */
+  readonly stopSignal?: AbortSignal;
 }
 
 /** A running router. */
@@ -170,7 +177,7 @@
 ): Promise<IngressDaemon> {
   const hash = await loadHash();
   const daemon = new IngressRouterDaemon({ ...options, hash });
-  await daemon.open();
+  await openOrClose(daemon, options);
   return daemon;
 }
 
@@ -203,6 +210,8 @@
   readonly #streams: StreamExchange;
   readonly #chain: FilterChain<IngressExchange, IngressOutcome>;
   readonly #callers: Server;
+  readonly #ports: PortBinding;
+  #isListening = false;
   /** Longest delay of a readiness check since the metrics were last read. */
   #maxEventLoopDelayMs = 0;
   #readinessTimer: NodeJS.Timeout | undefined;
@@ -224,6 +233,10 @@
       level: settings.log.level,
       writer: this.#logWriter,
     });
+    this.#ports = new PortBinding({
+      log: this.#logs("daemon"),
+      clock: readSteadyClock,
+    });
     this.#retryBudget = createRetryBudget({
       ratio: bounds.retryRatio * RETRY_BUDGET_SHARE,
       windowMs: bounds.retryWindowS * MS_PER_SECOND,
@@ -344,7 +357,13 @@
     const { listen: addresses, router } = this.#settings;
     this.#routing.open();
     this.#lifeCycle.addCleanup("routing", () => this.#routing.close());
-    await this.#peerExchange.open();
+    // Without its peers' datagrams, a router reads the store itself.
+    await this.#ports.open({
+      setting: "[listen] peers",
+      address: addresses.peers,
+      use: "optional",
+      bind: () => this.#peerExchange.open(),
+    });
     this.#lifeCycle.addCleanup(
       "peer exchange",
       () => this.#peerExchange.close(),
@@ -353,8 +372,8 @@
     this.#lifeCycle.addCleanup("streams", () => this.#streams.close());
     this.#links.open();
     this.#lifeCycle.addCleanup("links", () => this.#links.close());
-    await this.#openServer(this.#createRouterServer(), addresses.peers);
-    await bindServer(this.#callers, addresses.callers);
+    await this.#openServer(this.#createRouterServer(), "peers", "optional");
+    await this.#openPort(this.#callers, "callers", "required");
     const readiness = createServer((request, response) => {
       const isReadyPath = request.url === READY_PATH;
       const isReady = this.#findUnreadyReason() === undefined;
@@ -363,11 +382,13 @@
         isReadyPath && isReady ? STATUS_OK : STATUS_UNAVAILABLE,
       );
     });
-    await this.#openServer(readiness, addresses.ready);
+    await this.#openServer(readiness, "ready", "required");
     const metrics = createServer((request, response) => {
       void this.#sendMetrics(request, response);
     });
-    await this.#openServer(metrics, addresses.metrics);
+    await this.#openServer(metrics, "metrics", "optional");
+    if (!this.#callers.listening || !readiness.listening) return;
+    this.#isListening = true;
     this.#scheduleReadinessCheck(
       readSteadyClock() + READINESS_CHECK_INTERVAL_MS,
     );
@@ -379,9 +400,20 @@
       router: router.name,
       failureDomain: router.failureDomain,
       callers: addresses.callers,
+      portsWaitedMs: this.#ports.waitedMs,
     });
   }
 
+  endWait(): void {
+    this.#ports.close();
+  }
+
+  async abandon(): Promise<void> {
+    this.#ports.close();
+    this.#callers.close();
+    await this.#lifeCycle.close();
+  }
+
   reload({ bounds }: IngressSettings): void {
     this.#bounds = bounds;
     this.#updateRetrySlack(this.#routing.routers().size);
@@ -398,10 +430,11 @@
     const log = this.#logs("daemon");
     const startedAt = readSteadyClock();
     this.#stopStartedAt = startedAt;
+    this.#ports.close();
     log.info("Graceful stop started.", { inFlight: this.#inFlight.count });
-    await sleep(
-      Math.min(BALANCER_DRAIN_MS, this.#getStopProgress()!.lifetimeMs),
-    );
+    // A router that callers can't reach has none to wait for.
+    const drainMs = this.#isListening ? BALANCER_DRAIN_MS : 0;
+    await sleep(Math.min(drainMs, this.#getStopProgress()!.lifetimeMs));
     await this.#endInFlight();
     this.#callers.close();
     // Wait for requests that arrived while the last answers were being sent.
@@ -566,12 +599,37 @@
     this.#logs("route")[level](message, { ...details });
   }
 
-  async #openServer(server: Server, address: string): Promise<void> {
-    await bindServer(server, address);
-    this.#lifeCycle.addCleanup(`server ${address}`, () => {
+  async #openServer(
+    server: Server,
+    key: keyof IngressSettings["listen"],
+    use: PortUse,
+  ): Promise<void> {
+    this.#lifeCycle.addCleanup(`server of ${key}`, () => {
       server.closeAllConnections();
       server.close();
     });
+    await this.#openPort(server, key, use);
+  }
+
+  #openPort(
+    server: Server,
+    key: keyof IngressSettings["listen"],
+    use: PortUse,
+  ): Promise<void> {
+    const setting = `[listen] ${key}`;
+    const address = this.#settings.listen[key];
+    const onError = (cause: Error) =>
+      this.#logs("daemon").warn("A server failed.", {
+        setting,
+        address,
+        cause: cause.message,
+      });
+    return this.#ports.open({
+      setting,
+      address,
+      use,
+      bind: () => bindServer(server, address, { onError }),
+    });
   }
 
   #applyConfiguration({ limits, version }: RoutingConfiguration): void {
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -87,6 +87,7 @@
 
 /** A daemon that is starting, and the signals that arrive meanwhile. */
 class SignalHandler {
+  readonly #stopping = new AbortController();
   #daemon: Stoppable | undefined;
   #isStopping = false;
 
@@ -99,11 +100,17 @@
       process.on(signal, () => {
         if (this.#isStopping) return;
         this.#isStopping = true;
+        this.#stopping.abort();
         this.#stop();
       });
     }
   }
 
+  /** Aborted when a stop is asked for. */
+  get stopSignal(): AbortSignal {
+    return this.#stopping.signal;
+  }
+
   /** Sets the daemon; stops it if a signal has arrived before. */
   setDaemon(daemon: Stoppable): void {
     this.#daemon = daemon;
@@ -136,7 +143,8 @@
   if (read.err) exitWithFaults(file, read.val);
   const settings = read.val as Settings;
   const fleetKey = getFleetKey(settings, { minLength: MIN_FLEET_KEY_LENGTH });
-  signals.setDaemon(await startDaemon({ settings, fleetKey }));
+  const { stopSignal } = signals;
+  signals.setDaemon(await startDaemon({ settings, fleetKey, stopSignal }));
   const { callers: listening } = settings.listen;
   tolerateLostReader(process.stdout);
   process.stdout.write(JSON.stringify({ listening }) + "\n");
@@ -150,7 +158,10 @@
   const { startIngressDaemon } = await import("./ingress_daemon.ts");
   const read = readIngressSettings(text, file);
   if (read.err) return exitWithFaults(file, read.val);
-  const daemon = await startIngressDaemon({ settings: read.val });
+  const daemon = await startIngressDaemon({
+    settings: read.val,
+    stopSignal: signals.stopSignal,
+  });
   signals.setDaemon(daemon);
   watchSettings(file, { daemon, read: readIngressSettings });
 }
--- a/src/transport/address.ts
+++ b/src/transport/address.ts
@@ -25,14 +25,27 @@
 
 /**
  * Makes `server` listen on `address` (`ip:port`). Resolves when it is bound and
- * rejects if it can't be.
+ * rejects if it can't be; it can then be tried again. `onError` receives what
+ * fails later, a connection that can't be accepted for example, which would end
+ * the process otherwise.
  */
 export function bindServer<S extends Server>(
   server: S,
   address: string,
+  { onError }: { onError: (cause: Error) => void },
 ): Promise<S> {
   return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(parseAddress(address), () => resolve(server));
+    function onListening(): void {
+      server.off("error", onBindError);
+      server.on("error", onError);
+      resolve(server);
+    }
+    function onBindError(cause: Error): void {
+      server.off("listening", onListening);
+      reject(cause);
+    }
+    server.once("error", onBindError);
+    server.once("listening", onListening);
+    server.listen(parseAddress(address));
   });
 }
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -37,13 +37,14 @@
 
 /**
  * Creates an HTTP server that listens on `address` (`ip:port`). Resolves when
- * it is bound and rejects if it can't be.
+ * it is bound and rejects if it can't be. `onError` receives what fails later.
  */
 export function listenForHttp(
   address: string,
   options: {
     limits: ServerLimits;
     handle(request: IncomingMessage, response: ServerResponse): void;
+    onError(cause: Error): void;
   },
 ): Promise<Server> {
   const { limits } = options;
@@ -55,7 +56,7 @@
   }, options.handle);
   server.maxConnections = limits.maxConnections;
   handleClientErrors(server);
-  return bindServer(server, address);
+  return bindServer(server, address, options);
 }
 
 /** Closes a server; resolves when all its connections have closed. */
--- a/src/transport/peer_connection.ts
+++ b/src/transport/peer_connection.ts
@@ -261,14 +261,14 @@
 
 /**
  * Accepts connections of peers on `address` (`ip:port`). Resolves when it is
- * bound and rejects if it can't be.
+ * bound and rejects if it can't be. `onError` receives what fails later.
  */
 export function listenForPeers(
   address: string,
-  options: PeerOptions,
+  options: PeerOptions & { onError(cause: Error): void },
 ): Promise<Server> {
   const server = createServer((socket) => {
     new SocketPeer(socket, options).serveHandshake();
   });
-  return bindServer(server, address);
+  return bindServer(server, address, options);
 }
