Receive all signals from the start, wait for settings, survive single errors

Three ways in which a router ended by itself; main.ts was rewritten for all of them at once, so they share a commit.

Callers lost a router to SIGHUP within 130 ms of its start, and to SIGUSR2 at any time: a signal without a listener ends the process. The loader now receives signals before it does anything else, and keeps them for src/daemon/signals.ts, which does the same where there is no loader. SIGHUP during the start reloads after it; SIGQUIT, SIGUSR1, SIGUSR2, SIGALRM and the like are logged and ignored.

A file that was empty or half written for a moment ended the start with code 2, and was taken for one of the project's own fleet. It is read again every 50 ms for 2 s, and so is a valid text without a final line break until it has not changed for 100 ms. A reload waits alike and keeps the settings in force. Pipes are read once.

Errors that nothing handles. They ended the process without a log line. They are logged with their stack and counted, and the process goes on, since the state of a request is that of the request; 20 within 10 s stop it gracefully with code 1. During the start they end it with code 1 and the stack. A stop that fails is logged and ends with code 1; before, it left the process running.

The line of the end of the start says how long the start took and how long it waited for settings and ports.

--- a/deploy/loader.cjs
+++ b/deploy/loader.cjs
@@ -3,6 +3,18 @@
  * a sixth of the CPU time of a start. V8 ignores a cache that was created under
  * other flags or by another version of V8.
  */
+const process = require("node:process");
+
+// A signal without a listener ends the process, so they are received before
+// anything else is done, and kept for src/daemon/signals.ts.
+const signals = { kept: [], receive: (signal) => signals.kept.push(signal) };
+globalThis[Symbol.for("corianderflow.signals")] = signals;
+for (
+  const name
+    of "TERM INT HUP QUIT USR1 USR2 ALRM VTALRM PROF IO PWR STKFLT XCPU"
+      .split(" ")
+) process.on(`SIG${name}`, (signal) => signals.receive(signal));
+
 const { existsSync, readFileSync } = require("node:fs");
 const { join } = require("node:path");
 const { Script } = require("node:vm");
--- a/src/daemon/bundle_test.ts
+++ b/src/daemon/bundle_test.ts
@@ -1,12 +1,19 @@
 import { type ChildProcess, execFileSync, spawn } from "node:child_process";
 import { once } from "node:events";
-import { appendFileSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import {
+  appendFileSync,
+  copyFileSync,
+  mkdtempSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { type FileHandle, open } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
 import { findFreeAddress } from "../../testing/free_address.ts";
 import { MetadataStoreServer } from "../../testing/metadata_store.ts";
+import { RECEIVED_SIGNALS } from "./signals.ts";
 
 const ROOT = join(__dirname, "../..");
 const BUNDLE = join(ROOT, "target/corianderflowd.js");
@@ -46,8 +53,9 @@
 
 function startProcess(
   file: string,
+  program = BUNDLE,
 ): { child: ChildProcess; lines: string[] } {
-  const child = spawn(process.execPath, [BUNDLE], {
+  const child = spawn(process.execPath, [program], {
     env: { PATH: process.env["PATH"], CORIANDERFLOW_SETTINGS: file },
   });
   const lines: string[] = [];
@@ -176,3 +184,68 @@
   },
   20_000,
 );
+
+const ENDING_SIGNALS: readonly string[] = ["SIGTERM", "SIGINT"];
+
+/** Starts the loader with a bundle that takes a while to load. */
+function startSlowBundle(
+  settings: string,
+): { child: ChildProcess; lines: string[] } {
+  const target = mkdtempSync(join(directory, "target-"));
+  const loader = join(target, "corianderflowd.js");
+  copyFileSync(BUNDLE, loader);
+  const bundle = join(ROOT, "target/bundle.js");
+  writeFileSync(
+    join(target, "bundle.js"),
+    `const { writeSync } = require("node:fs");
+    writeSync(1, '{"message":"loading"}\\n');
+    const end = Date.now() + 500;
+    while (Date.now() < end);
+    require(${JSON.stringify(bundle)});`,
+  );
+  const file = join(target, "node.ini");
+  writeFileSync(file, settings);
+  return startProcess(file, loader);
+}
+
+// Guards against a signal during the start ending the router.
+test(
+  "signals that come before the bundle is loaded do not end the router",
+  async () => {
+    const { child, lines } = startSlowBundle(
+      renderSettings(await findAddresses()),
+    );
+    const ignored = RECEIVED_SIGNALS.filter((signal) =>
+      !ENDING_SIGNALS.includes(signal) && signal !== "SIGHUP"
+    );
+    function countIgnored(): number {
+      return lines.filter((line) => line.includes("A signal is ignored."))
+        .length;
+    }
+    await until(() => lines.length > 0);
+    for (const signal of [...ignored, "SIGHUP"] as const) child.kill(signal);
+    await until(() => countIgnored() === ignored.length);
+    await until(() => lines.some((line) => line.includes("were reloaded.")));
+    for (const signal of ignored) child.kill(signal);
+    await until(() => countIgnored() === 2 * ignored.length);
+    child.kill("SIGHUP");
+    child.kill("SIGTERM");
+    child.kill("SIGHUP");
+    expect(await once(child, "exit")).toEqual([0, null]);
+  },
+  20_000,
+);
+
+test(
+  "a stop that is asked for before the bundle is loaded is graceful",
+  async () => {
+    const { child, lines } = startSlowBundle(
+      renderSettings(await findAddresses()),
+    );
+    await until(() => lines.length > 0);
+    child.kill("SIGTERM");
+    expect(await once(child, "exit")).toEqual([0, null]);
+    expect(lines.join("\n")).toContain("The router has stopped.");
+  },
+  20_000,
+);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -87,10 +87,11 @@
 import { renderStatus } from "./status.ts";
 import { createLoadPoller } from "./load_poller.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
-import { createLogFactory, type LogFactory } from "../log.ts";
+import { createLogFactory, type Log, type LogFactory } from "../log.ts";
 import { createMetrics, type Metrics, setUpstreamGauges } from "./metrics.ts";
 import { type ChatQuery, createAdminHandler } from "./admin.ts";
 import { openOrClose, PortBinding } from "./port_binding.ts";
+import type { RunningDaemon } from "./process_life.ts";
 
 /** Options of `startDaemon`. */
 export interface DaemonOptions {
@@ -105,7 +106,7 @@
 }
 
 /** A running router. */
-export interface Daemon {
+export interface Daemon extends RunningDaemon {
   /** Stops gracefully: waits for the requests in flight, then closes. */
   stop(): Promise<void>;
 }
@@ -131,6 +132,7 @@
 }
 
 class RouterDaemon implements Daemon {
+  readonly log: Log;
   readonly #settings: Settings;
   readonly #fleetKey: string;
   readonly #hash: Hash;
@@ -173,8 +175,9 @@
       router: settings.router.name,
       ...settings.log,
     });
+    this.log = this.#logs("daemon");
     this.#ports = new PortBinding({
-      log: this.#logs("daemon"),
+      log: this.log,
       clock: this.#clock,
     });
     this.#self = {
@@ -279,6 +282,10 @@
     });
   }
 
+  countUnhandledError(): void {
+    this.#metrics.unhandledErrors.inc();
+  }
+
   /** Releases what is open after a failed start. */
   async abandon(): Promise<void> {
     this.#ports.close();
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -54,7 +54,7 @@
 import { RouteFilter } from "../ingress/route_filter.ts";
 import { RouterForwarding } from "../ingress/router_forwarding.ts";
 import { StopFilter, type StopProgress } from "../ingress/stop_filter.ts";
-import { createLogFactory, type LogFactory } from "../log.ts";
+import { createLogFactory, type Log, type LogFactory } from "../log.ts";
 import { createStdoutLogWriter, type LogWriter } from "../log_writer.ts";
 import { createMetadataStore } from "../platform/metadata_store.ts";
 import { READY_PATH } from "../platform/names.ts";
@@ -73,6 +73,7 @@
 import { createUpstreamConnections } from "../transport/upstream_connections.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
 import { openOrClose, PortBinding } from "./port_binding.ts";
+import type { RunningDaemon } from "./process_life.ts";
 
 /** Options of `startIngressDaemon`. */
 export interface IngressDaemonOptions {
@@ -83,10 +84,12 @@
    * daemon that has to be stopped.
    */
   readonly stopSignal?: AbortSignal;
+  /** Time for which the start waited for valid settings, in milliseconds. */
+  readonly settingsWaitedMs?: number;
 }
 
 /** A running router. */
-export interface IngressDaemon {
+export interface IngressDaemon extends RunningDaemon {
   /**
    * Stops gracefully: waits for the requests in flight, at most for the grace
    * time, then closes.
@@ -190,7 +193,9 @@
 }
 
 class IngressRouterDaemon implements IngressDaemon {
+  readonly log: Log;
   readonly #settings: IngressSettings;
+  readonly #settingsWaitedMs: number;
   #bounds: IngressSettings["bounds"];
   readonly #logWriter: LogWriter;
   readonly #logs: LogFactory;
@@ -219,10 +224,13 @@
   #unreadyReason: string | undefined = "no-configuration";
 
   constructor(
-    { settings, logs, hash }: IngressDaemonOptions & { hash: Hash },
+    { settings, logs, hash, settingsWaitedMs = 0 }: IngressDaemonOptions & {
+      hash: Hash;
+    },
   ) {
     const { router, bounds, store: { address } } = settings;
     this.#settings = settings;
+    this.#settingsWaitedMs = settingsWaitedMs;
     this.#bounds = bounds;
     this.#logWriter = createStdoutLogWriter({
       router: router.name,
@@ -233,8 +241,9 @@
       level: settings.log.level,
       writer: this.#logWriter,
     });
+    this.log = this.#logs("daemon");
     this.#ports = new PortBinding({
-      log: this.#logs("daemon"),
+      log: this.log,
       clock: readSteadyClock,
     });
     this.#retryBudget = createRetryBudget({
@@ -400,10 +409,16 @@
       router: router.name,
       failureDomain: router.failureDomain,
       callers: addresses.callers,
+      startMs: Math.round(readSteadyClock()),
+      settingsWaitedMs: this.#settingsWaitedMs,
       portsWaitedMs: this.#ports.waitedMs,
     });
   }
 
+  countUnhandledError(): void {
+    this.#metrics.unhandledErrors.inc();
+  }
+
   endWait(): void {
     this.#ports.close();
   }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -6,12 +6,22 @@
  * Settings with a section `[store]` start a router that discovers its fleet
  * in a metadata store; all others start a router of a fleet with pool owners.
  *
- * Exit codes: 0 after a graceful stop, 1 if the start failed, 2 for a
- * wrong command line or invalid settings.
+ * The process ends for these reasons, and for no other that a program can
+ * prevent: SIGTERM or SIGINT (graceful, code 0); an error at the start that
+ * stays after a bounded time (1); too many unhandled errors (graceful, 1); a
+ * wrong command line, or settings that stay invalid after a bounded time (2).
  */
+// Loaded first: it receives the signals that come while the rest is loaded.
+import "./signals.ts";
 import { readFileSync, statSync } from "node:fs";
 import process from "node:process";
-import { parseArgs } from "node:util";
+import { inspect, parseArgs } from "node:util";
+import { Err, Ok, type Result } from "ts-results/result";
+import {
+  type IngressSettings,
+  isIngressSettings,
+  readIngressSettings,
+} from "../config/ingress_settings.ts";
 import {
   formatSettingFault,
   type SettingFault,
@@ -19,19 +29,26 @@
 import type { Settings } from "../config/settings.ts";
 import { tolerateLostReader } from "../log_writer.ts";
 import type { IngressDaemon } from "./ingress_daemon.ts";
-
-const EXIT_FAILED = 1;
-const EXIT_USAGE = 2;
-
-function exitWithError(message: string, code: number): never {
-  tolerateLostReader(process.stderr);
-  process.stderr.write(`corianderflowd: ${message}\n`);
-  process.exit(code);
-}
+import {
+  EXIT_FAILED,
+  EXIT_USAGE,
+  exitWithError,
+  ProcessLife,
+} from "./process_life.ts";
+import { readSettledFile, type SettingsFailure } from "./settings_file.ts";
 
 const SETTINGS_VARIABLE = "CORIANDERFLOW_SETTINGS";
 const SETTINGS_CHECK_INTERVAL_MS = 2_000;
 
+/** Settings of a router of either fleet. */
+type RouterSettings =
+  | { readonly kind: "ingress"; readonly settings: IngressSettings }
+  | {
+    readonly kind: "pool";
+    readonly settings: Settings;
+    readonly fleetKey: string;
+  };
+
 function getSettingsFile(): string {
   try {
     const { values } = parseArgs({ options: { settings: { type: "string" } } });
@@ -43,83 +60,63 @@
   return exitWithError("usage: corianderflowd --settings FILE", EXIT_USAGE);
 }
 
-function readFile(file: string): string {
-  try {
-    return readFileSync(file, "utf8");
-  } catch (cause) {
-    return exitWithError(
-      `cannot read ${file}: ${(cause as Error).message}`,
-      EXIT_USAGE,
-    );
-  }
-}
-
 function describeFaults(faults: readonly SettingFault[]): string {
   return faults.map(formatSettingFault).join("\n");
 }
 
-function exitWithFaults(file: string, faults: readonly SettingFault[]): never {
-  return exitWithError(
-    `invalid settings in ${file}:\n${describeFaults(faults)}`,
-    EXIT_USAGE,
-  );
+function describeFailure(
+  file: string,
+  { isReadable, faults }: SettingsFailure,
+): string {
+  return isReadable
+    ? `invalid settings in ${file}:\n${faults}`
+    : `cannot read ${file}: ${faults}`;
 }
 
-function getFleetKey(
+function readFleetKey(
   { fleet }: Settings,
   { minLength }: { minLength: number },
-): string {
-  if (fleet.key !== undefined) return fleet.key;
+): Result<string, string> {
+  if (fleet.key !== undefined) return Ok(fleet.key);
   const file = fleet.keyFile!;
-  const key = readFile(file).trim();
-  if (key.length >= minLength) return key;
+  try {
+    const key = readFileSync(file, "utf8").trim();
+    if (key.length >= minLength) return Ok(key);
+  } catch (cause) {
+    return Err(`cannot read ${file}: ${(cause as Error).message}`);
+  }
   const requirement = `at least ${minLength} characters`;
-  return exitWithError(
-    `the fleet key in ${file} must have ${requirement}`,
-    EXIT_USAGE,
-  );
+  return Err(`the fleet key in ${file} must have ${requirement}`);
 }
 
-/** What the process runs; it is stopped on a signal. */
-interface Stoppable {
-  stop(): Promise<void>;
+async function parsePoolSettings(
+  text: string,
+  file: string,
+): Promise<Result<RouterSettings, string>> {
+  const { MIN_FLEET_KEY_LENGTH, readSettings } = await import(
+    "../config/settings.ts"
+  );
+  const read = readSettings(text, file);
+  if (read.err) return Err(describeFaults(read.val));
+  const settings = read.val as Settings;
+  return readFleetKey(settings, { minLength: MIN_FLEET_KEY_LENGTH })
+    .map((fleetKey) => ({ kind: "pool", settings, fleetKey }));
 }
 
-/** A daemon that is starting, and the signals that arrive meanwhile. */
-class SignalHandler {
-  readonly #stopping = new AbortController();
-  #daemon: Stoppable | undefined;
-  #isStopping = false;
-
-  /**
-   * Handles SIGTERM and SIGINT from now on, also while the daemon starts: it
-   * accepts requests before its start has ended.
-   */
-  open(): void {
-    for (const signal of ["SIGTERM", "SIGINT"]) {
-      process.on(signal, () => {
-        if (this.#isStopping) return;
-        this.#isStopping = true;
-        this.#stopping.abort();
-        this.#stop();
-      });
-    }
-  }
-
-  /** Aborted when a stop is asked for. */
-  get stopSignal(): AbortSignal {
-    return this.#stopping.signal;
-  }
-
-  /** Sets the daemon; stops it if a signal has arrived before. */
-  setDaemon(daemon: Stoppable): void {
-    this.#daemon = daemon;
-    if (this.#isStopping) this.#stop();
-  }
+function parseIngressSettings(
+  text: string,
+  file: string,
+): Result<IngressSettings, string> {
+  return readIngressSettings(text, file).mapErr(describeFaults);
+}
 
-  #stop(): void {
-    void this.#daemon?.stop().then(() => process.exit(0));
-  }
+async function parseSettings(
+  text: string,
+  file: string,
+): Promise<Result<RouterSettings, string>> {
+  if (!isIngressSettings(text)) return await parsePoolSettings(text, file);
+  return parseIngressSettings(text, file)
+    .map((settings) => ({ kind: "ingress", settings }));
 }
 
 function getModificationTimeMs(file: string): number {
@@ -132,75 +129,89 @@
 }
 
 async function runPoolRouter(
-  file: string,
-  { text, signals }: { text: string; signals: SignalHandler },
+  { settings, fleetKey }: RouterSettings & { kind: "pool" },
+  { life }: { life: ProcessLife },
 ): Promise<void> {
-  const { MIN_FLEET_KEY_LENGTH, readSettings } = await import(
-    "../config/settings.ts"
-  );
   const { startDaemon } = await import("./daemon.ts");
-  const read = readSettings(text, file);
-  if (read.err) exitWithFaults(file, read.val);
-  const settings = read.val as Settings;
-  const fleetKey = getFleetKey(settings, { minLength: MIN_FLEET_KEY_LENGTH });
-  const { stopSignal } = signals;
-  signals.setDaemon(await startDaemon({ settings, fleetKey, stopSignal }));
+  const { stopSignal } = life;
+  life.setDaemon(await startDaemon({ settings, fleetKey, stopSignal }));
   const { callers: listening } = settings.listen;
   tolerateLostReader(process.stdout);
   process.stdout.write(JSON.stringify({ listening }) + "\n");
 }
 
 async function runIngressRouter(
-  file: string,
-  { text, signals }: { text: string; signals: SignalHandler },
+  { settings }: RouterSettings & { kind: "ingress" },
+  { file, life, settingsWaitedMs }: {
+    file: string;
+    life: ProcessLife;
+    settingsWaitedMs: number;
+  },
 ): Promise<void> {
-  const { readIngressSettings } = await import("../config/ingress_settings.ts");
   const { startIngressDaemon } = await import("./ingress_daemon.ts");
-  const read = readIngressSettings(text, file);
-  if (read.err) return exitWithFaults(file, read.val);
   const daemon = await startIngressDaemon({
-    settings: read.val,
-    stopSignal: signals.stopSignal,
+    settings,
+    settingsWaitedMs,
+    stopSignal: life.stopSignal,
   });
-  signals.setDaemon(daemon);
-  watchSettings(file, { daemon, read: readIngressSettings });
+  life.setDaemon(daemon);
+  watchSettings(file, { daemon, life });
 }
 
 /** Reloads the settings on SIGHUP and when the file has changed. */
 function watchSettings(
   file: string,
-  { daemon, read }: {
-    daemon: IngressDaemon;
-    read: typeof import("../config/ingress_settings.ts").readIngressSettings;
-  },
+  { daemon, life }: { daemon: IngressDaemon; life: ProcessLife },
 ): void {
   let modifiedMs = getModificationTimeMs(file);
-  function reload(): void {
+  let isReloading = false;
+  let isDueAgain = false;
+  async function reload(): Promise<void> {
     modifiedMs = getModificationTimeMs(file);
+    const { result } = await readSettledFile(file, {
+      parse: (text) => Promise.resolve(parseIngressSettings(text, file)),
+    });
+    if (result.ok) daemon.reload(result.val);
+    else daemon.rejectReload(result.val.faults);
+  }
+  async function reloadOnceAtATime(): Promise<void> {
+    isDueAgain = true;
+    if (isReloading) return;
+    isReloading = true;
     try {
-      const settings = read(readFileSync(file, "utf8"), file);
-      if (settings.ok) daemon.reload(settings.val);
-      else daemon.rejectReload(describeFaults(settings.val));
+      while (isDueAgain) {
+        isDueAgain = false;
+        await reload();
+      }
     } catch (cause) {
-      daemon.rejectReload((cause as Error).message);
+      daemon.rejectReload(inspect(cause));
+    } finally {
+      isReloading = false;
     }
   }
-  process.on("SIGHUP", reload);
+  life.setReload(() => void reloadOnceAtATime());
   setInterval(() => {
-    if (getModificationTimeMs(file) !== modifiedMs) reload();
+    if (getModificationTimeMs(file) !== modifiedMs) void reloadOnceAtATime();
   }, SETTINGS_CHECK_INTERVAL_MS).unref();
 }
 
 async function main(): Promise<void> {
-  const signals = new SignalHandler();
-  signals.open();
+  const life = new ProcessLife();
+  life.open();
   const file = getSettingsFile();
-  const text = readFile(file);
-  const { isIngressSettings } = await import("../config/ingress_settings.ts");
+  const { result, waitedMs: settingsWaitedMs } = await readSettledFile(file, {
+    parse: (text) => parseSettings(text, file),
+    signal: life.stopSignal,
+  });
+  if (result.err) {
+    life.exitIfStopping();
+    exitWithError(describeFailure(file, result.val), EXIT_USAGE);
+  }
+  const read = result.val;
   try {
-    if (isIngressSettings(text)) {
-      await runIngressRouter(file, { text, signals });
-    } else await runPoolRouter(file, { text, signals });
+    if (read.kind === "ingress") {
+      await runIngressRouter(read, { file, life, settingsWaitedMs });
+    } else await runPoolRouter(read, { life });
   } catch (cause) {
     exitWithError(`cannot start: ${(cause as Error).message}`, EXIT_FAILED);
   }
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -17,6 +17,7 @@
   readonly queueSeconds: Histogram<"service">;
   readonly upstreamInFlight: Gauge<"service" | "upstream">;
   readonly upstreamLimit: Gauge<"service" | "upstream">;
+  readonly unhandledErrors: Counter;
   readonly configurationVersion: Gauge;
   readonly cachedTokens: Counter<"service">;
   readonly promptTokens: Counter<"service">;
@@ -108,6 +109,11 @@
       labelNames: ["service", "upstream"],
       registers,
     }),
+    unhandledErrors: new Counter({
+      name: "corianderflow_unhandled_errors_total",
+      help: "Errors that nothing handled; the process went on.",
+      registers,
+    }),
     configurationVersion: new Gauge({
       name: "corianderflow_configuration_version",
       help: "Version of the configuration in force on this router.",
--- a/src/daemon/process_life_test.ts
+++ b/src/daemon/process_life_test.ts
@@ -1,3 +1,5 @@
+import { appendFileSync, writeFileSync } from "node:fs";
+import { setTimeout as sleep } from "node:timers/promises";
 import { createSocket, type Socket } from "node:dgram";
 import { once } from "node:events";
 import { createServer, type Server } from "node:net";
@@ -128,3 +130,93 @@
   );
   expect(store.keys("corianderflow/routers/")).toEqual([]);
 });
+
+// Guards against settings that are being written ending the start.
+test.each(["", "[router]\nname = r1\nfailure_d", "[router]\nname = r1\n"])(
+  "a router reads settings again that are cut off, %j",
+  async (beginning) => {
+    router.start({ settings: beginning });
+    await sleep(700);
+    writeFileSync(router.settingsFile, router.settings);
+    await router.untilReady();
+    const started = router.lines.find(({ message }) =>
+      message === "daemon: The router has started."
+    );
+    expect(started!["settingsWaitedMs"]).toBeGreaterThan(0);
+    expect(started!["startMs"]).toBeGreaterThan(0);
+  },
+);
+
+test("a stop while a router waits for its settings ends it with code 0", async () => {
+  router.start({ settings: "" });
+  await sleep(1_000);
+  router.child.kill("SIGTERM");
+  expect(await router.untilExit()).toEqual([0, null]);
+});
+
+test("settings that stay empty end the start with code 2", async () => {
+  router.start({ settings: "" });
+  expect(await router.untilExit()).toEqual([2, null]);
+  expect(router.text).toContain("router.ini:\nthe file is empty");
+});
+
+// Guards against a reload that takes a half-written file for the settings.
+test("a reload reads a half-written file again and keeps the settings", async () => {
+  router.start();
+  await router.untilReady();
+  const text = router.settings + "retry_slack = 17\n";
+  writeFileSync(router.settingsFile, text.slice(0, -2));
+  router.child.kill("SIGHUP");
+  writeFileSync(router.settingsFile, "");
+  router.child.kill("SIGHUP");
+  await sleep(300);
+  expect(router.text).not.toContain('"retrySlack":1,');
+  writeFileSync(router.settingsFile, text);
+  await router.untilLogged('"retrySlack":17');
+  expect(router.text).not.toContain("settings are invalid");
+});
+
+/** Throws as many errors as the file named by the process has bytes. */
+const THROW_ON_DEMAND = `
+const { readFileSync } = require("node:fs");
+const file = process.env.CORIANDERFLOW_SETTINGS + ".errors";
+let thrown = 0;
+setInterval(() => {
+  let wanted = 0;
+  try { wanted = readFileSync(file).length; } catch {}
+  for (; thrown < wanted; thrown++) {
+    if (thrown % 2 === 0) setImmediate(() => { throw new Error("fault of a test"); });
+    else Promise.reject(new Error("fault of a test"));
+  }
+}, 20).unref();
+`;
+
+// Guards against an error of one request ending those of all callers.
+test("a router goes on after errors that nothing handled, and stops after many", async () => {
+  router.start({ preload: THROW_ON_DEMAND });
+  await router.untilReady();
+  const errors = router.settingsFile + ".errors";
+  appendFileSync(errors, "xx");
+  await router.until(() => countLines("An error was not handled.") === 2);
+  const line = router.lines.find(({ message }) =>
+    message.includes("An error was not handled.")
+  );
+  expect(line!["stack"]).toMatch(/Error: fault of a test\n +at /);
+  expect(await router.getStatus("callers", "/none/")).toBe(404);
+  const metrics = await fetch(`http://${router.addresses.metrics}/metrics`);
+  expect(await metrics.text()).toMatch(
+    /^corianderflow_unhandled_errors_total 2$/m,
+  );
+  appendFileSync(errors, "x".repeat(18));
+  expect(await router.untilExit()).toEqual([1, null]);
+  expect(router.text).toContain("The router has stopped.");
+});
+
+test("an error that nothing handled ends a start with its stack and code 1", async () => {
+  router.start({
+    settings: "",
+    preload: 'setTimeout(() => { throw new Error("fault of a test"); }, 900);',
+  });
+  expect(await router.untilExit()).toEqual([1, null]);
+  expect(router.text).toMatch(/cannot start: Error: fault of a test\n +at /);
+});
--- a/src/ingress/ingress_metrics.ts
+++ b/src/ingress/ingress_metrics.ts
@@ -12,6 +12,7 @@
   readonly seconds: Histogram<"route">;
   readonly storeCalls: Counter<"outcome">;
   readonly connections: Counter;
+  readonly unhandledErrors: Counter;
   readonly configurationVersion: Gauge;
   readonly configurationAgeSeconds: Gauge;
   readonly upstreams: Gauge;
@@ -86,6 +87,11 @@
       help: "Connections opened to upstreams.",
       registers,
     }),
+    unhandledErrors: new Counter({
+      name: "corianderflow_unhandled_errors_total",
+      help: "Errors that nothing handled; the process went on.",
+      registers,
+    }),
     configurationVersion: createGauge(
       "configuration_version",
       "Version of the configuration in force.",
