Answer 500 for a page that can't be rendered

The handlers of the metrics page (both fleets) and of /admin/status dropped the promise of their work: a gauge that throws was an error that nothing handled, which ended the process. Now it costs the page, with a log line and status 500.

--- a/src/daemon/admin.ts
+++ b/src/daemon/admin.ts
@@ -4,7 +4,9 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Explanation, RouterStatus } from "../types_status.ts";
+import type { Log } from "../log.ts";
 import type { Metrics } from "./metrics.ts";
+import { type Page, sendPage } from "./page.ts";
 
 /** Handles an HTTP request. */
 export type Handler = (
@@ -24,6 +26,7 @@
   /** Handles every other path. */
   readonly next: Handler;
   readonly metrics: Metrics;
+  readonly log: Log;
   /** Updates the gauges; called before the metrics are rendered. */
   refreshMetrics(): void;
   isReady(): boolean;
@@ -45,13 +48,20 @@
 
 /** Creates a handler for the admin paths; passes all others to `next`. */
 export function createAdminHandler(options: AdminOptions): Handler {
-  const { next, metrics, isReady } = options;
+  const { next, metrics, log, isReady } = options;
 
-  async function writeMetrics(response: ServerResponse): Promise<void> {
+  async function renderMetrics(): Promise<Page> {
     options.refreshMetrics();
-    const body = await metrics.registry.metrics();
-    response.writeHead(200, { "content-type": metrics.registry.contentType });
-    response.end(body);
+    const { registry } = metrics;
+    return {
+      contentType: registry.contentType,
+      body: await registry.metrics(),
+    };
+  }
+
+  async function renderStatus(): Promise<Page> {
+    const body = JSON.stringify(await options.getStatus());
+    return { contentType: "application/json", body };
   }
 
   function writeReadiness(response: ServerResponse): void {
@@ -85,10 +95,10 @@
         writeReadiness(response);
         break;
       case "/metrics":
-        void writeMetrics(response);
+        void sendPage(response, { render: renderMetrics, log });
         break;
       case "/admin/status":
-        void options.getStatus().then((status) => writeJson(response, status));
+        void sendPage(response, { render: renderStatus, log });
         break;
       case "/admin/explain":
         writeExplanation(new URL(target, PLACEHOLDER_BASE_URL), response);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -659,6 +659,7 @@
     });
     return createAdminHandler({
       next: handleRequest,
+      log: this.log,
       metrics: this.#metrics,
       refreshMetrics: () => this.#refreshMetrics(),
       isReady: () => this.#isReady(),
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -2,12 +2,7 @@
  * Creates the components of a router that discovers its fleet in a metadata
  * store and places requests at the ingress; controls their start and stop.
  */
-import type {
-  IncomingMessage,
-  RequestListener,
-  Server,
-  ServerResponse,
-} from "node:http";
+import type { RequestListener, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -72,6 +67,7 @@
 import { createInFlightCounter } from "../transport/in_flight.ts";
 import { createUpstreamConnections } from "../transport/upstream_connections.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
+import { type Page, sendPage } from "./page.ts";
 import { openOrClose, PortBinding } from "./port_binding.ts";
 import type { RunningDaemon } from "./process_life.ts";
 
@@ -392,8 +388,11 @@
       );
     });
     await this.#openServer(readiness, "ready", "required");
-    const metrics = createServer((request, response) => {
-      void this.#sendMetrics(request, response);
+    const metrics = createServer((_request, response) => {
+      void sendPage(response, {
+        render: () => this.#renderMetrics(),
+        log: this.log,
+      });
     });
     await this.#openServer(metrics, "metrics", "optional");
     if (!this.#callers.listening || !readiness.listening) return;
@@ -695,10 +694,7 @@
     else log.warn("The router is not ready.", { reason, ageMs });
   }
 
-  async #sendMetrics(
-    _request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
+  async #renderMetrics(): Promise<Page> {
     const { registry, ...metrics } = this.#metrics;
     const ageMs = this.#routing.ageAt(readClocks());
     metrics.configurationAgeSeconds.set(ageMs / MS_PER_SECOND);
@@ -713,9 +709,10 @@
       this.#maxEventLoopDelayMs / MS_PER_SECOND,
     );
     this.#maxEventLoopDelayMs = 0;
-    const text = await registry.metrics();
-    response.writeHead(STATUS_OK, { "content-type": registry.contentType });
-    response.end(text);
+    return {
+      contentType: registry.contentType,
+      body: await registry.metrics(),
+    };
   }
 }
 
