--- a/src/daemon/process_life_test.ts
+++ b/src/daemon/process_life_test.ts
@@ -220,3 +220,34 @@
   expect(await router.untilExit()).toEqual([1, null]);
   expect(router.text).toMatch(/cannot start: Error: fault of a test\n +at /);
 });
+
+// Guards against the fleet with pool owners following another rule.
+test("a router of a fleet with pool owners waits for its port and outlives its log and SIGHUP", async () => {
+  await takePort("callers");
+  router.start({ settings: router.poolSettings });
+  await router.untilLogged(TAKEN);
+  freePort();
+  await router.untilLogged('{"listening":');
+  router.child.kill("SIGHUP");
+  router.child.kill("SIGUSR2");
+  await router.until(() => countLines("A signal is ignored.") === 2);
+  router.child.stdout!.destroy();
+  router.child.stderr!.destroy();
+  router.child.kill("SIGHUP");
+  await sleep(100);
+  router.child.kill("SIGHUP");
+  await sleep(100);
+  expect(await router.getStatus("callers", "/healthz")).toBe(200);
+  const status = await router.getStatus("callers", "/metrics");
+  expect(status).toBe(200);
+  router.child.kill("SIGTERM");
+  expect(await router.untilExit()).toEqual([0, null]);
+});
+
+test("a stop while a router of that fleet waits for a port ends it with code 0", async () => {
+  await takePort("callers");
+  router.start({ settings: router.poolSettings });
+  await router.untilLogged(TAKEN);
+  router.child.kill("SIGTERM");
+  expect(await router.untilExit()).toEqual([0, null]);
+});
--- a/src/daemon/testing/router_process.ts
+++ b/src/daemon/testing/router_process.ts
@@ -64,6 +64,27 @@
     return this;
   }
 
+  /** Settings of a router of the fleet with pool owners, on these ports. */
+  get poolSettings(): string {
+    const { callers, ready, peers, metrics } = this.addresses;
+    return `[router]
+name = r1
+failure_domain = east
+host = entry-1
+[listen]
+callers = ${callers}
+control = ${ready}
+forward = ${peers}
+[platform]
+key_value = ${metrics}
+host_list = ${metrics}
+[fleet]
+key = a key of sixteen characters
+[limits]
+drain_ms = 0
+`;
+  }
+
   /** Starts the process; `preload` is the text of a module to run before it. */
   start(
     { settings = this.settings, preload = "" }: {
@@ -86,9 +107,9 @@
     return this;
   }
 
-  /** The log lines written so far. */
+  /** The log lines written so far, which begin with their time. */
   get lines(): LoggedLine[] {
-    return this.text.split("\n").filter((line) => line.startsWith("{"))
+    return this.text.split("\n").filter((line) => line.startsWith('{"at"'))
       .map((line) => JSON.parse(line) as LoggedLine);
   }
 
