--- a/deploy/loader.cjs
+++ b/deploy/loader.cjs
@@ -3,9 +3,20 @@
  * made of this bundle by this Node under these flags, and is whole. Without it
  * a start takes longer. A damaged bundle ends the process with code 1.
  */
+const process = require("node:process");
+
+// A signal without a listener ends the process, so they are received before
+// anything else is done, and kept for src/daemon/signals.ts.
+const signals = { kept: [], receive: (signal) => signals.kept.push(signal) };
+globalThis[Symbol.for("corianderflow.signals")] = signals;
+for (
+  const name
+    of "TERM INT HUP QUIT USR1 USR2 ALRM VTALRM PROF IO PWR STKFLT XCPU"
+      .split(" ")
+) process.on(`SIG${name}`, (signal) => signals.receive(signal));
+
 const { readFileSync } = require("node:fs");
 const { join } = require("node:path");
-const process = require("node:process");
 const { Script } = require("node:vm");
 const { openBundle, openCache } = require("./code_cache.cjs");
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -87,19 +87,26 @@
 import { renderStatus } from "./status.ts";
 import { createLoadPoller } from "./load_poller.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
-import { createLogFactory, type LogFactory } from "../log.ts";
+import { createLogFactory, type Log, type LogFactory } from "../log.ts";
 import { createMetrics, type Metrics, setUpstreamGauges } from "./metrics.ts";
 import { type ChatQuery, createAdminHandler } from "./admin.ts";
+import { openOrClose, PortBinding } from "./port_binding.ts";
+import type { RunningDaemon } from "./process_life.ts";
 
 /** Options of `startDaemon`. */
 export interface DaemonOptions {
   readonly settings: Settings;
   readonly fleetKey: string;
   readonly logs?: LogFactory;
+  /**
+   * Ends the wait for ports that are taken. The start then resolves with a
+   * daemon that has to be stopped.
+   */
+  readonly stopSignal?: AbortSignal;
 }
 
 /** A running router. */
-export interface Daemon {
+export interface Daemon extends RunningDaemon {
   /** Stops gracefully: waits for the requests in flight, then closes. */
   stop(): Promise<void>;
 }
@@ -120,11 +127,12 @@
 export async function startDaemon(options: DaemonOptions): Promise<Daemon> {
   const hash = await loadHash();
   const daemon = new RouterDaemon({ ...options, hash });
-  await daemon.open();
+  await openOrClose(daemon, options);
   return daemon;
 }
 
 class RouterDaemon implements Daemon {
+  readonly log: Log;
   readonly #settings: Settings;
   readonly #fleetKey: string;
   readonly #hash: Hash;
@@ -136,6 +144,8 @@
   readonly #tasks: TaskSystem = createTaskSystem();
   readonly #metrics: Metrics = createMetrics();
   readonly #inFlight = createInFlightCounter();
+  readonly #ports: PortBinding;
+  #isListening = false;
   readonly #retryBudget = createRetryBudget({ floor: MIN_RETRIES_PER_MINUTE });
   readonly #workspaceLimits = createWorkspaceLimits();
   readonly #client: HttpClient;
@@ -165,6 +175,11 @@
       router: settings.router.name,
       ...settings.log,
     });
+    this.log = this.#logs("daemon");
+    this.#ports = new PortBinding({
+      log: this.log,
+      clock: this.#clock,
+    });
     this.#self = {
       name: settings.router.name,
       failureDomain: settings.router.failureDomain,
@@ -223,13 +238,16 @@
   async open(): Promise<void> {
     const log = this.#logs("daemon");
     this.#reportInvariantBreaches();
-    const { callers, forward } = this.#settings.listen;
-    const forwardServer = await listenForHttp(forward, {
-      limits: this.#getServerLimits(),
-      handle: this.#createForwardHandler(),
+    const { callers, forward, control } = this.#settings.listen;
+    await this.#openPort("forward", forward, async () => {
+      const server = await listenForHttp(forward, {
+        limits: this.#getServerLimits(),
+        handle: this.#createForwardHandler(),
+        onError: (cause) => this.#recordServerError(forward, cause),
+      });
+      this.#addServerCloser("forward server", server);
     });
-    this.#addServerCloser("forward server", forwardServer);
-    await this.#peers.open();
+    await this.#openPort("control", control, () => this.#peers.open());
     this.#lifeCycle.addCleanup("peers", () => this.#peers.close());
     this.#configuration.open();
     this.#lifeCycle.addCleanup(
@@ -247,23 +265,62 @@
     this.#lifeCycle.addCleanup("orders", () => this.#orders.close());
     this.#cacheEvents.open();
     this.#lifeCycle.addCleanup("cache events", () => this.#cacheEvents.close());
-    const callerServer = await listenForHttp(callers, {
-      limits: this.#getServerLimits(),
-      handle: this.#createCallerHandler(),
+    await this.#openPort("callers", callers, async () => {
+      const server = await listenForHttp(callers, {
+        limits: this.#getServerLimits(),
+        handle: this.#createCallerHandler(),
+        onError: (cause) => this.#recordServerError(callers, cause),
+      });
+      this.#addServerCloser("caller server", server);
+      this.#isListening = true;
     });
-    this.#addServerCloser("caller server", callerServer);
+    if (!this.#isListening) return;
     log.info("The router is listening.", {
       callers,
       incarnation: this.#incarnation,
+      portsWaitedMs: this.#ports.waitedMs,
+    });
+  }
+
+  countUnhandledError(): void {
+    this.#metrics.unhandledErrors.inc();
+  }
+
+  /** Releases what is open after a failed start. */
+  async abandon(): Promise<void> {
+    this.#ports.close();
+    await this.#lifeCycle.close();
+  }
+
+  /** Ends the wait for ports that are taken. */
+  endWait(): void {
+    this.#ports.close();
+  }
+
+  /** All ports are needed: the owner of a pool is reached by the others. */
+  #openPort(
+    key: "callers" | "forward" | "control",
+    address: string,
+    bind: () => Promise<void>,
+  ): Promise<void> {
+    const setting = `[listen] ${key}`;
+    return this.#ports.open({ setting, address, use: "required", bind });
+  }
+
+  #recordServerError(address: string, cause: Error): void {
+    this.#logs("daemon").warn("A server failed.", {
+      address,
+      cause: cause.message,
     });
   }
 
   async stop(): Promise<void> {
     const log = this.#logs("daemon");
     log.info("Graceful stop started.", { inFlight: this.#inFlight.count });
+    this.#ports.close();
     this.#peers.announceLeaving(await this.#returnLoans());
     await this.#registry.deregister();
-    await sleep(this.#settings.limits.drainMs);
+    if (this.#isListening) await sleep(this.#settings.limits.drainMs);
     await this.#inFlight.waitUntilIdle();
     const failures = await this.#lifeCycle.close();
     for (const { name, cause } of failures) {
@@ -602,6 +659,7 @@
     });
     return createAdminHandler({
       next: handleRequest,
+      log: this.log,
       metrics: this.#metrics,
       refreshMetrics: () => this.#refreshMetrics(),
       isReady: () => this.#isReady(),
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -2,12 +2,7 @@
  * Creates the components of a router that discovers its fleet in a metadata
  * store and places requests at the ingress; controls their start and stop.
  */
-import type {
-  IncomingMessage,
-  RequestListener,
-  Server,
-  ServerResponse,
-} from "node:http";
+import type { RequestListener, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -54,11 +49,12 @@
 import { RouteFilter } from "../ingress/route_filter.ts";
 import { RouterForwarding } from "../ingress/router_forwarding.ts";
 import { StopFilter, type StopProgress } from "../ingress/stop_filter.ts";
-import { createLogFactory, type LogFactory } from "../log.ts";
+import { createLogFactory, type Log, type LogFactory } from "../log.ts";
 import { createStdoutLogWriter, type LogWriter } from "../log_writer.ts";
 import { createMetadataStore } from "../platform/metadata_store.ts";
 import { READY_PATH } from "../platform/names.ts";
 import { BALANCER_DRAIN_MS } from "../policy/stop_plan.ts";
+import type { PortUse } from "../policy/bind_retry.ts";
 import { PeerLoads } from "../policy/peer_loads.ts";
 import { getStorePollIntervals } from "../policy/poll_pause.ts";
 import { RelayPlan } from "../policy/relay_plan.ts";
@@ -72,15 +68,25 @@
 import { createUpstreamConnections } from "../transport/upstream_connections.ts";
 import { getCodeCacheState } from "./code_cache.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
+import { type Page, sendPage } from "./page.ts";
+import { openOrClose, PortBinding } from "./port_binding.ts";
+import type { RunningDaemon } from "./process_life.ts";
 
 /** Options of `startIngressDaemon`. */
 export interface IngressDaemonOptions {
   readonly settings: IngressSettings;
   readonly logs?: LogFactory;
+  /**
+   * Ends the wait for ports that are taken. The start then resolves with a
+   * daemon that has to be stopped.
+   */
+  readonly stopSignal?: AbortSignal;
+  /** Time for which the start waited for valid settings, in milliseconds. */
+  readonly settingsWaitedMs?: number;
 }
 
 /** A running router. */
-export interface IngressDaemon {
+export interface IngressDaemon extends RunningDaemon {
   /**
    * Stops gracefully: waits for the requests in flight, at most for the grace
    * time, then closes.
@@ -171,7 +177,7 @@
 ): Promise<IngressDaemon> {
   const hash = await loadHash();
   const daemon = new IngressRouterDaemon({ ...options, hash });
-  await daemon.open();
+  await openOrClose(daemon, options);
   return daemon;
 }
 
@@ -184,7 +190,9 @@
 }
 
 class IngressRouterDaemon implements IngressDaemon {
+  readonly log: Log;
   readonly #settings: IngressSettings;
+  readonly #settingsWaitedMs: number;
   #bounds: IngressSettings["bounds"];
   readonly #logWriter: LogWriter;
   readonly #logs: LogFactory;
@@ -204,6 +212,8 @@
   readonly #streams: StreamExchange;
   readonly #chain: FilterChain<IngressExchange, IngressOutcome>;
   readonly #callers: Server;
+  readonly #ports: PortBinding;
+  #isListening = false;
   /** Longest delay of a readiness check since the metrics were last read. */
   #maxEventLoopDelayMs = 0;
   #readinessTimer: NodeJS.Timeout | undefined;
@@ -211,10 +221,13 @@
   #unreadyReason: string | undefined = "no-configuration";
 
   constructor(
-    { settings, logs, hash }: IngressDaemonOptions & { hash: Hash },
+    { settings, logs, hash, settingsWaitedMs = 0 }: IngressDaemonOptions & {
+      hash: Hash;
+    },
   ) {
     const { router, bounds, store: { address } } = settings;
     this.#settings = settings;
+    this.#settingsWaitedMs = settingsWaitedMs;
     this.#bounds = bounds;
     this.#logWriter = createStdoutLogWriter({
       router: router.name,
@@ -223,7 +236,12 @@
     this.#logs = logs ?? createLogFactory({
       router: router.name,
       level: settings.log.level,
-      write: (line) => this.#logWriter.write(line),
+      writer: this.#logWriter,
+    });
+    this.log = this.#logs("daemon");
+    this.#ports = new PortBinding({
+      log: this.log,
+      clock: readSteadyClock,
     });
     this.#retryBudget = createRetryBudget({
       ratio: bounds.retryRatio * RETRY_BUDGET_SHARE,
@@ -345,7 +363,13 @@
     const { listen: addresses, router } = this.#settings;
     this.#routing.open();
     this.#lifeCycle.addCleanup("routing", () => this.#routing.close());
-    await this.#peerExchange.open();
+    // Without its peers' datagrams, a router reads the store itself.
+    await this.#ports.open({
+      setting: "[listen] peers",
+      address: addresses.peers,
+      use: "optional",
+      bind: () => this.#peerExchange.open(),
+    });
     this.#lifeCycle.addCleanup(
       "peer exchange",
       () => this.#peerExchange.close(),
@@ -354,8 +378,8 @@
     this.#lifeCycle.addCleanup("streams", () => this.#streams.close());
     this.#links.open();
     this.#lifeCycle.addCleanup("links", () => this.#links.close());
-    await this.#openServer(this.#createRouterServer(), addresses.peers);
-    await bindServer(this.#callers, addresses.callers);
+    await this.#openServer(this.#createRouterServer(), "peers", "optional");
+    await this.#openPort(this.#callers, "callers", "required");
     const readiness = createServer((request, response) => {
       const isReadyPath = request.url === READY_PATH;
       const isReady = this.#findUnreadyReason() === undefined;
@@ -364,11 +388,16 @@
         isReadyPath && isReady ? STATUS_OK : STATUS_UNAVAILABLE,
       );
     });
-    await this.#openServer(readiness, addresses.ready);
-    const metrics = createServer((request, response) => {
-      void this.#sendMetrics(request, response);
+    await this.#openServer(readiness, "ready", "required");
+    const metrics = createServer((_request, response) => {
+      void sendPage(response, {
+        render: () => this.#renderMetrics(),
+        log: this.log,
+      });
     });
-    await this.#openServer(metrics, addresses.metrics);
+    await this.#openServer(metrics, "metrics", "optional");
+    if (!this.#callers.listening || !readiness.listening) return;
+    this.#isListening = true;
     this.#scheduleReadinessCheck(
       readSteadyClock() + READINESS_CHECK_INTERVAL_MS,
     );
@@ -381,9 +410,26 @@
       failureDomain: router.failureDomain,
       callers: addresses.callers,
       codeCache: getCodeCacheState(),
+      startMs: Math.round(readSteadyClock()),
+      settingsWaitedMs: this.#settingsWaitedMs,
+      portsWaitedMs: this.#ports.waitedMs,
     });
   }
 
+  countUnhandledError(): void {
+    this.#metrics.unhandledErrors.inc();
+  }
+
+  endWait(): void {
+    this.#ports.close();
+  }
+
+  async abandon(): Promise<void> {
+    this.#ports.close();
+    this.#callers.close();
+    await this.#lifeCycle.close();
+  }
+
   reload({ bounds }: IngressSettings): void {
     this.#bounds = bounds;
     this.#updateRetrySlack(this.#routing.routers().size);
@@ -400,10 +446,11 @@
     const log = this.#logs("daemon");
     const startedAt = readSteadyClock();
     this.#stopStartedAt = startedAt;
+    this.#ports.close();
     log.info("Graceful stop started.", { inFlight: this.#inFlight.count });
-    await sleep(
-      Math.min(BALANCER_DRAIN_MS, this.#getStopProgress()!.lifetimeMs),
-    );
+    // A router that callers can't reach has none to wait for.
+    const drainMs = this.#isListening ? BALANCER_DRAIN_MS : 0;
+    await sleep(Math.min(drainMs, this.#getStopProgress()!.lifetimeMs));
     await this.#endInFlight();
     this.#callers.close();
     // Wait for requests that arrived while the last answers were being sent.
@@ -568,12 +615,37 @@
     this.#logs("route")[level](message, { ...details });
   }
 
-  async #openServer(server: Server, address: string): Promise<void> {
-    await bindServer(server, address);
-    this.#lifeCycle.addCleanup(`server ${address}`, () => {
+  async #openServer(
+    server: Server,
+    key: keyof IngressSettings["listen"],
+    use: PortUse,
+  ): Promise<void> {
+    this.#lifeCycle.addCleanup(`server of ${key}`, () => {
       server.closeAllConnections();
       server.close();
     });
+    await this.#openPort(server, key, use);
+  }
+
+  #openPort(
+    server: Server,
+    key: keyof IngressSettings["listen"],
+    use: PortUse,
+  ): Promise<void> {
+    const setting = `[listen] ${key}`;
+    const address = this.#settings.listen[key];
+    const onError = (cause: Error) =>
+      this.#logs("daemon").warn("A server failed.", {
+        setting,
+        address,
+        cause: cause.message,
+      });
+    return this.#ports.open({
+      setting,
+      address,
+      use,
+      bind: () => bindServer(server, address, { onError }),
+    });
   }
 
   #applyConfiguration({ limits, version }: RoutingConfiguration): void {
@@ -624,10 +696,7 @@
     else log.warn("The router is not ready.", { reason, ageMs });
   }
 
-  async #sendMetrics(
-    _request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
+  async #renderMetrics(): Promise<Page> {
     const { registry, ...metrics } = this.#metrics;
     const ageMs = this.#routing.ageAt(readClocks());
     metrics.configurationAgeSeconds.set(ageMs / MS_PER_SECOND);
@@ -642,9 +711,10 @@
       this.#maxEventLoopDelayMs / MS_PER_SECOND,
     );
     this.#maxEventLoopDelayMs = 0;
-    const text = await registry.metrics();
-    response.writeHead(STATUS_OK, { "content-type": registry.contentType });
-    response.end(text);
+    return {
+      contentType: registry.contentType,
+      body: await registry.metrics(),
+    };
   }
 }
 
