Seal the slow bundle of the signal tests

The loader refuses a bundle without a checksum, so the stand-in bundle of these two tests ended the start with code 1. They check what they did.

--- a/src/daemon/bundle_test.ts
+++ b/src/daemon/bundle_test.ts
@@ -185,6 +185,9 @@
   20_000,
 );
 
+const { sealBundle } = require("../../deploy/code_cache.cjs") as {
+  sealBundle(source: string): string;
+};
 const ENDING_SIGNALS: readonly string[] = ["SIGTERM", "SIGINT"];
 
 /** Starts the loader with a bundle that takes a while to load. */
@@ -197,11 +200,11 @@
   const bundle = join(ROOT, "target/bundle.js");
   writeFileSync(
     join(target, "bundle.js"),
-    `const { writeSync } = require("node:fs");
+    sealBundle(`const { writeSync } = require("node:fs");
     writeSync(1, '{"message":"loading"}\\n');
     const end = Date.now() + 500;
     while (Date.now() < end);
-    require(${JSON.stringify(bundle)});`,
+    require(${JSON.stringify(bundle)});`),
   );
   const file = join(target, "node.ini");
   writeFileSync(file, settings);
