Bound the bytes and parts of an answer that bring nothing

Callers at sound upstreams waited up to 9 s, or got no answer, while a faulty upstream sent tiny chunks, chunk extensions, trailers, fields, informational heads, comments or tiny events without end: each costs the thread more than content does, and only the size of the content was bounded.

Each response now has an allowance of parts and of bytes beside its content (InputAllowance), checked before undici parses more. What exceeds it ends the response ("excess"), which counts as no answer: it is tried again only where that is allowed. undici's own limit of the head made it worse: after it has failed, undici goes on through what it has read and fails again at each field, which took the thread for about 265 ms for each such answer here. Its limit is above what may be read now, and the head of 16 KiB is checked when it is complete.

Streams of small tokens, comments at 10 a second and connections that serve several answers of many parts still pass (tests).

--- a/src/daemon/testing/local_ingress.ts
+++ b/src/daemon/testing/local_ingress.ts
@@ -199,6 +199,10 @@
   readonly timeoutMs?: number;
   /** Whether to wait until the router has read the store. */
   readonly awaitsReadiness?: boolean;
+  /** Memory that the host grants the router, in MB. */
+  readonly memoryMb?: number;
+  /** Starts a router; by default in this process. */
+  readonly startDaemon?: (settings: IngressSettings) => Promise<IngressDaemon>;
 }
 
 /** A router, its metadata store and its upstreams. */
@@ -212,6 +216,7 @@
   #version = 1;
   #areEngines = false;
   #timeoutMs = DEFAULT_TIMEOUT_MS;
+  #startDaemonElsewhere: LocalIngressOptions["startDaemon"];
 
   /**
    * Starts everything; resolves once the router reports its readiness or, with
@@ -226,8 +231,11 @@
       storeDelayMs = 0,
       timeoutMs = DEFAULT_TIMEOUT_MS,
       awaitsReadiness = true,
+      memoryMb = INGRESS_SETTING_DEFAULTS.limits.memoryMb,
+      startDaemon,
     }: LocalIngressOptions = {},
   ): Promise<this> {
+    this.#startDaemonElsewhere = startDaemon;
     await this.store.open();
     this.store.faults.delayMs = storeDelayMs;
     this.#areEngines = areEngines;
@@ -242,6 +250,7 @@
       ...INGRESS_SETTING_DEFAULTS,
       router: { name: "router-1", failureDomain: "east", linkMbps: 0 },
       bounds: { ...INGRESS_SETTING_DEFAULTS.bounds, retrySlack: 50, ...bounds },
+      limits: { ...INGRESS_SETTING_DEFAULTS.limits, memoryMb },
     };
     await this.#startDaemon();
     if (awaitsReadiness) await this.untilReady(hasConfiguration ? 200 : 503);
@@ -284,6 +293,9 @@
   }
 
   #start(settings: IngressSettings): Promise<IngressDaemon> {
+    if (this.#startDaemonElsewhere !== undefined) {
+      return this.#startDaemonElsewhere(settings);
+    }
     return startIngressDaemon({
       settings,
       logs: createLogFactory({
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -15,10 +15,11 @@
   isSuccess,
 } from "../policy/answer_proof.ts";
 import type { TryFailure } from "../policy/attempt_plan.ts";
+import { InputAllowance } from "../policy/input_allowance.ts";
 import type { ResponseTraits, UpstreamLoad } from "../routing/types.ts";
 import { isFramed } from "../transport/body_framing.ts";
 import { ByteCollector } from "../transport/byte_collector.ts";
-import { EventSplitter } from "../transport/event_stream.ts";
+import { EventSplitter, type StreamEvent } from "../transport/event_stream.ts";
 import { decodeRefusedId, tryReadRefusal } from "../transport/router_hop.ts";
 import type {
   UpstreamConnections,
@@ -52,6 +53,8 @@
     readonly isSilent?: boolean;
     /** Whether the response may be a late copy of an earlier one. */
     readonly isUnclear?: boolean;
+    /** Whether the upstream sent more than an answer may have. */
+    readonly isExcess?: boolean;
     /** Whether the upstream asked for a pause. */
     readonly isPause?: boolean;
     /** Headers of the response, if a router serves the request. */
@@ -155,6 +158,8 @@
   #firstDataAt: number | undefined;
   #hasSurvived = false;
   #eventCount = 0;
+  /** Counts the events; set with the first of them. */
+  #allowance: InputAllowance | undefined;
   #isDone = false;
   #head: {
     status: number;
@@ -175,6 +180,10 @@
       onData: (chunk) => this.#onData(chunk),
       onEnd: () => this.#onEnd(),
       onFailure: (failure, detail) => {
+        if (failure === "excess") {
+          this.#rejectExcess(detail);
+          return;
+        }
         const end = failure === "not-sent" ? "not-sent" : "no-answer";
         this.#end({ kind: "ended", end, detail, isCutOff: end !== "not-sent" });
       },
@@ -311,10 +320,7 @@
       return;
     }
     if (this.#body.length + chunk.length > MAX_WHOLE_RESPONSE_BYTES) {
-      this.#reject({
-        end: "no-answer",
-        detail: "the answer is too large",
-      });
+      this.#rejectExcess("the answer is too large");
       return;
     }
     this.#body.push(chunk);
@@ -334,10 +340,14 @@
     try {
       events = this.#splitter.push(chunk);
     } catch (cause) {
-      this.#reject({ end: "no-answer", detail: String(cause) });
+      this.#rejectExcess(String(cause));
       return;
     }
     if (events.length === 0) return;
+    if (!this.#allowsEvents(events)) {
+      this.#rejectExcess("too many events without content");
+      return;
+    }
     this.#eventCount += events.length;
     this.#startStream();
     const isInOrder = relay.forward(events, {
@@ -356,6 +366,17 @@
     }
   }
 
+  /** Whether the stream may have `events` by now; comments bring nothing. */
+  #allowsEvents(events: readonly StreamEvent[]): boolean {
+    const now = this.#options.clock();
+    this.#allowance ??= new InputAllowance(now);
+    for (const { bytes, isComment } of events) {
+      const contentBytes = isComment ? 0 : bytes.length;
+      if (!this.#allowance.recordPart(contentBytes, now)) return false;
+    }
+    return true;
+  }
+
   #onEnd(): void {
     if (this.#isDone) return;
     if (this.#head === undefined) {
@@ -442,12 +463,17 @@
     return { kind: "ended", end: "failed", detail, answer, isPause };
   }
 
+  #rejectExcess(detail: string): void {
+    this.#reject({ end: "no-answer", detail, isExcess: true });
+  }
+
   #reject(
     ended: {
       end: TryFailure;
       detail: string;
       isSilent?: boolean;
       isUnclear?: boolean;
+      isExcess?: boolean;
     },
   ): void {
     if (this.#isDone) return;
--- a/src/policy/input_allowance.ts
+++ b/src/policy/input_allowance.ts
@@ -21,7 +21,7 @@
 
 const DEFAULTS: Required<InputAllowanceOptions> = {
   baseParts: 1_024,
-  baseOverheadBytes: 131_072,
+  baseOverheadBytes: 32_768,
   partsPerSecond: 500,
   overheadBytesPerSecond: 16_384,
 };
@@ -37,8 +37,10 @@
   #contentBytes = 0;
 
   /** `startedAt` is a monotonic time in milliseconds. */
-  constructor(startedAt: number, options: InputAllowanceOptions = {}) {
-    this.#options = { ...DEFAULTS, ...options };
+  constructor(startedAt: number, options?: InputAllowanceOptions) {
+    this.#options = options === undefined
+      ? DEFAULTS
+      : { ...DEFAULTS, ...options };
     this.#startedAt = startedAt;
   }
 
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -9,6 +9,7 @@
 import type { Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
 import type { ContactResult } from "../policy/answer_end.ts";
+import { InputAllowance } from "../policy/input_allowance.ts";
 import { SentinelConnections } from "./sentinel_connections.ts";
 import { openSocket } from "./socket.ts";
 
@@ -31,8 +32,11 @@
   readonly isFresh?: boolean;
 }
 
-/** Whether a request that failed may have reached the upstream. */
-export type ExchangeFailure = "not-sent" | "broken";
+/**
+ * Whether a request that failed may have reached the upstream. "excess" is a
+ * response with too many bytes or parts that bring nothing.
+ */
+export type ExchangeFailure = "not-sent" | "broken" | "excess";
 
 /**
  * Receives the response of one request. Either `onEnd` or `onFailure` is called
@@ -135,6 +139,16 @@
  * in flight at one upstream.
  */
 const MAX_IDLE_CONNECTIONS = 8;
+/** Largest head of a response, without separators. */
+const MAX_HEAD_BYTES = 16_384;
+/**
+ * Limit of undici, which goes on with what it has read after it has failed, and
+ * fails again at each field. Larger than what may be read before a response is
+ * ended.
+ */
+const MAX_PARSED_HEAD_BYTES = 262_144;
+/** Informational responses have a lower status. */
+const MIN_FINAL_STATUS = 200;
 /** Interval between scans for expired idle connections. */
 const SWEEP_INTERVAL_MS = 1_000;
 
@@ -183,6 +197,9 @@
   readonly openedAt: number;
   /** Monotonic time in milliseconds; infinite until it is established. */
   establishedAt = Infinity;
+  /** Handler of the request in progress. */
+  handler: ExchangeHandler | undefined;
+  #socket: Socket | undefined;
 
   constructor(
     address: string,
@@ -199,6 +216,9 @@
       connect: (_options, callback) => {
         openSocket(address, connectTimeoutMs).then((socket) => {
           this.establishedAt = clock();
+          this.#socket = socket;
+          // Runs before undici reads and parses what has arrived.
+          socket.on("readable", () => this.handler?.checkInput());
           recordReset(socket, () => this.hasFailed = true);
           callback(null, socket);
         }, (cause) => callback(cause, null));
@@ -206,6 +226,7 @@
       // The caller of `send` enforces the deadline of its request.
       headersTimeout: 0,
       bodyTimeout: 0,
+      maxHeaderSize: MAX_PARSED_HEAD_BYTES,
       keepAliveTimeout: idleMs,
       keepAliveMaxTimeout: idleMs,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
@@ -214,6 +235,11 @@
     this.client.on("connectionError", () => this.isClosed = true);
   }
 
+  /** Bytes that the connection has received. */
+  get bytesRead(): number {
+    return this.#socket?.bytesRead ?? 0;
+  }
+
   destroy(): void {
     this.isClosed = true;
     void this.client.destroy();
@@ -247,9 +273,11 @@
     connection.isUnused = false;
     this.#busy.add(connection);
     const handler = new ExchangeHandler(listener, {
-      hasFailed: () => connection.hasFailed,
+      connection,
+      clock: this.#options.clock,
       onDone: (isReusable) => this.#release(connection, isReusable),
     });
+    connection.handler = handler;
     connection.client.dispatch({
       path: request.path,
       method: request.method as Dispatcher.HttpMethod,
@@ -357,6 +385,7 @@
 
   #release(connection: Connection, isReusable: boolean): void {
     this.#busy.delete(connection);
+    connection.handler = undefined;
     const idle = this.#idle.get(connection.address) ?? [];
     const isKept = isReusable && !connection.isClosed &&
       idle.length < MAX_IDLE_CONNECTIONS;
@@ -386,20 +415,30 @@
 /** Translates undici's dispatch events to calls of a `ResponseListener`. */
 class ExchangeHandler implements Dispatcher.DispatchHandler {
   readonly #listener: ResponseListener;
-  readonly #hasFailed: () => boolean;
+  readonly #connection: Connection;
+  readonly #clock: () => number;
   readonly #onDone: (isReusable: boolean) => void;
+  readonly #bytesBefore: number;
+  /** Bytes of the response that are known to be parsed. */
+  #parsedBytes = 0;
+  #isPaused = false;
   #controller: Dispatcher.DispatchController | undefined;
+  /** Set when the first bytes of the response arrive. */
+  #allowance: InputAllowance | undefined;
   #isEnded = false;
 
   constructor(
     listener: ResponseListener,
-    { hasFailed, onDone }: {
-      hasFailed: () => boolean;
+    { connection, clock, onDone }: {
+      connection: Connection;
+      clock: () => number;
       onDone: (isReusable: boolean) => void;
     },
   ) {
     this.#listener = listener;
-    this.#hasFailed = hasFailed;
+    this.#connection = connection;
+    this.#bytesBefore = connection.bytesRead;
+    this.#clock = clock;
     this.#onDone = onDone;
   }
 
@@ -413,21 +452,63 @@
     headers: IncomingHttpHeaders,
   ): void {
     if (this.#isEnded) return;
-    if (status < 200) this.#listener.onInformation?.();
-    else this.#listener.onHead(status, headers);
+    if (this.#isHeadTooLarge(headers)) this.#endExcess("the head is too large");
+    else if (status >= MIN_FINAL_STATUS) this.#listener.onHead(status, headers);
+    else if (this.#recordPart(0)) this.#listener.onInformation?.();
   }
 
   onResponseData(
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    if (!this.#isEnded) this.#listener.onData(chunk);
+    if (this.#isEnded) return;
+    if (this.#recordPart(chunk.length)) this.#listener.onData(chunk);
+  }
+
+  /** Ends a response of which most bytes bring nothing. */
+  checkInput(): void {
+    if (this.#isEnded || this.#isPaused) return;
+    const now = this.#clock();
+    this.#allowance ??= new InputAllowance(now);
+    // What has arrived since then hasn't been parsed.
+    const parsedBytes = this.#parsedBytes;
+    this.#parsedBytes = this.#receivedBytes;
+    if (this.#allowance.allowsTotal(parsedBytes, now)) return;
+    this.#endExcess("too many bytes that are no content");
+  }
+
+  get #receivedBytes(): number {
+    return this.#connection.bytesRead - this.#bytesBefore;
+  }
+
+  #isHeadTooLarge(headers: IncomingHttpHeaders): boolean {
+    if (this.#receivedBytes <= MAX_HEAD_BYTES) return false;
+    let bytes = 0;
+    for (const [name, value = ""] of Object.entries(headers)) {
+      for (const each of [value].flat()) bytes += name.length + each.length;
+    }
+    return bytes > MAX_HEAD_BYTES;
+  }
+
+  /** Returns false if the response has too many parts; it is ended then. */
+  #recordPart(bytes: number): boolean {
+    const now = this.#clock();
+    this.#allowance ??= new InputAllowance(now);
+    if (this.#allowance.recordPart(bytes, now)) return true;
+    this.#endExcess("too many small parts");
+    return false;
+  }
+
+  #endExcess(detail: string): void {
+    this.#isEnded = true;
+    this.#onDone(false);
+    this.#listener.onFailure("excess", detail);
   }
 
   onResponseEnd(): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
-    if (this.#hasFailed()) {
+    if (this.#connection.hasFailed) {
       this.#onDone(false);
       this.#listener.onFailure("broken", "the connection was reset");
       return;
@@ -457,10 +538,12 @@
   }
 
   pause(): void {
+    this.#isPaused = true;
     this.#controller?.pause();
   }
 
   resume(): void {
+    this.#isPaused = false;
     this.#controller?.resume();
   }
 }
--- a/src/transport/upstream_connections_test.ts
+++ b/src/transport/upstream_connections_test.ts
@@ -250,3 +250,56 @@
     },
   );
 });
+
+/** Sends the head of a response without a length, and then `parts`. */
+function sendParts(socket: Socket, parts: readonly string[]): void {
+  socket.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+  for (const part of parts) {
+    socket.write(`${part.length.toString(16)}\r\n${part}\r\n`);
+  }
+  socket.write("0\r\n\r\n");
+}
+
+test("a response in many small parts with enough content passes", async () => {
+  const parts = Array<string>(20_000).fill("id: 100\ndata: ab\n\n");
+  await withUpstream(
+    (socket) => sendParts(socket, parts),
+    async ({ address }, connections) => {
+      const answer = await send(connections, address);
+      expect(answer === `200 ${parts.join("")}`).toBe(true);
+    },
+  );
+});
+
+test("one response in many parts leaves the next on its connection its own", async () => {
+  const parts = Array<string>(900).fill("a");
+  await withUpstream(
+    (socket) => sendParts(socket, parts),
+    async (upstream, connections) => {
+      for (let count = 0; count < 5; count++) {
+        const answer = await send(connections, upstream.address);
+        expect(answer).toBe(`200 ${"a".repeat(900)}`);
+        await new Promise((resolve) => setTimeout(resolve, 5));
+      }
+      expect(upstream.connections).toBe(1);
+    },
+  );
+});
+
+// Guards against fields that the parser goes on with, and fails at each, after
+// the head has become too large (FAULT).
+test.each([["a: b\r\n".repeat(50_000)], [`a: ${"b".repeat(17_000)}\r\n`]])(
+  "a head that is too large ends the response",
+  async (fields) => {
+    await withUpstream(
+      (socket) => {
+        socket.write(`HTTP/1.1 200 OK\r\ncontent-length: 0\r\n${fields}\r\n`);
+      },
+      async ({ address }, connections) => {
+        const startedAt = performance.now();
+        expect(await send(connections, address)).toMatch(/^excess: /);
+        expect(performance.now() - startedAt).toBeLessThan(200);
+      },
+    );
+  },
+);
