Bound the memory of all answers and events that are held

Upstreams whose answers or events don't end, and callers that don't read theirs, filled the router's memory together, though each stayed within the limit of one answer: beside 40 callers of one faulty upstream the process took hundreds of MB, and where the host limits it, all requests end with it.

A MemoryBudget with a limit that follows from memory_mb now counts the body of an answer, an incomplete event, and what a caller has not read (whole answers until their last byte is written; streams while they wait). Beyond it, answers of the source that holds most go first, at that those without a length, and connections of the callers that have read least last. A dropped answer ends its try like one that is too large: tried again where allowed, else 502 and ran "unknown". A source is an upstream, another router, or a caller. Messages below 16 KiB are not counted, which spares most of them the holding.

The body of a router's answer is read as a refusal only up to 64 KiB: the text of a large one is as large again, in the heap.

--- a/src/daemon/endless_parts_test.ts
+++ b/src/daemon/endless_parts_test.ts
@@ -2,6 +2,7 @@
  * Upstreams that send bytes without end, to a router in a process of its own,
  * beside callers at sound upstreams. Needs a build.
  */
+import type { Buffer } from "node:buffer";
 import {
   beginStream,
   createSignedHead,
@@ -16,6 +17,12 @@
 /** Longest wait of a caller whose upstream is sound, or that is tried again. */
 const MAX_WAIT_MS = 1_000;
 const CHUNKED = "transfer-encoding: chunked\r\n\r\n";
+/** Largest answer that a router holds. */
+const MAX_ANSWER_BYTES = 16_777_216;
+const PART_BYTES = 65_536;
+const LARGE_CHUNK = `${PART_BYTES.toString(16)}\r\n${
+  "b".repeat(PART_BYTES)
+}\r\n`;
 const TINY_CHUNKS = "1\r\nb\r\n".repeat(10_000);
 
 let fleet: LocalIngress;
@@ -150,3 +157,68 @@
   expect(longestMs).toBeLessThan(MAX_WAIT_MS);
   expect(router.peakMb).toBeLessThan(MEMORY_MB);
 }, 40_000);
+
+// Guards against bodies and events without end that stay below the limit of one
+// answer each and fill the memory together (FAULT).
+test.each([
+  { name: "bodies", callers: 24, start: CHUNKED, part: LARGE_CHUNK },
+  { name: "bodies", callers: 120, start: CHUNKED, part: LARGE_CHUNK },
+  {
+    name: "close-delimited bodies",
+    callers: 24,
+    start: "\r\n",
+    part: "b".repeat(PART_BYTES),
+  },
+  {
+    name: "events",
+    callers: 120,
+    path: "/chat/x",
+    start: "stream",
+    part: LARGE_CHUNK,
+  },
+])(
+  "$name without end of $callers callers stay within the memory",
+  async (options) => {
+    const { statuses } = await play(options);
+    expect(router.isRunning).toBe(true);
+    expect(statuses).toEqual(Array(options.callers).fill(200));
+    expect(router.peakMb).toBeLessThan(MEMORY_MB);
+  },
+  40_000,
+);
+
+test("whole answers of the largest size pass, several at once", async () => {
+  const body = "s".repeat(MAX_ANSWER_BYTES);
+  fleet.script((request) => sendCompleteResponse(request, { body }));
+  const answers = await Promise.all(
+    Array.from(
+      { length: 4 },
+      (_, index) => fleet.open({ id: `whole-${index}`, deadlineMs: 8_000 }),
+    ),
+  );
+  const sizes = await Promise.all(answers.map(async (answer) => {
+    let bytes = 0;
+    for await (const chunk of answer) bytes += (chunk as Buffer).length;
+    return answer.complete ? bytes : 0;
+  }));
+  expect(sizes).toEqual(Array(4).fill(MAX_ANSWER_BYTES));
+  expect(router.peakMb).toBeLessThan(MEMORY_MB);
+}, 40_000);
+
+// Guards against answers that callers don't read (FAULT): the process would
+// hold all of them.
+test("answers that callers don't read are bounded", async () => {
+  const body = "s".repeat(MAX_ANSWER_BYTES);
+  fleet.script((request) => sendCompleteResponse(request, { body }));
+  const unread = [];
+  for (let index = 0; index < 20; index++) {
+    const request = { id: `unread-${index}`, deadlineMs: 8_000 };
+    const answer = await fleet.open(request);
+    unread.push(answer.on("error", () => {}));
+  }
+  fleet.script((request) => sendCompleteResponse(request));
+  expect((await fleet.ask({ id: "other" })).status).toBe(200);
+  for (const answer of unread) answer.destroy();
+  expect(router.isRunning).toBe(true);
+  expect(router.peakMb).toBeLessThan(MEMORY_MB);
+}, 40_000);
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -58,6 +58,8 @@
 import { createStdoutLogWriter, type LogWriter } from "../log_writer.ts";
 import { createMetadataStore } from "../platform/metadata_store.ts";
 import { READY_PATH } from "../platform/names.ts";
+import { type Eviction, MemoryBudget } from "../policy/memory_budget.ts";
+import { getHeldBytesLimit } from "../policy/memory_limits.ts";
 import { BALANCER_DRAIN_MS } from "../policy/stop_plan.ts";
 import { PeerLoads } from "../policy/peer_loads.ts";
 import { getStorePollIntervals } from "../policy/poll_pause.ts";
@@ -193,6 +195,7 @@
   readonly #inFlight = createInFlightCounter();
   readonly #graceEnd = new GraceEnd();
   readonly #retryBudget: RetryBudget;
+  readonly #memory: MemoryBudget;
   readonly #routing: RoutingController;
   readonly #placement: Placement;
   readonly #connections;
@@ -229,6 +232,10 @@
       windowMs: bounds.retryWindowS * MS_PER_SECOND,
       slack: bounds.retrySlack * RETRY_BUDGET_SHARE,
     });
+    this.#memory = new MemoryBudget({
+      limitBytes: getHeldBytesLimit(settings.limits.memoryMb),
+      onEvict: (eviction) => this.#recordEviction(eviction),
+    });
     const store = createMetadataStore({
       address,
       now: readClocks,
@@ -467,6 +474,7 @@
         routing,
         placement: this.#placement,
         connections: this.#connections,
+        memory: this.#memory,
         crashes: this.#crashes,
         links,
         routers: new RouterForwarding({
@@ -496,6 +504,7 @@
       log: this.#logs("route"),
       metrics: this.#metrics,
       inFlight: this.#inFlight,
+      memory: this.#memory,
       getTable: () => this.#routing.table(),
       awaitTable: (remainingMs) => this.#routing.awaitTable(remainingMs),
       isStopping: () => this.#stopStartedAt !== undefined,
@@ -566,6 +575,14 @@
     this.#logs("route")[level](message, { ...details });
   }
 
+  #recordEviction({ kind, ...fields }: Eviction): void {
+    this.#metrics.heldMessagesDropped.inc({ kind });
+    this.#logs("route").warn("A message was dropped to bound memory.", {
+      kind,
+      ...fields,
+    });
+  }
+
   async #openServer(server: Server, address: string): Promise<void> {
     await bindServer(server, address);
     this.#lifeCycle.addCleanup(`server ${address}`, () => {
@@ -635,6 +652,7 @@
     metrics.promptPartsQuarantined.set(this.#crashes.quarantinedCount);
     metrics.linksDown.set(this.#links.downCount);
     metrics.routers.set(this.#routing.routers().size);
+    metrics.heldBytes.set(this.#memory.heldBytes);
     metrics.logLinesDropped.set(this.#logWriter.droppedLines);
     metrics.eventLoopDelaySeconds.set(
       this.#maxEventLoopDelayMs / MS_PER_SECOND,
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -7,6 +7,7 @@
 import { encodeUpstreamHeaders } from "../platform/message_headers.ts";
 import { STATUS_MISDIRECTED } from "../policy/answer_proof.ts";
 import { AttemptPlan } from "../policy/attempt_plan.ts";
+import type { MemoryBudget } from "../policy/memory_budget.ts";
 import { createRequestDigest } from "../policy/request_digest.ts";
 import { ConnectionTrust } from "../policy/connection_trust.ts";
 import type { Hash } from "../policy/rendezvous.ts";
@@ -59,6 +60,7 @@
   readonly routing: RoutingView;
   readonly placement: Placement;
   readonly connections: UpstreamConnections;
+  readonly memory: MemoryBudget;
   readonly crashes: CrashWatch;
   readonly links: LinkWatch;
   readonly routers: RouterForwarding;
@@ -243,6 +245,7 @@
     this.#relay = new StreamRelay(response, {
       lastEventId: traits.lastEventId,
       clock: options.clock,
+      memory: options.memory,
     });
   }
 
@@ -371,6 +374,7 @@
       endCheck,
       connections,
       clock,
+      memory: this.#options.memory,
       relay: this.#relay,
       forwarded: {
         triesLeft: Math.max(1, this.#plan.triesLeft),
@@ -532,6 +536,7 @@
     const attempt = new UpstreamTry({
       connections,
       clock,
+      memory: { budget: this.#options.memory, source: upstream },
       request: this.#createRequest(place),
       requestId: this.#exchange.traits.requestId,
       isRepeatable: this.#plan.isRepeatable,
--- a/src/ingress/ingress_metrics.ts
+++ b/src/ingress/ingress_metrics.ts
@@ -20,6 +20,8 @@
   readonly linksDown: Gauge;
   readonly promptPartsQuarantined: Gauge;
   readonly streamsKnown: Gauge;
+  readonly heldBytes: Gauge;
+  readonly heldMessagesDropped: Counter<"kind">;
   readonly logLinesDropped: Gauge;
   readonly eventLoopDelaySeconds: Gauge;
 }
@@ -112,6 +114,16 @@
       "streams_known",
       "Resumable streams whose software version this router knows.",
     ),
+    heldBytes: createGauge(
+      "held_bytes",
+      "Memory that is held for messages that have not been passed on.",
+    ),
+    heldMessagesDropped: new Counter({
+      name: "corianderflow_held_messages_dropped_total",
+      help: "Messages that were dropped to bound the memory that is held.",
+      labelNames: ["kind"],
+      registers,
+    }),
     logLinesDropped: createGauge(
       "log_lines_dropped",
       "Log lines that were dropped to bound the volume.",
--- a/src/ingress/ingress_server.ts
+++ b/src/ingress/ingress_server.ts
@@ -7,6 +7,7 @@
 import type { FilterChain } from "../filters/exchange.ts";
 import type { Log } from "../log.ts";
 import { decodeRequest } from "../platform/message_headers.ts";
+import type { MemoryBudget } from "../policy/memory_budget.ts";
 import type { RouteTable } from "../policy/route_table.ts";
 import { mayHaveBody } from "../transport/body_framing.ts";
 import {
@@ -25,6 +26,7 @@
 import type { IngressMetrics } from "./ingress_metrics.ts";
 import { refuseRetryable } from "./refusals.ts";
 import { LIFE_SIGN_INTERVAL_MS } from "./router_forwarding.ts";
+import { UnreadAnswer } from "./unread_answers.ts";
 
 /** Options of the handler. */
 export interface IngressHandlerOptions {
@@ -34,6 +36,7 @@
   readonly log: Log;
   readonly metrics: IngressMetrics;
   readonly inFlight: InFlightCounter;
+  readonly memory: MemoryBudget;
   /** Returns the routes in force; undefined before the first configuration. */
   readonly getTable: () => RouteTable | undefined;
   /**
@@ -181,6 +184,10 @@
           ? { ...headers, "content-length": length }
           : headers,
       });
+      const isWritten = response.writableLength === 0;
+      if (!isWritten) {
+        new UnreadAnswer(response, options.memory).resize(body.length);
+      }
     } else if (outcome.kind === "refused") {
       const { refusal, closes = false } = outcome;
       if (isForRouters) response.setHeader(REFUSAL_HEADER, refusal.code);
--- a/src/ingress/router_try.ts
+++ b/src/ingress/router_try.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import { encodeRouterHeaders } from "../platform/message_headers.ts";
+import type { MemoryBudget } from "../policy/memory_budget.ts";
 import type { ResponseTraits } from "../routing/types.ts";
 import {
   decodeServed,
@@ -25,6 +26,7 @@
 export interface RouterTryOptions {
   readonly target: ForwardTarget;
   readonly connections: UpstreamConnections;
+  readonly memory: MemoryBudget;
   /** Reads the monotonic clock, in milliseconds. */
   readonly clock: () => number;
   readonly endCheck: AnswerEndCheck;
@@ -70,6 +72,7 @@
   return new UpstreamTry({
     connections: options.connections,
     clock: options.clock,
+    memory: { budget: options.memory, source: target.name },
     request: {
       address: target.address,
       method: request.method ?? "GET",
--- a/src/ingress/stream_relay.ts
+++ b/src/ingress/stream_relay.ts
@@ -7,7 +7,9 @@
 import type { ServerResponse } from "node:http";
 import { EventOrder } from "../policy/event_order.ts";
 import type { StreamTiming } from "./ingress_exchange.ts";
+import type { MemoryBudget } from "../policy/memory_budget.ts";
 import type { StreamEvent } from "../transport/event_stream.ts";
+import { UnreadAnswer } from "./unread_answers.ts";
 
 /** Pauses reading from an upstream while the caller reads slowly. */
 export interface FlowControl {
@@ -20,6 +22,7 @@
   readonly #response: ServerResponse;
   readonly #order: EventOrder;
   readonly #clock: () => number;
+  readonly #unread: UnreadAnswer;
   #isStarted = false;
   #eventCount = 0;
   #lastWriteAt: number | undefined;
@@ -28,14 +31,16 @@
 
   constructor(
     response: ServerResponse,
-    { lastEventId, clock }: {
+    { lastEventId, clock, memory }: {
       lastEventId: number | undefined;
       clock: () => number;
+      memory: MemoryBudget;
     },
   ) {
     this.#response = response;
     this.#order = new EventOrder(lastEventId);
     this.#clock = clock;
+    this.#unread = new UnreadAnswer(response, memory);
   }
 
   /** Whether status and headers have been written. */
@@ -116,6 +121,10 @@
       : Buffer.concat(forwarded);
     if (this.#response.write(bytes)) return;
     flow.pause();
-    this.#response.once("drain", () => flow.resume());
+    this.#unread.resize(this.#response.writableLength);
+    this.#response.once("drain", () => {
+      this.#unread.resize(0);
+      flow.resume();
+    });
   }
 }
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -15,6 +15,11 @@
   isSuccess,
 } from "../policy/answer_proof.ts";
 import type { TryFailure } from "../policy/attempt_plan.ts";
+import {
+  type Holding,
+  type MemoryBudget,
+  MIN_HOLDING_BYTES,
+} from "../policy/memory_budget.ts";
 import { InputAllowance } from "../policy/input_allowance.ts";
 import type { ResponseTraits, UpstreamLoad } from "../routing/types.ts";
 import { isFramed } from "../transport/body_framing.ts";
@@ -55,6 +60,8 @@
     readonly isUnclear?: boolean;
     /** Whether the upstream sent more than an answer may have. */
     readonly isExcess?: boolean;
+    /** Whether it was given up for want of memory. */
+    readonly isGivenUp?: boolean;
     /** Whether the upstream asked for a pause. */
     readonly isPause?: boolean;
     /** Headers of the response, if a router serves the request. */
@@ -68,6 +75,12 @@
   readonly connections: UpstreamConnections;
   readonly request: UpstreamRequest;
   readonly requestId: string;
+  /** Memory that is held for others; without a limit if absent. */
+  readonly memory?: {
+    readonly budget: MemoryBudget;
+    /** Id of the upstream or name of the router that answers. */
+    readonly source: string;
+  };
   /** Whether the request may run more than once. */
   readonly isRepeatable: boolean;
   readonly relay: StreamRelay;
@@ -131,6 +144,8 @@
  * that its request crashes has ended.
  */
 const SURVIVAL_MS = 500;
+/** Larger than any refusal of a router. */
+const MAX_REFUSAL_BYTES = 65_536;
 /** Largest response, other than a stream, that is held in memory. */
 const MAX_WHOLE_RESPONSE_BYTES = 16_777_216;
 
@@ -158,6 +173,8 @@
   #firstDataAt: number | undefined;
   #hasSurvived = false;
   #eventCount = 0;
+  /** Memory of the answer or of an incomplete event. */
+  #holding: Holding | undefined;
   /** Counts the events; set with the first of them. */
   #allowance: InputAllowance | undefined;
   #isDone = false;
@@ -207,9 +224,48 @@
     if (this.#isDone) return;
     this.#isDone = true;
     this.#clearTimers();
+    this.#release();
     this.#exchange.cancel();
   }
 
+  #release(): void {
+    this.#holding?.close();
+    this.#body.clear();
+    this.#splitter.clear();
+  }
+
+  /** Sets the bytes that the try holds; false if it was given up for them. */
+  #hold(bytes: number): boolean {
+    const { memory } = this.#options;
+    if (memory === undefined) return true;
+    if (this.#holding === undefined) {
+      if (bytes < MIN_HOLDING_BYTES) return true;
+      this.#holding = this.#openHolding(memory);
+    }
+    return this.#holding.resize(bytes);
+  }
+
+  #openHolding(
+    { budget, source }: NonNullable<UpstreamTryOptions["memory"]>,
+  ): Holding {
+    const { headers, isStream } = this.#head!;
+    const length = Number(headers["content-length"] ?? 0);
+    const expectedBytes = !isStream && length > 0 ? length : undefined;
+    return budget.open({
+      kind: "answer",
+      source,
+      expectedBytes,
+      onEvict: ({ reason }) =>
+        this.#reject({
+          end: "no-answer",
+          detail: "the memory for answers is full",
+          // A known length may be that of a sound answer.
+          isExcess: reason === "source-share" && expectedBytes === undefined,
+          isGivenUp: true,
+        }),
+    });
+  }
+
   #clearTimers(): void {
     clearTimeout(this.#silenceTimer);
     clearTimeout(this.#suspectTimer);
@@ -324,6 +380,7 @@
       return;
     }
     this.#body.push(chunk);
+    this.#hold(this.#body.heldBytes);
   }
 
   #recordData(): void {
@@ -343,6 +400,7 @@
       this.#rejectExcess(String(cause));
       return;
     }
+    if (!this.#hold(this.#splitter.heldBytes)) return;
     if (events.length === 0) return;
     if (!this.#allowsEvents(events)) {
       this.#rejectExcess("too many events without content");
@@ -388,9 +446,9 @@
       });
       return;
     }
-    const result = this.#head.isStream
-      ? this.#classifyStream()
-      : this.#classifyAnswer();
+    const { isStream } = this.#head;
+    if (!isStream && !this.#hold(this.#body.heldBytesOfTake)) return;
+    const result = isStream ? this.#classifyStream() : this.#classifyAnswer();
     if (passesOn(result) && !this.#isFramed) void this.#checkEnd(result);
     else this.#end(result);
   }
@@ -440,7 +498,9 @@
     const { status, headers, traits, meaning } = this.#head!;
     const detail = `status ${status}`;
     const body = this.#body.take();
-    if (this.#options.router !== undefined) {
+    const isRefusal = this.#options.router !== undefined &&
+      body.length <= MAX_REFUSAL_BYTES;
+    if (isRefusal) {
       const refusal = tryReadRefusal(headers, body.toString());
       if (refusal !== undefined) return { kind: "router-refused", refusal };
     }
@@ -474,6 +534,7 @@
       isSilent?: boolean;
       isUnclear?: boolean;
       isExcess?: boolean;
+      isGivenUp?: boolean;
     },
   ): void {
     if (this.#isDone) return;
@@ -485,6 +546,7 @@
     if (this.#isDone) return;
     this.#isDone = true;
     this.#clearTimers();
+    this.#release();
     const { router } = this.#options;
     if (router !== undefined && result.kind === "ended") {
       this.#resolve({ ...result, headers: this.#head?.headers });
--- a/src/policy/memory_budget.ts
+++ b/src/policy/memory_budget.ts
@@ -17,6 +17,21 @@
   /** What a caller has not read yet. */
   | "unread-answer";
 
+/**
+ * Why a holding is given up: its source takes more than its share, or the sum is
+ * reached.
+ */
+export type EvictionReason = "source-share" | "sum";
+
+/** A holding that was given up. */
+export interface Eviction {
+  readonly kind: HoldingKind;
+  readonly source: string;
+  /** Bytes that it held. */
+  readonly bytes: number;
+  readonly reason: EvictionReason;
+}
+
 /** Options of a holding. */
 export interface HoldingOptions {
   readonly kind: HoldingKind;
@@ -28,7 +43,7 @@
    * Called when the holding is given up in favor of others. It is closed by
    * then; its owner must drop the data.
    */
-  readonly onEvict: () => void;
+  readonly onEvict: (eviction: Eviction) => void;
 }
 
 /** Memory that is held for one message. */
@@ -50,8 +65,16 @@
 export interface MemoryBudgetOptions {
   /** Limit of all holdings together, in bytes. */
   readonly limitBytes: number;
+  /** Called with each holding that is given up, before its owner. */
+  readonly onEvict?: (eviction: Eviction) => void;
 }
 
+/**
+ * Messages that take less are not counted by their owners, which spares most
+ * messages the holding: they lie in the buffer that they were read into.
+ */
+export const MIN_HOLDING_BYTES = 16_384;
+
 /**
  * Share of the limit above which the sender of answers is given up first: no
  * sound upstream needs that much at a time.
@@ -97,10 +120,12 @@
   readonly #holdings = new Set<BudgetHolding>();
   readonly #bytesBySource = new Map<string, number>();
   #heldBytes = 0;
+  readonly #onEvict: (eviction: Eviction) => void;
   #evictions = 0;
 
-  constructor({ limitBytes }: MemoryBudgetOptions) {
+  constructor({ limitBytes, onEvict = () => {} }: MemoryBudgetOptions) {
     this.limitBytes = limitBytes;
+    this.#onEvict = onEvict;
   }
 
   /** Bytes of all holdings. */
@@ -133,13 +158,25 @@
     this.#add(holding, bytes - holding.bytes);
     while (this.#heldBytes > this.limitBytes) {
       const victim = this.#findVictim() ?? holding;
-      this.close(victim);
-      this.#evictions++;
-      victim.options.onEvict();
-      if (victim === holding) return;
+      this.#evict(victim);
+      if (holding.isClosed) return;
     }
   }
 
+  #evict(victim: BudgetHolding): void {
+    const { kind, source, onEvict } = victim.options;
+    const eviction: Eviction = {
+      kind,
+      source,
+      bytes: victim.bytes,
+      reason: this.#getRank(victim) === 0 ? "source-share" : "sum",
+    };
+    this.close(victim);
+    this.#evictions++;
+    this.#onEvict(eviction);
+    onEvict(eviction);
+  }
+
   /** Called by a holding. */
   close(holding: BudgetHolding): void {
     if (holding.isClosed) return;
@@ -179,7 +216,10 @@
       return one.progress < other.progress;
     }
     const bytes = this.#getSourceBytes(one) - this.#getSourceBytes(other);
-    return bytes === 0 ? one.bytes > other.bytes : bytes > 0;
+    if (bytes !== 0) return bytes > 0;
+    // An answer whose length is known ends.
+    if (one.progress !== other.progress) return one.progress < other.progress;
+    return one.bytes > other.bytes;
   }
 
   #getRank(holding: BudgetHolding): number {
--- /dev/null
+++ b/src/policy/memory_budget_test.ts
@@ -0,0 +1,147 @@
+import fc from "fast-check";
+import {
+  type Eviction,
+  type Holding,
+  type HoldingKind,
+  MemoryBudget,
+} from "./memory_budget.ts";
+
+const LIMIT_BYTES = 1_000;
+
+interface Step {
+  readonly kind: HoldingKind;
+  readonly source: string;
+  readonly bytes: number;
+  readonly expectedBytes: number | undefined;
+  readonly action: "hold" | "complete" | "close";
+}
+
+const step: fc.Arbitrary<Step> = fc.record({
+  kind: fc.constantFrom("answer", "request-body", "unread-answer"),
+  source: fc.constantFrom("a", "b", "c"),
+  bytes: fc.integer({ min: 1, max: 400 }),
+  expectedBytes: fc.option(fc.integer({ min: 400, max: 800 }), {
+    nil: undefined,
+  }),
+  action: fc.constantFrom("hold", "hold", "hold", "complete", "close"),
+});
+
+function createBudget() {
+  const evictions: Eviction[] = [];
+  const budget = new MemoryBudget({
+    limitBytes: LIMIT_BYTES,
+    onEvict: (eviction) => evictions.push(eviction),
+  });
+  function hold(
+    { kind, source, bytes, expectedBytes }: Omit<Step, "action">,
+  ): Holding {
+    const onEvict = () => {};
+    const holding = budget.open({ kind, source, expectedBytes, onEvict });
+    holding.resize(bytes);
+    return holding;
+  }
+  return { budget, evictions, hold };
+}
+
+test("the sum never exceeds the limit, and complete messages go last", () => {
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+      const { budget, hold } = createBudget();
+      const open: Holding[] = [];
+      const complete: Holding[] = [];
+      for (const each of steps) {
+        const before = complete.map(({ bytes }) => bytes);
+        const evictions = budget.evictions;
+        const holding = hold(each);
+        open.push(holding);
+        if (each.action === "complete" && holding.bytes > 0) {
+          holding.complete();
+          complete.push(holding);
+        } else if (each.action === "close") holding.close();
+        expect(budget.heldBytes).toBeLessThanOrEqual(LIMIT_BYTES);
+        const kept = before.map((_, index) => complete[index]!.bytes);
+        expect(kept).toEqual(before);
+        expect(budget.evictions).toBeGreaterThanOrEqual(evictions);
+      }
+      const sum = open.reduce((total, { bytes }) => total + bytes, 0);
+      expect(budget.heldBytes).toBe(sum);
+      for (const each of open) each.close();
+      expect(budget.heldBytes).toBe(0);
+    }),
+    { seed: 1, numRuns: 300 },
+  );
+});
+
+/** What is given up first, and why, when all of `steps` don't fit. */
+function findFirst(steps: readonly Partial<Step>[]) {
+  const { evictions, hold } = createBudget();
+  for (const each of steps) {
+    hold({
+      kind: "answer",
+      source: "a",
+      bytes: 100,
+      expectedBytes: undefined,
+      ...each,
+    });
+  }
+  const { kind, source, bytes, reason } = evictions[0]!;
+  return `${kind} ${source} ${bytes} ${reason}`;
+}
+
+// Guards against a faulty upstream that costs others their answers and callers
+// their requests (FAULT).
+test("the upstream that takes most is given up first", () => {
+  const sound = { source: "sound", bytes: 200, expectedBytes: 240 };
+  const body = { kind: "request-body", source: "caller", bytes: 200 } as const;
+  const faulty = { source: "faulty", bytes: 220 };
+  expect(findFirst([sound, body, faulty, faulty, body, faulty]))
+    .toBe("answer faulty 220 source-share");
+});
+
+test("a body that has just begun goes before one that is nearly whole", () => {
+  const body = { kind: "request-body", expectedBytes: 400 } as const;
+  const nearlyWhole = { ...body, source: "x", bytes: 380 };
+  const begun = { ...body, source: "y", bytes: 20 };
+  const unread = { kind: "unread-answer", source: "z", bytes: 350 } as const;
+  expect(findFirst([nearlyWhole, begun, unread, { ...body, bytes: 300 }]))
+    .toBe("request-body y 20 sum");
+});
+
+test("an answer without a length goes before one of a known length", () => {
+  const known = { bytes: 300, expectedBytes: 310 };
+  expect(findFirst([known, known, { bytes: 300 }, { bytes: 200 }]))
+    .toBe("answer a 300 source-share");
+  expect(findFirst([known, known, { bytes: 150 }, { bytes: 300 }]))
+    .toBe("answer a 300 source-share");
+});
+
+test("the caller that has read least loses its connection first", () => {
+  const unread = { kind: "unread-answer" } as const;
+  const slow = { ...unread, source: "slow", bytes: 600 };
+  const quick = { ...unread, source: "quick", bytes: 300 };
+  expect(findFirst([slow, quick, { ...quick, bytes: 200 }]))
+    .toBe("unread-answer slow 600 sum");
+});
+
+test("what callers haven't read is given up only if nothing else can be", () => {
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+      const incomplete = new Set<Holding>();
+      const budget = new MemoryBudget({
+        limitBytes: LIMIT_BYTES,
+        onEvict: ({ kind }) => {
+          if (kind !== "unread-answer") return;
+          const others = [...incomplete].filter(({ bytes }) => bytes > 0);
+          expect(others).toEqual([]);
+        },
+      });
+      for (const { kind, source, bytes, expectedBytes } of steps) {
+        const onEvict = () => incomplete.delete(holding);
+        const holding = budget.open({ kind, source, expectedBytes, onEvict });
+        if (kind !== "unread-answer") incomplete.add(holding);
+        holding.resize(bytes);
+      }
+    }),
+    { seed: 1, numRuns: 300 },
+  );
+});
--- a/src/policy/memory_limits.ts
+++ b/src/policy/memory_limits.ts
@@ -15,8 +15,8 @@
  * not been read.
  */
 const HELD_SHARE = 0.5;
-/** Room for the largest answer and its copy, whatever the host grants. */
-const MIN_HELD_BYTES = 33_554_432;
+/** Room for the largest answer, its copy, and others beside it. */
+const MIN_HELD_BYTES = 41_943_040;
 const BYTES_PER_MB = 1_048_576;
 
 /** Returns the limit of all holdings for a process with `memoryMb` MB. */
