Avoid upstreams whose answers exceed what an answer may have

An upstream that sends without end kept getting requests: each counted as one that failed, so it was tried again about as soon as the count decayed, and the other routers were not told.

After two such answers in a row it is avoided as one that can't be connected to: for a time that doubles up to 3.2 s, reported to the other routers, ended by an answer. One alone doesn't count, since the request may be the cause. An answer that was dropped because the sum of all was reached says nothing of its upstream. A router that forwards such an answer is avoided as one that failed.

The unit test of the avoidance failed before.

--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -424,7 +424,7 @@
     if (result.end === "not-sent" || result.isSilent === true) {
       routers.recordFailure(name);
       connections.closeIdle(address);
-    }
+    } else if (result.isExcess === true) routers.recordFailure(name);
     if (result.end === "not-sent") return undefined;
     // The router has made the retries that are allowed.
     if (result.end === "failed" && !this.#relay.isStarted) {
@@ -691,6 +691,12 @@
     if (tryOutcome.isPause === true) return;
     // Without links, nothing says that the upstream is not sound.
     if (links.isDown(this.#service.name)) return;
+    if (tryOutcome.isExcess === true) {
+      placement.recordHealth(entry.id, "excess");
+      return;
+    }
+    // The answers of others may have taken the memory.
+    if (tryOutcome.isGivenUp === true) return;
     if (tryOutcome.isSilent === true) connections.closeIdle(entry.address);
     if (tryOutcome.end === "not-sent" || hasEnded) {
       placement.recordHealth(entry.id, "unreachable");
--- a/src/policy/upstream_health.ts
+++ b/src/policy/upstream_health.ts
@@ -5,11 +5,13 @@
  * A service may fail a fraction of its requests at every upstream. Only an
  * upstream that fails much more often than the others is avoided. An upstream
  * that can't be connected to is avoided at once, for a time that doubles with
- * each further failed connection, up to a maximum.
+ * each further failed connection, up to a maximum. One whose answers exceed what
+ * an answer may have is avoided in the same way, after more than one of them in a
+ * row, since a request may cause a single one.
  */
 
 /** Result of a request sent to an upstream. */
-export type RequestEnd = "answered" | "failed" | "unreachable";
+export type RequestEnd = "answered" | "failed" | "excess" | "unreachable";
 
 interface EndRecord {
   /** Ended and failed requests, with exponential decay. */
@@ -17,9 +19,11 @@
   failures: number;
   /** Time of the last decay, in milliseconds. */
   updatedAt: number;
-  /** Consecutive requests that could not connect. */
+  /** Consecutive answers that exceeded what an answer may have. */
+  excesses: number;
+  /** Consecutive requests that could not connect, or count like these. */
   unreachable: number;
-  /** Time of the last failure to connect, in milliseconds. */
+  /** Time of the last of these, in milliseconds. */
   unreachableAt: number;
   /** Time until which the upstream is avoided, in milliseconds. */
   avoidedUntil: number;
@@ -35,6 +39,8 @@
 const SUSPECT_FAILURE_RATE = 0.3;
 /** Minimum ratio of its failure rate to that of its peers. */
 const SUSPECT_FACTOR = 2;
+/** Consecutive excessive answers after which an upstream is avoided. */
+const MIN_EXCESSES = 2;
 /** Initial avoidance time: a connection attempt's duration, in milliseconds. */
 const MIN_AVOIDANCE_MS = 400;
 /**
@@ -64,13 +70,15 @@
     const record = this.#getDecayed(upstream, now);
     record.ends++;
     if (end === "answered") {
+      record.excesses = 0;
       record.unreachable = 0;
       record.avoidedUntil = 0;
       record.answeredAt = now;
       return;
     }
     record.failures++;
-    if (end !== "unreachable") return;
+    if (end === "failed") return;
+    if (end === "excess" && ++record.excesses < MIN_EXCESSES) return;
     const factor = 2 ** Math.min(record.unreachable, 10);
     record.unreachable++;
     record.unreachableAt = now;
@@ -84,8 +92,8 @@
   }
 
   /**
-   * Lists the upstreams to which a connection failed lately, without an answer
-   * since.
+   * Lists the upstreams to which a connection failed lately, or whose answers
+   * were excessive, without an answer since.
    */
   listUnreachable(now: number): string[] {
     return [...this.#records]
@@ -134,6 +142,7 @@
         ends: 0,
         failures: 0,
         updatedAt: now,
+        excesses: 0,
         unreachable: 0,
         unreachableAt: -Infinity,
         avoidedUntil: 0,
--- a/src/policy/upstream_health_test.ts
+++ b/src/policy/upstream_health_test.ts
@@ -64,3 +64,28 @@
   health.forget("c");
   expect(health.findSuspects(NAMES, 0).has("c")).toBe(false);
 });
+
+// Guards against an upstream that sends without end and gets each third request
+// again and again (FAULT).
+test("an upstream of excessive answers is avoided like one that is unreachable", () => {
+  const health = new UpstreamHealth();
+  const peers = ["a", "b"];
+  health.recordEnd("a", "excess", 0);
+  expect(health.findSuspects(peers, 1).has("a")).toBe(false);
+  health.recordEnd("a", "excess", 10);
+  expect(health.findSuspects(peers, 11).has("a")).toBe(true);
+  expect(health.listUnreachable(11)).toEqual(["a"]);
+  expect(health.findSuspects(peers, 411).has("a")).toBe(false);
+  health.recordEnd("a", "excess", 420);
+  expect(health.findSuspects(peers, 1_000).has("a")).toBe(true);
+  expect(health.findSuspects(peers, 1_300).has("a")).toBe(false);
+});
+
+test("an answer between them ends the count of excessive answers", () => {
+  const health = new UpstreamHealth();
+  for (let at = 0; at < 10; at++) {
+    health.recordEnd("a", "excess", at);
+    health.recordEnd("a", "answered", at);
+  }
+  expect(health.listUnreachable(11)).toEqual([]);
+});
