End a stream of tiny events at the first that is too many

A test shows that a quick stream of small tokens and comments, each in a chunk of its own, passes whole.

--- a/src/daemon/ingress_excess_test.ts
+++ b/src/daemon/ingress_excess_test.ts
@@ -1,11 +1,17 @@
 /** How routers choose after an upstream has sent without end. */
 import {
+  beginStream,
   createSignedHead,
+  endStream,
   LocalIngress,
   type ReceivedRequest,
   sendCompleteResponse,
 } from "./testing/local_ingress.ts";
 
+/** Events of a quick engine, in some seconds. */
+const TOKENS = 2_000;
+const TOKENS_PER_TICK = 4;
+
 let fleet: LocalIngress;
 let count = 0;
 
@@ -13,6 +19,7 @@
   fleet = await new LocalIngress().start({
     bounds: { graceS: 1, retrySlack: 500 },
     upstreams: 3,
+    timeoutMs: 15_000,
   });
 });
 
@@ -55,6 +62,29 @@
   20_000,
 );
 
+test("a stream of small tokens and comments passes", async () => {
+  fleet.script((request) => {
+    beginStream(request);
+    let sent = 0;
+    const timer = setInterval(() => {
+      for (let each = 0; each < TOKENS_PER_TICK; each++) {
+        const event = ++sent % 10 === 0 ? ":\n\n" : "data: a\n\n";
+        request.socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
+      }
+      if (sent < TOKENS) return;
+      clearInterval(timer);
+      endStream(request);
+    }, 10);
+  });
+  const answer = await fleet.ask({
+    id: `excess-${++count}`,
+    path: "/plan/x",
+    deadlineMs: 15_000,
+  });
+  expect(answer.isComplete).toBe(true);
+  expect(answer.text.match(/data: a/g)).toHaveLength(TOKENS * 0.9);
+}, 20_000);
+
 test("what may not be repeated and was dropped counts as run, perhaps", async () => {
   fleet.script(sendEndlessly);
   const answer = await fleet.ask({ id: `excess-${++count}`, path: "/book/x" });
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -162,7 +162,9 @@
   readonly #options: UpstreamTryOptions;
   readonly #exchange: UpstreamExchange;
   readonly #body = new ByteCollector();
-  readonly #splitter = new EventSplitter();
+  readonly #splitter = new EventSplitter({
+    allows: (event) => this.#allowsEvent(event),
+  });
   #resolve!: (result: TryResult) => void;
   #silenceTimer: NodeJS.Timeout | undefined;
   /** Whether reading waits for the caller. */
@@ -402,10 +404,6 @@
     }
     if (!this.#hold(this.#splitter.heldBytes)) return;
     if (events.length === 0) return;
-    if (!this.#allowsEvents(events)) {
-      this.#rejectExcess("too many events without content");
-      return;
-    }
     this.#eventCount += events.length;
     this.#startStream();
     const isInOrder = relay.forward(events, {
@@ -424,15 +422,11 @@
     }
   }
 
-  /** Whether the stream may have `events` by now; comments bring nothing. */
-  #allowsEvents(events: readonly StreamEvent[]): boolean {
+  /** Whether the stream may have `event` by now; comments bring nothing. */
+  #allowsEvent({ bytes, isComment }: StreamEvent): boolean {
     const now = this.#options.clock();
     this.#allowance ??= new InputAllowance(now);
-    for (const { bytes, isComment } of events) {
-      const contentBytes = isComment ? 0 : bytes.length;
-      if (!this.#allowance.recordPart(contentBytes, now)) return false;
-    }
-    return true;
+    return this.#allowance.recordPart(isComment ? 0 : bytes.length, now);
   }
 
   #onEnd(): void {
--- a/src/transport/event_stream.ts
+++ b/src/transport/event_stream.ts
@@ -50,12 +50,23 @@
   };
 }
 
+/** Options of an `EventSplitter`. */
+export interface EventSplitterOptions {
+  /** Whether the stream may have `event`; any by default. */
+  readonly allows?: (event: StreamEvent) => boolean;
+}
+
 /** Splits chunks into complete events and buffers an incomplete last one. */
 export class EventSplitter {
+  readonly #allows: (event: StreamEvent) => boolean;
   readonly #pending = new ByteCollector();
   /** Whether the incomplete event ends with a line feed. */
   #endsLine = false;
 
+  constructor({ allows = () => true }: EventSplitterOptions = {}) {
+    this.#allows = allows;
+  }
+
   /** Whether bytes of an incomplete event are buffered. */
   get hasIncompleteEvent(): boolean {
     return this.#pending.length > 0;
@@ -76,7 +87,8 @@
    * Appends a chunk and returns the events that are now complete. Reads each
    * byte once, however small the chunks are.
    *
-   * @throws MalformedStreamError if the incomplete event exceeds 1 MiB
+   * @throws MalformedStreamError if the incomplete event exceeds 1 MiB, or an
+   * event is not allowed
    */
   push(chunk: Uint8Array): StreamEvent[] {
     const bytes = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength);
@@ -86,7 +98,11 @@
       ? 1
       : findEventEnd(bytes, 0);
     while (end > 0) {
-      events.push(parseEvent(this.#complete(bytes.subarray(start, end))));
+      const event = parseEvent(this.#complete(bytes.subarray(start, end)));
+      if (!this.#allows(event)) {
+        throw new MalformedStreamError("too many events without content");
+      }
+      events.push(event);
       start = end;
       end = findEventEnd(bytes, start);
     }
