--- a/src/daemon/testing/local_ingress.ts
+++ b/src/daemon/testing/local_ingress.ts
@@ -185,6 +185,12 @@
   readonly router?: IngressSettings;
 }
 
+/** The part of a router that tests use. */
+export type StartedDaemon = Pick<
+  IngressDaemon,
+  "stop" | "reload" | "rejectReload"
+>;
+
 /** Options of `LocalIngress.start`. */
 export interface LocalIngressOptions {
   readonly upstreams?: number;
@@ -199,6 +205,10 @@
   readonly timeoutMs?: number;
   /** Whether to wait until the router has read the store. */
   readonly awaitsReadiness?: boolean;
+  /** Memory that the host grants the router, in MB. */
+  readonly memoryMb?: number;
+  /** Starts a router; by default in this process. */
+  readonly startDaemon?: (settings: IngressSettings) => Promise<StartedDaemon>;
 }
 
 /** A router, its metadata store and its upstreams. */
@@ -206,12 +216,13 @@
   readonly store = new MetadataStoreServer();
   readonly upstreams: ScriptedUpstream[] = [];
   readonly lines: Record<string, unknown>[] = [];
-  daemon!: IngressDaemon;
+  daemon!: StartedDaemon;
   settings!: IngressSettings;
-  readonly #others = new Map<string, IngressDaemon>();
+  readonly #others = new Map<string, StartedDaemon>();
   #version = 1;
   #areEngines = false;
   #timeoutMs = DEFAULT_TIMEOUT_MS;
+  #startDaemonElsewhere: LocalIngressOptions["startDaemon"];
 
   /**
    * Starts everything; resolves once the router reports its readiness or, with
@@ -226,8 +237,11 @@
       storeDelayMs = 0,
       timeoutMs = DEFAULT_TIMEOUT_MS,
       awaitsReadiness = true,
+      memoryMb = INGRESS_SETTING_DEFAULTS.limits.memoryMb,
+      startDaemon,
     }: LocalIngressOptions = {},
   ): Promise<this> {
+    this.#startDaemonElsewhere = startDaemon;
     await this.store.open();
     this.store.faults.delayMs = storeDelayMs;
     this.#areEngines = areEngines;
@@ -242,6 +256,7 @@
       ...INGRESS_SETTING_DEFAULTS,
       router: { name: "router-1", failureDomain: "east", linkMbps: 0 },
       bounds: { ...INGRESS_SETTING_DEFAULTS.bounds, retrySlack: 50, ...bounds },
+      limits: { ...INGRESS_SETTING_DEFAULTS.limits, memoryMb },
     };
     await this.#startDaemon();
     if (awaitsReadiness) await this.untilReady(hasConfiguration ? 200 : 503);
@@ -283,7 +298,10 @@
     await daemon?.stop();
   }
 
-  #start(settings: IngressSettings): Promise<IngressDaemon> {
+  #start(settings: IngressSettings): Promise<StartedDaemon> {
+    if (this.#startDaemonElsewhere !== undefined) {
+      return this.#startDaemonElsewhere(settings);
+    }
     return startIngressDaemon({
       settings,
       logs: createLogFactory({
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -7,6 +7,7 @@
 import { encodeUpstreamHeaders } from "../platform/message_headers.ts";
 import { STATUS_MISDIRECTED } from "../policy/answer_proof.ts";
 import { AttemptPlan } from "../policy/attempt_plan.ts";
+import type { MemoryBudget } from "../policy/memory_budget.ts";
 import { createRequestDigest } from "../policy/request_digest.ts";
 import { ConnectionTrust } from "../policy/connection_trust.ts";
 import type { Hash } from "../policy/rendezvous.ts";
@@ -59,6 +60,7 @@
   readonly routing: RoutingView;
   readonly placement: Placement;
   readonly connections: UpstreamConnections;
+  readonly memory: MemoryBudget;
   readonly crashes: CrashWatch;
   readonly links: LinkWatch;
   readonly routers: RouterForwarding;
@@ -243,6 +245,7 @@
     this.#relay = new StreamRelay(response, {
       lastEventId: traits.lastEventId,
       clock: options.clock,
+      memory: options.memory,
     });
   }
 
@@ -371,6 +374,7 @@
       endCheck,
       connections,
       clock,
+      memory: this.#options.memory,
       relay: this.#relay,
       forwarded: {
         triesLeft: Math.max(1, this.#plan.triesLeft),
@@ -420,7 +424,7 @@
     if (result.end === "not-sent" || result.isSilent === true) {
       routers.recordFailure(name);
       connections.closeIdle(address);
-    }
+    } else if (result.isExcess === true) routers.recordFailure(name);
     if (result.end === "not-sent") return undefined;
     // The router has made the retries that are allowed.
     if (result.end === "failed" && !this.#relay.isStarted) {
@@ -532,6 +536,7 @@
     const attempt = new UpstreamTry({
       connections,
       clock,
+      memory: { budget: this.#options.memory, source: upstream },
       request: this.#createRequest(place),
       requestId: this.#exchange.traits.requestId,
       isRepeatable: this.#plan.isRepeatable,
@@ -686,6 +691,12 @@
     if (tryOutcome.isPause === true) return;
     // Without links, nothing says that the upstream is not sound.
     if (links.isDown(this.#service.name)) return;
+    if (tryOutcome.isExcess === true) {
+      placement.recordHealth(entry.id, "excess");
+      return;
+    }
+    // The answers of others may have taken the memory.
+    if (tryOutcome.isGivenUp === true) return;
     if (tryOutcome.isSilent === true) connections.closeIdle(entry.address);
     if (tryOutcome.end === "not-sent" || hasEnded) {
       placement.recordHealth(entry.id, "unreachable");
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -2,7 +2,7 @@
  * One try of a request at one upstream: sends the request, checks that the
  * response is complete and belongs to it, and forwards a stream as it arrives.
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import {
   copyResponseHeaders,
@@ -15,9 +15,16 @@
   isSuccess,
 } from "../policy/answer_proof.ts";
 import type { TryFailure } from "../policy/attempt_plan.ts";
+import {
+  type Holding,
+  type MemoryBudget,
+  MIN_HOLDING_BYTES,
+} from "../policy/memory_budget.ts";
+import { InputAllowance } from "../policy/input_allowance.ts";
 import type { ResponseTraits, UpstreamLoad } from "../routing/types.ts";
 import { isFramed } from "../transport/body_framing.ts";
-import { EventSplitter } from "../transport/event_stream.ts";
+import { ByteCollector } from "../transport/byte_collector.ts";
+import { EventSplitter, type StreamEvent } from "../transport/event_stream.ts";
 import { decodeRefusedId, tryReadRefusal } from "../transport/router_hop.ts";
 import type {
   UpstreamConnections,
@@ -51,6 +58,10 @@
     readonly isSilent?: boolean;
     /** Whether the response may be a late copy of an earlier one. */
     readonly isUnclear?: boolean;
+    /** Whether the upstream sent more than an answer may have. */
+    readonly isExcess?: boolean;
+    /** Whether it was given up for want of memory. */
+    readonly isGivenUp?: boolean;
     /** Whether the upstream asked for a pause. */
     readonly isPause?: boolean;
     /** Headers of the response, if a router serves the request. */
@@ -64,6 +75,12 @@
   readonly connections: UpstreamConnections;
   readonly request: UpstreamRequest;
   readonly requestId: string;
+  /** Memory that is held for others; without a limit if absent. */
+  readonly memory?: {
+    readonly budget: MemoryBudget;
+    /** Id of the upstream or name of the router that answers. */
+    readonly source: string;
+  };
   /** Whether the request may run more than once. */
   readonly isRepeatable: boolean;
   readonly relay: StreamRelay;
@@ -127,6 +144,8 @@
  * that its request crashes has ended.
  */
 const SURVIVAL_MS = 500;
+/** Larger than any refusal of a router. */
+const MAX_REFUSAL_BYTES = 65_536;
 /** Largest response, other than a stream, that is held in memory. */
 const MAX_WHOLE_RESPONSE_BYTES = 16_777_216;
 
@@ -142,8 +161,10 @@
   readonly result: Promise<TryResult>;
   readonly #options: UpstreamTryOptions;
   readonly #exchange: UpstreamExchange;
-  readonly #chunks: Buffer[] = [];
-  readonly #splitter = new EventSplitter();
+  readonly #body = new ByteCollector();
+  readonly #splitter = new EventSplitter({
+    allows: (event) => this.#allowsEvent(event),
+  });
   #resolve!: (result: TryResult) => void;
   #silenceTimer: NodeJS.Timeout | undefined;
   /** Whether reading waits for the caller. */
@@ -151,10 +172,13 @@
   #suspectTimer: NodeJS.Timeout | undefined;
   /** Runs until the head arrives. */
   #headTimer: NodeJS.Timeout | undefined;
-  #sizeInBytes = 0;
   #firstDataAt: number | undefined;
   #hasSurvived = false;
   #eventCount = 0;
+  /** Memory of the answer or of an incomplete event. */
+  #holding: Holding | undefined;
+  /** Counts the events; set with the first of them. */
+  #allowance: InputAllowance | undefined;
   #isDone = false;
   #head: {
     status: number;
@@ -175,6 +199,10 @@
       onData: (chunk) => this.#onData(chunk),
       onEnd: () => this.#onEnd(),
       onFailure: (failure, detail) => {
+        if (failure === "excess") {
+          this.#rejectExcess(detail);
+          return;
+        }
         const end = failure === "not-sent" ? "not-sent" : "no-answer";
         this.#end({ kind: "ended", end, detail, isCutOff: end !== "not-sent" });
       },
@@ -198,9 +226,48 @@
     if (this.#isDone) return;
     this.#isDone = true;
     this.#clearTimers();
+    this.#release();
     this.#exchange.cancel();
   }
 
+  #release(): void {
+    this.#holding?.close();
+    this.#body.clear();
+    this.#splitter.clear();
+  }
+
+  /** Sets the bytes that the try holds; false if it was given up for them. */
+  #hold(bytes: number): boolean {
+    const { memory } = this.#options;
+    if (memory === undefined) return true;
+    if (this.#holding === undefined) {
+      if (bytes < MIN_HOLDING_BYTES) return true;
+      this.#holding = this.#openHolding(memory);
+    }
+    return this.#holding.resize(bytes);
+  }
+
+  #openHolding(
+    { budget, source }: NonNullable<UpstreamTryOptions["memory"]>,
+  ): Holding {
+    const { headers, isStream } = this.#head!;
+    const length = Number(headers["content-length"] ?? 0);
+    const expectedBytes = !isStream && length > 0 ? length : undefined;
+    return budget.open({
+      kind: "answer",
+      source,
+      expectedBytes,
+      onEvict: ({ reason }) =>
+        this.#reject({
+          end: "no-answer",
+          detail: "the memory for answers is full",
+          // A known length may be that of a sound answer.
+          isExcess: reason === "source-share" && expectedBytes === undefined,
+          isGivenUp: true,
+        }),
+    });
+  }
+
   #clearTimers(): void {
     clearTimeout(this.#silenceTimer);
     clearTimeout(this.#suspectTimer);
@@ -310,15 +377,12 @@
       this.#forwardEvents(chunk);
       return;
     }
-    this.#sizeInBytes += chunk.length;
-    if (this.#sizeInBytes > MAX_WHOLE_RESPONSE_BYTES) {
-      this.#reject({
-        end: "no-answer",
-        detail: "the answer is too large",
-      });
+    if (this.#body.length + chunk.length > MAX_WHOLE_RESPONSE_BYTES) {
+      this.#rejectExcess("the answer is too large");
       return;
     }
-    this.#chunks.push(chunk);
+    this.#body.push(chunk);
+    this.#hold(this.#body.heldBytes);
   }
 
   #recordData(): void {
@@ -335,9 +399,10 @@
     try {
       events = this.#splitter.push(chunk);
     } catch (cause) {
-      this.#reject({ end: "no-answer", detail: String(cause) });
+      this.#rejectExcess(String(cause));
       return;
     }
+    if (!this.#hold(this.#splitter.heldBytes)) return;
     if (events.length === 0) return;
     this.#eventCount += events.length;
     this.#startStream();
@@ -357,6 +422,13 @@
     }
   }
 
+  /** Whether the stream may have `event` by now; comments bring nothing. */
+  #allowsEvent({ bytes, isComment }: StreamEvent): boolean {
+    const now = this.#options.clock();
+    this.#allowance ??= new InputAllowance(now);
+    return this.#allowance.recordPart(isComment ? 0 : bytes.length, now);
+  }
+
   #onEnd(): void {
     if (this.#isDone) return;
     if (this.#head === undefined) {
@@ -368,9 +440,9 @@
       });
       return;
     }
-    const result = this.#head.isStream
-      ? this.#classifyStream()
-      : this.#classifyAnswer();
+    const { isStream } = this.#head;
+    if (!isStream && !this.#hold(this.#body.heldBytesOfTake)) return;
+    const result = isStream ? this.#classifyStream() : this.#classifyAnswer();
     if (passesOn(result) && !this.#isFramed) void this.#checkEnd(result);
     else this.#end(result);
   }
@@ -419,10 +491,10 @@
   #classifyAnswer(): TryResult {
     const { status, headers, traits, meaning } = this.#head!;
     const detail = `status ${status}`;
-    const body = this.#chunks.length === 1
-      ? this.#chunks[0]!
-      : Buffer.concat(this.#chunks);
-    if (this.#options.router !== undefined) {
+    const body = this.#body.take();
+    const isRefusal = this.#options.router !== undefined &&
+      body.length <= MAX_REFUSAL_BYTES;
+    if (isRefusal) {
       const refusal = tryReadRefusal(headers, body.toString());
       if (refusal !== undefined) return { kind: "router-refused", refusal };
     }
@@ -445,12 +517,18 @@
     return { kind: "ended", end: "failed", detail, answer, isPause };
   }
 
+  #rejectExcess(detail: string): void {
+    this.#reject({ end: "no-answer", detail, isExcess: true });
+  }
+
   #reject(
     ended: {
       end: TryFailure;
       detail: string;
       isSilent?: boolean;
       isUnclear?: boolean;
+      isExcess?: boolean;
+      isGivenUp?: boolean;
     },
   ): void {
     if (this.#isDone) return;
@@ -462,6 +540,7 @@
     if (this.#isDone) return;
     this.#isDone = true;
     this.#clearTimers();
+    this.#release();
     const { router } = this.#options;
     if (router !== undefined && result.kind === "ended") {
       this.#resolve({ ...result, headers: this.#head?.headers });
