--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -424,9 +424,9 @@
 
   /** Whether the stream may have `event` by now; comments bring nothing. */
   #allowsEvent({ bytes, isComment }: StreamEvent): boolean {
-    const now = this.#options.clock();
-    this.#allowance ??= new InputAllowance(now);
-    return this.#allowance.recordPart(isComment ? 0 : bytes.length, now);
+    const { clock } = this.#options;
+    this.#allowance ??= new InputAllowance(clock());
+    return this.#allowance.recordPart(isComment ? 0 : bytes.length, clock);
   }
 
   #onEnd(): void {
--- a/src/policy/input_allowance.ts
+++ b/src/policy/input_allowance.ts
@@ -46,28 +46,32 @@
 
   /**
    * Records a part with `bytes` of content, or 0 if it has none. Returns false
-   * if the message has more parts than it may have by `now`.
+   * if the message has more parts than it may have by `now`; a clock is read
+   * only if that depends on it.
    */
-  recordPart(bytes: number, now: number): boolean {
+  recordPart(bytes: number, now: number | (() => number)): boolean {
     this.#parts++;
     this.#contentBytes += bytes;
     const { baseParts, partsPerSecond } = this.#options;
-    return this.#parts <= baseParts + this.#contentBytes / BYTES_PER_PART +
-        partsPerSecond * this.#getSeconds(now);
+    const excess = this.#parts - baseParts -
+      this.#contentBytes / BYTES_PER_PART;
+    return excess <= 0 || excess <= partsPerSecond * this.#getSeconds(now);
   }
 
   /**
    * Whether `totalBytes`, all bytes of the message so far, hold no more than
    * may come beside its content by `now`.
    */
-  allowsTotal(totalBytes: number, now: number): boolean {
+  allowsTotal(totalBytes: number, now: number | (() => number)): boolean {
     const { baseOverheadBytes, overheadBytesPerSecond } = this.#options;
     const overheadBytes = totalBytes - this.#contentBytes;
-    return overheadBytes <= baseOverheadBytes + this.#contentBytes +
-        overheadBytesPerSecond * this.#getSeconds(now);
+    const excess = overheadBytes - baseOverheadBytes - this.#contentBytes;
+    return excess <= 0 ||
+      excess <= overheadBytesPerSecond * this.#getSeconds(now);
   }
 
-  #getSeconds(now: number): number {
-    return Math.max(0, now - this.#startedAt) / MS_PER_SECOND;
+  #getSeconds(now: number | (() => number)): number {
+    const at = typeof now === "number" ? now : now();
+    return Math.max(0, at - this.#startedAt) / MS_PER_SECOND;
   }
 }
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -468,12 +468,11 @@
   /** Ends a response of which most bytes bring nothing. */
   checkInput(): void {
     if (this.#isEnded || this.#isPaused) return;
-    const now = this.#clock();
-    this.#allowance ??= new InputAllowance(now);
+    this.#allowance ??= new InputAllowance(this.#clock());
     // What has arrived since then hasn't been parsed.
     const parsedBytes = this.#parsedBytes;
     this.#parsedBytes = this.#receivedBytes;
-    if (this.#allowance.allowsTotal(parsedBytes, now)) return;
+    if (this.#allowance.allowsTotal(parsedBytes, this.#clock)) return;
     this.#endExcess("too many bytes that are no content");
   }
 
@@ -492,9 +491,8 @@
 
   /** Returns false if the response has too many parts; it is ended then. */
   #recordPart(bytes: number): boolean {
-    const now = this.#clock();
-    this.#allowance ??= new InputAllowance(now);
-    if (this.#allowance.recordPart(bytes, now)) return true;
+    this.#allowance ??= new InputAllowance(this.#clock());
+    if (this.#allowance.recordPart(bytes, this.#clock)) return true;
     this.#endExcess("too many small parts");
     return false;
   }
