Refuse request bodies that come in too many parts

A caller with a valid key whose body comes in chunks of one byte ended the process, and with it the requests of all others: the limit counts bytes, the memory went into one Buffer, and one promise, for each chunk.

readBody moves to request_body.ts, takes events in place of an iterator, collects with ByteCollector and bounds the parts with InputAllowance: 400, with the number of parts. Leaving the iterator had destroyed the request, so that a chunked body above the limit was reset before its caller could read the 413. Now the rest is read and dropped within 3 s and 8 MiB, and what is longer or comes in too many parts has 500 ms for its response before the connection closes.

greedy_callers_test.ts runs the bundle with the flags of deploy/system.toml.

--- a/src/daemon/testing/local_ingress.ts
+++ b/src/daemon/testing/local_ingress.ts
@@ -103,7 +103,8 @@
   }));
 }
 
-async function startUpstream(id: string): Promise<ScriptedUpstream> {
+/** Starts an upstream that answers all requests until it is given a script. */
+export async function startUpstream(id: string): Promise<ScriptedUpstream> {
   const arrived: ReceivedRequest[] = [];
   const sockets = new Set<Socket>();
   const upstream = {
--- a/src/ingress/body_filter.ts
+++ b/src/ingress/body_filter.ts
@@ -2,7 +2,7 @@
  * Buffers the body of a request, up to the configured limit, so that it can be
  * sent to several upstreams.
  */
-import { readBody } from "../transport/http_server.ts";
+import { readBody } from "../transport/request_body.ts";
 import type {
   IngressExchange,
   IngressFilter,
--- a/src/ingress/ingress_server.ts
+++ b/src/ingress/ingress_server.ts
@@ -15,6 +15,7 @@
 } from "../transport/in_flight.ts";
 import { writeBufferedResponse } from "../transport/http_server.ts";
 import { renderProblem } from "../transport/problem.ts";
+import { discardBody } from "../transport/request_body.ts";
 import type { RequestTraits } from "../routing/types.ts";
 import {
   decodeForwarded,
@@ -189,6 +190,7 @@
       if (closes && request.complete) {
         response.setHeader("connection", "close");
       }
+      discardBody(request);
       writeBufferedResponse(
         response,
         renderProblem(refusal, requestId, { allowsFractionalSeconds: true }),
--- a/src/transport/caller_server.ts
+++ b/src/transport/caller_server.ts
@@ -16,7 +16,8 @@
   type Outcome,
 } from "../filters/exchange.ts";
 import { createCountedHandler, type InFlightCounter } from "./in_flight.ts";
-import { readBody, type ServerLimits, writeOutcome } from "./http_server.ts";
+import { type ServerLimits, writeOutcome } from "./http_server.ts";
+import { readBody } from "./request_body.ts";
 
 /** Options for `createCallerHandler`. */
 export interface CallerHandlerOptions {
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -1,8 +1,8 @@
 /**
- * Functions that the HTTP servers share: listening, graceful shutdown, reading
- * a request body of limited size, and writing an outcome.
+ * Functions that the HTTP servers share: listening, graceful shutdown and
+ * writing an outcome.
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { once } from "node:events";
 import {
   createServer,
@@ -11,8 +11,6 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { Err, Ok, type Result } from "ts-results";
-import { createRefusal, type Refusal } from "../diagnostics.ts";
 import type { Outcome } from "../filters/exchange.ts";
 import { bindServer } from "./address.ts";
 import { handleClientErrors } from "./client_error.ts";
@@ -93,36 +91,6 @@
     });
 }
 
-/**
- * Reads the whole request body. Returns a refusal if it exceeds
- * `maxBodyBytes` or the connection closes early.
- */
-export async function readBody(
-  request: IncomingMessage,
-  limits: Pick<ServerLimits, "maxBodyBytes">,
-): Promise<Result<Buffer, Refusal>> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  const limit = limits.maxBodyBytes;
-  if (Number(request.headers["content-length"] ?? 0) > limit) {
-    return Err(createRefusal("body-too-large", `The limit is ${limit} bytes.`));
-  }
-  try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      bytes += chunk.length;
-      if (bytes > limit) {
-        return Err(
-          createRefusal("body-too-large", `The limit is ${limit} bytes.`),
-        );
-      }
-      chunks.push(chunk);
-    }
-  } catch {
-    return Err(createRefusal("bad-request", "The body ended early."));
-  }
-  return Ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
-}
-
 /**
  * Writes the outcome of a request; resolves when all of it has been passed to
  * `response` or the connection has closed.
