Hold request bodies in the memory budget, until the deadline at most

80 callers that sent all but the end of 4 MB bodies took the memory of the process above what its host grants: each body was below the limit of one, and nothing bounded them together. A body that trickled was awaited for minutes after its request's deadline (requestTimeout of Node is 300 s).

A body is a holding of the MemoryBudget from its first byte until the outcome of the request is known. What can't fit is refused before it is read, what is given up in favor of others when that happens: 503, memory-full, not run, retryable. The wait for a body ends at the deadline: 408, request-timeout, not run.

greedy_callers_test.ts.

--- a/src/daemon/greedy_callers_test.ts
+++ b/src/daemon/greedy_callers_test.ts
@@ -1,8 +1,11 @@
 /**
  * Callers that send bytes without end, while others send ordinary requests.
  */
+import { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { INGRESS_SETTING_DEFAULTS } from "../config/ingress_settings.ts";
+import { getHeldBytesLimit } from "../policy/memory_limits.ts";
 import {
   BundledRouter,
   createRequestHead,
@@ -91,3 +94,69 @@
   }
   expect((await receiveAnswer(slow)).status).toBe(200);
 });
+
+/** Largest body of the configuration. */
+const BODY_BYTES = 4_200_000;
+
+/** Sends all but the last byte of a body; the caller is to send that. */
+async function sendMost(): Promise<Socket> {
+  const socket = await router.connect();
+  const more = `content-length: ${BODY_BYTES}\r\n`;
+  socket.write(createRequestHead("POST", more));
+  socket.write(Buffer.alloc(BODY_BYTES - 1, "b"));
+  return socket;
+}
+
+// Guards against bodies that each stay below the limit and together do not.
+test(
+  "80 callers that hold back the end of their bodies are refused",
+  async () => {
+    const answers = Array.from(
+      { length: 80 },
+      async () => await receiveAnswer(await sendMost()),
+    );
+    await expectUnharmed({ maxWaitMs: DEADLINE_MS });
+    const codes = (await Promise.all(answers)).map(({ status, text }) => {
+      const code = /urn:corianderflow:([\w-]+)/.exec(text)?.[1] ?? "";
+      expect(text).toMatch(/^retry-after: /im);
+      expect(text).toContain('"ran":"no"');
+      return `${status} ${code}`;
+    });
+    // The first ones fit, and are refused at their deadline.
+    expect(new Set(codes)).toEqual(
+      new Set(["503 memory-full", "408 request-timeout"]),
+    );
+    const held = codes.filter((each) => each === "408 request-timeout").length;
+    expect(held * BODY_BYTES).toBeLessThan(
+      getHeldBytesLimit(MEMORY_LIMIT_MB),
+    );
+  },
+  90_000,
+);
+
+// Guards against a limit that refuses sound requests of the largest size.
+test("several bodies of the largest size are served at once", async () => {
+  const answers = Array.from({ length: 8 }, async () => {
+    const socket = await sendMost();
+    socket.write("b");
+    return (await receiveAnswer(socket)).status;
+  });
+  expect(await Promise.all(answers)).toEqual(Array(8).fill(200));
+});
+
+// Guards against a wait for a body after the request can't be served any more.
+test("a body that trickles is refused at the request's deadline", async () => {
+  const socket = await router.connect();
+  const startedAt = performance.now();
+  socket.write(createRequestHead("POST", "content-length: 1000\r\n", {
+    deadlineMs: 1_000,
+  }));
+  const trickle = setInterval(() => socket.write("b"), 100);
+  socket.once("close", () => clearInterval(trickle));
+  const { status, text } = await receiveAnswer(socket);
+  expect(performance.now() - startedAt).toBeGreaterThan(900);
+  expect(status).toBe(408);
+  expect(text).toContain('"ran":"no"');
+  await new Promise((resolve) => socket.once("close", resolve));
+  expect(router.upstream.arrived).toEqual([]);
+});
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -59,6 +59,8 @@
 import { createMetadataStore } from "../platform/metadata_store.ts";
 import { READY_PATH } from "../platform/names.ts";
 import { BALANCER_DRAIN_MS } from "../policy/stop_plan.ts";
+import { MemoryBudget } from "../policy/memory_budget.ts";
+import { getHeldBytesLimit } from "../policy/memory_limits.ts";
 import { PeerLoads } from "../policy/peer_loads.ts";
 import { getStorePollIntervals } from "../policy/poll_pause.ts";
 import { RelayPlan } from "../policy/relay_plan.ts";
@@ -184,6 +186,7 @@
 
 class IngressRouterDaemon implements IngressDaemon {
   readonly #settings: IngressSettings;
+  readonly #memory: MemoryBudget;
   #bounds: IngressSettings["bounds"];
   readonly #logWriter: LogWriter;
   readonly #logs: LogFactory;
@@ -214,6 +217,9 @@
   ) {
     const { router, bounds, store: { address } } = settings;
     this.#settings = settings;
+    this.#memory = new MemoryBudget({
+      limitBytes: getHeldBytesLimit(settings.limits.memoryMb),
+    });
     this.#bounds = bounds;
     this.#logWriter = createStdoutLogWriter({
       router: router.name,
@@ -458,7 +464,7 @@
     return createFilterChain<IngressExchange, IngressOutcome>([
       new RouteFilter({ routing, now: readClocks }),
       new KeyFilter({ routing, now: readClocks }),
-      new RequestBodyFilter(),
+      new RequestBodyFilter({ memory: this.#memory, clock: readSteadyClock }),
       new StopFilter({
         getStop: () => this.#getStopProgress(),
         clock: readSteadyClock,
--- a/src/daemon/testing/bundled_router.ts
+++ b/src/daemon/testing/bundled_router.ts
@@ -46,6 +46,7 @@
   #child!: ChildProcess;
   #callers = "";
   #errors = "";
+  readonly #sockets = new Set<Socket>();
 
   /** Builds the bundle and starts it; resolves once the router is ready. */
   async start(): Promise<this> {
@@ -83,6 +84,7 @@
       this.#child.kill("SIGKILL");
       await ended;
     }
+    for (const socket of this.#sockets) socket.destroy();
     this.upstream.close();
     await this.store.close();
     rmSync(this.#directory, { recursive: true });
@@ -108,6 +110,7 @@
     const [host, port] = this.#callers.split(":");
     const socket = connect(Number(port), host);
     socket.on("error", () => {});
+    this.#sockets.add(socket);
     await once(socket, "connect");
     return socket;
   }
--- a/src/diagnostics.ts
+++ b/src/diagnostics.ts
@@ -47,6 +47,7 @@
   "stream-unknown": [503, "The stream that is resumed is unknown", true],
   "no-owner": [503, "No router that owns the pool can be reached", true],
   "not-ready": [503, "The router is not ready", true],
+  "memory-full": [503, "The router has no memory left for the request", true],
   "configuration-unconfirmed": [
     503,
     "The router can't confirm its configuration",
--- a/src/transport/caller_server.ts
+++ b/src/transport/caller_server.ts
@@ -54,7 +54,12 @@
     headers: request.headers,
     signal: options.signal,
     arrivedAt,
-    readBody: () => readBody(request, options.limits),
+    readBody: async () => {
+      const { maxBodyBytes } = options.limits;
+      return (await readBody(request, { maxBodyBytes })).map(({ bytes }) =>
+        bytes
+      );
+    },
     body: Buffer.alloc(0),
     isIdempotent: false,
     isStreaming: false,
--- a/src/transport/request_body.ts
+++ b/src/transport/request_body.ts
@@ -12,11 +12,23 @@
   type Refusal,
 } from "../diagnostics.ts";
 import { InputAllowance } from "../policy/input_allowance.ts";
+import type { Holding, MemoryBudget } from "../policy/memory_budget.ts";
 import { ByteCollector } from "./byte_collector.ts";
 
 /** Options of `readBody`. */
 export interface ReadBodyOptions {
   readonly maxBodyBytes: number;
+  /** Time until the request's deadline, in milliseconds; without one, unset. */
+  readonly remainingMs?: number;
+  /** Holds the memory of the body; without it, only the body is bounded. */
+  readonly memory?: MemoryBudget;
+}
+
+/** The body of a request. */
+export interface RequestBody {
+  readonly bytes: Buffer;
+  /** Ends the holding of the body in the memory budget. */
+  release(): void;
 }
 
 /** Time in which the rest of a refused body may arrive, in milliseconds. */
@@ -36,6 +48,11 @@
   return length === undefined ? undefined : Number(length);
 }
 
+function hasBody(request: IncomingMessage): boolean {
+  return request.headers["transfer-encoding"] !== undefined ||
+    getAnnouncedBytes(request) !== undefined;
+}
+
 /** Collects the body of one request. */
 class BodyReader {
   readonly #request: IncomingMessage;
@@ -43,22 +60,27 @@
   readonly #collector = new ByteCollector();
   readonly #allowance = new InputAllowance(readSteadyClock());
   #parts = 0;
-  #resolve: (result: Result<Buffer, Refusal>) => void = () => {};
+  #holding: Holding | undefined;
+  #deadlineTimer: NodeJS.Timeout | undefined;
+  #resolve: (result: Result<RequestBody, Refusal>) => void = () => {};
 
   constructor(request: IncomingMessage, options: ReadBodyOptions) {
     this.#request = request;
     this.#options = options;
   }
 
-  read(): Promise<Result<Buffer, Refusal>> {
+  read(): Promise<Result<RequestBody, Refusal>> {
     return new Promise((resolve) => {
       this.#resolve = resolve;
       const request = this.#request;
       if (request.destroyed) return this.#fail();
-      const { maxBodyBytes } = this.#options;
-      if ((getAnnouncedBytes(request) ?? 0) > maxBodyBytes) {
-        return this.#refuseSize();
+      const { maxBodyBytes, memory } = this.#options;
+      const announcedBytes = getAnnouncedBytes(request) ?? 0;
+      if (announcedBytes > maxBodyBytes) return this.#refuseSize();
+      if (memory?.hasRoomFor(announcedBytes) === false) {
+        return this.#refuseMemory();
       }
+      this.#setDeadline();
       request.on("data", this.#receive);
       request.on("end", this.#complete);
       request.on("error", this.#fail);
@@ -66,6 +88,17 @@
     });
   }
 
+  /** Ends the wait at the deadline, after which the request can't be served. */
+  #setDeadline(): void {
+    const { remainingMs } = this.#options;
+    if (remainingMs === undefined || !hasBody(this.#request)) return;
+    this.#deadlineTimer = setTimeout(() => {
+      const detail = `The deadline passed ${this.#collector.length} bytes ` +
+        "into the body, before its end.";
+      this.#refuse("request-timeout", detail);
+    }, Math.max(0, remainingMs));
+  }
+
   // Events, not an iterator: that takes a promise for each part.
   readonly #receive = (chunk: Buffer): void => {
     this.#parts++;
@@ -84,9 +117,30 @@
       return;
     }
     this.#collector.push(chunk);
+    this.#hold();
   };
 
-  readonly #complete = (): void => this.#end(Ok(this.#collector.take()));
+  /** Adjusts the holding to the memory that the body takes by now. */
+  #hold(): void {
+    this.#holding ??= this.#options.memory?.open({
+      kind: "request-body",
+      source: this.#request.socket.remoteAddress ?? "unknown",
+      expectedBytes: getAnnouncedBytes(this.#request),
+      onEvict: () => this.#refuseMemory(),
+    });
+    const { heldBytes } = this.#collector;
+    if (heldBytes !== this.#holding?.bytes) this.#holding?.resize(heldBytes);
+  }
+
+  readonly #complete = (): void => {
+    const holding = this.#holding;
+    // Before the parts are copied, so that the body can't be given up now.
+    holding?.complete();
+    this.#holding = undefined;
+    const bytes = this.#collector.take();
+    holding?.resize(bytes.buffer.byteLength);
+    this.#end(Ok({ bytes, release: () => holding?.close() }));
+  };
 
   readonly #fail = (): void =>
     this.#refuse("bad-request", "The body ended early.");
@@ -96,30 +150,38 @@
     this.#refuse("body-too-large", `The limit is ${maxBodyBytes} bytes.`);
   }
 
+  #refuseMemory(): void {
+    const detail = "The memory for requests and answers is in use.";
+    this.#refuse("memory-full", detail);
+  }
+
   #refuse(code: DiagnosticCode, detail: string): void {
     this.#end(Err(createRefusal(code, detail)));
   }
 
-  #end(result: Result<Buffer, Refusal>): void {
+  #end(result: Result<RequestBody, Refusal>): void {
     const request = this.#request;
+    clearTimeout(this.#deadlineTimer);
     request.off("data", this.#receive);
     request.off("end", this.#complete);
     request.off("close", this.#fail);
     // The listener of errors stays: a refused request may still fail.
     this.#collector.clear();
+    this.#holding?.close();
     this.#resolve(result);
   }
 }
 
 /**
  * Reads the whole request body. Returns a refusal if it exceeds `maxBodyBytes`,
- * comes in too many parts, or the connection closes early. The rest of a
- * refused body is still to come: see `discardBody`.
+ * comes in too many parts, is not whole at the deadline, does not fit into the
+ * memory, or the connection closes early. The rest of a refused body is still to
+ * come: see `discardBody`.
  */
 export function readBody(
   request: IncomingMessage,
   options: ReadBodyOptions,
-): Promise<Result<Buffer, Refusal>> {
+): Promise<Result<RequestBody, Refusal>> {
   return new BodyReader(request, options).read();
 }
 
