Bound an answer of the store to what its text takes on the heap

An answer of the store, or of a router with its configuration, was collected up to 64 MiB, in a Buffer for each chunk, and then parsed on a heap of 96 MB.

--- a/src/store/http_json.ts
+++ b/src/store/http_json.ts
@@ -6,6 +6,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { Err, Ok, type Result } from "ts-results/result";
 import { Agent, type Dispatcher } from "undici";
+import { ByteCollector } from "../transport/byte_collector.ts";
 import { PlatformFailure, type PlatformFailureKind } from "./key_value.ts";
 
 /**
@@ -55,7 +56,11 @@
 }
 
 const DEFAULT_TIMEOUT_MS = 2_000;
-const MAX_RESPONSE_BYTES = 67_108_864;
+/**
+ * Several times the largest page and value of a store; more would not fit into
+ * the heap as text and as objects.
+ */
+const MAX_RESPONSE_BYTES = 16_777_216;
 /**
  * Request line without its path, and the host, connection, content-type and
  * content-length headers.
@@ -225,16 +230,14 @@
   }
 
   async #readText(body: AsyncIterable<Buffer>): Promise<string> {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const collector = new ByteCollector();
     for await (const chunk of this.#countBytes(body)) {
-      size += chunk.length;
-      if (size > MAX_RESPONSE_BYTES) {
+      if (collector.length + chunk.length > MAX_RESPONSE_BYTES) {
         throw new RangeError("response is too large");
       }
-      chunks.push(chunk);
+      collector.push(chunk);
     }
-    return Buffer.concat(chunks).toString("utf8");
+    return collector.take().toString("utf8");
   }
 }
 
