Serve pipelined requests in turns

A caller that pipelined requests at full speed took the thread: Node reads on and starts each request at once.

A connection starts 8 requests in a turn of the event loop and has 16 open; the rest waits, and nothing more is read. 256 may wait, as a read of 64 KB can hold some 2,400; a connection with more is closed.

--- a/src/daemon/greedy_callers_test.ts
+++ b/src/daemon/greedy_callers_test.ts
@@ -160,3 +160,32 @@
   await new Promise((resolve) => socket.once("close", resolve));
   expect(router.upstream.arrived).toEqual([]);
 });
+
+// Guards against a connection that takes the thread with pipelined requests.
+test.each([
+  { kind: "served", request: createRequestHead("GET", "") },
+  { kind: "refused", request: "GET / HTTP/1.1\r\nhost: x\r\n\r\n" },
+])(
+  "a caller that pipelines $kind requests does not delay others",
+  async ({ request }) => {
+    const socket = await router.connect();
+    socket.resume();
+    writeEndlessly(socket, request.repeat(500));
+    await expectUnharmed();
+  },
+);
+
+// Guards against a bound on pipelined requests that a proper caller meets.
+test("100 pipelined requests are all answered", async () => {
+  const socket = await router.connect();
+  let text = "";
+  socket.on("data", (chunk) => text += String(chunk));
+  const requests = Array.from(
+    { length: 100 },
+    () => createRequestHead("GET", ""),
+  );
+  socket.write(requests.join(""));
+  const countAnswers = () => text.split("HTTP/1.1 200 ").length - 1;
+  while (countAnswers() < 100 && !socket.destroyed) await sleep(20);
+  expect(countAnswers()).toBe(100);
+});
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -70,6 +70,7 @@
 import type { Instant, RoutingConfiguration } from "../routing/types.ts";
 import { bindServer } from "../transport/address.ts";
 import { handleClientErrors } from "../transport/client_error.ts";
+import { createTurnListener } from "../transport/connection_turns.ts";
 import { createInFlightCounter } from "../transport/in_flight.ts";
 import { createUpstreamConnections } from "../transport/upstream_connections.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
@@ -517,7 +518,7 @@
         keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
         noDelay: true,
       },
-      this.#createRequestHandler({ isForRouters: false }),
+      createTurnListener(this.#createRequestHandler({ isForRouters: false })),
     );
     server.maxConnections = this.#settings.limits.maxConnections;
     handleClientErrors(server);
--- /dev/null
+++ b/src/transport/connection_turns.ts
@@ -0,0 +1,118 @@
+/**
+ * Keeps a connection whose requests are pipelined from taking the thread: Node
+ * starts each of them at once, whether or not those before it are answered.
+ */
+import type {
+  IncomingMessage,
+  RequestListener,
+  ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+
+/** Requests that one connection starts before others have their turn. */
+const MAX_REQUESTS_PER_TURN = 8;
+/** Requests of one connection that are served at a time. */
+const MAX_OPEN_REQUESTS = 16;
+/** Requests that wait; a connection with more is closed. */
+const MAX_WAITING_REQUESTS = 256;
+
+/** Requests of one connection. */
+class ConnectionTurns {
+  readonly #socket: Socket;
+  readonly #waiting: (() => void)[] = [];
+  #openRequests = 0;
+  #requestsInTurn = 0;
+  #isPaused = false;
+  #isWatched = false;
+
+  constructor(socket: Socket) {
+    this.#socket = socket;
+  }
+
+  /** Calls `start` now or when it is due; the response ends the request. */
+  receive(start: () => void, response: ServerResponse): void {
+    if (this.#socket.destroyed) return;
+    const startCounted = () => {
+      response.once("close", () => {
+        this.#openRequests--;
+        this.#startWaiting();
+      });
+      this.#start(start);
+    };
+    if (this.#mayStart() && this.#waiting.length === 0) {
+      startCounted();
+      return;
+    }
+    this.#waiting.push(startCounted);
+    this.#pause();
+    if (this.#waiting.length <= MAX_WAITING_REQUESTS) return;
+    this.#waiting.length = 0;
+    this.#socket.destroy();
+  }
+
+  #mayStart(): boolean {
+    return this.#openRequests < MAX_OPEN_REQUESTS &&
+      this.#requestsInTurn < MAX_REQUESTS_PER_TURN;
+  }
+
+  #start(start: () => void): void {
+    if (this.#requestsInTurn++ === 0) {
+      setImmediate(() => {
+        this.#requestsInTurn = 0;
+        this.#startWaiting();
+      });
+    }
+    this.#openRequests++;
+    start();
+  }
+
+  #startWaiting(): void {
+    if (this.#socket.destroyed) this.#waiting.length = 0;
+    while (this.#waiting.length > 0 && this.#mayStart()) {
+      this.#waiting.shift()!();
+    }
+    if (this.#waiting.length === 0) this.#resume();
+  }
+
+  #pause(): void {
+    if (this.#isPaused) return;
+    const socket = this.#socket;
+    this.#isPaused = true;
+    // The stream of each request resumes the socket when it is read or dropped.
+    socket.resume = () => socket;
+    socket.pause();
+    this.#stopReading();
+    if (this.#isWatched) return;
+    this.#isWatched = true;
+    // An earlier call may take effect only now.
+    socket.on("resume", () => {
+      if (this.#isPaused) this.#stopReading();
+    });
+  }
+
+  /** Makes Node stop to read, also if the stream counts as paused already. */
+  #stopReading(): void {
+    this.#socket.emit("pause");
+  }
+
+  #resume(): void {
+    if (!this.#isPaused) return;
+    this.#isPaused = false;
+    delete (this.#socket as Partial<Pick<Socket, "resume">>).resume;
+    this.#socket.resume();
+  }
+}
+
+/** Returns a listener that passes the requests of each connection in turns. */
+export function createTurnListener(serve: RequestListener): RequestListener {
+  const turnsBySocket = new WeakMap<Socket, ConnectionTurns>();
+  return (request: IncomingMessage, response: ServerResponse) => {
+    const { socket } = request;
+    let turns = turnsBySocket.get(socket);
+    if (turns === undefined) {
+      turns = new ConnectionTurns(socket);
+      turnsBySocket.set(socket, turns);
+    }
+    turns.receive(() => serve(request, response), response);
+  };
+}
