--- a/src/ingress/router_forwarding.ts
+++ b/src/ingress/router_forwarding.ts
@@ -48,6 +48,7 @@
   "upstream-unreachable",
   "not-ready",
   "router-stopping",
+  "memory-full",
   "configuration-unconfirmed",
   // The configuration of this router has the route and the key.
   "unknown-key",
