--- a/src/transport/caller_server.ts
+++ b/src/transport/caller_server.ts
@@ -16,7 +16,8 @@
   type Outcome,
 } from "../filters/exchange.ts";
 import { createCountedHandler, type InFlightCounter } from "./in_flight.ts";
-import { readBody, type ServerLimits, writeOutcome } from "./http_server.ts";
+import { type ServerLimits, writeOutcome } from "./http_server.ts";
+import { readBody } from "./request_body.ts";
 
 /** Options for `createCallerHandler`. */
 export interface CallerHandlerOptions {
@@ -53,7 +54,12 @@
     headers: request.headers,
     signal: options.signal,
     arrivedAt,
-    readBody: () => readBody(request, options.limits),
+    readBody: async () => {
+      const { maxBodyBytes } = options.limits;
+      return (await readBody(request, { maxBodyBytes })).map(({ bytes }) =>
+        bytes
+      );
+    },
     body: Buffer.alloc(0),
     isIdempotent: false,
     isStreaming: false,
