--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 SEEDS ?= 1
 SECONDS_EACH ?= 20
 ROUTERS ?= 6
+# Further options of store-chaos, for example --only-ends.
+OPTIONS ?=
 
 .PHONY: install build check test demo soak chaos store-chaos measure slopes
 
@@ -36,7 +38,7 @@
 # Injects seeded random faults into a fleet that uses a metadata store.
 store-chaos: build
 	node deploy/build.mjs
-	node dist/bench/store_chaos_main.js --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS_EACH) --routers $(ROUTERS)
+	node dist/bench/store_chaos_main.js --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS_EACH) --routers $(ROUTERS) $(OPTIONS)
 
 measure: build
 	node dist/bench/measure_main.js
--- a/bench/chaos_faults.ts
+++ b/bench/chaos_faults.ts
@@ -180,6 +180,16 @@
       case "upstreams-brittle":
       case "engine-upgraded":
       case "answers-reset":
+      case "log-reader-closed":
+      case "log-reader-stalled":
+      case "port-taken-at-start":
+      case "signals-at-start":
+      case "signals-in-series":
+      case "settings-incomplete-at-start":
+      case "settings-incomplete-at-reload":
+      case "answers-endless":
+      case "bodies-endless":
+      case "answers-unread":
         throw new RangeError(`${kind}: this fleet has no metadata store`);
       case "operators-race":
         return {
--- a/bench/store_chaos_calls.ts
+++ b/bench/store_chaos_calls.ts
@@ -71,6 +71,8 @@
 
 export const ROUTE_HOST = "chats.example";
 const CALL_TIMEOUT_MS = 4_000;
+/** Far more than any whole answer has, in bytes. */
+const MAX_ANSWER_BYTES = 262_144;
 /** Requests for one stream in which it may be resumed. */
 const MAX_RESUMPTIONS = 3;
 const RESUMPTION_PAUSE_MS = 50;
@@ -88,11 +90,18 @@
 export class Callers {
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 200 });
   readonly #options: CallersOptions;
+  #sentCount = 0;
+  #reusedCount = 0;
 
   constructor(options: CallersOptions = {}) {
     this.#options = options;
   }
 
+  /** Share of the requests that used a connection that was open already. */
+  get reusedShare(): number {
+    return this.#reusedCount / Math.max(1, this.#sentCount);
+  }
+
   async call(options: CallOptions): Promise<Call> {
     const fromMs = performance.now();
     const { requestId, kind, key, router } = options;
@@ -205,6 +214,10 @@
         clearTimeout(timer);
         resolve(result);
       }
+      request.once("socket", () => {
+        this.#sentCount++;
+        if (request.reusedSocket) this.#reusedCount++;
+      });
       const connection = { isReset: false };
       let hasHead = false;
       request.on("error", (cause: NodeJS.ErrnoException) => {
@@ -234,8 +247,16 @@
 ): Promise<CallResult> {
   const chunks: Buffer[] = [];
   let isBroken = false;
+  let size = 0;
   try {
-    for await (const chunk of response) chunks.push(chunk as Buffer);
+    for await (const chunk of response) {
+      chunks.push(chunk as Buffer);
+      size += (chunk as Buffer).length;
+      // Leaving the loop closes the connection.
+      if (size > MAX_ANSWER_BYTES) {
+        return { end: "broken", detail: "answer without end" };
+      }
+    }
   } catch {
     // Reported through `isComplete`.
     isBroken = true;
--- a/bench/store_chaos_evidence.ts
+++ b/bench/store_chaos_evidence.ts
@@ -3,6 +3,7 @@
  * upstreams and operators.
  */
 import type { ChaosEvent } from "../testing/chaos_schedule.ts";
+import type { ProcessEnd } from "../testing/processes.ts";
 import type {
   UpstreamArrival,
   UpstreamCrash,
@@ -121,6 +122,12 @@
   readonly minResumedShare: number;
   /** Maximum number of requests that a cold upstream may get in any second. */
   readonly maxColdRequestsPerSecond: number;
+  /** Memory that the host grants a router, in bytes. */
+  readonly memoryBytes: number;
+  /** Least share of sound requests served beside faults of others. */
+  readonly minSoundShare: number;
+  /** Longest time that a sound read may take then, in milliseconds. */
+  readonly maxSoundReadMs: number;
 }
 
 /** All data that the verdict is based on. */
@@ -146,4 +153,12 @@
   /** Brittle upstreams that fell over, for each time of such requests. */
   readonly brittleFalls: readonly number[];
   readonly upstreamCount: number;
+  /** How each process of a router ended. */
+  readonly ends: readonly ProcessEnd[];
+  /** Largest memory of each router's processes, in bytes. */
+  readonly peakMemory: ReadonlyMap<string, number>;
+  /** Longest time in which the run itself did nothing, in milliseconds. */
+  readonly ownDelayMs: number;
+  /** Share of the requests that used a connection that was open already. */
+  readonly reusedShare: number;
 }
--- a/bench/store_chaos_fleet.ts
+++ b/bench/store_chaos_fleet.ts
@@ -3,12 +3,27 @@
  * store and the upstreams in this process, behind relays that inject faults.
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import { existsSync, mkdirSync, renameSync, writeFileSync } from "node:fs";
+import {
+  existsSync,
+  mkdirSync,
+  readFileSync,
+  renameSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
+import { createSocket } from "node:dgram";
+import { createServer } from "node:net";
 import { performance } from "node:perf_hooks";
 import { join, resolve } from "node:path";
 import { findFreeAddress, findFreePort } from "../testing/free_address.ts";
 import { MetadataStoreServer } from "../testing/metadata_store.ts";
-import { Processes } from "../testing/processes.ts";
+import {
+  type ProcessEnd,
+  ProcessError,
+  Processes,
+  type StartedProcess,
+} from "../testing/processes.ts";
+import { Supervisor } from "../testing/supervisor.ts";
 import {
   RegisteredUpstream,
   type UpstreamArrival,
@@ -18,6 +33,7 @@
 import { createRelay, type Relay } from "../testing/relay.ts";
 import { ROUTE_HOST, type RouterEndpoint } from "./store_chaos_calls.ts";
 import type { StoreChaosBounds, Withdrawal } from "./store_chaos_evidence.ts";
+import { MAX_BODY_BYTES } from "./store_chaos_floods.ts";
 
 /** Options of a fleet. */
 export interface StoreFleetOptions {
@@ -39,9 +55,25 @@
   readonly eventIntervalMs?: number;
 }
 
+/** Ports of a router that another socket can take. */
+export const ROUTER_PORTS = [
+  "callers",
+  "ready",
+  "metrics",
+  "peers",
+  "peers-udp",
+] as const;
+export type RouterPort = typeof ROUTER_PORTS[number];
+
+/** How the settings look while they are being written. */
+export type IncompleteSettings = "empty" | "half";
+
 /** A router and the relay on its link to the store. */
 export interface StoreRouter extends RouterEndpoint {
   readonly storeLink: Relay;
+  readonly listen: Readonly<Record<RouterPort, string>>;
+  /** Complete text of its settings file. */
+  readonly settings: string;
   readonly settingsFile: string;
   /** File with the faults of its links to upstreams. */
   readonly linkFaultsFile: string;
@@ -53,6 +85,14 @@
  */
 export type LinkCut = "refused" | "hung" | "new-refused" | "new-hung";
 
+const BYTES_PER_MB = 1_048_576;
+/** Memory of a process at the users' small sites, in MB. */
+const MEMORY_MB = 350;
+/** Time in which a request of the routes is to be answered, in milliseconds. */
+const GOAL_MS = 400;
+/** Time that a machine which other work keeps busy may add, in milliseconds. */
+const BUSY_MACHINE_MS = 600;
+
 /** Bounds of the users' small deployments. */
 export const STORE_CHAOS_BOUNDS: StoreChaosBounds = {
   drainMs: 2_000,
@@ -66,6 +106,10 @@
   minResumptions: 12,
   minResumedShare: 0.5,
   maxColdRequestsPerSecond: 17,
+  memoryBytes: MEMORY_MB * BYTES_PER_MB,
+  // None may pay; the rest is what a fleet without faults is allowed as well.
+  minSoundShare: 0.99,
+  maxSoundReadMs: GOAL_MS + BUSY_MACHINE_MS,
 };
 const EVENT_INTERVAL_MS = 20;
 const COLD_PER_SECOND = 8;
@@ -81,6 +125,15 @@
 const OPERATOR_DELAY_MS = 500;
 const FAILURE_DOMAINS = ["east", "west", "south"];
 const PROGRAM = "target/corianderflowd.js";
+const SYSTEM_FILE = "deploy/system.toml";
+/**
+ * Time from the start of a process until Node runs its program, at the least;
+ * a signal that comes sooner can't be handled by any program.
+ */
+const NODE_START_MS = 60;
+/** Time for the first statements of the program, in milliseconds. */
+const PROGRAM_START_MS = 10;
+const START_CHECK_MS = 2;
 const LINK_FAULTS_MODULE = resolve("testing/link_faults.cjs");
 
 /** Starts and stops the fleet, and records arrivals and withdrawals. */
@@ -98,7 +151,13 @@
   /** Answers that upstreams cut off themselves. */
   readonly cuts: UpstreamCut[] = [];
   readonly #options: Required<StoreFleetOptions>;
+  /** Largest memory of each router's processes, in bytes. */
+  readonly peakMemory = new Map<string, number>();
   readonly #processes: Processes;
+  readonly #supervisor: Supervisor;
+  readonly #nodeFlags = readNodeFlags();
+  /** Time of the latest start of each router, in milliseconds. */
+  readonly #startedAtMs = new Map<string, number>();
   #version = 0;
   #keys: string[] = [];
   readonly #domainsOut = new Set<string>();
@@ -119,6 +178,12 @@
       logDirectory: options.directory,
       graceMs: KILL_AFTER_MS,
     });
+    this.#supervisor = new Supervisor(this.#processes);
+  }
+
+  /** How each process of a router ended. */
+  get ends(): readonly ProcessEnd[] {
+    return this.#processes.ends;
   }
 
   /**
@@ -139,13 +204,28 @@
       this.routers.push(await this.#prepareRouter(index));
       if (index % 2 === 1) this.switchBuild(this.routers[index]!);
     }
-    await Promise.all(this.routers.map((router) => this.start(router)));
+    const started = await Promise.all(
+      this.routers.map((router) => this.start(router)),
+    );
+    if (started.includes(false)) {
+      const end = this.ends[0];
+      await this.close();
+      throw new ProcessError(
+        end?.name ?? "a router",
+        `did not start: ${end?.lastErrors}`,
+      );
+    }
     return this;
   }
 
-  async close(): Promise<(number | null)[]> {
+  /**
+   * Ends all parts.
+   *
+   * @returns the exit codes of the routers, undefined for one that did not run
+   */
+  async close(): Promise<(number | null | undefined)[]> {
     const codes = await Promise.all(
-      this.routers.map(({ name }) => this.#processes.stop(name)),
+      this.routers.map(({ name }) => this.#supervisor.stop(name)),
     );
     for (const upstream of this.upstreams) await upstream.close();
     for (const { storeLink } of this.routers) await storeLink.close();
@@ -178,15 +258,26 @@
     if (!this.#ofOtherBuild.delete(name)) this.#ofOtherBuild.add(name);
   }
 
-  /** Starts a router and waits until it is ready. */
-  async start(
+  /**
+   * Starts a router, and again whenever it ends until it is stopped.
+   *
+   * @returns whether it started at the first try
+   */
+  start(router: StoreRouter): Promise<boolean> {
+    return this.#supervisor.start(router.name, () => this.#spawn(router));
+  }
+
+  async #spawn(
     { name, settingsFile, linkFaultsFile }: StoreRouter,
-  ): Promise<void> {
+  ): Promise<StartedProcess> {
     const { program, otherProgram } = this.#options;
-    if (this.hasOtherBuild) this.#keepLog(name);
+    this.#keepLog(name);
+    rmSync(getLoadedFile(linkFaultsFile), { force: true });
+    this.#startedAtMs.set(name, performance.now());
     const isOther = this.#ofOtherBuild.has(name);
-    await this.#processes.start(isOther ? otherProgram : program, [], {
+    return await this.#processes.start(isOther ? otherProgram : program, [], {
       name,
+      nodeFlags: this.#nodeFlags,
       env: {
         CORIANDERFLOW_SETTINGS: settingsFile,
         LINK_FAULTS: linkFaultsFile,
@@ -196,6 +287,19 @@
     });
   }
 
+  /** Whether the latest process of a router has begun to run its program. */
+  hasBegun({ name, linkFaultsFile }: StoreRouter): boolean {
+    const startedAtMs = this.#startedAtMs.get(name) ?? Infinity;
+    return performance.now() - startedAtMs >= NODE_START_MS &&
+      existsSync(getLoadedFile(linkFaultsFile));
+  }
+
+  /** Resolves when the process of a router has begun to run its program. */
+  async waitForProgram(router: StoreRouter): Promise<void> {
+    while (!this.hasBegun(router)) await sleep(START_CHECK_MS);
+    await sleep(PROGRAM_START_MS);
+  }
+
   /** Keeps the log of a router's last process, which the next overwrites. */
   #keepLog(name: string): void {
     const { directory } = this.#options;
@@ -207,16 +311,67 @@
   /**
    * Stops a router gracefully.
    *
-   * @returns its exit code; null if a signal ended it
+   * @returns its exit code; null if a signal ended it, undefined if it did not
+   * run or had not yet started
    */
-  stop({ name }: StoreRouter): Promise<number | null> {
-    return this.#processes.stop(name);
+  stop({ name }: StoreRouter): Promise<number | null | undefined> {
+    return this.#supervisor.stop(name);
   }
 
   signal({ name }: StoreRouter, signal: NodeJS.Signals): void {
     this.#processes.signal(name, signal);
   }
 
+  /** Closes the reader's end of a router's log until its next start. */
+  closeLogReader({ name }: StoreRouter): void {
+    this.#processes.closeOutput(name);
+  }
+
+  /** Reads nothing of a router's log for a while. */
+  async stallLogReader(
+    { name }: StoreRouter,
+    durationMs: number,
+  ): Promise<void> {
+    this.#processes.pauseOutput(name);
+    await sleep(durationMs);
+    this.#processes.resumeOutput(name);
+  }
+
+  /**
+   * Takes a port of a router that does not run.
+   *
+   * @returns a function that releases it
+   */
+  takePort(
+    { listen }: StoreRouter,
+    port: RouterPort,
+  ): Promise<() => Promise<void>> {
+    const [host, number] = listen[port].split(":");
+    const address = { host, port: Number(number) };
+    return port === "peers-udp" ? takeUdpPort(address) : takeTcpPort(address);
+  }
+
+  /** Writes the settings of a router in part. */
+  writeIncompleteSettings(
+    { settingsFile, settings }: StoreRouter,
+    how: IncompleteSettings,
+  ): void {
+    const length = how === "empty" ? 0 : Math.floor(settings.length / 2);
+    writeFileSync(settingsFile, settings.slice(0, length));
+  }
+
+  writeSettings({ settingsFile, settings }: StoreRouter): void {
+    writeFileSync(settingsFile, settings);
+  }
+
+  /** Records the memory that the routers use. */
+  sampleMemory(): void {
+    for (const [name, bytes] of this.#processes.readPeakMemory()) {
+      const peak = Math.max(bytes, this.peakMemory.get(name) ?? 0);
+      this.peakMemory.set(name, peak);
+    }
+  }
+
   /** Cuts the links of a router to `upstreams`, by default to all. */
   cutLinks(
     { linkFaultsFile }: StoreRouter,
@@ -321,25 +476,76 @@
       target: this.store.address,
       port: await findFreePort(),
     });
-    const address = await findFreeAddress();
+    const callers = await findFreeAddress();
+    const peers = await findFreeAddress();
+    const listen = {
+      callers,
+      ready: await findFreeAddress(),
+      peers,
+      metrics: await findFreeAddress(),
+      "peers-udp": peers,
+    };
     const settingsFile = join(this.#options.directory, `${name}.ini`);
-    writeFileSync(
-      settingsFile,
-      renderSettings({
-        name,
-        failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!,
-        callers: address,
-        ready: await findFreeAddress(),
-        peers: await findFreeAddress(),
-        metrics: await findFreeAddress(),
-        store: storeLink.address,
-      }),
-    );
+    const settings = renderSettings({
+      name,
+      failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!,
+      ...listen,
+      store: storeLink.address,
+    });
     const linkFaultsFile = join(this.#options.directory, `${name}.links`);
-    return { name, address, storeLink, settingsFile, linkFaultsFile };
+    const router = {
+      name,
+      address: callers,
+      listen,
+      storeLink,
+      settingsFile,
+      settings,
+      linkFaultsFile,
+    };
+    this.writeSettings(router);
+    return router;
   }
 }
 
+/** Reads the options of Node in the run command of the routers. */
+function readNodeFlags(): string[] {
+  const text = readFileSync(SYSTEM_FILE, "utf8");
+  const [, command = ""] = /^run = "node (.*)"$/m.exec(text) ?? [];
+  return command.split(" ").filter((part) => part.startsWith("--"));
+}
+
+/** Returns the file that a process writes when its program is about to run. */
+function getLoadedFile(linkFaultsFile: string): string {
+  return `${linkFaultsFile}.loaded`;
+}
+
+interface PortAddress {
+  readonly host: string | undefined;
+  readonly port: number;
+}
+
+async function takeTcpPort(
+  { host, port }: PortAddress,
+): Promise<() => Promise<void>> {
+  const server = createServer((socket) => socket.destroy());
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, resolve);
+  });
+  return () => new Promise((resolve) => server.close(() => resolve()));
+}
+
+async function takeUdpPort(
+  { host, port }: PortAddress,
+): Promise<() => Promise<void>> {
+  const socket = createSocket("udp4");
+  await new Promise<void>((resolve, reject) => {
+    socket.once("error", reject);
+    socket.bind(port, host, resolve);
+  });
+  return () => new Promise((resolve) => socket.close(() => resolve()));
+}
+
 /** Replaces the file at once, since routers read it at any moment. */
 function writeLinkFaults(
   file: string,
@@ -374,6 +580,8 @@
 retry_slack = 50
 cold_factor = ${COLD_FACTOR}
 heartbeat_ms = 400
+[limits]
+memory_mb = ${MEMORY_MB}
 [log]
 lines_per_s = 2000
 `;
@@ -383,7 +591,7 @@
   const route = {
     host: ROUTE_HOST,
     timeoutMs: 4_000,
-    goalMs: 400,
+    goalMs: GOAL_MS,
     priority: 1,
     public: false,
     resumable: false,
@@ -430,7 +638,7 @@
     ],
     limits: {
       maxHeaderBytes: 16_384,
-      maxBodyBytes: 100_000,
+      maxBodyBytes: MAX_BODY_BYTES,
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     },
--- a/bench/store_chaos_main.ts
+++ b/bench/store_chaos_main.ts
@@ -3,11 +3,15 @@
  * schedule and checks the result.
  *
  * `node dist/bench/store_chaos_main.js [--seed N] [--seeds N] [--seconds S]
- * [--routers N] [--only-streams] [--without-streams] [--without-links]
- * [--other-bundle PATH]` exits with 0 only if every check passes for every seed.
- * Logs are in `out/store-chaos-<seed>`. With `--only-streams` it draws only faults
- * that cut off answers, twice as many. With `--without-streams` a seed draws the
- * faults that it drew before there were answers that are reset and engines that
+ * [--routers N] [--only-streams] [--only-ends] [--without-ends]
+ * [--without-streams] [--without-links] [--other-bundle PATH]` exits with 0
+ * only if every check passes for every seed. Logs are in
+ * `out/store-chaos-<seed>`.
+ *
+ * With `--only-streams` it draws only faults that cut off answers, twice as many,
+ * with `--only-ends` only those under which a router may end by itself. With
+ * `--without-ends` a seed draws the faults that it drew before there were these,
+ * with `--without-streams` those before answers that are reset and engines that
  * change their version, with `--without-links` those before routers without links
  * and brittle upstreams. With `--other-bundle`, a `corianderflowd.js` of another
  * commit, every second router runs that build, and each is replaced by one of the
@@ -20,19 +24,25 @@
   type ChaosKind,
   createChaosSchedule,
 } from "../testing/chaos_schedule.ts";
-import type { Call } from "./store_chaos_evidence.ts";
+import { ROUTER_END_KINDS } from "./store_chaos_end_faults.ts";
+import type { Call, StoreChaosEvidence } from "./store_chaos_evidence.ts";
 import { StoreFleet } from "./store_chaos_fleet.ts";
 import {
   getStoreChaosTargets,
   runStoreChaos,
+  STORE_END_KINDS,
   STORE_LINK_KINDS,
   STORE_SOAK_KINDS,
   STORE_STREAM_KINDS,
   STREAM_CUT_KINDS,
 } from "./store_chaos_run.ts";
-import { findStoreChaosViolations } from "./store_chaos_verdict.ts";
+import {
+  findStoreChaosViolations,
+  isEndByItself,
+} from "./store_chaos_verdict.ts";
 
 const MS_PER_SECOND = 1_000;
+const BYTES_PER_MB = 1_048_576;
 /** Streams that last for about half a second. */
 const EVENT_INTERVAL_MS = 60;
 
@@ -44,6 +54,8 @@
     seconds: { type: "string", default: "20" },
     routers: { type: "string", default: "6" },
     "only-streams": { type: "boolean", default: false },
+    "only-ends": { type: "boolean", default: false },
+    "without-ends": { type: "boolean", default: false },
     "without-streams": { type: "boolean", default: false },
     "other-bundle": { type: "string" },
     "without-links": { type: "boolean", default: false },
@@ -67,7 +79,10 @@
 
 function getKinds(): readonly ChaosKind[] {
   if (values["only-streams"]) return STREAM_CUT_KINDS;
-  if (hasStreamFaults) return STORE_STREAM_KINDS;
+  if (values["only-ends"]) return ROUTER_END_KINDS;
+  if (hasStreamFaults) {
+    return values["without-ends"] ? STORE_STREAM_KINDS : STORE_END_KINDS;
+  }
   return values["without-links"] ? STORE_SOAK_KINDS : STORE_LINK_KINDS;
 }
 
@@ -75,6 +90,16 @@
   return calls.filter(({ versions }) => versions.length > 1).length;
 }
 
+function renderProcesses(
+  { ends, peakMemory, reusedShare }: StoreChaosEvidence,
+): string {
+  const own = ends.filter(isEndByItself);
+  const peak = Math.max(0, ...peakMemory.values()) / BYTES_PER_MB;
+  return `${own.length} of ${ends.length} ends by themselves, ` +
+    `at most ${peak.toFixed()} MB, ` +
+    `${(reusedShare * 100).toFixed()} % on open connections`;
+}
+
 /** Runs one seed; returns true if every check passes. */
 async function runSeed(seed: number): Promise<boolean> {
   const directory = `out/store-chaos-${seed}`;
@@ -106,7 +131,7 @@
     `Seed ${seed}: ${schedule.length} faults; ${renderOutcomeCounts(calls)}; ` +
       `${crashes.length} engine crashes; ` +
       `${countResumptions(calls)} streams taken up, ${countMixed(calls)} of ` +
-      "two versions; " +
+      `two versions; ${renderProcesses(evidence)}; ` +
       `after the faults ${renderOutcomeCounts(recovery)}; ` +
       (violations.length === 0
         ? "all checks passed."
--- a/bench/store_chaos_run.ts
+++ b/bench/store_chaos_run.ts
@@ -1,5 +1,5 @@
 /** Runs a fleet with a metadata store under load and faults. */
-import { performance } from "node:perf_hooks";
+import { monitorEventLoopDelay, performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { ChaosEvent, ChaosKind } from "../testing/chaos_schedule.ts";
 import type { ChaosTargets } from "../testing/chaos_schedule.ts";
@@ -15,7 +15,17 @@
   FaultWindow,
   StoreChaosEvidence,
 } from "./store_chaos_evidence.ts";
-import { STORE_CHAOS_BOUNDS, type StoreFleet } from "./store_chaos_fleet.ts";
+import {
+  EndFaults,
+  isRouterEndKind,
+  ROUTER_END_KINDS,
+  type RouterEndKind,
+} from "./store_chaos_end_faults.ts";
+import {
+  STORE_CHAOS_BOUNDS,
+  type StoreFleet,
+  type StoreRouter,
+} from "./store_chaos_fleet.ts";
 
 /** Options of a chaos run. */
 export interface StoreChaosOptions {
@@ -81,7 +91,16 @@
   "engine-upgraded",
   "answers-reset",
 ] as const satisfies readonly ChaosKind[];
-type StoreChaosKind = typeof STORE_STREAM_KINDS[number];
+
+/** All of these, and faults under which a router may end by itself. */
+export const STORE_END_KINDS = [
+  ...STORE_STREAM_KINDS,
+  ...ROUTER_END_KINDS,
+] as const satisfies readonly ChaosKind[];
+type StoreChaosKind = Exclude<
+  typeof STORE_END_KINDS[number],
+  RouterEndKind
+>;
 
 /** Those of all kinds that cut off answers in progress. */
 export const STREAM_CUT_KINDS = [
@@ -113,6 +132,8 @@
 /** Longer than a cold start, the bounds and the restart of killed processes. */
 const SETTLE_MS = 7_000;
 const RECOVERY_MS = 3_000;
+const MEMORY_INTERVAL_MS = 100;
+const NANOSECONDS_PER_MS = 1_000_000;
 const STORE_DELAY_MS = 300;
 /** Time from the end of an upgraded engine to its start, in milliseconds. */
 const UPGRADE_DOWN_MS = 200;
@@ -175,6 +196,7 @@
   #crashCauseCount = 0;
   readonly #overload: Promise<Call>[] = [];
   readonly #brittleFalls: number[] = [];
+  readonly #endFaults: EndFaults;
 
   constructor(options: StoreChaosOptions) {
     this.#options = options;
@@ -185,6 +207,11 @@
         this.#random.pick(fleet.routers.filter((each) => each !== current)),
       countServing: (version) => fleet.countServing(version),
     });
+    this.#endFaults = new EndFaults({
+      fleet,
+      random: this.#random,
+      stop: (router) => this.#stopRouter(router),
+    });
   }
 
   async run(): Promise<StoreChaosEvidence> {
@@ -192,6 +219,12 @@
     const configureTimer = setInterval(() => {
       fleet.configure({ addKey: `key-${performance.now().toFixed()}` });
     }, CONFIGURE_INTERVAL_MS);
+    const memoryTimer = setInterval(
+      () => fleet.sampleMemory(),
+      MEMORY_INTERVAL_MS,
+    );
+    const ownDelay = monitorEventLoopDelay();
+    ownDelay.enable();
     const [calls] = await Promise.all([
       this.#sendLoad(durationMs),
       ...schedule.map(async (event) => {
@@ -206,8 +239,11 @@
     const recovery = await this.#sendLoad(RECOVERY_MS);
     await Promise.all(this.#overload);
     this.#callers.close();
+    clearInterval(memoryTimer);
+    ownDelay.disable();
     const codes = await fleet.close();
     codes.forEach((exitCode, index) => {
+      if (exitCode === undefined) return;
       this.#stops.push({ router: fleet.routers[index]!.name, exitCode });
     });
     return {
@@ -224,6 +260,10 @@
       overload: await Promise.all(this.#overload),
       brittleFalls: this.#brittleFalls,
       upstreamCount: fleet.upstreams.length,
+      ends: fleet.ends,
+      peakMemory: fleet.peakMemory,
+      ownDelayMs: ownDelay.max / NANOSECONDS_PER_MS,
+      reusedShare: this.#callers.reusedShare,
     };
   }
 
@@ -280,7 +320,11 @@
     { kind, target, durationMs }: ChaosEvent,
   ): Promise<void> {
     const fromMs = performance.now();
-    await this.#injectFault(kind as StoreChaosKind, target, durationMs);
+    if (isRouterEndKind(kind)) {
+      await this.#endFaults.inject(kind, target, durationMs);
+    } else {
+      await this.#injectFault(kind as StoreChaosKind, target, durationMs);
+    }
     this.#windows.push({ kind, target, fromMs, toMs: performance.now() });
   }
 
@@ -481,14 +525,18 @@
       return fleet.signal(router, "SIGCONT");
     }
     if (kind === "router-killed") fleet.signal(router, "SIGKILL");
-    const exitCode = await fleet.stop(router);
-    if (kind === "router-stopped") {
-      this.#stops.push({ router: router.name, exitCode });
-    }
+    if (kind === "router-stopped") await this.#stopRouter(router);
+    else await fleet.stop(router);
     await sleep(durationMs);
     await fleet.start(router);
   }
 
+  async #stopRouter(router: StoreRouter): Promise<void> {
+    const exitCode = await this.#options.fleet.stop(router);
+    if (exitCode === undefined) return;
+    this.#stops.push({ router: router.name, exitCode });
+  }
+
   async #injectStoreFault(
     faults: Partial<StoreFleet["store"]["faults"]>,
     durationMs: number,
--- a/bench/store_chaos_verdict.ts
+++ b/bench/store_chaos_verdict.ts
@@ -3,6 +3,7 @@
  * callers and upstreams.
  */
 import type { ChaosKind } from "../testing/chaos_schedule.ts";
+import type { ProcessEnd } from "../testing/processes.ts";
 import type { UpstreamArrival } from "../testing/registered_upstream.ts";
 import type {
   Call,
@@ -27,6 +28,27 @@
   "router-paused",
   "key-value-link-cut",
   "key-value-link-silent",
+  "port-taken-at-start",
+  "signals-at-start",
+  "signals-in-series",
+  "settings-incomplete-at-start",
+]);
+/** Faults in which a router stops and starts without breaking off a request. */
+const RESTART_FAULTS: ReadonlySet<ChaosKind> = new Set([
+  "router-stopped",
+  "port-taken-at-start",
+  "signals-at-start",
+  "signals-in-series",
+  "settings-incomplete-at-start",
+]);
+/** Faults that may cost nobody but those who cause them. */
+const OTHERS_FAULTS: ReadonlySet<ChaosKind> = new Set([
+  "log-reader-closed",
+  "log-reader-stalled",
+  "settings-incomplete-at-reload",
+  "answers-endless",
+  "bodies-endless",
+  "answers-unread",
 ]);
 /** Faults of the store, which affect every router. */
 const STORE_FAULTS: ReadonlySet<ChaosKind> = new Set([
@@ -57,6 +79,13 @@
 const MIN_CUT_CALLS = 20;
 /** The users' bound on what such routers serve, as a part of what others do. */
 const MIN_CUT_SERVED_PART = 2 / 3;
+/** Sound requests beside faults of others from which on their share counts. */
+const MIN_SOUND_CALLS = 20;
+const BYTES_PER_MB = 1_048_576;
+/** Last lines and characters of a process that a violation names. */
+const LAST_LINES = 3;
+const ERROR_LINE = /Error: |FATAL ERROR|corianderflowd: /;
+const MAX_LINE_CHARS = 300;
 /** The users' bound on upstreams that fall over: 2 and a tenth of all. */
 const MIN_BRITTLE_FALLS = 2;
 const BRITTLE_FALLS_SHARE = 0.1;
@@ -90,15 +119,24 @@
     ...checkCutRouters(evidence),
     ...checkBrittleUpstreams(evidence),
     ...checkStops(evidence),
+    ...checkProcessEnds(evidence),
+    ...checkMemory(evidence),
+    ...checkSoundCalls(evidence),
     ...checkRecovery(evidence),
   ];
 }
 
 function checkAnswers(
-  { calls, recovery, crashing, overload }: StoreChaosEvidence,
+  evidence: StoreChaosEvidence,
 ): StoreChaosViolation[] {
+  const { calls, recovery, crashing, overload } = evidence;
+  // What an upstream sends without end is not what its callers expect.
+  const endless = listEndless(evidence);
   return [...calls, ...recovery, ...crashing, ...overload]
-    .filter(({ end }) => end === "wrong")
+    .filter(({ end, requestId, last }) =>
+      end === "wrong" && !endless.has(requestId) &&
+      !endless.has(last.requestId)
+    )
     .map(({ requestId, detail }) => ({
       promise: "answers are whole and their own",
       requestId,
@@ -290,16 +328,18 @@
 ): StoreChaosViolation[] {
   const { calls, arrivals, windows } = evidence;
   const arrived = new Set(arrivals.map(({ requestId }) => requestId));
+  const endless = listEndless(evidence);
   function isAffected({ router, fromMs, first: { toMs } }: Call): boolean {
     return windows.some((window: FaultWindow) =>
       window.fromMs <= toMs && window.toMs + SECOND_MS >= fromMs &&
       (UPSTREAM_FAULTS.has(window.kind) || window.kind === "upstream-silent" ||
-        window.target === router && window.kind !== "router-stopped")
+        window.target === router && !RESTART_FAULTS.has(window.kind) &&
+          !OTHERS_FAULTS.has(window.kind))
     );
   }
   return calls.filter((call) =>
     call.first.end === "broken" && arrived.has(call.requestId) &&
-    !isAffected(call)
+    !endless.has(call.requestId) && !isAffected(call)
   ).map(({ requestId, detail }) => ({
     promise: "what was passed on is answered",
     requestId,
@@ -442,6 +482,109 @@
     }));
 }
 
+/** Signals with which a run ends processes. */
+const ENDING_SIGNALS: ReadonlySet<NodeJS.Signals> = new Set([
+  "SIGTERM",
+  "SIGKILL",
+  "SIGINT",
+]);
+
+/** Whether a process ended without having been told to, or otherwise. */
+export function isEndByItself({ isAsked, signal }: ProcessEnd): boolean {
+  return !isAsked || signal !== null && !ENDING_SIGNALS.has(signal);
+}
+
+/** Nothing but a signal of the run ends a router, also while it starts. */
+function checkProcessEnds(
+  { ends }: StoreChaosEvidence,
+): StoreChaosViolation[] {
+  return ends.filter(isEndByItself).map((end) => {
+    const { name, exitCode, signal, ageMs, hasStarted } = end;
+    const cause = signal ?? `code ${exitCode}`;
+    return {
+      promise: "no process ends by itself",
+      requestId: "",
+      detail: `${name} ${hasStarted ? "ended" : "did not start"}, ${cause} ` +
+        `after ${ageMs.toFixed()} ms${renderLastLines(end)}`,
+    };
+  });
+}
+
+/** Renders the last line that names an error, or else the last lines. */
+function renderLastLines({ lastErrors, lastOutput }: ProcessEnd): string {
+  return [lastErrors, lastOutput].map((text) => {
+    const lines = text.trim().split("\n");
+    return lines.findLast((line) => ERROR_LINE.test(line)) ??
+      lines.slice(-LAST_LINES).join(" | ");
+  }).filter((text) => text !== "")
+    .map((text) => `; ${text.slice(0, MAX_LINE_CHARS)}`)
+    .join("");
+}
+
+function checkMemory(
+  { peakMemory, bounds }: StoreChaosEvidence,
+): StoreChaosViolation[] {
+  return [...peakMemory].filter(([, bytes]) => bytes > bounds.memoryBytes)
+    .map(([router, bytes]) => ({
+      promise: "a router stays within its memory",
+      requestId: "",
+      detail: `${router} used ${(bytes / BYTES_PER_MB).toFixed()} MB`,
+    }));
+}
+
+/** Returns the ids of the requests that were answered without end. */
+function listEndless({ arrivals }: StoreChaosEvidence): ReadonlySet<string> {
+  return new Set(
+    arrivals.filter(({ isEndless }) => isEndless)
+      .map(({ requestId }) => requestId),
+  );
+}
+
+/**
+ * Requests beside faults that others cause are served, and reads in time. Only a
+ * request that met such an upstream itself, or a router that restarts, may pay.
+ */
+function checkSoundCalls(evidence: StoreChaosEvidence): StoreChaosViolation[] {
+  const { calls, windows, bounds, ownDelayMs } = evidence;
+  const endless = listEndless(evidence);
+  function listFaults({ fromMs, first: { toMs } }: Call): FaultWindow[] {
+    return windows.filter((window) =>
+      window.fromMs <= toMs && window.toMs + bounds.faultFreeMs >= fromMs
+    );
+  }
+  const sound = calls.filter((call) => {
+    const faults = listFaults(call);
+    return faults.some(({ kind }) => OTHERS_FAULTS.has(kind)) &&
+      faults.every(({ kind, target }) =>
+        OTHERS_FAULTS.has(kind) ||
+        RESTART_FAULTS.has(kind) && target !== call.router
+      ) && !endless.has(call.requestId) && !isKeyWithdrawn(evidence, call);
+  });
+  if (sound.length < MIN_SOUND_CALLS) return [];
+  const violations: StoreChaosViolation[] = [];
+  const unserved = sound.filter(({ first }) => first.end !== "whole");
+  if (unserved.length > sound.length * (1 - bounds.minSoundShare)) {
+    const { requestId, router, first, detail } = unserved[0]!;
+    violations.push({
+      promise: "sound requests beside faulty ones are served",
+      requestId,
+      detail: `${unserved.length} of ${sound.length} were not, first: ` +
+        `${first.end} ${detail} at ${router}`,
+    });
+  }
+  const maxReadMs = bounds.maxSoundReadMs + ownDelayMs;
+  const late = sound.filter(({ kind, fromMs, first }) =>
+    kind === "read" && first.toMs - fromMs > maxReadMs
+  );
+  violations.push(...late.map(({ requestId, router, fromMs, first }) => ({
+    promise: "a sound read does not wait for faulty requests",
+    requestId,
+    detail: `${(first.toMs - fromMs).toFixed()} ms at ${router}, ` +
+      `${maxReadMs.toFixed()} allowed`,
+  })));
+  return violations;
+}
+
 function checkRecovery(evidence: StoreChaosEvidence): StoreChaosViolation[] {
   const expected = evidence.recovery
     .filter((call) => !isKeyWithdrawn(evidence, call));
--- a/bench/store_chaos_verdict_test.ts
+++ b/bench/store_chaos_verdict_test.ts
@@ -35,6 +35,7 @@
     isResumed: false,
     softwareVersion: "v1",
     isCold: false,
+    isEndless: false,
     limitPerSecond: undefined,
     promptParts: [],
     workspace: "workspace",
@@ -64,11 +65,18 @@
       minResumptions: 2,
       minResumedShare: 0.5,
       maxColdRequestsPerSecond: 2,
+      memoryBytes: 1_000_000,
+      minSoundShare: 0.99,
+      maxSoundReadMs: 1_000,
     },
     stops: [],
     overload: [],
     brittleFalls: [],
     upstreamCount: 7,
+    ends: [],
+    peakMemory: new Map(),
+    ownDelayMs: 100,
+    reusedShare: 1,
     ...fields,
   });
   return violations.map(({ promise }) => promise);
@@ -337,3 +345,74 @@
   expect(findViolations({ calls, cuts: [{ ...cut, requestId: "r" }] }))
     .toEqual([promise]);
 });
+
+describe("the end of a process", () => {
+  const promise = "no process ends by itself";
+  const end = {
+    name: "router-0",
+    exitCode: 0,
+    signal: null,
+    ageMs: 384,
+    isAsked: true,
+    hasStarted: true,
+    lastOutput: "",
+    lastErrors: "",
+  };
+  // Guards against routers that end unnoticed while no caller asks them (FAULT).
+  test("is found unless the run asked for it, whatever the callers saw", () => {
+    expect(findViolations({ ends: [end] })).toEqual([]);
+    expect(findViolations({ ends: [{ ...end, isAsked: false }] }))
+      .toEqual([promise]);
+    const kill = { ...end, exitCode: null, signal: "SIGKILL" } as const;
+    expect(findViolations({ ends: [kill] })).toEqual([]);
+    const abort = { ...end, exitCode: null, signal: "SIGABRT" } as const;
+    expect(findViolations({ ends: [abort] })).toEqual([promise]);
+    const late = { ...kill, isAsked: false, hasStarted: false };
+    expect(findViolations({ ends: [late] })).toEqual([promise]);
+  });
+
+  test("memory over the limit is found", () => {
+    function find(bytes: number): string[] {
+      return findViolations({ peakMemory: new Map([["router-0", bytes]]) });
+    }
+    expect(find(1_000_000)).toEqual([]);
+    expect(find(1_000_001)).toEqual(["a router stays within its memory"]);
+  });
+});
+
+// Guards against faulty upstreams and callers for which sound requests pay (FAULT).
+test("sound requests that pay for faults of others are found", () => {
+  const window = {
+    kind: "answers-endless",
+    target: "up-1",
+    fromMs: 10_000,
+    toMs: 12_000,
+  } as const;
+  const calls = Array.from(
+    { length: 100 },
+    (_, index) => createCall({ requestId: `r-${index}`, kind: "read" }),
+  );
+  const refused = { end: "refused", first: { end: "refused", toMs: 10_050 } };
+  function find(
+    changed: Partial<Call>[],
+    fields: Partial<StoreChaosEvidence> = {},
+  ): string[] {
+    const sent = calls.map((call, index) => ({ ...call, ...changed[index] }));
+    return findViolations({ calls: sent, windows: [window], ...fields });
+  }
+  const unserved = [refused, refused] as Partial<Call>[];
+  const promise = "sound requests beside faulty ones are served";
+  expect(find(unserved.slice(1))).toEqual([]);
+  expect(find(unserved)).toEqual([promise]);
+  expect(find(unserved, {
+    arrivals: ["r-0", "r-1"].map((requestId) =>
+      createArrival({ requestId, isEndless: true })
+    ),
+  })).toEqual([]);
+  expect(find(unserved, { windows: [] })).toEqual([]);
+  const slow = { first: { end: "whole", toMs: 11_101 } } as const;
+  expect(find([slow])).toEqual([
+    "a sound read does not wait for faulty requests",
+  ]);
+  expect(find([{ first: { end: "whole", toMs: 11_100 } }])).toEqual([]);
+});
--- a/testing/chaos_schedule.ts
+++ b/testing/chaos_schedule.ts
@@ -56,6 +56,26 @@
   | "engine-upgraded"
   /** Answers without a length are reset. */
   | "answers-reset"
+  /** The reader of a router's standard output closes its end. */
+  | "log-reader-closed"
+  /** It reads nothing for a while. */
+  | "log-reader-stalled"
+  /** A router restarts while another socket has one of its ports for a while. */
+  | "port-taken-at-start"
+  /** A router restarts and gets SIGHUP and SIGUSR2 as soon as it runs. */
+  | "signals-at-start"
+  /** A router gets series of these signals, also while it restarts. */
+  | "signals-in-series"
+  /** A router restarts while its settings are still being written. */
+  | "settings-incomplete-at-start"
+  /** It reloads them then. */
+  | "settings-incomplete-at-reload"
+  /** An upstream answers some requests with bytes without end. */
+  | "answers-endless"
+  /** Callers send bodies that have no end, or leave it out. */
+  | "bodies-endless"
+  /** Callers don't read their answers. */
+  | "answers-unread"
   /** Two operators commit conflicting changes at the same time. */
   | "operators-race"
   | "failure-domain-out"
@@ -239,6 +259,40 @@
     targets: "upstreams",
     durationRangeMs: { min: 1_000, max: 5_000 },
   },
+  "log-reader-closed": { targets: "routers", durationRangeMs: INSTANT },
+  "log-reader-stalled": {
+    targets: "routers",
+    durationRangeMs: { min: 1_000, max: 5_000 },
+  },
+  "port-taken-at-start": {
+    targets: "routers",
+    durationRangeMs: { min: 200, max: 2_000 },
+  },
+  "signals-at-start": { targets: "routers", durationRangeMs: INSTANT },
+  "signals-in-series": {
+    targets: "routers",
+    durationRangeMs: { min: 500, max: 4_000 },
+  },
+  "settings-incomplete-at-start": {
+    targets: "routers",
+    durationRangeMs: { min: 50, max: 800 },
+  },
+  "settings-incomplete-at-reload": {
+    targets: "routers",
+    durationRangeMs: { min: 50, max: 3_000 },
+  },
+  "answers-endless": {
+    targets: "upstreams",
+    durationRangeMs: { min: 2_000, max: 6_000 },
+  },
+  "bodies-endless": {
+    targets: "callers",
+    durationRangeMs: { min: 1_000, max: 5_000 },
+  },
+  "answers-unread": {
+    targets: "callers",
+    durationRangeMs: { min: 1_000, max: 5_000 },
+  },
   "operators-race": {
     targets: "failureDomains",
     durationRangeMs: { min: 500, max: 2_000 },
@@ -264,6 +318,16 @@
   "upstreams-brittle",
   "engine-upgraded",
   "answers-reset",
+  "log-reader-closed",
+  "log-reader-stalled",
+  "port-taken-at-start",
+  "signals-at-start",
+  "signals-in-series",
+  "settings-incomplete-at-start",
+  "settings-incomplete-at-reload",
+  "answers-endless",
+  "bodies-endless",
+  "answers-unread",
 ]);
 const DEFAULT_KINDS = (Object.keys(FAULT_SPECS) as ChaosKind[])
   .filter((kind) => !METADATA_STORE_KINDS.has(kind));
--- a/testing/link_faults.cjs
+++ b/testing/link_faults.cjs
@@ -6,8 +6,11 @@
  * The file that LINK_FAULTS names holds JSON: `targets`, a list of `ip:port`, and
  * `mode`: `refused` resets open connections and refuses new ones, `hung` lets
  * both hang, `new-refused` and `new-hung` leave open ones as they are.
+ *
+ * When Node has started and the program comes next, the module writes a file of
+ * this name with the suffix `.loaded`.
  */
-const { existsSync, readFileSync } = require("node:fs");
+const { existsSync, readFileSync, writeFileSync } = require("node:fs");
 const { Socket } = require("node:net");
 const process = require("node:process");
 
@@ -74,3 +77,4 @@
 
 readFaults();
 setInterval(readFaults, READ_INTERVAL_MS).unref();
+writeFileSync(`${file}.loaded`, String(process.pid));
--- a/testing/processes.ts
+++ b/testing/processes.ts
@@ -6,8 +6,14 @@
  */
 import type { Buffer } from "node:buffer";
 import { type ChildProcess, spawn } from "node:child_process";
-import { createWriteStream, mkdirSync, type WriteStream } from "node:fs";
+import {
+  createWriteStream,
+  mkdirSync,
+  readFileSync,
+  type WriteStream,
+} from "node:fs";
 import { basename, join } from "node:path";
+import { performance } from "node:perf_hooks";
 import process from "node:process";
 
 /** Options of a set of processes. */
@@ -29,6 +35,8 @@
   name?: string;
   /** Environment variables in addition to those of this process. */
   env?: Record<string, string>;
+  /** Options of Node itself, before the script. */
+  nodeFlags?: readonly string[];
   /** Field of the announcement with the address; "listening" by default. */
   addressField?: string;
 }
@@ -46,6 +54,23 @@
   readonly exited: Promise<number | null>;
 }
 
+/** How a process ended. */
+export interface ProcessEnd {
+  readonly name: string;
+  /** Null if a signal ended the process. */
+  readonly exitCode: number | null;
+  readonly signal: NodeJS.Signals | null;
+  /** Time since its start, in milliseconds. */
+  readonly ageMs: number;
+  /** Whether it was sent a signal that ends processes before. */
+  readonly isAsked: boolean;
+  /** Whether it had announced its address. */
+  readonly hasStarted: boolean;
+  /** Last lines of standard output and standard error. */
+  readonly lastOutput: string;
+  readonly lastErrors: string;
+}
+
 /** A process could not be started. */
 export class ProcessError extends Error {
   constructor(name: string, reason: string) {
@@ -57,14 +82,25 @@
 interface RunningProcess {
   readonly child: ChildProcess;
   readonly exited: Promise<number | null>;
+  readonly startedAtMs: number;
+  isAsked: boolean;
+  hasStarted: boolean;
 }
 
 const MAX_LOG_BYTES = 64 * 1024 * 1024;
 const MAX_TAIL_CHARS = 2_000;
+const BYTES_PER_KB = 1_024;
+/** Signals that end a process, now or after its grace time. */
+const ENDING_SIGNALS: ReadonlySet<NodeJS.Signals> = new Set([
+  "SIGTERM",
+  "SIGKILL",
+  "SIGINT",
+]);
 
-/** Writes output to a file, up to MAX_LOG_BYTES, and keeps its tail in memory. */
+/** Writes output to a file, up to MAX_LOG_BYTES, and keeps its tails in memory. */
 class LogFile {
-  tail = "";
+  lastOutput = "";
+  lastErrors = "";
   readonly #stream: WriteStream;
   #remainingBytes = MAX_LOG_BYTES;
 
@@ -72,8 +108,17 @@
     this.#stream = createWriteStream(path);
   }
 
-  append(chunk: Buffer): void {
-    this.tail = (this.tail + chunk.toString()).slice(-MAX_TAIL_CHARS);
+  appendOutput(chunk: Buffer): void {
+    this.lastOutput = getTail(this.lastOutput + chunk.toString());
+    this.#write(chunk);
+  }
+
+  appendErrors(chunk: Buffer): void {
+    this.lastErrors = getTail(this.lastErrors + chunk.toString());
+    this.#write(chunk);
+  }
+
+  #write(chunk: Buffer): void {
     this.#remainingBytes -= chunk.length;
     if (this.#remainingBytes >= 0) this.#stream.write(chunk);
   }
@@ -87,8 +132,14 @@
   }
 }
 
+function getTail(text: string): string {
+  return text.slice(-MAX_TAIL_CHARS);
+}
+
 /** The processes of one test or benchmark. */
 export class Processes {
+  /** How each process ended, in this order. */
+  readonly ends: ProcessEnd[] = [];
   readonly #options: Required<ProcessesOptions>;
   readonly #running = new Map<string, RunningProcess>();
   #startCount = 0;
@@ -119,17 +170,19 @@
     mkdirSync(this.#options.logDirectory, { recursive: true });
     const logFile = join(this.#options.logDirectory, `${name}.log`);
     const log = new LogFile(logFile);
-    const child = spawn(process.execPath, [script, ...args], {
+    const { addressField = "listening", nodeFlags = [] } = options;
+    const child = spawn(process.execPath, [...nodeFlags, script, ...args], {
       stdio: ["ignore", "pipe", "pipe"],
       env: { ...process.env, ...options.env },
     });
-    const exited = this.#track(name, { child, log });
-    const { addressField = "listening" } = options;
+    const running = this.#track(name, { child, log });
+    const { exited } = running;
     const announcement = await this.#waitForAnnouncement(name, {
       child,
       log,
       addressField,
     });
+    running.hasStarted = true;
     return {
       name,
       pid: child.pid ?? 0,
@@ -142,7 +195,40 @@
 
   /** Sends a signal; false if the process is not running. */
   signal(name: string, signal: NodeJS.Signals = "SIGTERM"): boolean {
-    return this.#running.get(name)?.child.kill(signal) ?? false;
+    const running = this.#running.get(name);
+    if (running === undefined) return false;
+    if (ENDING_SIGNALS.has(signal)) running.isAsked = true;
+    return running.child.kill(signal);
+  }
+
+  /** Whether a process runs and has announced its address. */
+  hasStarted(name: string): boolean {
+    return this.#running.get(name)?.hasStarted ?? false;
+  }
+
+  /** Closes the reader's end of the standard output of a process. */
+  closeOutput(name: string): void {
+    this.#running.get(name)?.child.stdout?.destroy();
+  }
+
+  /** Reads no more of the standard output of a process. */
+  pauseOutput(name: string): void {
+    this.#running.get(name)?.child.stdout?.pause();
+  }
+
+  /** Reads on after `pauseOutput`. */
+  resumeOutput(name: string): void {
+    this.#running.get(name)?.child.stdout?.resume();
+  }
+
+  /** Returns the largest memory so far of each running process, in bytes. */
+  readPeakMemory(): ReadonlyMap<string, number> {
+    const peaks = new Map<string, number>();
+    for (const [name, { child }] of this.#running) {
+      const bytes = readPeakBytes(child.pid ?? 0);
+      if (bytes !== undefined) peaks.set(name, bytes);
+    }
+    return peaks;
   }
 
   /**
@@ -153,6 +239,7 @@
     const running = this.#running.get(name);
     if (running === undefined) return null;
     const { child, exited } = running;
+    running.isAsked = true;
     child.kill("SIGTERM");
     // A process paused with SIGSTOP does not handle SIGTERM until it continues.
     child.kill("SIGCONT");
@@ -174,18 +261,47 @@
   #track(
     name: string,
     { child, log }: { child: ChildProcess; log: LogFile },
-  ): Promise<number | null> {
-    child.stdout?.on("data", (chunk: Buffer) => log.append(chunk));
-    child.stderr?.on("data", (chunk: Buffer) => log.append(chunk));
+  ): RunningProcess {
+    child.stdout?.on("data", (chunk: Buffer) => log.appendOutput(chunk));
+    child.stderr?.on("data", (chunk: Buffer) => log.appendErrors(chunk));
+    // The streams of a child close only when they have been read to their end.
+    child.once("exit", () => child.stdout?.resume());
     const exited = new Promise<number | null>((resolve) => {
       child.once("error", () => resolve(null));
-      child.once("close", (code) => resolve(code));
+      child.once("close", (code, signal) => {
+        this.#recordEnd(running, { name, exitCode: code, signal, log });
+        resolve(code);
+      });
     }).finally(async () => {
       await log.close();
       this.#running.delete(name);
     });
-    this.#running.set(name, { child, exited });
-    return exited;
+    const running = {
+      child,
+      exited,
+      startedAtMs: performance.now(),
+      isAsked: false,
+      hasStarted: false,
+    };
+    this.#running.set(name, running);
+    return running;
+  }
+
+  #recordEnd(
+    { startedAtMs, isAsked, hasStarted }: RunningProcess,
+    { log: { lastOutput, lastErrors }, ...end }:
+      & Pick<ProcessEnd, "name" | "exitCode" | "signal">
+      & { log: LogFile },
+  ): void {
+    const ageMs = performance.now() - startedAtMs;
+    this.ends.push({
+      ...end,
+      ageMs,
+      isAsked,
+      hasStarted,
+      lastOutput,
+      lastErrors,
+    });
   }
 
   #waitForAnnouncement(
@@ -200,7 +316,8 @@
       let text = "";
       const fail = (reason: string) => {
         child.kill("SIGKILL");
-        reject(new ProcessError(name, `${reason}: ${log.tail}`));
+        const tail = log.lastOutput + log.lastErrors;
+        reject(new ProcessError(name, `${reason}: ${tail}`));
       };
       const timer = setTimeout(
         () => fail("did not announce its address in time"),
@@ -223,6 +340,19 @@
   }
 }
 
+/** Reads the largest memory that a process has had; undefined if it has ended. */
+function readPeakBytes(pid: number): number | undefined {
+  try {
+    const status = readFileSync(`/proc/${pid}/status`, "utf8");
+    const [, kilobytes] = /^VmHWM:\s+(\d+) kB/m.exec(status) ?? [];
+    return kilobytes === undefined
+      ? undefined
+      : Number(kilobytes) * BYTES_PER_KB;
+  } catch {
+    return undefined;
+  }
+}
+
 /** Finds the first complete line that is JSON and has the address field. */
 function findAnnouncement(
   text: string,
--- a/testing/registered_upstream.ts
+++ b/testing/registered_upstream.ts
@@ -3,6 +3,7 @@
  * implements the users' protocol: it runs requests, marks the ones that it did
  * not run, and reports every request that it receives.
  */
+import { Buffer } from "node:buffer";
 import {
   createServer,
   type IncomingMessage,
@@ -11,6 +12,11 @@
 } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { makeCloseDelimited } from "./close_delimited_response.ts";
+import {
+  createEndlessAnswer,
+  type EndlessAnswer,
+  sendEndlessly,
+} from "./endless_bytes.ts";
 import { findFreePort } from "./free_address.ts";
 import { closeServer, listen, readJson, sendJson } from "./stand_in_http.ts";
 import type { MetadataStoreServer } from "./metadata_store.ts";
@@ -30,6 +36,8 @@
   readonly isResumed: boolean;
   readonly softwareVersion: string;
   readonly isCold: boolean;
+  /** Whether the answer has no end. */
+  readonly isEndless: boolean;
   readonly workspace: string;
   /** Limit that the upstream named at that time; undefined for none. */
   readonly limitPerSecond: number | undefined;
@@ -107,6 +115,11 @@
 const REJECTION_WINDOW_MS = 1_000;
 /** Every such request's answer ends with its connection, without framing. */
 const UNFRAMED_SHARE = 4;
+/** While an upstream answers without end, it does so to every such request. */
+const ENDLESS_SHARE = 2;
+/** Path of requests whose answers are as large as the users' pages allow. */
+export const LARGE_ANSWER_PATH = "/read/large";
+const LARGE_ANSWER = Buffer.alloc(4_194_304, "a");
 const REPORT_PATH = "/corianderflow/report";
 const STATUS_MISDIRECTED = 421;
 const STATUS_FULL = 503;
@@ -134,6 +147,11 @@
   return getEventCount(requestId) % UNFRAMED_SHARE === 0;
 }
 
+/** Whether a request gets an answer without end from a faulty upstream. */
+function isOfEndlessShare(requestId: string): boolean {
+  return getEventCount(requestId) % ENDLESS_SHARE === 0;
+}
+
 /** Returns the data of an event, before the version of the software. */
 export function formatEventData(requestId: string, id: number): string {
   return `${requestId}#${id}`;
@@ -168,6 +186,8 @@
   #rejectedAtMs: number[] = [];
   /** Whether it resets answers without a length when half of them is sent. */
   resetsAnswers = false;
+  /** What never ends in its answers to some requests, if set. */
+  endlessAnswer: EndlessAnswer | undefined;
   /** Number of times that its process ended from rejections. */
   fallCount = 0;
   #state: "ready" | "draining" = "ready";
@@ -405,6 +425,9 @@
     const isRun = !isMisdirected && this.#runningRequests < SLOTS;
     const lastEventId = Number(request.headers["last-event-id"] ?? 0);
     const promptParts = parsePromptParts(request.headers["x-prompt-prefix"]);
+    const endlessAnswer = isRun && isOfEndlessShare(requestId)
+      ? this.endlessAnswer
+      : undefined;
     this.#options.onArrival({
       requestId,
       upstream: this.id,
@@ -414,6 +437,7 @@
       isResumed: lastEventId > 0,
       softwareVersion: this.#runningVersion,
       isCold: performance.now() < this.#coldUntilMs,
+      isEndless: endlessAnswer !== undefined,
       workspace: String(request.headers["x-tenant"] ?? ""),
       limitPerSecond: this.limitPerSecond,
       promptParts,
@@ -441,6 +465,14 @@
       const body = JSON.stringify(await readJson(request));
       await sleep(SERVICE_MS);
       if (this.#server !== server || response.destroyed) return;
+      if (endlessAnswer !== undefined) {
+        const fields = {
+          "x-attempt-id": requestId,
+          "x-response-stamp": createResponseStamp(this.id, requestId),
+        };
+        const answer = createEndlessAnswer(endlessAnswer, fields);
+        return await sendEndlessly(request.socket, answer);
+      }
       response.setHeader("x-attempt-id", requestId);
       response.setHeader(
         "x-response-stamp",
@@ -457,6 +489,8 @@
         }
         await sleep(CRASH_DELAY_MS);
         if (this.#server === server) await this.#crash(requestId, cause);
+      } else if (request.url === LARGE_ANSWER_PATH) {
+        response.end(LARGE_ANSWER);
       } else if (isPlain) {
         await this.#sendBody(response, requestId);
       } else {
