Leave a part of the held memory to the answers

Bodies that were complete could fill the memory that is held for others, so that the answers they waited for were given up. Bodies take three quarters at most. A body that was announced was refused while answers of a faulty upstream, which go first, filled the memory; they no longer count against it.

Seen by reading; both new tests of memory_budget_test.ts need the change.

--- a/src/policy/memory_budget.ts
+++ b/src/policy/memory_budget.ts
@@ -80,6 +80,11 @@
  * sound upstream needs that much at a time.
  */
 const MAX_SOURCE_SHARE = 0.25;
+/**
+ * Share of the limit that the bodies of requests may take together. The rest is
+ * for the answers to them: a body that is complete is kept until then.
+ */
+const MAX_BODY_SHARE = 0.75;
 
 class BudgetHolding implements Holding {
   readonly options: HoldingOptions;
@@ -120,6 +125,7 @@
   readonly #holdings = new Set<BudgetHolding>();
   readonly #bytesBySource = new Map<string, number>();
   #heldBytes = 0;
+  #bodyBytes = 0;
   readonly #onEvict: (eviction: Eviction) => void;
   #evictions = 0;
 
@@ -146,23 +152,39 @@
   }
 
   /**
-   * Whether a message of `bytes` fits without giving up others. One that does
-   * not is refused before it is read.
+   * Whether the body of a request of `bytes` fits without giving up others but
+   * answers of a source that takes more than its share. One that does not fit is
+   * refused before it is read.
    */
-  hasRoomFor(bytes: number): boolean {
-    return this.#heldBytes + bytes <= this.limitBytes;
+  hasRoomForBody(bytes: number): boolean {
+    if (this.#bodyBytes + bytes > this.#maxBodyBytes) return false;
+    if (this.#heldBytes + bytes <= this.limitBytes) return true;
+    let greedyBytes = 0;
+    for (const each of this.#holdings) {
+      if (this.#getRank(each) === 0) greedyBytes += each.bytes;
+    }
+    return this.#heldBytes - greedyBytes + bytes <= this.limitBytes;
+  }
+
+  get #maxBodyBytes(): number {
+    return this.limitBytes * MAX_BODY_SHARE;
   }
 
   /** Called by a holding. */
   resize(holding: BudgetHolding, bytes: number): void {
     this.#add(holding, bytes - holding.bytes);
-    while (this.#heldBytes > this.limitBytes) {
+    while (this.#isExceeded) {
       const victim = this.#findVictim() ?? holding;
       this.#evict(victim);
       if (holding.isClosed) return;
     }
   }
 
+  get #isExceeded(): boolean {
+    return this.#heldBytes > this.limitBytes ||
+      this.#bodyBytes > this.#maxBodyBytes;
+  }
+
   #evict(victim: BudgetHolding): void {
     const { kind, source, onEvict } = victim.options;
     const eviction: Eviction = {
@@ -186,9 +208,10 @@
   }
 
   #add(holding: BudgetHolding, bytes: number): void {
-    const { source } = holding.options;
+    const { kind, source } = holding.options;
     holding.bytes += bytes;
     this.#heldBytes += bytes;
+    if (kind === "request-body") this.#bodyBytes += bytes;
     const ofSource = (this.#bytesBySource.get(source) ?? 0) + bytes;
     if (ofSource > 0) this.#bytesBySource.set(source, ofSource);
     else this.#bytesBySource.delete(source);
@@ -201,9 +224,12 @@
    * Messages that are complete are kept.
    */
   #findVictim(): BudgetHolding | undefined {
+    // Bodies can exceed their share while there is room for answers.
+    const areBodiesAlone = this.#heldBytes <= this.limitBytes;
     let victim: BudgetHolding | undefined;
     for (const each of this.#holdings) {
       if (each.isComplete || each.bytes === 0) continue;
+      if (areBodiesAlone && each.options.kind !== "request-body") continue;
       if (victim === undefined || this.#goesBefore(each, victim)) victim = each;
     }
     return victim;
--- a/src/policy/memory_budget_test.ts
+++ b/src/policy/memory_budget_test.ts
@@ -115,6 +115,39 @@
     .toBe("answer a 300 source-share");
 });
 
+// Guards against bodies that wait for answers for which there is no memory left.
+test("bodies leave a part of the memory to the answers", () => {
+  const { budget, evictions, hold } = createBudget();
+  const body = { kind: "request-body", expectedBytes: undefined } as const;
+  hold({ ...body, source: "a", bytes: 400 }).complete();
+  hold({ ...body, source: "b", bytes: 300 });
+  expect(budget.hasRoomForBody(50)).toBe(true);
+  expect(budget.hasRoomForBody(51)).toBe(false);
+  hold({ ...body, source: "c", bytes: 100 });
+  expect(evictions.map(({ kind, source }) => `${kind} ${source}`))
+    .toEqual(["request-body b"]);
+  hold({
+    kind: "answer",
+    source: "up",
+    bytes: 250,
+    expectedBytes: undefined,
+  });
+  expect(evictions).toHaveLength(1);
+});
+
+test("answers that go first leave room for a body", () => {
+  const { budget, hold } = createBudget();
+  const answer = { kind: "answer", expectedBytes: undefined } as const;
+  hold({ ...answer, source: "faulty", bytes: 900 });
+  expect(budget.hasRoomForBody(400)).toBe(true);
+  const sound = createBudget();
+  const sources = ["a", "b", "c", "d", "e"];
+  for (const source of sources) {
+    sound.hold({ ...answer, source, bytes: 180 });
+  }
+  expect(sound.budget.hasRoomForBody(400)).toBe(false);
+});
+
 test("the caller that has read least loses its connection first", () => {
   const unread = { kind: "unread-answer" } as const;
   const slow = { ...unread, source: "slow", bytes: 600 };
--- a/src/transport/request_body.ts
+++ b/src/transport/request_body.ts
@@ -77,7 +77,7 @@
       const { maxBodyBytes, memory } = this.#options;
       const announcedBytes = getAnnouncedBytes(request) ?? 0;
       if (announcedBytes > maxBodyBytes) return this.#refuseSize();
-      if (memory?.hasRoomFor(announcedBytes) === false) {
+      if (memory?.hasRoomForBody(announcedBytes) === false) {
         return this.#refuseMemory();
       }
       this.#setDeadline();
