--- a/src/daemon/testing/local_ingress.ts
+++ b/src/daemon/testing/local_ingress.ts
@@ -260,14 +260,15 @@
    * with its settings once it is ready.
    */
   async addRouter(
-    { name, storeAddress = this.store.address }: {
+    { name, storeAddress = this.store.address, listen }: {
       name: string;
       storeAddress?: string;
+      listen?: IngressSettings["listen"];
     },
   ): Promise<IngressSettings> {
     const settings: IngressSettings = {
       ...this.settings,
-      listen: await findListenAddresses(),
+      listen: listen ?? await findListenAddresses(),
       store: { address: storeAddress },
       router: { ...this.settings.router, name },
     };
@@ -473,7 +474,9 @@
   }
 }
 
-async function findListenAddresses(): Promise<IngressSettings["listen"]> {
+export async function findListenAddresses(): Promise<
+  IngressSettings["listen"]
+> {
   return {
     callers: await findFreeAddress(),
     ready: await findFreeAddress(),
