Withdraw a registration that is in progress when a router stops

A router that was stopped right after its start ended with its name still in the store, since the lease was not known yet; other routers counted it until the lease expired. The end of the routing now waits for the call in progress, which has the timeout of the store.

--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -158,6 +158,8 @@
   /** Whether the router that sent the latest update has lost the store. */
   #isStoreLostToRelay = false;
   #isClosed = false;
+  /** The latest registration or renewal; its failure is logged by its task. */
+  #registration: Promise<void> = Promise.resolve();
   #pollTimer: NodeJS.Timeout | undefined;
   #renewTimer: NodeJS.Timeout | undefined;
 
@@ -187,7 +189,7 @@
       onFailure,
     });
     this.#registrar = tasks.spawn<Message>("registrar", {
-      handle: () => this.#renew(),
+      handle: () => this.#registration = this.#renew(),
       onFailure,
     });
   }
@@ -205,6 +207,8 @@
     clearTimeout(this.#renewTimer);
     this.#poller.stop();
     this.#registrar.stop();
+    // Otherwise a registration in progress would outlive the router.
+    await this.#registration.catch(() => {});
     if (this.#lease === undefined) return;
     const ended = await this.#options.store.deregister(this.#lease);
     if (ended.ok) return;
