Bound pages, order ports, mark the end of settings, share memory by workspace

Its last line now marks its end; without that line the text has to stay unchanged for 100 ms. The callers' port is bound last, and the router is not ready until then. - Uploads of one workspace that stop short refused those of all others. Bodies of a workspace that takes half of their share go first and leave room for others. - Several sound answers of 16 MiB of one upstream counted as a fault of it. Only half of the limit does; the limit is 0.6 of what the process itself leaves. - A stop asked for before the wait for ports began is noticed.

--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -71,7 +71,7 @@
 import { createUpstreamConnections } from "../transport/upstream_connections.ts";
 import { getCodeCacheState } from "./code_cache.ts";
 import { createLifeCycle, type LifeCycle } from "./life_cycle.ts";
-import { type Page, sendPage } from "./page.ts";
+import { createPageServer, type Page, sendPage } from "./page.ts";
 import { openOrClose, PortBinding } from "./port_binding.ts";
 import type { RunningDaemon } from "./process_life.ts";
 
@@ -387,8 +387,7 @@
     this.#links.open();
     this.#lifeCycle.addCleanup("links", () => this.#links.close());
     await this.#openServer(this.#createRouterServer(), "peers", "optional");
-    await this.#openPort(this.#callers, "callers", "required");
-    const readiness = createServer((request, response) => {
+    const readiness = createPageServer((request, response) => {
       const isReadyPath = request.url === READY_PATH;
       const isReady = this.#findUnreadyReason() === undefined;
       sendEmptyResponse(
@@ -397,13 +396,15 @@
       );
     });
     await this.#openServer(readiness, "ready", "required");
-    const metrics = createServer((_request, response) => {
+    const metrics = createPageServer((_request, response) => {
       void sendPage(response, {
         render: () => this.#renderMetrics(),
         log: this.log,
       });
     });
     await this.#openServer(metrics, "metrics", "optional");
+    // Last, so that a start that fails has served nobody.
+    await this.#openPort(this.#callers, "callers", "required");
     if (!this.#callers.listening || !readiness.listening) return;
     this.#isListening = true;
     this.#scheduleReadinessCheck(
@@ -438,10 +439,15 @@
     await this.#lifeCycle.close();
   }
 
-  reload({ bounds }: IngressSettings): void {
+  reload({ bounds, limits }: IngressSettings): void {
     this.#bounds = bounds;
     this.#updateRetrySlack(this.#routing.routers().size);
-    this.#logs("daemon").info("The settings were reloaded.", { bounds });
+    this.#callers.maxConnections = limits.maxConnections;
+    this.#memory.limitBytes = getHeldBytesLimit(limits.memoryMb);
+    this.#logs("daemon").info("The settings were reloaded.", {
+      bounds,
+      limits,
+    });
   }
 
   rejectReload(faults: string): void {
@@ -683,6 +689,7 @@
   #findUnreadyReason(): string | undefined {
     return findUnreadyReason({
       isStopping: this.#stopStartedAt !== undefined,
+      isListening: this.#callers.listening,
       hasConfiguration: this.#routing.table() !== undefined,
       isConfirmed: this.#routing.isTrustedAt(readClocks()),
     });
--- a/src/daemon/port_binding.ts
+++ b/src/daemon/port_binding.ts
@@ -139,6 +139,7 @@
 ): Promise<void> {
   const endWait = () => daemon.endWait();
   stopSignal?.addEventListener("abort", endWait);
+  if (stopSignal?.aborted) endWait();
   try {
     await daemon.open();
   } catch (cause) {
--- a/src/daemon/settings_file.ts
+++ b/src/daemon/settings_file.ts
@@ -5,7 +5,11 @@
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Err, Ok, type Result } from "ts-results/result";
-import { getSettingsStep, SETTINGS_PAUSE_MS } from "../policy/settings_wait.ts";
+import {
+  getSettingsStep,
+  hasEndLine,
+  SETTINGS_PAUSE_MS,
+} from "../policy/settings_wait.ts";
 
 /** Settings that can't be used. */
 export interface SettingsFailure {
@@ -50,8 +54,8 @@
     const result = text.ok ? await parseText(text.val, parse) : text;
     const step = getSettingsStep({
       isValid: result.ok,
-      isComplete: value?.endsWith("\n") ?? false,
-      unchangedMs: now - changedAt,
+      isComplete: value !== undefined && hasEndLine(value),
+      unchangedMs: Math.max(now - changedAt, getFileAgeMs(file)),
       waitedMs: now - startedAt,
     });
     const waitedMs = Math.round(now - startedAt);
@@ -81,6 +85,16 @@
   return parsed.mapErr((faults) => ({ isReadable: true, faults }));
 }
 
+/** Time since `file` was written by the wall clock; 0 if it is unknown. */
+function getFileAgeMs(file: string): number {
+  try {
+    return Date.now() - statSync(file).mtimeMs;
+  } catch {
+    // The file is missing for the moment.
+    return 0;
+  }
+}
+
 /** Whether `file` can be read again; a pipe can't. */
 function isReadAgain(file: string): boolean {
   try {
--- a/src/ingress/body_filter.ts
+++ b/src/ingress/body_filter.ts
@@ -40,6 +40,9 @@
       maxBodyBytes,
       remainingMs,
       memory,
+      ...(exchange.workspace !== undefined && {
+        source: exchange.workspace.name,
+      }),
     });
     if (body.err) {
       if (exchange.response.destroyed) return { kind: "caller-left" };
--- a/src/policy/memory_budget.ts
+++ b/src/policy/memory_budget.ts
@@ -18,8 +18,8 @@
   | "unread-answer";
 
 /**
- * Why a holding is given up: its source takes more than its share, or the sum is
- * reached.
+ * Why a holding is given up: its source takes so much that it counts as faulty,
+ * or the sum is reached.
  */
 export type EvictionReason = "source-share" | "sum";
 
@@ -35,7 +35,10 @@
 /** Options of a holding. */
 export interface HoldingOptions {
   readonly kind: HoldingKind;
-  /** Who sends it: the id of an upstream or a router, or a caller's address. */
+  /**
+   * Who sends it, among those of this kind: the id of an upstream or a router, a
+   * workspace, or a caller's address.
+   */
   readonly source: string;
   /** Size that the sender has announced, in bytes; undefined if it has not. */
   readonly expectedBytes?: number | undefined;
@@ -75,11 +78,18 @@
  */
 export const MIN_HOLDING_BYTES = 16_384;
 
+/** Share of the limit above which an upstream's answers are given up first. */
+const MAX_SOURCE_SHARE = 0.25;
 /**
- * Share of the limit above which the sender of answers is given up first: no
- * sound upstream needs that much at a time.
+ * Share of the limit above which that is held against the upstream: several
+ * answers of the largest size may take less.
  */
-const MAX_SOURCE_SHARE = 0.25;
+const EXCESS_SOURCE_SHARE = 0.5;
+/**
+ * Share of the limit of bodies above which a workspace's bodies are given up
+ * before others.
+ */
+const MAX_BODY_SOURCE_SHARE = 0.5;
 /**
  * Share of the limit that the bodies of requests may take together. The rest is
  * for the answers to them: a body that is complete is kept until then.
@@ -121,7 +131,8 @@
 
 /** The memory that is held for all messages. */
 export class MemoryBudget {
-  readonly limitBytes: number;
+  /** Limit of all holdings together, in bytes; may change. */
+  limitBytes: number;
   readonly #holdings = new Set<BudgetHolding>();
   readonly #bytesBySource = new Map<string, number>();
   #heldBytes = 0;
@@ -152,18 +163,24 @@
   }
 
   /**
-   * Whether the body of a request of `bytes` fits without giving up others but
-   * answers of a source that takes more than its share. One that does not fit is
-   * refused before it is read.
+   * Whether the body of a request of `bytes` from `source` fits without giving up
+   * others but those of a source that takes more than its share. One that does not
+   * fit is refused before it is read.
    */
-  hasRoomForBody(bytes: number): boolean {
-    if (this.#bodyBytes + bytes > this.#maxBodyBytes) return false;
-    if (this.#heldBytes + bytes <= this.limitBytes) return true;
-    let greedyBytes = 0;
+  hasRoomForBody(bytes: number, source: string): boolean {
+    const hasRoom = this.#heldBytes + bytes <= this.limitBytes &&
+      this.#bodyBytes + bytes <= this.#maxBodyBytes;
+    if (hasRoom) return true;
+    let answers = 0;
+    let bodies = 0;
     for (const each of this.#holdings) {
-      if (this.#getRank(each) === 0) greedyBytes += each.bytes;
+      const { kind, source: ofEach } = each.options;
+      if (each.isComplete || !this.#isGreedy(each)) continue;
+      if (kind === "answer") answers += each.bytes;
+      if (kind === "request-body" && ofEach !== source) bodies += each.bytes;
     }
-    return this.#heldBytes - greedyBytes + bytes <= this.limitBytes;
+    return this.#heldBytes - answers - bodies + bytes <= this.limitBytes &&
+      this.#bodyBytes - bodies + bytes <= this.#maxBodyBytes;
   }
 
   get #maxBodyBytes(): number {
@@ -191,7 +208,7 @@
       kind,
       source,
       bytes: victim.bytes,
-      reason: this.#getRank(victim) === 0 ? "source-share" : "sum",
+      reason: this.#isExcess(victim) ? "source-share" : "sum",
     };
     this.close(victim);
     this.#evictions++;
@@ -208,18 +225,19 @@
   }
 
   #add(holding: BudgetHolding, bytes: number): void {
-    const { kind, source } = holding.options;
     holding.bytes += bytes;
     this.#heldBytes += bytes;
-    if (kind === "request-body") this.#bodyBytes += bytes;
-    const ofSource = (this.#bytesBySource.get(source) ?? 0) + bytes;
+    if (holding.options.kind === "request-body") this.#bodyBytes += bytes;
+    const source = getSourceKey(holding);
+    const ofSource = this.#getSourceBytes(holding) + bytes;
     if (ofSource > 0) this.#bytesBySource.set(source, ofSource);
     else this.#bytesBySource.delete(source);
   }
 
   /**
    * Chooses what is given up: answers of an upstream that takes more than its
-   * share, then requests that have just begun to arrive, which have not run,
+   * share, then bodies of a workspace that does, then requests that have just
+   * begun to arrive, which have not run,
    * then answers of the upstream that holds most, and what callers don't read.
    * Messages that are complete are kept.
    */
@@ -239,6 +257,8 @@
     const rank = this.#getRank(one) - this.#getRank(other);
     if (rank !== 0) return rank < 0;
     if (one.options.kind === "request-body") {
+      const isGreedy = this.#isGreedy(one);
+      if (isGreedy !== this.#isGreedy(other)) return isGreedy;
       return one.progress < other.progress;
     }
     const bytes = this.#getSourceBytes(one) - this.#getSourceBytes(other);
@@ -259,11 +279,23 @@
     }
   }
 
+  #isExcess(holding: BudgetHolding): boolean {
+    return holding.options.kind === "answer" &&
+      this.#getSourceBytes(holding) > this.limitBytes * EXCESS_SOURCE_SHARE;
+  }
+
   #isGreedy(holding: BudgetHolding): boolean {
-    return this.#getSourceBytes(holding) > this.limitBytes * MAX_SOURCE_SHARE;
+    const share = holding.options.kind === "request-body"
+      ? MAX_BODY_SHARE * MAX_BODY_SOURCE_SHARE
+      : MAX_SOURCE_SHARE;
+    return this.#getSourceBytes(holding) > this.limitBytes * share;
   }
 
-  #getSourceBytes({ options }: BudgetHolding): number {
-    return this.#bytesBySource.get(options.source) ?? 0;
+  #getSourceBytes(holding: BudgetHolding): number {
+    return this.#bytesBySource.get(getSourceKey(holding)) ?? 0;
   }
 }
+
+function getSourceKey({ options }: BudgetHolding): string {
+  return `${options.kind} ${options.source}`;
+}
--- a/src/policy/memory_limits.ts
+++ b/src/policy/memory_limits.ts
@@ -14,7 +14,7 @@
  * stay until the next garbage collection, and the kernel counts bytes that have
  * not been read.
  */
-const HELD_SHARE = 0.5;
+const HELD_SHARE = 0.6;
 /** Room for the largest answer, its copy, and others beside it. */
 const MIN_HELD_BYTES = 41_943_040;
 const BYTES_PER_MB = 1_048_576;
--- a/src/policy/settings_wait.ts
+++ b/src/policy/settings_wait.ts
@@ -10,8 +10,8 @@
 export interface SettingsReading {
   readonly isValid: boolean;
   /**
-   * Whether the text ends with a line break. One that doesn't may be the valid
-   * beginning of a longer text.
+   * Whether the text ends with the line that marks its end. One that doesn't may
+   * be the valid beginning of a longer text.
    */
   readonly isComplete: boolean;
   /** Time since the text last changed, in milliseconds. */
@@ -20,6 +20,14 @@
   readonly waitedMs: number;
 }
 
+/** Last line of settings that need not be read again to be complete. */
+const END_LINE = "; end of settings";
+
+/** Whether `text` ends with the line that marks its end. */
+export function hasEndLine(text: string): boolean {
+  return text.trimEnd().split("\n").at(-1)!.trim() === END_LINE;
+}
+
 /** What to do with settings that were read. */
 export type SettingsStep = "use" | "read-again" | "reject";
 
--- a/src/policy/settings_wait_test.ts
+++ b/src/policy/settings_wait_test.ts
@@ -1,4 +1,8 @@
-import { getSettingsStep, MAX_SETTINGS_WAIT_MS } from "./settings_wait.ts";
+import {
+  getSettingsStep,
+  hasEndLine,
+  MAX_SETTINGS_WAIT_MS,
+} from "./settings_wait.ts";
 
 const COMPLETE = {
   isValid: true,
@@ -22,3 +26,10 @@
   expect(getSettingsStep({ ...beginning, unchangedMs: 100 })).toBe("use");
   expect(getSettingsStep({ ...beginning, waitedMs })).toBe("use");
 });
+
+// Guards against settings cut after a section being used for good.
+test("only the last line marks settings as complete", () => {
+  expect(hasEndLine("[store]\naddress = x\n; end of settings\n")).toBe(true);
+  expect(hasEndLine("[store]\naddress = x\n")).toBe(false);
+  expect(hasEndLine("; end of settings\n[limits]\n")).toBe(false);
+});
--- a/src/transport/request_body.ts
+++ b/src/transport/request_body.ts
@@ -22,6 +22,8 @@
   readonly remainingMs?: number;
   /** Holds the memory of the body; without it, only the body is bounded. */
   readonly memory?: MemoryBudget;
+  /** Workspace of the request; the caller's address by default. */
+  readonly source?: string;
 }
 
 /** The body of a request. */
@@ -77,7 +79,7 @@
       const { maxBodyBytes, memory } = this.#options;
       const announcedBytes = getAnnouncedBytes(request) ?? 0;
       if (announcedBytes > maxBodyBytes) return this.#refuseSize();
-      if (memory?.hasRoomForBody(announcedBytes) === false) {
+      if (memory?.hasRoomForBody(announcedBytes, this.#source) === false) {
         return this.#refuseMemory();
       }
       this.#setDeadline();
@@ -88,6 +90,11 @@
     });
   }
 
+  get #source(): string {
+    return this.#options.source ?? this.#request.socket.remoteAddress ??
+      "unknown";
+  }
+
   /** Ends the wait at the deadline, after which the request can't be served. */
   #setDeadline(): void {
     const { remainingMs } = this.#options;
@@ -124,7 +131,7 @@
   #hold(): void {
     this.#holding ??= this.#options.memory?.open({
       kind: "request-body",
-      source: this.#request.socket.remoteAddress ?? "unknown",
+      source: this.#source,
       expectedBytes: getAnnouncedBytes(this.#request),
       onEvict: () => this.#refuseMemory(),
     });
