--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -15,7 +15,7 @@
 import { PlatformFailure } from "../store/key_value.ts";
 import { decodeItem, encodeVersionRecord, type RawItem } from "./documents.ts";
 import { NUMBERS } from "./field_limits.ts";
-import { asFields, getFlag, getList, getNumber } from "./fields.ts";
+import { asFields, FieldError, getFlag, getList, getNumber } from "./fields.ts";
 import { decodeStoreEra } from "./message_headers.ts";
 import { KEYS, STORE_PATHS } from "./names.ts";
 
@@ -110,6 +110,15 @@
 const CALL_TIMEOUT_MS = 1_500;
 /** Unreadable items that are remembered, to log each once. */
 const MAX_UNREADABLE = 1_024;
+/**
+ * Items of a store: the largest fleets have 12,000 upstreams and hundreds of
+ * routers, whose entries have a few hundred bytes.
+ */
+const MAX_SNAPSHOT_ITEMS = 32_768;
+/** Length of their keys and values; a heap of 96 MB holds them decoded. */
+const MAX_SNAPSHOT_LENGTH = 16_777_216;
+/** Pages may be far smaller than the platform's page allows. */
+const MAX_SNAPSHOT_PAGES = 2_048;
 const STATUS_NOT_FOUND = 404;
 const STATUS_GONE = 410;
 
@@ -143,8 +152,40 @@
   return { key: String(key), value: isDeleted ? undefined : value };
 }
 
-function getLastKey(items: readonly unknown[]): string {
-  return String(asFields(items.at(-1), "item")["key"]);
+/**
+ * Returns the key after which the next page begins. Throws `FieldError` if it
+ * does not rise, by UTF-16 units or by bytes: the pages would not end.
+ */
+function getNextKey(
+  items: readonly unknown[],
+  after: string | undefined,
+): string {
+  const { key } = toRawItem(items.at(-1));
+  const hasRisen = after === undefined || key > after ||
+    Buffer.compare(Buffer.from(key), Buffer.from(after)) > 0;
+  if (!hasRisen) throw new FieldError("last key of a page", "a later one");
+  return key;
+}
+
+/** Bounds what is read for one snapshot. */
+class SnapshotSize {
+  #pages = 0;
+  #items = 0;
+  #length = 0;
+
+  addPage(): void {
+    this.#check("pages", ++this.#pages, MAX_SNAPSHOT_PAGES);
+  }
+
+  addItem({ key, value = "" }: RawItem): void {
+    this.#length += key.length + value.length;
+    this.#check("items", ++this.#items, MAX_SNAPSHOT_ITEMS);
+    this.#check("characters", this.#length, MAX_SNAPSHOT_LENGTH);
+  }
+
+  #check(unit: string, count: number, max: number): void {
+    if (count > max) throw new FieldError("store", `at most ${max} ${unit}`);
+  }
 }
 
 function getRevision(item: unknown): number {
@@ -168,33 +209,27 @@
   async readAll(): Promise<Result<StoreSnapshot, PlatformFailure>> {
     const sentAt = this.#options.now();
     const read = await this.#readItems("");
-    if (read.err) return read;
-    const { items, revision, era } = read.val;
-    return this.#decode(() => ({
-      changes: items.flatMap((each) => this.#decodeItem(each)),
-      revision,
-      sentAt,
-      era,
-    }));
+    return read.map((snapshot) => ({ ...snapshot, sentAt }));
   }
 
   async readVersions(): Promise<Result<StoreVersions, PlatformFailure>> {
     const read = await this.#readItems(KEYS.versions);
     if (read.err) return read;
-    const { items, revision, era } = read.val;
-    return this.#decode(() => ({
-      records: items.flatMap((each) => this.#decodeItem(each))
-        .flatMap((change) => change.kind === "versions" ? [change.record] : []),
-      revision,
-      era,
-    }));
+    const { changes, revision, era } = read.val;
+    const records = changes
+      .flatMap((change) => change.kind === "versions" ? [change.record] : []);
+    return Ok({ records, revision, era });
   }
 
-  /** Reads the items below a prefix, page by page. */
+  /**
+   * Reads and decodes the items below a prefix, page by page. Fails if there are
+   * more than a store can hold that a router follows.
+   */
   async #readItems(
     prefix: string,
-  ): Promise<Result<Omit<Page, "isTruncated">, PlatformFailure>> {
-    const items: unknown[] = [];
+  ): Promise<Result<Omit<StoreSnapshot, "sentAt">, PlatformFailure>> {
+    const changes: StoreChange[] = [];
+    const size = new SnapshotSize();
     let first: Page | undefined;
     let after: string | undefined;
     for (;;) {
@@ -203,19 +238,27 @@
       const page = read.val;
       // Later pages may be of later revisions. Polling from the revision of the
       // first page delivers every change made between the pages.
-      first ??= page;
+      first ??= { ...page, items: [] };
       if (page.era !== first.era) {
         const detail = "the store returned to a copy while it was read";
         return Err(new PlatformFailure("unavailable", detail));
       }
-      items.push(...page.items);
-      if (!page.isTruncated) break;
-      const last = this.#decode(() => getLastKey(page.items));
-      if (last.err) return last;
-      after = last.val;
+      // The text of a page is dropped before the next one is read.
+      const next = this.#decode(() => {
+        size.addPage();
+        for (const item of page.items) {
+          const raw = toRawItem(item);
+          size.addItem(raw);
+          for (const change of this.#decodeItem(raw)) changes.push(change);
+        }
+        return page.isTruncated ? getNextKey(page.items, after) : undefined;
+      });
+      if (next.err) return next;
+      if (next.val === undefined) break;
+      after = next.val;
     }
     const { revision, era } = first;
-    return Ok({ items, revision, era });
+    return Ok({ changes, revision, era });
   }
 
   async poll(after: number): Promise<Result<StorePoll, PlatformFailure>> {
@@ -241,7 +284,7 @@
       const isComplete = current <= last;
       return {
         kind: "changes",
-        changes: events.flatMap((each) => this.#decodeItem(each)),
+        changes: events.flatMap((each) => this.#decodeItem(toRawItem(each))),
         revision: last,
         sentAt: isComplete ? sentAt : undefined,
         era,
@@ -317,8 +360,7 @@
    * Decodes an item. One that stays unreadable for the same reason is not
    * reported again: its writer repeats it with each heartbeat.
    */
-  #decodeItem(item: unknown): StoreChange[] {
-    const raw = toRawItem(item);
+  #decodeItem(raw: RawItem): StoreChange[] {
     const changes = decodeItem(raw);
     const unreadable = changes.find(({ kind }) => kind === "unreadable");
     const known = this.#unreadable.get(raw.key);
--- a/testing/metadata_store.ts
+++ b/testing/metadata_store.ts
@@ -24,6 +24,14 @@
   delayMs: number;
   /** Fraction of calls, 0 to 1, that are applied without a response. */
   lostResponseRate: number;
+  /** Answers calls in place of the store, if set; undefined leaves one to it. */
+  garble: ((url: URL) => GarbledReply | undefined) | undefined;
+}
+
+/** Answer whose body may be anything. */
+export interface GarbledReply {
+  readonly status: number;
+  readonly text: string;
 }
 
 interface StoredItem {
@@ -65,6 +73,7 @@
     withholdsEvents: false,
     delayMs: 0,
     lostResponseRate: 0,
+    garble: undefined,
   };
   /** Number of calls since the start, by path. */
   readonly calls = new Map<string, number>();
@@ -162,6 +171,12 @@
     this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
     if (this.faults.delayMs > 0) await sleep(this.faults.delayMs);
     if (this.faults.isSilent) return;
+    const garbled = this.faults.garble?.(url);
+    if (garbled !== undefined) {
+      response.writeHead(garbled.status, { "store-era": String(this.#era) });
+      response.end(garbled.text);
+      return;
+    }
     const { refusalStatus } = this.faults;
     const reply = refusalStatus === undefined
       ? await this.#answer(url, body as Record<string, unknown>)
