Bound the values of an answer of the store, not only its bytes

Callers saw a router end by itself (SIGABRT, heap exhausted) on one answer of the store of 4 MB that consists of empty objects: the limit of 16 MiB counted the text, and objects take many times that. A watch with such an answer was asked for again and again.

An answer now has at most 8 MiB and 131,072 values, both options of the client. The marks that come before values are counted in the bytes before they are decoded, so that neither the text nor the objects are made. A refused answer is a failed call. Changes that exceed one answer make the router read the whole store instead, with a line in the log: the same poll would fail for as long as the store keeps its history. A failed call quotes a copy of the first 200 characters of its answer, which kept the whole answer.

The test of an answer without end now expects 8 MiB instead of 16 MiB, which is stricter.

--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -504,6 +504,14 @@
       this.#revision = undefined;
       return false;
     }
+    if (poll.val.kind === "too-large") {
+      this.#options.log.warn("The store's changes exceed one answer.", {
+        revision: this.#revision,
+        cause: poll.val.cause,
+      });
+      this.#revision = undefined;
+      return false;
+    }
     const { changes, revision, sentAt, era } = poll.val;
     if (era !== this.#era) {
       if (era < this.era) {
--- a/src/daemon/faulty_store_test.ts
+++ b/src/daemon/faulty_store_test.ts
@@ -70,6 +70,11 @@
   return JSON.stringify({ currentRev: 200, truncated: true, items });
 }
 
+function fill(list: string, item: string): string {
+  const items = item.repeat(Math.ceil(4_000_000 / item.length));
+  return `{"currentRev":200,"truncated":false,"${list}":[${items}0]}`;
+}
+
 /** Serves a new item until the router recovers. */
 async function untilFollowed(): Promise<void> {
   const fresh = await fleet.addUpstream("fresh");
@@ -93,12 +98,16 @@
     range: () => renderPage(served += PAGE_ITEMS),
   },
   { name: "one page again and again", range: () => renderPage(0) },
+  { name: "empty objects in a page", text: fill("items", "{},") },
+  { name: "empty lists in a page", text: fill("items", "[],") },
+  { name: "objects in a page", text: fill("items", '{"a":1,"b":[]},') },
+  { name: "a long text in a page", text: fill("items", `"${"é".repeat(9)}",`) },
 ])(
   "a store that sends $name costs no caller",
-  async ({ range }) => {
+  async ({ range, text = "" }) => {
     fleet.store.faults.garble = (url) => {
       if (url.pathname.endsWith("/kv-watch")) return { status: 410, text: "" };
-      return { status: 200, text: range() };
+      return { status: 200, text: range?.() ?? text };
     };
     const statuses: number[] = [];
     const deadlineMs = performance.now() + FAULT_MS;
@@ -116,6 +125,17 @@
   40_000,
 );
 
+// Guards against a poll that fails again and again since its answer is refused.
+test("changes beyond one answer are followed by a snapshot", async () => {
+  const text = fill("events", "{},");
+  fleet.store.faults.garble = (url) =>
+    url.pathname.endsWith("/kv-watch") ? { status: 200, text } : undefined;
+  await untilFollowed();
+  expect(router.lines.join("\n"))
+    .toContain("The store's changes exceed one answer.");
+  expect(router.peakMb).toBeLessThan(MEMORY_MB);
+}, 40_000);
+
 // Guards against bounds that the largest fleets exceed.
 test("12,000 upstreams and configurations of a megabyte pass", async () => {
   fleet.store.faults.isSilent = true;
@@ -141,9 +161,12 @@
   }
   fleet.store.faults.isSilent = false;
   await untilFollowed();
-  expect(await ask()).toBe(200);
+  async function checkServed(): Promise<void> {
+    expect(await ask()).toBe(200);
+    expect(router.lines.join("\n")).not.toContain("exceed");
+    expect(router.peakMb).toBeLessThan(MEMORY_MB);
+  }
+  await checkServed();
   await fleet.restart();
-  expect(await ask()).toBe(200);
-  expect(router.lines.join("\n")).not.toContain("exceed");
-  expect(router.peakMb).toBeLessThan(MEMORY_MB);
+  await checkServed();
 }, 60_000);
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -48,7 +48,9 @@
     readonly era: number;
   }
   /** The store no longer keeps these changes; read a snapshot instead. */
-  | { readonly kind: "compacted" };
+  | { readonly kind: "compacted" }
+  /** The changes exceed one answer; read a snapshot instead. */
+  | { readonly kind: "too-large"; readonly cause: string };
 
 /** The versions that services had, as the store keeps them. */
 export interface StoreVersions {
@@ -267,7 +269,10 @@
     const query = `prefix=&after=${after}&waitMs=${pollWaitMs}`;
     const answer = await this.#get(`${STORE_PATHS.watch}?${query}`);
     if (answer.err) {
-      if (answer.val.status === STATUS_GONE) return Ok({ kind: "compacted" });
+      const { status, isTooLarge, message: cause } = answer.val;
+      if (status === STATUS_GONE) return Ok({ kind: "compacted" });
+      // The same poll would fail until the store drops its history.
+      if (isTooLarge) return Ok({ kind: "too-large", cause });
       return answer;
     }
     return this.#decode(() => {
--- a/src/store/http_json.ts
+++ b/src/store/http_json.ts
@@ -21,6 +21,10 @@
   address: string;
   /** Timeout of a whole call, in milliseconds; 2000 by default. */
   timeoutMs?: number;
+  /** Longest answer that is read, in bytes; 8 MiB by default. */
+  maxResponseBytes?: number;
+  /** Most JSON values of an answer; 131,072 by default. */
+  maxResponseValues?: number;
   onBytes?: ByteCounter;
 }
 
@@ -57,10 +61,27 @@
 
 const DEFAULT_TIMEOUT_MS = 2_000;
 /**
- * Several times the largest page and value of a store; more would not fit into
- * the heap as text and as objects.
+ * The platform's page allows about 1 MB or 500 items in a range and 1 MiB in a
+ * value, which base64 lengthens by a third. The changes of a watch have no bound
+ * there: this one holds five such values, or an entry of each upstream of the
+ * largest fleets.
  */
-const MAX_RESPONSE_BYTES = 16_777_216;
+const MAX_RESPONSE_BYTES = 8_388_608;
+/** Changes of an answer; the largest fleets have 12,000 upstreams. */
+const MAX_RESPONSE_ITEMS = 16_384;
+/** An item has five fields. */
+const MAX_ITEM_VALUES = 8;
+/**
+ * Objects take many times the bytes of their text: 4 MB of empty ones exceed the
+ * heap of a router.
+ */
+const MAX_RESPONSE_VALUES = MAX_RESPONSE_ITEMS * MAX_ITEM_VALUES;
+/** Length of the text of a failed call that its failure quotes. */
+const MAX_QUOTED_LENGTH = 200;
+const MAX_UTF8_BYTES = 4;
+const COMMA = 0x2c;
+const OPENING_BRACKET = 0x5b;
+const OPENING_BRACE = 0x7b;
 /**
  * Request line without its path, and the host, connection, content-type and
  * content-length headers.
@@ -97,21 +118,44 @@
   const kind = isConnectError(error)
     ? "unavailable"
     : getLostResponseKind(isWrite);
-  return new PlatformFailure(kind, getErrorMessage(error));
+  const isTooLarge = error instanceof OversizeError;
+  return new PlatformFailure(kind, getErrorMessage(error), { isTooLarge });
 }
 
 function toStatusFailure(
   status: number,
   isWrite: boolean,
-  { text }: { text: string },
+  { bytes }: { bytes: Buffer },
 ): PlatformFailure {
   const kind = isOutcomeUnknown(status)
     ? getLostResponseKind(isWrite)
     : "refused";
-  const detail = `HTTP status ${status}: ${text.slice(0, 200)}`;
+  const end = MAX_QUOTED_LENGTH * MAX_UTF8_BYTES;
+  const text = bytes.toString("utf8", 0, end).slice(0, MAX_QUOTED_LENGTH);
+  const detail = `HTTP status ${status}: ${text}`;
   return new PlatformFailure(kind, detail, { status });
 }
 
+/** An answer is longer, or has more values, than a client reads. */
+class OversizeError extends RangeError {}
+
+/**
+ * Throws `OversizeError` if a JSON text may have more than `max` values. Each
+ * value but the first of a list or an object follows a comma. Those marks count
+ * within strings too, of which base64 has none.
+ */
+function checkValueCount(bytes: Buffer, max: number): void {
+  let count = 0;
+  for (const byte of bytes) {
+    if (
+      byte === COMMA || byte === OPENING_BRACE || byte === OPENING_BRACKET
+    ) count++;
+  }
+  if (count > max) {
+    throw new OversizeError(`response has ${count} values, more than ${max}`);
+  }
+}
+
 function getHeaderBytes(headers: IncomingHttpHeaders): number {
   let size = STATUS_LINE_BYTES;
   for (const [name, value] of Object.entries(headers)) {
@@ -123,13 +167,22 @@
 class UndiciHttpJsonClient implements HttpJsonClient {
   readonly #origin: string;
   readonly #timeoutMs: number;
+  readonly #maxBytes: number;
+  readonly #maxValues: number;
   readonly #onBytes: ByteCounter;
   readonly #agent: Agent;
 
   constructor(
-    { address, timeoutMs = DEFAULT_TIMEOUT_MS, onBytes = () => {} }:
-      HttpJsonClientOptions,
+    {
+      address,
+      timeoutMs = DEFAULT_TIMEOUT_MS,
+      maxResponseBytes = MAX_RESPONSE_BYTES,
+      maxResponseValues = MAX_RESPONSE_VALUES,
+      onBytes = () => {},
+    }: HttpJsonClientOptions,
   ) {
+    this.#maxBytes = maxResponseBytes;
+    this.#maxValues = maxResponseValues;
     this.#origin = `http://${address}`;
     this.#timeoutMs = timeoutMs;
     this.#onBytes = onBytes;
@@ -160,11 +213,12 @@
         signal,
       });
       onHeaders?.(response.headers);
-      const text = await this.#readText(response.body);
+      const bytes = await this.#readBytes(response.body);
       if (response.statusCode !== 200) {
-        return Err(toStatusFailure(response.statusCode, isWrite, { text }));
+        return Err(toStatusFailure(response.statusCode, isWrite, { bytes }));
       }
-      return Ok(JSON.parse(text));
+      checkValueCount(bytes, this.#maxValues);
+      return Ok(JSON.parse(bytes.toString("utf8")));
     } catch (error) {
       return Err(toFailure(error, isWrite));
     }
@@ -182,8 +236,8 @@
         signal,
       });
       if (response.statusCode !== 200) {
-        const text = await this.#readText(response.body);
-        return Err(toStatusFailure(response.statusCode, false, { text }));
+        const bytes = await this.#readBytes(response.body);
+        return Err(toStatusFailure(response.statusCode, false, { bytes }));
       }
       return Ok(this.#countBytes(response.body));
     } catch (error) {
@@ -229,15 +283,15 @@
     }
   }
 
-  async #readText(body: AsyncIterable<Buffer>): Promise<string> {
+  async #readBytes(body: AsyncIterable<Buffer>): Promise<Buffer> {
     const collector = new ByteCollector();
     for await (const chunk of this.#countBytes(body)) {
-      if (collector.length + chunk.length > MAX_RESPONSE_BYTES) {
-        throw new RangeError("response is too large");
+      if (collector.length + chunk.length > this.#maxBytes) {
+        throw new OversizeError("response is too large");
       }
       collector.push(chunk);
     }
-    return collector.take().toString("utf8");
+    return collector.take();
   }
 }
 
--- a/src/store/http_json_test.ts
+++ b/src/store/http_json_test.ts
@@ -3,7 +3,7 @@
 import { createHttpJsonClient } from "./http_json.ts";
 
 const PART_BYTES = 65_536;
-const MAX_RESPONSE_BYTES = 16_777_216;
+const MAX_RESPONSE_BYTES = 8_388_608;
 /** What the sockets on both sides buffer beyond that. */
 const SOCKET_BUFFER_BYTES = 8_388_608;
 
--- a/src/store/key_value.ts
+++ b/src/store/key_value.ts
@@ -20,16 +20,22 @@
   readonly kind: PlatformFailureKind;
   /** HTTP status of the response; undefined if there was none. */
   readonly status: number | undefined;
+  /** Whether the response was larger than the client reads. */
+  readonly isTooLarge: boolean;
 
   constructor(
     kind: PlatformFailureKind,
     detail: string,
-    { status }: { status?: number } = {},
+    { status, isTooLarge = false }: {
+      status?: number;
+      isTooLarge?: boolean;
+    } = {},
   ) {
     super(detail);
     this.name = "PlatformFailure";
     this.kind = kind;
     this.status = status;
+    this.isTooLarge = isTooLarge;
   }
 }
 
