Serve requests that are pipelined to the routers' port in turns

Callers of a router waited while one connection to its port for other routers pipelined requests without end: Node starts each at once, and only the port of callers passed them in turns.

Both ports now use the same listener. A connection with one request at a time, as routers open them, starts each at once as before: 100 requests on 100 connections are answered.

--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -589,12 +589,12 @@
         keepAliveTimeout: ROUTER_IDLE_TIMEOUT_MS,
         noDelay: true,
       },
-      (request, response) => {
+      createTurnListener((request, response) => {
         const serve = isConfigurationRequest(request)
           ? serveConfiguration
           : serveRequest;
         serve(request, response);
-      },
+      }),
     );
     server.maxConnections = this.#settings.limits.maxConnections;
     handleClientErrors(server);
--- a/src/daemon/testing/bundled_router.ts
+++ b/src/daemon/testing/bundled_router.ts
@@ -45,6 +45,7 @@
   #directory = "";
   #child!: ChildProcess;
   #callers = "";
+  #peers = "";
   #errors = "";
   readonly #sockets = new Set<Socket>();
 
@@ -63,6 +64,7 @@
     this.#putEntries();
     const ready = await findFreeAddress();
     this.#callers = await findFreeAddress();
+    this.#peers = await findFreeAddress();
     const settings = join(this.#directory, "node.ini");
     writeFileSync(settings, await this.#renderSettings(ready));
     const [, flags] = /^run = "node (.*)"$/m.exec(
@@ -105,9 +107,12 @@
     return Number(/^VmHWM:\s+(\d+)/m.exec(status)![1]) / KB_PER_MB;
   }
 
-  /** Connects to the port of callers. */
-  async connect(): Promise<Socket> {
-    const [host, port] = this.#callers.split(":");
+  /** Connects to the port of callers, or to that of other routers. */
+  async connect(
+    { to = "callers" }: { to?: "callers" | "peers" } = {},
+  ): Promise<Socket> {
+    const address = to === "callers" ? this.#callers : this.#peers;
+    const [host, port] = address.split(":");
     const socket = connect(Number(port), host);
     socket.on("error", () => {});
     this.#sockets.add(socket);
@@ -191,7 +196,7 @@
 [listen]
 callers = ${this.#callers}
 ready = ${ready}
-peers = ${await findFreeAddress()}
+peers = ${this.#peers}
 metrics = ${await findFreeAddress()}
 [store]
 address = ${this.store.address}
