Answer the pipelined requests that were read before a stop closes

A caller that pipelines got one answer of 40 when its router stopped: that one said "connection: close", which makes Node close the connection, and up to 15 others had been passed to the upstream by then. Requests that wait for their turn were not in the count that a stop waits for.

The last request that was read on a connection closes it now, and waiting requests are counted in flight. They leave the count when they are started, when their connection closes, or when it is closed for too many. A paused connection shows its end only when it is written to, so that they stay until the next answer at most.

A caller that goes on pipelining without end keeps its connection until the end of the grace time.

--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -570,7 +570,10 @@
         keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
         noDelay: true,
       },
-      createTurnListener(this.#createRequestHandler({ isForRouters: false })),
+      createTurnListener(
+        this.#createRequestHandler({ isForRouters: false }),
+        { inFlight: this.#inFlight },
+      ),
     );
     server.maxConnections = this.#settings.limits.maxConnections;
     handleClientErrors(server);
@@ -594,7 +597,7 @@
           ? serveConfiguration
           : serveRequest;
         serve(request, response);
-      }),
+      }, { inFlight: this.#inFlight }),
     );
     server.maxConnections = this.#settings.limits.maxConnections;
     handleClientErrors(server);
--- a/src/ingress/ingress_server.ts
+++ b/src/ingress/ingress_server.ts
@@ -10,6 +10,7 @@
 import type { MemoryBudget } from "../policy/memory_budget.ts";
 import type { RouteTable } from "../policy/route_table.ts";
 import { mayHaveBody } from "../transport/body_framing.ts";
+import { hasLaterRequest } from "../transport/connection_turns.ts";
 import {
   createCountedHandler,
   type InFlightCounter,
@@ -155,7 +156,7 @@
       deadlineAt: arrivedAt + DEFAULT_DEADLINE_MS,
       trace: [],
     };
-    if (options.isStopping()) {
+    if (options.isStopping() && !hasLaterRequest(request)) {
       response.setHeader("connection", "close");
     }
     const outcome = await run(exchange);
@@ -173,7 +174,9 @@
   ): void {
     if (response.destroyed) return;
     if (options.isStopping() && !response.headersSent) {
-      response.setHeader("connection", "close");
+      // Those read after this request are answered first.
+      if (hasLaterRequest(request)) response.removeHeader("connection");
+      else response.setHeader("connection", "close");
     }
     if (outcome.kind === "whole") {
       const { status, headers, body } = outcome;
--- a/src/transport/connection_turns.ts
+++ b/src/transport/connection_turns.ts
@@ -8,6 +8,7 @@
   ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import type { InFlightCounter, RequestInFlight } from "./in_flight.ts";
 
 /** Requests that one connection starts before others have their turn. */
 const MAX_REQUESTS_PER_TURN = 8;
@@ -16,17 +17,26 @@
 /** Requests that wait; a connection with more is closed. */
 const MAX_WAITING_REQUESTS = 256;
 
+/** A request that has not been passed to the server's listener. */
+interface WaitingRequest extends RequestInFlight {
+  start(): void;
+}
+
 /** Requests of one connection. */
 class ConnectionTurns {
+  /** The last request that was read. */
+  lastRequest: IncomingMessage | undefined;
   readonly #socket: Socket;
-  readonly #waiting: (() => void)[] = [];
+  readonly #inFlight: InFlightCounter;
+  #waiting: WaitingRequest[] = [];
   #openRequests = 0;
   #requestsInTurn = 0;
   #isPaused = false;
   #isWatched = false;
 
-  constructor(socket: Socket) {
+  constructor(socket: Socket, inFlight: InFlightCounter) {
     this.#socket = socket;
+    this.#inFlight = inFlight;
   }
 
   /** Calls `start` now or when it is due; the response ends the request. */
@@ -43,13 +53,21 @@
       startCounted();
       return;
     }
-    this.#waiting.push(startCounted);
+    const request = { socket: this.#socket, start: startCounted };
+    this.#waiting.push(request);
+    this.#inFlight.recordStart(request);
     this.#pause();
     if (this.#waiting.length <= MAX_WAITING_REQUESTS) return;
-    this.#waiting.length = 0;
+    this.#drop();
     this.#socket.destroy();
   }
 
+  #drop(): void {
+    const dropped = this.#waiting;
+    this.#waiting = [];
+    for (const each of dropped) this.#inFlight.recordEnd(each);
+  }
+
   #mayStart(): boolean {
     return this.#openRequests < MAX_OPEN_REQUESTS &&
       this.#requestsInTurn < MAX_REQUESTS_PER_TURN;
@@ -69,9 +87,12 @@
   }
 
   #startWaiting(): void {
-    if (this.#socket.destroyed) this.#waiting.length = 0;
+    if (this.#socket.destroyed) this.#drop();
     while (this.#waiting.length > 0 && this.#mayStart()) {
-      this.#waiting.shift()!();
+      const request = this.#waiting.shift()!;
+      request.start();
+      // The listener has counted it by now.
+      this.#inFlight.recordEnd(request);
     }
     if (this.#waiting.length === 0) this.#resume();
   }
@@ -90,6 +111,7 @@
     socket.on("resume", () => {
       if (this.#isPaused) this.#stopReading();
     });
+    socket.once("close", () => this.#drop());
   }
 
   /** Makes Node stop to read, also if the stream counts as paused already. */
@@ -105,16 +127,36 @@
   }
 }
 
+const turnsBySocket = new WeakMap<Socket, ConnectionTurns>();
+
+/** Options of `createTurnListener`. */
+export interface TurnListenerOptions {
+  /** Counts the requests that wait, which a graceful stop is to answer. */
+  readonly inFlight: InFlightCounter;
+}
+
 /** Returns a listener that passes the requests of each connection in turns. */
-export function createTurnListener(serve: RequestListener): RequestListener {
-  const turnsBySocket = new WeakMap<Socket, ConnectionTurns>();
+export function createTurnListener(
+  serve: RequestListener,
+  { inFlight }: TurnListenerOptions,
+): RequestListener {
   return (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
     let turns = turnsBySocket.get(socket);
     if (turns === undefined) {
-      turns = new ConnectionTurns(socket);
+      turns = new ConnectionTurns(socket, inFlight);
       turnsBySocket.set(socket, turns);
     }
+    turns.lastRequest = request;
     turns.receive(() => serve(request, response), response);
   };
 }
+
+/**
+ * Whether another request has been read after `request` on its connection. A
+ * response that closes the connection would leave that one without an answer.
+ */
+export function hasLaterRequest(request: IncomingMessage): boolean {
+  const last = turnsBySocket.get(request.socket)?.lastRequest;
+  return last !== undefined && last !== request;
+}
