Bound an unpacked configuration to what the heap takes

A few KB from another router could unpack to 64 MiB of JSON on a heap of 96 MB, which is a text, its objects and their check at a time. The platform allows a value of 1 MiB; the limit is 8 MiB now, for the value in the store as well, whose answer was bounded to 16 MiB already.

--- a/src/platform/field_limits.ts
+++ b/src/platform/field_limits.ts
@@ -131,8 +131,8 @@
 export const MAX_DEPTH = 32;
 /** Length of the entry of an upstream or a router, or a record, in bytes. */
 export const MAX_ENTRY_BYTES = 65_536;
-/** Length of a configuration, in bytes; its size planned for in two years. */
-export const MAX_CONFIGURATION_BYTES = 67_108_864;
+/** Length of a configuration, in bytes; 8 times the largest value of a store. */
+export const MAX_CONFIGURATION_BYTES = 8_388_608;
 
 /** Whether `value` is a number within `limit`. */
 export function isNumberWithin(
