Bound a line of a watch as other answers of the store

A store that sent a line without end filled up to 64 Mi characters, joined by string concatenation and searched from the start with each part. The line is collected as bytes now, searched once, and bounded to 16 MiB as other answers of the store are. The test's line of 20 MB was kept before (no event within the 5 s of the test).

--- a/src/store/etcd_key_value_test.ts
+++ b/src/store/etcd_key_value_test.ts
@@ -1,4 +1,7 @@
-import { createServer, type Server } from "node:net";
+import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import { createServer as createHttpServer } from "node:http";
+import { type AddressInfo, createServer, type Server } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   createKeyValueServer,
@@ -175,6 +178,26 @@
   expect(idle.map((event) => event.kind)).toEqual(["put"]);
 });
 
+// Guards against a line without end that fills the heap before it is refused.
+test("a watch whose line is longer than an answer may be closes", async () => {
+  const endless = createHttpServer((_request, response) => {
+    response.write(Buffer.alloc(20_000_000, "a"));
+  });
+  await once(endless.listen(0, "127.0.0.1"), "listening");
+  const { port } = endless.address() as AddressInfo;
+  const client = createEtcdKeyValue({ address: `127.0.0.1:${port}` });
+  const events: WatchEvent[] = [];
+  client.watch("", (event) => events.push(event));
+  await waitUntil(() => events.length > 0);
+  expect(events).toMatchObject([{
+    kind: "closed",
+    failure: { message: expect.stringContaining("line is too long") },
+  }]);
+  await client.close();
+  endless.closeAllConnections();
+  endless.close();
+});
+
 test("a watch from a compacted revision is refused", async () => {
   server.store.compactRevision = 5;
   const events = collectEvents("", { fromRevision: 2 });
--- a/src/store/etcd_watch.ts
+++ b/src/store/etcd_watch.ts
@@ -5,8 +5,9 @@
  * progress notifications and closes if it receives nothing for `silenceMs`. The
  * server's progress interval must be well below that.
  */
-import { StringDecoder } from "node:string_decoder";
+import type { Buffer } from "node:buffer";
 import { Value } from "@sinclair/typebox/value";
+import { ByteCollector } from "../transport/byte_collector.ts";
 import {
   decodeBase64,
   encodePrefixEnd,
@@ -30,7 +31,9 @@
   silenceMs: number;
 }
 
-const MAX_LINE_CHARACTERS = 67_108_864;
+/** As for other answers of a store. */
+const MAX_LINE_BYTES = 16_777_216;
+const LINE_FEED = 0x0a;
 
 function parseLine(line: string): WatchLine {
   const parsed: unknown = JSON.parse(line);
@@ -48,9 +51,8 @@
 export class EtcdWatch implements Watch {
   readonly #options: EtcdWatchOptions;
   readonly #abortController = new AbortController();
-  readonly #decoder = new StringDecoder("utf8");
+  readonly #partialLine = new ByteCollector();
   #silenceTimer: NodeJS.Timeout | undefined;
-  #partialLine = "";
   #ended = false;
 
   constructor(options: EtcdWatchOptions) {
@@ -94,21 +96,23 @@
     for await (const chunk of response.val) {
       if (this.#ended) return;
       this.#resetSilenceTimer();
-      this.#handleText(this.#decoder.write(chunk));
+      this.#handleChunk(chunk);
     }
     throw new PlatformFailure("unavailable", "the service closed the watch");
   }
 
-  #handleText(text: string): void {
-    const lines = (this.#partialLine + text).split("\n");
-    this.#partialLine = lines.pop()!;
-    if (this.#partialLine.length > MAX_LINE_CHARACTERS) {
+  #handleChunk(chunk: Buffer): void {
+    const linesEnd = chunk.lastIndexOf(LINE_FEED) + 1;
+    if (this.#partialLine.length + chunk.length > MAX_LINE_BYTES) {
       throw new PlatformFailure(
         "unavailable",
         "watch response line is too long",
       );
     }
-    for (const line of lines) {
+    this.#partialLine.push(chunk.subarray(0, linesEnd));
+    const lines = linesEnd > 0 ? this.#partialLine.take().toString() : "";
+    this.#partialLine.push(chunk.subarray(linesEnd));
+    for (const line of lines.split("\n")) {
       if (line !== "") this.#handleLine(parseLine(line));
     }
   }
