Cut the detail of a refusal to 1,000 characters

A refusal quotes what was sent, such as a path of up to 32 KiB, in its problem document and in a log line. The test's detail of 30,001 characters came out whole before. Other fields of log lines that quote an upstream or a header are not cut here.

--- a/src/diagnostics.ts
+++ b/src/diagnostics.ts
@@ -95,16 +95,21 @@
 }
 
 const DEFAULT_RETRY_AFTER_MS = 1_000;
+/** Characters of a detail, which may quote what others have sent. */
+const MAX_DETAIL_LENGTH = 1_000;
 
 /**
  * Creates a refusal. If its code is retryable, it has a retry delay: the given
- * `retryAfterMs` or a default.
+ * `retryAfterMs` or a default. A long `text` is cut.
  */
 export function createRefusal(
   code: DiagnosticCode,
-  detail: string,
+  text: string,
   { ran = "no", retryAfterMs }: RefusalOptions = {},
 ): Refusal {
+  const detail = text.length > MAX_DETAIL_LENGTH
+    ? `${text.slice(0, MAX_DETAIL_LENGTH)}…`
+    : text;
   if (!getDiagnostic(code).retryable) return { code, ran, detail };
   return {
     code,
