--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -576,7 +576,10 @@
         keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
         noDelay: true,
       },
-      createTurnListener(this.#createRequestHandler({ isForRouters: false })),
+      createTurnListener(
+        this.#createRequestHandler({ isForRouters: false }),
+        { inFlight: this.#inFlight },
+      ),
     );
     server.maxConnections = this.#settings.limits.maxConnections;
     handleClientErrors(server);
@@ -595,12 +598,12 @@
         keepAliveTimeout: ROUTER_IDLE_TIMEOUT_MS,
         noDelay: true,
       },
-      (request, response) => {
+      createTurnListener((request, response) => {
         const serve = isConfigurationRequest(request)
           ? serveConfiguration
           : serveRequest;
         serve(request, response);
-      },
+      }, { inFlight: this.#inFlight }),
     );
     server.maxConnections = this.#settings.limits.maxConnections;
     handleClientErrors(server);
