Release unread answers whose connection closes before their turn

An answer that waits behind another on its connection does not learn that the connection has closed, so that its bytes were counted for good: a probe with 12 connections of 20 pipelined requests left 88,000,000 held bytes after all callers had gone, and sound answers got 502. The holding now ends with the connection as well, as the count of requests in flight does. Giving such an answer up, or aborting its stream, resets the connection of its request; the response has no socket by then.

--- a/src/ingress/stream_relay.ts
+++ b/src/ingress/stream_relay.ts
@@ -104,7 +104,7 @@
    */
   abort(): void {
     if (!this.#response.chunkedEncoding) {
-      this.#response.socket?.resetAndDestroy();
+      this.#response.req.socket.resetAndDestroy();
     }
     this.#response.destroy();
   }
--- a/src/ingress/unread_answers.ts
+++ b/src/ingress/unread_answers.ts
@@ -8,6 +8,7 @@
   type MemoryBudget,
   MIN_HOLDING_BYTES,
 } from "../policy/memory_budget.ts";
+import { onceWritten } from "../transport/in_flight.ts";
 
 /** The unread part of one response. */
 export class UnreadAnswer {
@@ -23,24 +24,31 @@
   /** Sets the bytes that the caller has not read. */
   resize(bytes: number): void {
     if (this.#holding === undefined) {
-      if (bytes < MIN_HOLDING_BYTES || this.#response.destroyed) return;
+      if (bytes < MIN_HOLDING_BYTES || this.#isGone) return;
       this.#holding = this.#open();
     }
     this.#holding.resize(bytes);
   }
 
+  get #isGone(): boolean {
+    const { destroyed, req } = this.#response;
+    return destroyed || req.socket.destroyed;
+  }
+
   #open(): Holding {
     const response = this.#response;
+    // A response that waits for an earlier one has no socket of its own yet.
+    const { socket } = response.req;
     const holding = this.#memory.open({
       kind: "unread-answer",
-      source: response.req.socket.remoteAddress ?? "",
+      source: socket.remoteAddress ?? "",
       // Only a reset tells an HTTP/1.0 caller that the answer is not whole.
       onEvict: () => {
-        response.socket?.resetAndDestroy();
+        socket.resetAndDestroy();
         response.destroy();
       },
     });
-    response.once("close", () => holding.close());
+    onceWritten(response.req, response, () => holding.close());
     return holding;
   }
 }
--- a/src/transport/in_flight.ts
+++ b/src/transport/in_flight.ts
@@ -61,25 +61,24 @@
 }
 
 /**
- * Resolves when the response has been written to the connection, or the
- * connection has closed. A response that waits for an earlier one on its
+ * Calls `listener` once: when the response has been written to the connection,
+ * or the connection has closed. A response that waits for an earlier one on its
  * connection does not learn that the connection has closed.
  */
-function waitUntilWritten(
-  { socket }: IncomingMessage,
+export function onceWritten(
+  { socket }: RequestInFlight,
   response: ServerResponse,
-): Promise<void> {
-  return new Promise((resolve) => {
-    function finish(): void {
-      response.off("close", finish);
-      socket.off("close", finish);
-      resolve();
-    }
-    // Requests that are pipelined each add a listener.
-    socket.setMaxListeners(0);
-    response.once("close", finish);
-    socket.once("close", finish);
-  });
+  listener: () => void,
+): void {
+  function finish(): void {
+    response.off("close", finish);
+    socket.off("close", finish);
+    listener();
+  }
+  // Requests that are pipelined each add a listener.
+  socket.setMaxListeners(0);
+  response.once("close", finish);
+  socket.once("close", finish);
 }
 
 /**
@@ -95,7 +94,9 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
-    const written = waitUntilWritten(request, response);
+    const written = new Promise<void>((resolve) =>
+      onceWritten(request, response, resolve)
+    );
     inFlight.recordStart(request);
     serve(request, response)
       .catch((cause) => {
