Keep an answer that is whole when its copy does not fit

The copy that joins the parts of a whole answer was counted, so that the answer was given up if both exceeded the limit. The holding is complete by then: it is no longer given up, and the copy, which exists until the try ends, isn't counted.

The new test of held_answers_test.ts failed before: a whole answer of 800,000 bytes under a limit of 1,000,000 ended its try. The file passes with the change.

--- a/src/ingress/held_answers_test.ts
+++ b/src/ingress/held_answers_test.ts
@@ -120,3 +120,13 @@
   expect(result.kind).toBe("answered");
   expect(heldBytes).toBe(0);
 });
+
+// Guards against a sound answer that is given up when it is whole, since its
+// copy does not fit (FAULT).
+test("an answer that is whole is not given up for its copy", async () => {
+  const bodyBytes = 800_000;
+  const framing = `content-length: ${bodyBytes}`;
+  const { result, heldBytes } = await tryLarge({ framing, bodyBytes });
+  expect(result.kind).toBe("answered");
+  expect(heldBytes).toBe(0);
+});
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -441,7 +441,8 @@
       return;
     }
     const { isStream } = this.#head;
-    if (!isStream && !this.#hold(this.#body.heldBytesOfTake)) return;
+    // The copy of a whole answer exceeds the limit only until the try ends.
+    this.#holding?.complete();
     const result = isStream ? this.#classifyStream() : this.#classifyAnswer();
     if (passesOn(result) && !this.#isFramed) void this.#checkEnd(result);
     else this.#end(result);
--- a/src/transport/byte_collector.ts
+++ b/src/transport/byte_collector.ts
@@ -28,11 +28,6 @@
     return this.#heldBytes;
   }
 
-  /** Bytes of memory that are held while `take` copies them. */
-  get heldBytesOfTake(): number {
-    return this.#heldBytes + (this.#blocks.length > 1 ? this.#length : 0);
-  }
-
   /** Appends a part, which may be kept by reference. */
   push(chunk: Buffer): void {
     if (chunk.length === 0) return;
