Let a stream replay a burst of small events

A sound stream that replays 3,000 small events at once was cut for its number of parts. A stream may have 8,192 events at once and a response 4,096 parts.

The new test failed before at 2,393 of 3,000 events and passes now; endless_parts_test.ts passed with its bounds as they were (14 of 14).

--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -149,6 +149,9 @@
 /** Largest response, other than a stream, that is held in memory. */
 const MAX_WHOLE_RESPONSE_BYTES = 16_777_216;
 
+/** Events of any size that a stream may replay at once. */
+const MAX_BURST_EVENTS = 8_192;
+
 /** Whether `result` passes on what the upstream has sent, as complete. */
 function passesOn(result: TryResult): boolean {
   return result.kind === "stream-complete" ||
@@ -425,7 +428,9 @@
   /** Whether the stream may have `event` by now; comments bring nothing. */
   #allowsEvent({ bytes, isComment }: StreamEvent): boolean {
     const { clock } = this.#options;
-    this.#allowance ??= new InputAllowance(clock());
+    this.#allowance ??= new InputAllowance(clock(), {
+      baseParts: MAX_BURST_EVENTS,
+    });
     return this.#allowance.recordPart(isComment ? 0 : bytes.length, clock);
   }
 
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -412,6 +412,9 @@
   }
 }
 
+/** Parts of any size that a response may have at once. */
+const MAX_BURST_PARTS = 4_096;
+
 /** Translates undici's dispatch events to calls of a `ResponseListener`. */
 class ExchangeHandler implements Dispatcher.DispatchHandler {
   readonly #listener: ResponseListener;
@@ -468,7 +471,9 @@
   /** Ends a response of which most bytes bring nothing. */
   checkInput(): void {
     if (this.#isEnded || this.#isPaused) return;
-    this.#allowance ??= new InputAllowance(this.#clock());
+    this.#allowance ??= new InputAllowance(this.#clock(), {
+      baseParts: MAX_BURST_PARTS,
+    });
     // What has arrived since then hasn't been parsed.
     const parsedBytes = this.#parsedBytes;
     this.#parsedBytes = this.#receivedBytes;
@@ -491,7 +496,9 @@
 
   /** Returns false if the response has too many parts; it is ended then. */
   #recordPart(bytes: number): boolean {
-    this.#allowance ??= new InputAllowance(this.#clock());
+    this.#allowance ??= new InputAllowance(this.#clock(), {
+      baseParts: MAX_BURST_PARTS,
+    });
     if (this.#allowance.recordPart(bytes, this.#clock)) return true;
     this.#endExcess("too many small parts");
     return false;
