--- a/bench/store_chaos_fleet.ts
+++ b/bench/store_chaos_fleet.ts
@@ -6,7 +6,6 @@
 import {
   existsSync,
   mkdirSync,
-  readFileSync,
   renameSync,
   rmSync,
   writeFileSync,
@@ -30,6 +29,7 @@
   type UpstreamCrash,
   type UpstreamCut,
 } from "../testing/registered_upstream.ts";
+import { readNodeFlags } from "../testing/run_command.ts";
 import { createRelay, type Relay } from "../testing/relay.ts";
 import { ROUTE_HOST, type RouterEndpoint } from "./store_chaos_calls.ts";
 import type { StoreChaosBounds, Withdrawal } from "./store_chaos_evidence.ts";
@@ -125,7 +125,6 @@
 const OPERATOR_DELAY_MS = 500;
 const FAILURE_DOMAINS = ["east", "west", "south"];
 const PROGRAM = "target/corianderflowd.js";
-const SYSTEM_FILE = "deploy/system.toml";
 /**
  * Time from the start of a process until Node runs its program, at the least;
  * a signal that comes sooner can't be handled by any program.
@@ -507,13 +506,6 @@
   }
 }
 
-/** Reads the options of Node in the run command of the routers. */
-function readNodeFlags(): string[] {
-  const text = readFileSync(SYSTEM_FILE, "utf8");
-  const [, command = ""] = /^run = "node (.*)"$/m.exec(text) ?? [];
-  return command.split(" ").filter((part) => part.startsWith("--"));
-}
-
 /** Returns the file that a process writes when its program is about to run. */
 function getLoadedFile(linkFaultsFile: string): string {
   return `${linkFaultsFile}.loaded`;
--- a/src/daemon/testing/bundled_router.ts
+++ b/src/daemon/testing/bundled_router.ts
@@ -5,19 +5,14 @@
 import type { Buffer } from "node:buffer";
 import { type ChildProcess, execFileSync, spawn } from "node:child_process";
 import { once } from "node:events";
-import {
-  mkdtempSync,
-  readFileSync,
-  rmSync,
-  symlinkSync,
-  writeFileSync,
-} from "node:fs";
+import { mkdtempSync, rmSync, symlinkSync, writeFileSync } from "node:fs";
 import { connect, type Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { findFreeAddress } from "../../../testing/free_address.ts";
+import { readNodeFlags, readPeakBytes } from "../../../testing/run_command.ts";
 import { MetadataStoreServer } from "../../../testing/metadata_store.ts";
 import {
   API_KEY,
@@ -30,7 +25,8 @@
 const BUNDLE_INPUTS = ["src", "deploy", "node_modules", "package.json"];
 const MAX_BODY_BYTES = 4_200_000;
 const POLL_MS = 30;
-const KB_PER_MB = 1_024;
+const BYTES_PER_MB = 1_048_576;
+const PROGRAM = "target/corianderflowd.js";
 
 /** Status and time of the answer to an ordinary request. */
 export interface TimedStatus {
@@ -67,10 +63,7 @@
     this.#peers = await findFreeAddress();
     const settings = join(this.#directory, "node.ini");
     writeFileSync(settings, await this.#renderSettings(ready));
-    const [, flags] = /^run = "node (.*)"$/m.exec(
-      readFileSync(join(ROOT, "deploy/system.toml"), "utf8"),
-    )!;
-    this.#child = spawn(process.execPath, flags!.split(" "), {
+    this.#child = spawn(process.execPath, [...readNodeFlags(), PROGRAM], {
       cwd: this.#directory,
       env: { PATH: process.env["PATH"], CORIANDERFLOW_SETTINGS: settings },
       stdio: ["ignore", "ignore", "pipe"],
@@ -103,8 +96,7 @@
 
   /** Largest memory of the process so far, in MB. */
   getPeakMemoryMb(): number {
-    const status = readFileSync(`/proc/${this.#child.pid}/status`, "utf8");
-    return Number(/^VmHWM:\s+(\d+)/m.exec(status)![1]) / KB_PER_MB;
+    return (readPeakBytes(this.#child.pid!) ?? 0) / BYTES_PER_MB;
   }
 
   /** Connects to the port of callers, or to that of other routers. */
--- a/src/daemon/testing/limited_router.ts
+++ b/src/daemon/testing/limited_router.ts
@@ -4,17 +4,18 @@
  */
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
+import { readNodeFlags, readPeakBytes } from "../../../testing/run_command.ts";
 import type { IngressSettings } from "../../config/ingress_settings.ts";
 import type { StartedDaemon } from "./local_ingress.ts";
 
 const ROOT = join(__dirname, "../../..");
 const PROGRAM = join(ROOT, "dist/src/daemon/main.js");
 const STARTED_MESSAGE = "The router has started.";
-const KB_PER_MB = 1_024;
+const BYTES_PER_MB = 1_048_576;
 
 /** A router in a process of its own. */
 export class LimitedRouter implements StartedDaemon {
@@ -27,7 +28,7 @@
   constructor(settings: IngressSettings) {
     const file = join(this.#directory, "node.ini");
     writeFileSync(file, renderSettings(settings));
-    this.#child = spawn(process.execPath, [...readFlags(), PROGRAM], {
+    this.#child = spawn(process.execPath, [...readNodeFlags(), PROGRAM], {
       env: { PATH: process.env["PATH"], CORIANDERFLOW_SETTINGS: file },
     });
     for (const output of [this.#child.stdout!, this.#child.stderr!]) {
@@ -53,10 +54,8 @@
 
   /** Highest memory so far, in MB, as the kernel counts it. */
   get peakMb(): number {
-    if (!this.isRunning) return this.#peakMb;
-    const status = readFileSync(`/proc/${this.#child.pid}/status`, "utf8");
-    const [, kb] = /^VmHWM:\s+(\d+) kB$/m.exec(status) ?? [];
-    this.#peakMb = Number(kb ?? 0) / KB_PER_MB;
+    const bytes = readPeakBytes(this.#child.pid!);
+    if (bytes !== undefined) this.#peakMb = bytes / BYTES_PER_MB;
     return this.#peakMb;
   }
 
@@ -78,13 +77,6 @@
   }
 }
 
-/** Returns the flags of Node in the run command of a router. */
-function readFlags(): string[] {
-  const text = readFileSync(join(ROOT, "deploy/system.toml"), "utf8");
-  const [, command = ""] = /^run = "(.*)"$/m.exec(text) ?? [];
-  return command.split(" ").filter((word) => word.startsWith("--"));
-}
-
 function renderSettings(settings: IngressSettings): string {
   return Object.entries(settings).map(([section, values]) => {
     const lines = Object.entries(values)
--- a/testing/processes.ts
+++ b/testing/processes.ts
@@ -9,12 +9,12 @@
 import {
   createWriteStream,
   mkdirSync,
-  readFileSync,
   type WriteStream,
 } from "node:fs";
 import { basename, join } from "node:path";
 import { performance } from "node:perf_hooks";
 import process from "node:process";
+import { readPeakBytes } from "./run_command.ts";
 
 /** Options of a set of processes. */
 export interface ProcessesOptions {
@@ -89,7 +89,6 @@
 
 const MAX_LOG_BYTES = 64 * 1024 * 1024;
 const MAX_TAIL_CHARS = 2_000;
-const BYTES_PER_KB = 1_024;
 /** Signals that end a process, now or after its grace time. */
 const ENDING_SIGNALS: ReadonlySet<NodeJS.Signals> = new Set([
   "SIGTERM",
@@ -340,19 +339,6 @@
   }
 }
 
-/** Reads the largest memory that a process has had; undefined if it has ended. */
-function readPeakBytes(pid: number): number | undefined {
-  try {
-    const status = readFileSync(`/proc/${pid}/status`, "utf8");
-    const [, kilobytes] = /^VmHWM:\s+(\d+) kB/m.exec(status) ?? [];
-    return kilobytes === undefined
-      ? undefined
-      : Number(kilobytes) * BYTES_PER_KB;
-  } catch {
-    return undefined;
-  }
-}
-
 /** Finds the first complete line that is JSON and has the address field. */
 function findAnnouncement(
   text: string,
