--- a/testing/processes.ts
+++ b/testing/processes.ts
@@ -6,11 +6,7 @@
  */
 import type { Buffer } from "node:buffer";
 import { type ChildProcess, spawn } from "node:child_process";
-import {
-  createWriteStream,
-  mkdirSync,
-  type WriteStream,
-} from "node:fs";
+import { createWriteStream, mkdirSync, type WriteStream } from "node:fs";
 import { basename, join } from "node:path";
 import { performance } from "node:perf_hooks";
 import process from "node:process";
