--- a/testing/link_faults.cjs
+++ b/testing/link_faults.cjs
@@ -7,10 +7,11 @@
  * `mode`: `refused` resets open connections and refuses new ones, `hung` lets
  * both hang, `new-refused` and `new-hung` leave open ones as they are.
  *
- * When Node has started and the program comes next, the module writes a file of
- * this name with the suffix `.loaded`.
+ * When Node has started and has read the program, which it runs next, the module
+ * writes a file of this name with the suffix `.loaded`.
  */
 const { existsSync, readFileSync, writeFileSync } = require("node:fs");
+const Module = require("node:module");
 const { Socket } = require("node:net");
 const process = require("node:process");
 
@@ -77,4 +78,10 @@
 
 readFaults();
 setInterval(readFaults, READ_INTERVAL_MS).unref();
-writeFileSync(`${file}.loaded`, String(process.pid));
+
+const compile = Module.prototype._compile;
+Module.prototype._compile = function (...args) {
+  Module.prototype._compile = compile;
+  writeFileSync(`${file}.loaded`, String(process.pid));
+  return compile.apply(this, args);
+};
