--- a/src/policy/memory_budget.ts
+++ b/src/policy/memory_budget.ts
@@ -237,9 +237,8 @@
   /**
    * Chooses what is given up: answers of an upstream that takes more than its
    * share, then bodies of a workspace that does, then requests that have just
-   * begun to arrive, which have not run,
-   * then answers of the upstream that holds most, and what callers don't read.
-   * Messages that are complete are kept.
+   * begun to arrive, which have not run, then answers of the upstream that holds
+   * most, and what callers don't read. Messages that are complete are kept.
    */
   #findVictim(): BudgetHolding | undefined {
     // Bodies can exceed their share while there is room for answers.
