Read the store's items as they arrive, and bound only those that are held

Callers saw 503 from all routers, for as long as a dozen values of 1 MiB that no router can read lay below servers/: after a kill, but also in running fleets once the store had dropped its history or the changes of a poll were too long.

Cause: a read of all items added up the keys and values of every item, also of those that are dropped, and failed as a whole beyond 16,777,216 characters or 32,768 items; an answer to a poll was held whole, and beyond 8 MiB or 131,072 values the whole store was read in its place, which failed in the same way. Both bounds were on a sum that other writers use up.

Change: answers are parsed element by element (JsonListReader). A value that is too long for its key, or of a key that no router reads, is dropped as it arrives; an answer to a poll that is too long for its time is used as far as it came. A store of several pages is read by the prefixes that routers use, the configuration first and again each second. Only what is held is bounded, by kind, and items that no configuration calls for have room of their own (StateRoom). Beyond the room of those that are needed, the known state stays in use, later changes are followed and the configuration is confirmed by itself. Full reads pause in proportion to what the last one took, removals of unknown items are not passed on to other routers, and services that no configuration names get no version records.

--- a/src/control/peer_exchange_test.ts
+++ b/src/control/peer_exchange_test.ts
@@ -109,6 +109,14 @@
       readAll: () =>
         respond((): StoreSnapshot => ({
           changes: this.#changes.map(({ change }) => change),
+          unused: { invalid: 0, leftOut: 0 },
+          revision: this.#revision,
+          sentAt: readClocks(),
+          era: 0,
+        })),
+      readConfiguration: () =>
+        respond(() => ({
+          configuration: undefined,
           revision: this.#revision,
           sentAt: readClocks(),
           era: 0,
@@ -124,6 +132,7 @@
             .map(({ change }) => change),
           revision: this.#revision,
           sentAt: readClocks(),
+          isPartial: false,
           era: 0,
         }));
       },
--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -11,11 +11,13 @@
 } from "../platform/metadata_store.ts";
 import { ChangeJournal } from "../policy/change_journal.ts";
 import { Confirmation } from "../policy/confirmation.ts";
+import { FullReadPace } from "../policy/full_read_pace.ts";
 import { getRetryPause } from "../policy/outage_poll.ts";
 import type { StorePollIntervals } from "../policy/poll_pause.ts";
 import type { RelayPlan } from "../policy/relay_plan.ts";
 import { chooseStartPeers } from "../policy/start_peers.ts";
 import { getStartWait } from "../policy/start_wait.ts";
+import { StateRoom } from "../policy/state_room.ts";
 import { RouteTable } from "../policy/route_table.ts";
 import { UpstreamDirectory } from "../policy/upstream_directory.ts";
 import type {
@@ -26,6 +28,10 @@
   UpstreamEntry,
 } from "../routing/types.ts";
 import type { PlatformFailure } from "../store/key_value.ts";
+import type {
+  ConfigurationRead,
+  UnusedItems,
+} from "../platform/store_reader.ts";
 import type { FetchConfiguration } from "./configuration_relay.ts";
 import type { SharedRoutingState } from "./peer_exchange.ts";
 import {
@@ -50,13 +56,21 @@
    * milliseconds; infinite before the first confirmation.
    */
   ageAt(now: Instant): number;
+  /**
+   * Time since all changes in the store were last known, in milliseconds;
+   * infinite before that. The configuration may be confirmed later, by itself.
+   */
+  getChangesAgeMs(): number;
   /**
    * Time since the store last confirmed the view of the upstreams, in
-   * milliseconds; infinite while state that it has lost stays in use.
+   * milliseconds; infinite while state that it has lost stays in use, and while
+   * the view may lack some of the store's.
    */
   getViewAgeMs(): number;
   /** Whether the configuration is recent enough to accept its API keys. */
   isTrustedAt(now: Instant): boolean;
+  /** Items of the store that are not in use here. */
+  getStoreGaps(): StoreGaps;
   /** Peer addresses of the fleet's routers by name, this one included. */
   routers(): ReadonlyMap<string, string>;
   /**
@@ -66,6 +80,12 @@
   confirmView(): Promise<boolean>;
 }
 
+/** What a router does not use of the store. */
+export interface StoreGaps extends UnusedItems {
+  /** Whether the view may lack items that are needed. */
+  readonly isViewPartial: boolean;
+}
+
 /** Keeps the routing state up to date and this router registered. */
 export interface RoutingController extends RoutingView, SharedRoutingState {
   open(): void;
@@ -131,6 +151,11 @@
  * write it again; this is the shortest bound on taking a failure domain out.
  */
 const RESTORED_MS = 5_000;
+/**
+ * Age of the configuration above which it is read alone, in milliseconds; half of
+ * the shortest bound on applying one.
+ */
+const CONFIGURATION_INTERVAL_MS = 1_000;
 /** Allows three renewals before the registration expires. */
 const RENEWAL_INTERVAL_MS = 2_500;
 /**
@@ -144,7 +169,22 @@
 class StoreRoutingController implements RoutingController {
   readonly directory = new UpstreamDirectory();
   readonly #options: RoutingOptions;
+  /** Confirms the configuration and the view. */
   readonly #confirmation: Confirmation;
+  /** Confirms the configuration alone. */
+  readonly #configurationConfirmation: Confirmation;
+  readonly #fullReads = new FullReadPace();
+  /** Room for the items that are held. */
+  #room: StateRoom;
+  /** Configuration of a read that is not in force, or not yet. */
+  #offered: RoutingConfiguration | undefined;
+  /** Services of the configurations in force and offered. */
+  #namedServices: ReadonlySet<string> = new Set();
+  #unused: UnusedItems = { invalid: 0, leftOut: 0 };
+  /** Whether items that are needed may be missing for want of room. */
+  #isViewPartial = false;
+  /** Whether a configuration needs items that were left out. */
+  #isFullReadDue = false;
   readonly #routers = new Map<string, string>();
   /** Bandwidth of the host's link by router name, in Mbit/s. */
   readonly #linkMbps = new Map<string, number>();
@@ -188,11 +228,17 @@
     const { revocationMs, tasks, log } = options;
     this.#versions = new VersionRecorder({
       ...options,
+      isNamed: (service) => this.#namedServices.has(service),
       directory: this.directory,
     });
     this.#confirmation = new Confirmation({ revocationMs });
+    this.#configurationConfirmation = new Confirmation({ revocationMs });
+    this.#room = this.#createRoom();
     this.#viewConfirmation = new ViewConfirmation({
-      store: options.store,
+      store: {
+        readVersions: () =>
+          options.store.readVersions({ room: this.#createRoom() }),
+      },
       clock: () => options.now().steady,
       hasRevision: (revision, era) =>
         era === this.#era && this.#revision !== undefined &&
@@ -273,25 +319,38 @@
   }
 
   ageAt(now: Instant): number {
-    return this.#confirmation.ageAt(now);
+    return Math.min(
+      this.#confirmation.ageAt(now),
+      this.#configurationConfirmation.ageAt(now),
+    );
+  }
+
+  getChangesAgeMs(): number {
+    return this.#confirmation.ageAt(this.#options.now());
   }
 
   getViewAgeMs(): number {
     // Entries of a copy may be those of earlier processes.
-    return this.#isRestoring() ? Infinity : this.ageAt(this.#options.now());
+    return this.#isRestoring() || this.#isViewPartial
+      ? Infinity
+      : this.getChangesAgeMs();
   }
 
   isTrustedAt(now: Instant): boolean {
-    return this.#confirmation.isTrustedAt(now);
+    return this.#confirmation.isTrustedAt(now) ||
+      this.#configurationConfirmation.isTrustedAt(now);
+  }
+
+  getStoreGaps(): StoreGaps {
+    return { ...this.#unused, isViewPartial: this.#isViewPartial };
   }
 
   async confirmView(): Promise<boolean> {
-    const { now, pace } = this.#options;
     const isStoreLost = !this.#isStoreReachable &&
-      this.ageAt(now()) > pace.ownPollMs;
+      this.getChangesAgeMs() > this.#options.pace.ownPollMs;
     if (isStoreLost || !await this.#viewConfirmation.confirm()) return false;
     // A copy that the store has returned to may lack upstreams.
-    return !this.#isRestoring();
+    return !this.#isRestoring() && !this.#isViewPartial;
   }
 
   routers(): ReadonlyMap<string, string> {
@@ -308,10 +367,12 @@
 
   getStoreUpdate(after: number, era: number): StoreUpdate | undefined {
     if (era !== this.era || this.#revision === undefined) return undefined;
+    const table = this.#table;
+    if (table === undefined) return undefined;
     const now = this.#options.now();
     const { revision } = this.#journal;
     const changes = this.#journal.getChangesSince(after, now.steady);
-    const ageMs = this.ageAt(now);
+    const ageMs = this.getChangesAgeMs();
     if (changes === undefined || changes.length > MAX_SENT_CHANGES) {
       return undefined;
     }
@@ -321,7 +382,7 @@
       era,
       revision,
       changes,
-      version: this.#table!.configuration.version,
+      version: table.configuration.version,
       ageMs: Math.ceil(ageMs),
       isStoreLost: !this.#isStoreReachable,
       storeBackMs: returnedAt === undefined
@@ -403,11 +464,11 @@
   }
 
   #getRetryPauseMs(): number {
-    const { now, pace, plan, random = Math.random } = this.#options;
+    const { pace, plan, random = Math.random } = this.#options;
     return getRetryPause({
       isRelay: plan.isRelay,
       isRelayed: this.#revision !== undefined &&
-        this.ageAt(now()) <= pace.ownPollMs,
+        this.getChangesAgeMs() <= pace.ownPollMs,
       isLostToRelay: this.#isStoreLostToRelay,
       routers: this.#routers.size,
       random,
@@ -416,9 +477,11 @@
 
   #isStoreReadNeeded(): boolean {
     const { plan, pace, now } = this.#options;
+    const { steady } = now();
     return plan.isRelay || this.#revision === undefined ||
+      this.#isFullReadNeeded() && this.#fullReads.isDue(steady) ||
       this.#hasMissedChanges ||
-      this.ageAt(now()) > pace.ownPollMs;
+      this.getChangesAgeMs() > pace.ownPollMs;
   }
 
   /**
@@ -451,7 +514,7 @@
    * snapshot of an era, which may be of an older copy.
    */
   async #fetchLostConfigurations(
-    { changes, era }: StoreSnapshot,
+    { changes, era }: Pick<StoreSnapshot, "changes" | "era">,
   ): Promise<RoutingConfiguration[]> {
     const { self, random = Math.random } = this.#options;
     if (era === this.#askedEra) return [];
@@ -508,15 +571,13 @@
    * again soon.
    */
   async #readChanges(): Promise<boolean> {
-    const { store } = this.#options;
+    const { store, now } = this.#options;
+    if (this.#isFullReadNeeded() && this.#fullReads.isDue(now().steady)) {
+      return await this.#readStore();
+    }
     if (this.#revision === undefined) {
-      const snapshot = await store.readAll();
-      if (snapshot.err) return this.#recordStoreFailure(snapshot.val);
-      this.#recordStoreAnswer();
-      const lost = await this.#fetchLostConfigurations(snapshot.val);
-      for (const each of lost) this.#applyConfiguration(each);
-      this.#applySnapshot(snapshot.val);
-      return true;
+      await this.#confirmConfiguration();
+      return false;
     }
     const poll = await store.poll(this.#revision);
     if (poll.err) return this.#recordStoreFailure(poll.val);
@@ -536,7 +597,7 @@
       this.#revision = undefined;
       return false;
     }
-    const { changes, revision, sentAt, era } = poll.val;
+    const { changes, revision, sentAt, era, isPartial } = poll.val;
     if (era !== this.#era) {
       if (era < this.era) {
         this.#options.log.warn("Ignoring an answer of an earlier era.", {
@@ -564,12 +625,167 @@
       this.#confirmation.confirm(sentAt);
       return true;
     }
+    if (isPartial) {
+      if (!isOutdated) this.#advanceRevision(revision);
+      await this.#confirmConfiguration();
+      return true;
+    }
     // The watch has missed changes; only a snapshot holds their result.
     this.#options.log.warn("A poll skipped revisions.", { revision });
     this.#revision = undefined;
     return false;
   }
 
+  /** Whether the known state can only be completed by a read of all items. */
+  #isFullReadNeeded(): boolean {
+    return this.#revision === undefined || this.#isFullReadDue ||
+      this.#isViewPartial;
+  }
+
+  /** Reads all items; returns false if the store must be read again soon. */
+  async #readStore(): Promise<boolean> {
+    const { store, now } = this.#options;
+    const startedAt = now().steady;
+    const room = this.#createRoom();
+    let first: ConfigurationRead | undefined;
+    const snapshot = await store.readAll({
+      room,
+      onConfiguration: (read) => {
+        first ??= read;
+        this.#receiveConfiguration(read);
+      },
+    });
+    if (snapshot.err) {
+      const { isTooLarge, message } = snapshot.val;
+      const isHeld = isTooLarge && first !== undefined &&
+        await this.#goOnWithout(first, message);
+      return isHeld || this.#recordStoreFailure(snapshot.val);
+    }
+    this.#recordStoreAnswer();
+    const lost = await this.#fetchLostConfigurations(snapshot.val);
+    for (const each of lost) this.#applyConfiguration(each);
+    this.#room = room;
+    this.#recordUnused(snapshot.val.unused);
+    this.#applySnapshot(snapshot.val);
+    this.#fullReads.recordRead({ startedAt, now: now().steady });
+    return true;
+  }
+
+  /**
+   * Goes on with the known state and follows later changes, since the items of
+   * the store exceed the room. `read` is the configuration at the begin of the
+   * read that failed. Returns false if that is not possible.
+   */
+  async #goOnWithout(
+    read: ConfigurationRead,
+    cause: string,
+  ): Promise<boolean> {
+    const { log, now } = this.#options;
+    const { configuration, revision, era } = read;
+    this.#fullReads.recordOverflow(now().steady);
+    if (era !== (this.#era ?? era)) return false;
+    this.#era = era;
+    this.#recordStoreAnswer();
+    const changes = configuration === undefined
+      ? []
+      : [{ kind: "configuration" as const, configuration }];
+    const lost = await this.#fetchLostConfigurations({ changes, era });
+    for (const each of lost) this.#applyConfiguration(each);
+    this.#isViewPartial = true;
+    this.#receiveConfiguration(read);
+    log.error("The store exceeds the room; the known state stays in use.", {
+      cause,
+      revision,
+      upstreams: this.directory.size,
+      version: this.#table?.configuration.version,
+    });
+    if (this.#revision !== undefined) return true;
+    // Changes between the last known revision and this one are missing.
+    this.#journal = new ChangeJournal();
+    this.#advanceRevision(revision);
+    return true;
+  }
+
+  /**
+   * Reads the configuration alone if it was not confirmed lately, so that keys
+   * are accepted and revoked in time while the store's changes are not followed.
+   */
+  async #confirmConfiguration(): Promise<void> {
+    const { now, store } = this.#options;
+    if (this.ageAt(now()) < CONFIGURATION_INTERVAL_MS) return;
+    const read = await store.readConfiguration();
+    if (read.err) this.#recordStoreFailure(read.val);
+    else this.#receiveConfiguration(read.val);
+  }
+
+  #receiveConfiguration({ configuration, era, sentAt }: ConfigurationRead) {
+    if (configuration === undefined) return;
+    this.#offered = configuration;
+    this.#recordNamedServices();
+    // A router that knows no upstreams yet is not ready.
+    if (!this.#hasSnapshot && !this.#isViewPartial) return;
+    // An older copy may lack configurations that other routers know.
+    if (era !== (this.#era ?? era) || era !== this.#askedEra) return;
+    this.#applyConfiguration(configuration);
+    this.#configurationConfirmation.confirm(sentAt);
+    this.#endTableWaits();
+  }
+
+  #recordUnused(unused: UnusedItems): void {
+    const { invalid, leftOut } = unused;
+    this.#unused = unused;
+    if (invalid === 0 && leftOut === 0) return;
+    this.#options.log.warn("Items of the store are not used.", {
+      invalid,
+      leftOut,
+    });
+  }
+
+  #createRoom(): StateRoom {
+    return new StateRoom({ isNeeded: (change) => this.#isNeeded(change) });
+  }
+
+  /** Whether requests or the fleet depend on an item. */
+  #isNeeded(change: StoreChange): boolean {
+    switch (change.kind) {
+      case "upstream":
+        return this.#namedServices.has(change.entry.service);
+      case "versions":
+      case "rollout-record":
+        return this.#namedServices.has(change.record.service);
+      case "rollout-order":
+        return this.#namedServices.has(change.order.service);
+      case "router":
+        return this.#routers.has(change.name) ||
+          change.name === this.#options.self.name;
+      default:
+        return true;
+    }
+  }
+
+  /** Makes room for a change; returns false if it must not be applied. */
+  #makeRoom(change: StoreChange): boolean {
+    const finding = this.#room.hold(change);
+    if (finding === "held") return true;
+    const { invalid, leftOut } = this.#unused;
+    const isFirst = leftOut === 0;
+    this.#unused = { invalid, leftOut: Math.max(1, leftOut) };
+    if (finding === "exceeded" && !this.#isViewPartial) {
+      this.#isViewPartial = true;
+      this.#options.log.error("There is no room for items that are needed.", {
+        kind: change.kind,
+      });
+    } else if (isFirst) {
+      this.#options.log.warn(
+        "There is no room for items that are not needed.",
+        {
+          kind: change.kind,
+        },
+      );
+    }
+    return false;
+  }
+
   async #writeRecords(): Promise<void> {
     const { plan, self, rollouts } = this.#options;
     if (!plan.isRelay) return;
@@ -685,6 +901,9 @@
     for (const change of this.#rolloutItems.listMissing(changes, { isKept })) {
       this.#apply(change);
     }
+    this.#isViewPartial = false;
+    this.#isFullReadDue = false;
+    this.#offered = undefined;
     this.#advanceRevision(revision);
     this.#hasMissedChanges = false;
     // A snapshot without a configuration can't confirm one.
@@ -702,6 +921,11 @@
     const { log, now, self } = this.#options;
     const instant = now();
     const { steady } = instant;
+    if (!this.#makeRoom(change)) {
+      // Its earlier value is no longer valid.
+      if (change.kind !== "upstream") return;
+      change = { kind: "upstream-gone", id: change.entry.id };
+    }
     if (isRolloutChange(change)) return this.#applyRollout(change);
     switch (change.kind) {
       case "configuration":
@@ -712,9 +936,8 @@
         break;
       case "upstream-gone":
         // An entry that is not valid is gone with each of its heartbeats.
-        if (this.directory.find(change.id) !== undefined) {
-          log.info("An upstream's entry was removed.", { upstream: change.id });
-        }
+        if (this.directory.find(change.id) === undefined) break;
+        log.info("An upstream's entry was removed.", { upstream: change.id });
         this.directory.remove(change.id, steady);
         this.#journal.recordChange(change);
         break;
@@ -737,6 +960,7 @@
         this.#recordRouterChange(change);
         break;
       case "router-gone":
+        if (!this.#linkMbps.has(change.name)) break;
         this.#keptRouters.delete(change.name);
         if (change.name !== self.name) this.#routers.delete(change.name);
         this.#linkMbps.delete(change.name);
@@ -770,6 +994,7 @@
     const previous = this.#table?.configuration.version;
     if (previous !== undefined && configuration.version <= previous) return;
     this.#table = new RouteTable(configuration);
+    this.#recordNamedServices();
     this.#options.log.info("A configuration is in force.", {
       version: configuration.version,
       previous,
@@ -778,6 +1003,24 @@
     this.#options.onConfiguration?.(configuration);
   }
 
+  /** Records which services the configurations name. */
+  #recordNamedServices(): void {
+    const known = this.#namedServices;
+    const configurations = [this.#table?.configuration, this.#offered]
+      .filter((each) => each !== undefined);
+    this.#namedServices = new Set(
+      configurations.flatMap(({ services, routes }) => [
+        ...services.map(({ name }) => name),
+        ...routes.flatMap(({ targets }) =>
+          targets.map(({ service }) => service)
+        ),
+      ]),
+    );
+    const isNew = [...this.#namedServices].some((each) => !known.has(each));
+    // Their items may be among those that were left out.
+    if (isNew && this.#unused.leftOut > 0) this.#isFullReadDue = true;
+  }
+
   #applyUpstream(entry: UpstreamEntry, now: Instant): void {
     const { log, onNewUpstream } = this.#options;
     const previous = this.directory.find(entry.id)?.entry;
--- a/src/control/testing/stub_routing.ts
+++ b/src/control/testing/stub_routing.ts
@@ -69,10 +69,22 @@
     return { revision: 100, sentAt: readClocks(), era: getEra() };
   }
   return {
-    readAll: () => respond({ changes: listChanges(), ...getPosition() }),
+    readAll: () =>
+      respond({
+        changes: listChanges(),
+        unused: { invalid: 0, leftOut: 0 },
+        ...getPosition(),
+      }),
+    readConfiguration: () =>
+      respond({ configuration: undefined, ...getPosition() }),
     readVersions: () => respond({ records: [], ...getPosition() }),
     poll: () =>
-      respond({ kind: "changes" as const, changes: [], ...getPosition() }),
+      respond({
+        kind: "changes" as const,
+        changes: [],
+        isPartial: false,
+        ...getPosition(),
+      }),
     register: () => respond("lease"),
     renew: () => respond(true),
     deregister: () => respond(undefined),
--- a/src/control/version_recorder.ts
+++ b/src/control/version_recorder.ts
@@ -12,6 +12,8 @@
 export interface VersionRecorderOptions {
   readonly store: Pick<MetadataStore, "writeVersions">;
   readonly directory: UpstreamDirectory;
+  /** Whether a configuration names a service; others need no record. */
+  readonly isNamed: (service: string) => boolean;
   readonly now: () => Instant;
   readonly log: Log;
 }
@@ -50,8 +52,9 @@
    * one with number `rank` to do so.
    */
   async writeChanges(rank: number): Promise<void> {
-    const { directory, now } = this.#options;
+    const { directory, isNamed, now } = this.#options;
     for (const [service, present] of directory.listVersions()) {
+      if (!isNamed(service)) continue;
       const { steady, wall } = now();
       const known = this.#records.get(service) ?? { service, versions: [] };
       const record = updateVersionRecord(known, { present, wall });
--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -371,7 +371,7 @@
       listRouters: () => [...this.#routing.routers().keys()],
       listRelays: () =>
         plan.isRelay ? [...plan.relays, router.name] : plan.relays,
-      getViewAgeMs: () => this.#routing.ageAt(readClocks()),
+      getViewAgeMs: () => this.#routing.getChangesAgeMs(),
       listSuspects: (service) =>
         this.#placement.listSuspects(this.#findService(service)),
       getServiceTimes: (service) => this.#getServiceTimes(service),
@@ -880,6 +880,10 @@
       const { free } = this.#placement.getServiceLoad(service);
       metrics.serviceFreeSlots.set({ service }, free);
     }
+    const { invalid, leftOut, isViewPartial } = this.#routing.getStoreGaps();
+    metrics.storeItemsUnused.set({ reason: "invalid" }, invalid);
+    metrics.storeItemsUnused.set({ reason: "no-room" }, leftOut);
+    metrics.storeViewPartial.set(isViewPartial ? 1 : 0);
     metrics.upstreams.set(this.#routing.directory.size);
     metrics.upstreamsLimited.set(this.#placement.limitedCount);
     metrics.streamsKnown.set(this.#streams.knownCount);
--- a/src/ingress/ingress_metrics.ts
+++ b/src/ingress/ingress_metrics.ts
@@ -18,6 +18,8 @@
   readonly admissionWaiting: Gauge<"service">;
   readonly serviceFreeSlots: Gauge<"service">;
   readonly storeCalls: Counter<"outcome">;
+  readonly storeItemsUnused: Gauge<"reason">;
+  readonly storeViewPartial: Gauge;
   readonly connections: Counter;
   readonly unhandledErrors: Counter;
   readonly configurationVersion: Gauge;
@@ -143,6 +145,17 @@
       labelNames: ["outcome"],
       registers,
     }),
+    storeItemsUnused: new Gauge({
+      name: "corianderflow_store_items_unused",
+      help: "Items of the metadata store that are not used, by reason, as of " +
+        "the last read of all items.",
+      labelNames: ["reason"],
+      registers,
+    }),
+    storeViewPartial: createGauge(
+      "store_view_partial",
+      "1 while items that are needed may be missing for want of room.",
+    ),
     connections: new Counter({
       name: "corianderflow_upstream_connections_total",
       help: "Connections opened to upstreams.",
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -231,11 +231,16 @@
   readonly revision?: number | undefined;
   /** Standard base64; undefined if the item was deleted. */
   readonly value: string | undefined;
+  /** Whether the value is longer than one of this key may be, and was dropped. */
+  readonly isOversized?: boolean;
 }
 
-function parseValue(value: string, maxBytes = MAX_ENTRY_BYTES): unknown {
+function parseValue(
+  { value = "", isOversized }: RawItem,
+  maxBytes = MAX_ENTRY_BYTES,
+): unknown {
   const bytes = Buffer.from(value, "base64");
-  if (bytes.length > maxBytes) {
+  if (isOversized || bytes.length > maxBytes) {
     throw new FieldError("value", `at most ${maxBytes} bytes long`);
   }
   return parseJson(bytes.toString("utf8"), {
@@ -250,21 +255,20 @@
 }
 
 /** Decodes an order or its state; undefined if the key is of neither. */
-function decodeRolloutChange(
-  { key, value, revision }: RawItem,
-): StoreChange | undefined {
+function decodeRolloutChange(raw: RawItem): StoreChange | undefined {
+  const { key, value, revision } = raw;
   const ordered = trySuffix(key, KEYS.rolloutOrders);
   if (ordered !== undefined) {
     if (value === undefined) {
       return { kind: "rollout-order-gone", service: ordered };
     }
-    const item = { value: parseValue(value), revision };
+    const item = { value: parseValue(raw), revision };
     return { kind: "rollout-order", order: decodeRolloutOrder(ordered, item) };
   }
   const service = trySuffix(key, KEYS.rolloutRecords);
   if (service === undefined) return undefined;
   if (value === undefined) return { kind: "rollout-record-gone", service };
-  const item = { value: parseValue(value), revision };
+  const item = { value: parseValue(raw), revision };
   return { kind: "rollout-record", record: decodeRolloutRecord(service, item) };
 }
 
@@ -272,7 +276,7 @@
 function decodeChange(item: RawItem): StoreChange | undefined {
   const { key, value } = item;
   if (key === KEYS.configuration && value !== undefined) {
-    const document = parseValue(value, MAX_CONFIGURATION_BYTES);
+    const document = parseValue(item, MAX_CONFIGURATION_BYTES);
     const configuration = decodeConfiguration(document);
     return { kind: "configuration", configuration };
   }
@@ -284,18 +288,18 @@
   const name = trySuffix(key, KEYS.routers);
   if (name !== undefined) {
     if (value === undefined) return { kind: "router-gone", name };
-    const { address, linkMbps } = asFields(parseValue(value), "router");
+    const { address, linkMbps } = asFields(parseValue(item), "router");
     return checkRouter({ name, address, linkMbps });
   }
   const service = trySuffix(key, KEYS.versions);
   if (service !== undefined && value !== undefined) {
-    const record = decodeVersionRecord(service, parseValue(value));
+    const record = decodeVersionRecord(service, parseValue(item));
     return { kind: "versions", record };
   }
   const id = trySuffix(key, KEYS.upstreams);
   if (id === undefined) return decodeRolloutChange(item);
   if (value === undefined) return { kind: "upstream-gone", id };
-  return { kind: "upstream", entry: decodeUpstream(id, parseValue(value)) };
+  return { kind: "upstream", entry: decodeUpstream(id, parseValue(item)) };
 }
 
 /** Says what an unreadable item means for the state that is in use. */
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -19,29 +19,23 @@
   type HttpJsonClient,
 } from "../store/http_json.ts";
 import { PlatformFailure } from "../store/key_value.ts";
-import {
-  decodeItem,
-  encodeRolloutRecord,
-  encodeVersionRecord,
-  type RawItem,
-} from "./documents.ts";
-import { isNumberWithin, NUMBERS } from "./field_limits.ts";
-import { asFields, FieldError, getFlag, getList, getNumber } from "./fields.ts";
+import { encodeRolloutRecord, encodeVersionRecord } from "./documents.ts";
+import { NUMBERS } from "./field_limits.ts";
+import { asFields, getList, getNumber } from "./fields.ts";
+import { getMaxValueLength, ItemDecoder, toRawItem } from "./item_decoder.ts";
 import { decodeStoreEra } from "./message_headers.ts";
 import { KEYS, STORE_PATHS } from "./names.ts";
-
-/** Contents of the store, decoded; at least as recent as `revision`. */
-export interface StoreSnapshot {
-  readonly changes: readonly StoreChange[];
-  /** Revision from which to poll for later changes. */
-  readonly revision: number;
+import {
+  type ConfigurationRead,
+  type ItemRead,
+  type ReadOptions,
+  StoreReader,
+} from "./store_reader.ts";
+
+/** Contents of the store, decoded; at least as recent as its revision. */
+export interface StoreSnapshot extends ItemRead {
   /** Time when the call was sent; the snapshot is at least that recent. */
   readonly sentAt: Instant;
-  /**
-   * Number of times that the store has returned to an older copy of its state.
-   * Revisions of different eras can't be compared.
-   */
-  readonly era: number;
 }
 
 /** Result of a poll for the changes after a revision. */
@@ -52,9 +46,11 @@
     readonly revision: number;
     /**
      * Time when the call was sent, if the response has all changes up to then;
-     * undefined if the response skips revisions.
+     * undefined if the response skips revisions or is partial.
      */
     readonly sentAt: Instant | undefined;
+    /** Whether the store has further changes that were not received. */
+    readonly isPartial: boolean;
     /** Era of the store; the changes are of use only in the known era. */
     readonly era: number;
   }
@@ -93,10 +89,19 @@
 
 /** The operations that a router uses of the platform's metadata store. */
 export interface MetadataStore {
-  /** Reads all items, page by page. */
-  readAll(): Promise<Result<StoreSnapshot, PlatformFailure>>;
+  /**
+   * Reads all items that routers use, page by page. Fails with `isTooLarge` if
+   * there are more than `room` has room for.
+   */
+  readAll(
+    options?: ReadOptions,
+  ): Promise<Result<StoreSnapshot, PlatformFailure>>;
+  /** Reads the operators' configuration alone. */
+  readConfiguration(): Promise<Result<ConfigurationRead, PlatformFailure>>;
   /** Reads the versions of the services and the store's revision. */
-  readVersions(): Promise<Result<StoreVersions, PlatformFailure>>;
+  readVersions(
+    options?: Pick<ReadOptions, "room">,
+  ): Promise<Result<StoreVersions, PlatformFailure>>;
   /** Waits a limited time for changes after revision `after`. */
   poll(after: number): Promise<Result<StorePoll, PlatformFailure>>;
   /** Registers `router` under a new lease; returns the id of the lease. */
@@ -142,93 +147,72 @@
 const POLL_WAIT_MS = 400;
 /** A slow store responds within a few hundred milliseconds. */
 const CALL_TIMEOUT_MS = 1_500;
-/** Unreadable items that are remembered, to log each once. */
-const MAX_UNREADABLE = 1_024;
-/**
- * Items of a store: the largest fleets have 12,000 upstreams and hundreds of
- * routers, whose entries have a few hundred bytes.
- */
-const MAX_SNAPSHOT_ITEMS = 32_768;
-/** Length of their keys and values; a heap of 96 MB holds them decoded. */
-const MAX_SNAPSHOT_LENGTH = 16_777_216;
-/** Pages may be far smaller than the platform's page allows. */
-const MAX_SNAPSHOT_PAGES = 2_048;
+/** Changes of one answer; the largest fleets have 12,000 upstreams. */
+const MAX_POLLED_CHANGES = 16_384;
 const STATUS_NOT_FOUND = 404;
 const STATUS_GONE = 410;
 const STATUS_PRECONDITION_FAILED = 412;
 
-/** One page of a range read. */
-interface Page {
-  readonly items: readonly unknown[];
-  readonly isTruncated: boolean;
-  readonly revision: number;
-  readonly era: number;
-}
-
-/** Body and era of an answer of the store. */
-interface StoreAnswer {
-  readonly value: unknown;
-  readonly era: number;
-}
-
-function readPage({ value, era }: StoreAnswer): Page {
-  const fields = asFields(value, "page");
-  return {
-    era,
-    items: getList(fields, "items"),
-    isTruncated: getFlag(fields, "truncated"),
-    revision: getNumber(fields, "currentRev", NUMBERS.counter),
-  };
-}
-
-function toRawItem(item: unknown): RawItem {
-  const { key, value, deleted, rev } = asFields(item, "item");
-  const isDeleted = deleted === true || typeof value !== "string";
-  return {
-    key: String(key),
-    value: isDeleted ? undefined : value,
-    revision: isNumberWithin(rev, NUMBERS.counter) ? rev : undefined,
-  };
+function getRevision(item: unknown): number {
+  return getNumber(asFields(item, "event"), "rev", NUMBERS.counter);
 }
 
-/**
- * Returns the key after which the next page begins. Throws `FieldError` if it
- * does not rise, by UTF-16 units or by bytes: the pages would not end.
- */
-function getNextKey(
-  items: readonly unknown[],
-  after: string | undefined,
-): string {
-  const { key } = toRawItem(items.at(-1));
-  const hasRisen = after === undefined || key > after ||
-    Buffer.compare(Buffer.from(key), Buffer.from(after)) > 0;
-  if (!hasRisen) throw new FieldError("last key of a page", "a later one");
-  return key;
-}
+/** Changes of one answer to a poll. */
+class ChangeBatch {
+  readonly #after: number;
+  readonly #decoder: ItemDecoder;
+  readonly #received: { revision: number; change: StoreChange }[] = [];
+  /** Highest revision of an event; that of the poll before the first. */
+  #revision: number;
+  #isRising = true;
+
+  constructor(after: number, decoder: ItemDecoder) {
+    this.#after = after;
+    this.#decoder = decoder;
+    this.#revision = after;
+  }
 
-/** Bounds what is read for one snapshot. */
-class SnapshotSize {
-  #pages = 0;
-  #items = 0;
-  #length = 0;
+  get revision(): number {
+    return this.#revision;
+  }
 
-  addPage(): void {
-    this.#check("pages", ++this.#pages, MAX_SNAPSHOT_PAGES);
+  get changes(): StoreChange[] {
+    return this.#received.map(({ change }) => change);
   }
 
-  addItem({ key, value = "" }: RawItem): void {
-    this.#length += key.length + value.length;
-    this.#check("items", ++this.#items, MAX_SNAPSHOT_ITEMS);
-    this.#check("characters", this.#length, MAX_SNAPSHOT_LENGTH);
+  /** Whether no more changes are to be held at a time. */
+  get isFull(): boolean {
+    return this.#received.length >= MAX_POLLED_CHANGES;
   }
 
-  #check(unit: string, count: number, max: number): void {
-    if (count > max) throw new FieldError("store", `at most ${max} ${unit}`);
+  /** Decodes an event; throws `FieldError` if it is not one. */
+  add(event: unknown, isShortened: boolean): void {
+    const revision = getRevision(event);
+    const raw = toRawItem(event, isShortened);
+    this.#isRising &&= revision >= this.#revision;
+    this.#revision = Math.max(this.#revision, revision);
+    for (const change of this.#decoder.decode(raw).changes) {
+      this.#received.push({ revision, change });
+    }
   }
-}
 
-function getRevision(item: unknown): number {
-  return getNumber(asFields(item, "event"), "rev", NUMBERS.counter);
+  /**
+   * Returns the changes of an answer that was not read to its end. Those of the
+   * last revision may be incomplete and are left to the next poll.
+   */
+  endEarly(era: number): Result<StorePoll, PlatformFailure> {
+    const revision = this.#revision - 1;
+    if (!this.#isRising || revision <= this.#after) {
+      const cause = "one revision of the store exceeds an answer";
+      return Ok({ kind: "too-large", cause });
+    }
+    const changes = this.#received
+      .filter((each) => each.revision <= revision)
+      .map(({ change }) => change);
+    const sentAt = undefined;
+    const isPartial = true;
+    return Ok({ kind: "changes", changes, revision, sentAt, isPartial, era });
+  }
 }
 
 /** Options with their defaults. */
@@ -239,8 +223,8 @@
 class HttpMetadataStore implements MetadataStore {
   readonly #http: HttpJsonClient;
   readonly #options: CompleteOptions;
-  /** Why items can't be decoded, by key, as last returned. */
-  readonly #unreadable = new Map<string, string>();
+  readonly #decoder: ItemDecoder;
+  readonly #reader: StoreReader;
 
   constructor(options: CompleteOptions) {
     this.#options = options;
@@ -249,68 +233,50 @@
       timeoutMs: options.timeoutMs + options.pollWaitMs,
       memory: options.memory && { budget: options.memory, source: "store" },
     });
+    const { now } = options;
+    const http = this.#http;
+    const decoder = new ItemDecoder({ clock: () => now().steady });
+    this.#decoder = decoder;
+    this.#reader = new StoreReader({ http, decoder, now });
   }
 
-  async readAll(): Promise<Result<StoreSnapshot, PlatformFailure>> {
+  async readAll(
+    options?: ReadOptions,
+  ): Promise<Result<StoreSnapshot, PlatformFailure>> {
     const sentAt = this.#options.now();
-    const read = await this.#readItems("");
+    const read = await this.#reader.readAll(options);
     return read.map((snapshot) => ({ ...snapshot, sentAt }));
   }
 
-  async readVersions(): Promise<Result<StoreVersions, PlatformFailure>> {
-    const read = await this.#readItems(KEYS.versions);
-    if (read.err) return read;
-    const { changes, revision, era } = read.val;
-    const records = changes
-      .flatMap((change) => change.kind === "versions" ? [change.record] : []);
-    return Ok({ records, revision, era });
+  readConfiguration(): Promise<Result<ConfigurationRead, PlatformFailure>> {
+    return this.#reader.readConfiguration();
   }
 
-  /**
-   * Reads and decodes the items below a prefix, page by page. Fails if there are
-   * more than a store can hold that a router follows.
-   */
-  async #readItems(
-    prefix: string,
-  ): Promise<Result<Omit<StoreSnapshot, "sentAt">, PlatformFailure>> {
-    const changes: StoreChange[] = [];
-    const size = new SnapshotSize();
-    let first: Page | undefined;
-    let after: string | undefined;
-    for (;;) {
-      const read = await this.#readPage({ prefix, after });
-      if (read.err) return read;
-      const page = read.val;
-      // Later pages may be of later revisions. Polling from the revision of the
-      // first page delivers every change made between the pages.
-      first ??= { ...page, items: [] };
-      if (page.era !== first.era) {
-        const detail = "the store returned to a copy while it was read";
-        return Err(new PlatformFailure("unavailable", detail));
-      }
-      // The text of a page is dropped before the next one is read.
-      const next = this.#decode(() => {
-        size.addPage();
-        for (const item of page.items) {
-          const raw = toRawItem(item);
-          size.addItem(raw);
-          for (const change of this.#decodeItem(raw)) changes.push(change);
-        }
-        return page.isTruncated ? getNextKey(page.items, after) : undefined;
-      });
-      if (next.err) return next;
-      if (next.val === undefined) break;
-      after = next.val;
-    }
-    const { revision, era } = first;
-    return Ok({ changes, revision, era });
+  async readVersions(
+    options?: Pick<ReadOptions, "room">,
+  ): Promise<Result<StoreVersions, PlatformFailure>> {
+    const read = await this.#reader.readPrefix(KEYS.versions, options);
+    return read.map(({ changes, revision, era }) => {
+      const records = changes.flatMap((change) =>
+        change.kind === "versions" ? [change.record] : []
+      );
+      return { records, revision, era };
+    });
   }
 
   async poll(after: number): Promise<Result<StorePoll, PlatformFailure>> {
     const { now, pollWaitMs } = this.#options;
     const sentAt = now();
     const query = `prefix=&after=${after}&waitMs=${pollWaitMs}`;
-    const answer = await this.#get(`${STORE_PATHS.watch}?${query}`);
+    let era = 0;
+    const batch = new ChangeBatch(after, this.#decoder);
+    const answer = await this.#http.readList(`${STORE_PATHS.watch}?${query}`, {
+      name: "events",
+      getMaxStringBytes: getMaxValueLength,
+      onHeaders: (headers) => era = decodeStoreEra(headers),
+      onElement: (event, isShortened) => batch.add(event, isShortened),
+      isFull: () => batch.isFull,
+    });
     if (answer.err) {
       const { status, isTooLarge, message: cause } = answer.val;
       if (status === STATUS_GONE) return Ok({ kind: "compacted" });
@@ -318,23 +284,22 @@
       if (isTooLarge) return Ok({ kind: "too-large", cause });
       return answer;
     }
+    const { kind } = answer.val;
+    if (kind === "partial") return batch.endEarly(era);
+    const { rest } = answer.val;
     return this.#decode(() => {
-      const { value, era } = answer.val;
-      const fields = asFields(value, "watch");
-      const events = getList(fields, "events");
+      const fields = asFields(rest, "watch");
+      getList(fields, "events");
       const current = getNumber(fields, "currentRev", NUMBERS.counter);
-      const last = events.reduce<number>(
-        (highest, event) => Math.max(highest, getRevision(event)),
-        after,
-      );
       // The poll covers every key, so a revision later than the last event
       // means that the watch has missed events.
-      const isComplete = current <= last;
+      const isComplete = current <= batch.revision;
       return {
         kind: "changes",
-        changes: events.flatMap((each) => this.#decodeItem(toRawItem(each))),
-        revision: last,
+        changes: batch.changes,
+        revision: batch.revision,
         sentAt: isComplete ? sentAt : undefined,
+        isPartial: false,
         era,
       };
     });
@@ -416,38 +381,6 @@
     return this.#http.close();
   }
 
-  async #readPage(
-    { prefix, after }: { prefix: string; after?: string | undefined },
-  ): Promise<Result<Page, PlatformFailure>> {
-    const from = after === undefined
-      ? ""
-      : `&after=${encodeURIComponent(after)}`;
-    const query = `prefix=${encodeURIComponent(prefix)}${from}`;
-    const answer = await this.#get(`${STORE_PATHS.range}?${query}`);
-    if (answer.err) return answer;
-    return this.#decode(() => readPage(answer.val));
-  }
-
-  /**
-   * Decodes an item. One that stays unreadable for the same reason is not
-   * reported again: its writer repeats it with each heartbeat.
-   */
-  #decodeItem(raw: RawItem): StoreChange[] {
-    const changes = decodeItem(raw);
-    const unreadable = changes.find(({ kind }) => kind === "unreadable");
-    const known = this.#unreadable.get(raw.key);
-    this.#unreadable.delete(raw.key);
-    if (unreadable?.kind !== "unreadable") return changes;
-    this.#unreadable.set(raw.key, unreadable.reason);
-    if (this.#unreadable.size > MAX_UNREADABLE) {
-      const [oldest] = this.#unreadable.keys();
-      this.#unreadable.delete(oldest!);
-    }
-    return known === unreadable.reason
-      ? changes.filter(({ kind }) => kind !== "unreadable")
-      : changes;
-  }
-
   #decode<T>(read: () => T): Result<T, PlatformFailure> {
     try {
       return Ok(read());
@@ -459,15 +392,6 @@
     }
   }
 
-  async #get(path: string): Promise<Result<StoreAnswer, PlatformFailure>> {
-    let era = 0;
-    const answer = await this.#http.call(path, {
-      method: "GET",
-      onHeaders: (headers) => era = decodeStoreEra(headers),
-    });
-    return answer.map((value) => ({ value, era }));
-  }
-
   #post(
     path: string,
     body: unknown,
--- a/src/store/http_json.ts
+++ b/src/store/http_json.ts
@@ -12,6 +12,11 @@
   type CountedClientOptions,
 } from "../transport/counted_client.ts";
 import type { FieldMemory } from "../transport/response_input.ts";
+import {
+  type JsonListOptions,
+  JsonListReader,
+  OversizeError,
+} from "./json_list_reader.ts";
 import { PlatformFailure, type PlatformFailureKind } from "./key_value.ts";
 
 /**
@@ -46,6 +51,23 @@
   onHeaders?: (headers: IncomingHttpHeaders) => void;
 }
 
+/** Options of a call whose response is an object with one long list. */
+export interface ListCallOptions
+  extends JsonListOptions, Pick<CallOptions, "onHeaders"> {
+  /**
+   * Whether enough elements were received; the rest of the response is not read
+   * then.
+   */
+  readonly isFull?: () => boolean;
+}
+
+/** A response whose list was read element by element. */
+export type ListResponse =
+  /** `rest` is the object with an empty list. */
+  | { readonly kind: "complete"; readonly rest: unknown }
+  /** The list was full, or the time was over, after the elements received. */
+  | { readonly kind: "partial" };
+
 /** A connection pool to one service of the platform. */
 export interface HttpJsonClient {
   /**
@@ -58,6 +80,15 @@
     path: string,
     options?: CallOptions,
   ): Promise<Result<unknown, PlatformFailure>>;
+  /**
+   * Sends a GET request and reads the list of its response while it arrives. The
+   * limits on the bytes and values of a response do not apply. Fails like `call`;
+   * a timeout after some elements is a partial response.
+   */
+  readList(
+    path: string,
+    options: ListCallOptions,
+  ): Promise<Result<ListResponse, PlatformFailure>>;
   /** Sends a request whose response is an endless stream without a timeout. */
   stream(
     path: string,
@@ -143,9 +174,6 @@
   return new PlatformFailure(kind, detail, { status });
 }
 
-/** An answer is longer, or has more values, than a client reads. */
-class OversizeError extends RangeError {}
-
 /**
  * Throws `OversizeError` if a JSON text may have more than `max` values. Each
  * value but the first of a list or an object follows a comma. Those marks count
@@ -240,6 +268,36 @@
     }
   }
 
+  async readList(
+    path: string,
+    { onHeaders, isFull = () => false, ...options }: ListCallOptions,
+  ): Promise<Result<ListResponse, PlatformFailure>> {
+    const reader = new JsonListReader(options);
+    const signal = AbortSignal.timeout(this.#timeoutMs);
+    try {
+      const { headers, statusCode, body } = await this.#send(path, {
+        method: "GET",
+        body: undefined,
+        headers: {},
+        signal,
+      });
+      onHeaders?.(headers);
+      if (statusCode !== 200) {
+        const bytes = await this.#readBytes(body);
+        return Err(toStatusFailure(statusCode, false, { bytes }));
+      }
+      for await (const chunk of this.#countBytes(body)) {
+        reader.push(chunk);
+        // Leaving the loop closes the connection.
+        if (isFull()) return Ok({ kind: "partial" });
+      }
+      return Ok({ kind: "complete", rest: reader.finish() });
+    } catch (error) {
+      if (signal.aborted && reader.count > 0) return Ok({ kind: "partial" });
+      return Err(toFailure(error, false));
+    }
+  }
+
   async stream(
     path: string,
     { body, signal }: { body: unknown; signal: AbortSignal },
--- a/testing/metadata_store.ts
+++ b/testing/metadata_store.ts
@@ -89,6 +89,8 @@
 }
 
 const MAX_PAGE_ITEMS = 50;
+/** Characters of the values of a page; one item is never too long. */
+const MAX_PAGE_LENGTH = 1_000_000;
 const WATCH_POLL_MS = 20;
 /** Revision of the empty store. */
 const FIRST_REVISION = 100;
@@ -104,11 +106,15 @@
     garble: undefined,
     write: undefined,
   };
+  /** Most items of a page. */
+  pageItems = MAX_PAGE_ITEMS;
   /** Called after each write of an item, if set. */
   onWrite: ((key: string) => void) | undefined;
   /** Number of calls since the start, by path. */
   readonly calls = new Map<string, number>();
   #items = new Map<string, StoredItem>();
+  /** Keys of the items in order; undefined after a change of the keys. */
+  #sortedKeys: string[] | undefined;
   /** Leases by id, with their TTL and expiry in milliseconds. */
   #leases = new Map<number, { ttlMs: number; expiresAtMs: number }>();
   /** State to which the store can return; undefined before `saveCopy`. */
@@ -158,6 +164,7 @@
   /** Removes an item. */
   remove(key: string): void {
     if (!this.#items.delete(key)) return;
+    this.#sortedKeys = undefined;
     this.#events.push({ key, rev: ++this.#revision, deleted: true });
   }
 
@@ -183,6 +190,7 @@
   returnToCopy(): void {
     const { items, leases, revision } = this.#copy!;
     this.#items = new Map(items);
+    this.#sortedKeys = undefined;
     this.#leases = new Map(leases);
     this.#revision = revision;
     this.#events = this.#events.filter(({ rev }) => rev <= revision);
@@ -254,15 +262,21 @@
   #readRange(query: URLSearchParams): Reply {
     const prefix = query.get("prefix") ?? "";
     const after = query.get("after") ?? "";
-    const keys = this.keys(prefix).filter((key) => key > after).sort();
-    return {
-      status: 200,
-      body: {
-        items: keys.slice(0, MAX_PAGE_ITEMS).map((key) => this.#items.get(key)),
-        truncated: keys.length > MAX_PAGE_ITEMS,
-        currentRev: this.#revision,
-      },
-    };
+    this.#sortedKeys ??= [...this.#items.keys()].sort();
+    const items: StoredItem[] = [];
+    let length = 0;
+    let isTruncated = false;
+    for (const key of this.#sortedKeys) {
+      if (key <= after || !key.startsWith(prefix)) continue;
+      const item = this.#items.get(key)!;
+      length += item.value.length;
+      isTruncated = items.length >= this.pageItems ||
+        items.length > 0 && length > MAX_PAGE_LENGTH;
+      if (isTruncated) break;
+      items.push(item);
+    }
+    const currentRev = this.#revision;
+    return { status: 200, body: { items, truncated: isTruncated, currentRev } };
   }
 
   async #awaitEvents(query: URLSearchParams): Promise<Reply> {
@@ -346,6 +360,7 @@
     const rev = ++this.#revision;
     const created = this.#items.get(key)?.created ?? rev;
     const item = { key, value, rev, created, lease };
+    if (!this.#items.has(key)) this.#sortedKeys = undefined;
     this.#items.set(key, item);
     this.#events.push(item);
     this.onWrite?.(key);
