Refuse answers whose status HTTP does not have

Callers got an answer with the status 600 or 999 of an upstream in trouble as the answer to their request; 000 and 099 were answered 502 already.

Cause: the parser of responses rejects statuses below 100, and nothing rejected those above 599, which RFC 9110 calls invalid.

Change: such a status ends the try as one without an answer.

Result: ingress_odd_answers_test.ts, status 000, 099, 600 and 999 on three routes: 6 of 12 failed before (those of 600 and 999), 12 of 12 pass.

--- a/src/daemon/ingress_odd_answers_test.ts
+++ b/src/daemon/ingress_odd_answers_test.ts
@@ -92,6 +92,24 @@
   },
 );
 
+// Guards against an answer with a status that HTTP doesn't have, such as that of
+// an upstream in trouble, which callers get as an answer (MIXED).
+test.each(
+  ["/book/x", "/read/x", "/plan/x"].flatMap((path) =>
+    ["000", "099", "600", "999"].map((status) => ({ path, status }))
+  ),
+)("$path is answered 502 if its upstreams answer $status", async (each) => {
+  fleet.script(({ id, socket }) =>
+    socket.write(
+      `HTTP/1.1 ${each.status} X\r\nx-attempt-id: ${id}\r\n` +
+        `x-response-stamp: s-${id}\r\ncontent-length: 2\r\n\r\nok`,
+    )
+  );
+  const { text, log } = await askRaw(each.path, { version: "1.1" });
+  expect(text).toMatch(/^HTTP\/1\.1 502 /);
+  expect(log).toMatchObject({ outcome: "upstream-failed", ran: "unknown" });
+});
+
 /** Answers with a body that has a length. */
 function answer(
   request: ReceivedRequest,
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -12,6 +12,7 @@
 import {
   type AnswerMeaning,
   interpretAnswer,
+  isFinalStatus,
   isSuccess,
 } from "../policy/answer_proof.ts";
 import type { TryFailure } from "../policy/attempt_plan.ts";
@@ -357,6 +358,11 @@
   #onHead(status: number, headers: IncomingHttpHeaders): void {
     clearTimeout(this.#suspectTimer);
     clearTimeout(this.#headTimer);
+    if (!isFinalStatus(status)) {
+      const detail = `status ${status} is not one of HTTP`;
+      this.#reject({ end: "no-answer", detail });
+      return;
+    }
     const traits = decodeResponse(status, headers);
     const { onLoad, onNotice, onData, router } = this.#options;
     onData?.();
--- a/src/policy/answer_proof.ts
+++ b/src/policy/answer_proof.ts
@@ -60,6 +60,14 @@
   return status >= 200 && status < 300;
 }
 
+/**
+ * Whether HTTP has a status for the end of an exchange. RFC 9110 has five classes
+ * and calls any other status invalid, so that it proves nothing of a request.
+ */
+export function isFinalStatus(status: number): boolean {
+  return status >= 200 && status < 600;
+}
+
 /** Whether an answer is certainly for the request that it arrived for. */
 function isAttributable(
   { status, statedId }: AnswerHead,
