Take a reset for the failure of a response in the project's own fleet

Callers of the project's own fleet got a part of a response without a length as the whole if its connection was reset later, and statuses that HTTP does not have.

Cause: undici completes a response without a length when its connection is reset (ECONNRESET), and passes on any status of three digits from 100 up.

Change: the client of the own fleet notes the reset before undici sees it and fails the response. A status outside 200 to 599 is a failure.

--- a/src/transport/http_client.ts
+++ b/src/transport/http_client.ts
@@ -5,7 +5,9 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
-import { Agent, type Dispatcher } from "undici";
+import { Agent, type Dispatcher, Pool } from "undici";
+import { isFinalStatus } from "../policy/answer_proof.ts";
+import { ResetClient, type ResetClientOptions } from "./reset_client.ts";
 
 /** Whether a failed request may have reached the server. */
 export type SendFailureKind =
@@ -115,6 +117,14 @@
   };
 }
 
+function createPool(origin: string | URL, options: object): Pool {
+  return new Pool(origin, {
+    ...options,
+    factory: (server, clientOptions) =>
+      new ResetClient(server, clientOptions as ResetClientOptions),
+  });
+}
+
 /** Creates a client with its own connection pool. */
 export function createHttpClient(
   {
@@ -123,6 +133,7 @@
   }: HttpClientOptions = {},
 ): HttpClient {
   const agent = new Agent({
+    factory: createPool,
     connect: { timeout: connectTimeoutMs },
     keepAliveTimeout: keepAliveMs,
     keepAliveMaxTimeout: keepAliveMs,
@@ -130,7 +141,11 @@
   });
 
   function createSingleUseAgent(): Agent {
-    return new Agent({ connect: { timeout: connectTimeoutMs }, pipelining: 0 });
+    return new Agent({
+      factory: createPool,
+      connect: { timeout: connectTimeoutMs },
+      pipelining: 0,
+    });
   }
 
   async function send(
@@ -156,6 +171,11 @@
         onInfo: inactivityTimer.restart,
       });
       inactivityTimer.stop();
+      const { statusCode } = response;
+      if (!isFinalStatus(statusCode)) {
+        response.body.on("error", () => {}).destroy();
+        throw new Error(`status ${statusCode} is not one of HTTP`);
+      }
       if (request.isFresh) {
         response.body.once("close", () => void dispatcher.destroy());
       }
--- a/src/transport/http_client_test.ts
+++ b/src/transport/http_client_test.ts
@@ -3,15 +3,23 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { createHttpClient } from "./http_client.ts";
 
-const HEAD = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
+function createHead(status: string): string {
+  return `HTTP/1.1 ${status} X\r\nconnection: close\r\n\r\n`;
+}
+
+/** Time in which the bytes before a reset are read, in milliseconds. */
+const RESET_AFTER_MS = 40;
 const ROUNDS = 8;
 
 /** Reads a response, and returns its body or that it broke off. */
-async function read(end: (socket: Socket) => void): Promise<string> {
+async function read(
+  end: (socket: Socket) => void,
+  { status = "200" }: { status?: string } = {},
+): Promise<string> {
   const server = createServer((socket) => {
     socket.on("error", () => {});
     socket.once("data", () => {
-      socket.write(`${HEAD}part`);
+      socket.write(`${createHead(status)}part`);
       end(socket);
     });
   });
@@ -44,6 +52,23 @@
   expect(await read((socket) => socket.end())).toBe("part");
 });
 
+// Guards against a part of an answer that counts as the whole, since the reset of
+// its connection is taken for its end (MIXED).
+test("a response without a length that is reset after its bytes is broken off", async () => {
+  const end = (socket: Socket) =>
+    void setTimeout(() => socket.resetAndDestroy(), RESET_AFTER_MS);
+  expect(await read(end)).toBe("broken off");
+});
+
+// Guards against an answer with a status that HTTP doesn't have, such as that of
+// an upstream in trouble, which callers get as an answer (MIXED).
+test.each(["000", "099", "600", "999"])(
+  "a response with status %s is a failure",
+  async (status) => {
+    expect(await read((socket) => socket.end(), { status })).toBe("broken off");
+  },
+);
+
 // Guards against a part of an answer of a plain service that callers of the
 // project's own fleet get as the whole (MIXED).
 test("a response without a length that is reset with its last bytes is broken off", async () => {
