Keep other programs' entries and orders out of messages between routers

Routers lost sight of each other's loads, and all of them read the store, as long as other programs wrote entries or orders that can be read and that no route needs.

Changes of services without a route counted against the 48 changes of an update between routers; beyond them each follower polled the store itself. All orders of rollouts were listed in the messages, and a receiver refused a whole message, loads included, with more than 256 of them.

Change: at most 16 changes between two revisions are passed on of services that no configuration names, and updates say that others are missing; a configuration that names a new service then has the store read. Orders are carried out once their service is named, messages list at most 256, and a list that is too long costs only itself.

--- a/src/control/peer_exchange_test.ts
+++ b/src/control/peer_exchange_test.ts
@@ -60,13 +60,21 @@
   return { steady: performance.now(), wall: Date.now() };
 }
 
-function createConfiguration(version: number): StoreChange {
+function createConfiguration(
+  version: number,
+  { services = ["svc"] }: { services?: string[] } = {},
+): StoreChange {
   return {
     kind: "configuration",
     configuration: {
       version,
       routes: [],
-      services: [],
+      services: services.map((name) => ({
+        name,
+        coldStartMs: 0,
+        coldRequestsPerSecond: 0,
+        isEngine: false,
+      })),
       limits: {
         maxHeaderBytes: 1,
         maxBodyBytes: 1,
@@ -323,6 +331,30 @@
   );
 }, 20_000);
 
+// Guards against other programs' entries that have each router read the store.
+test(
+  "many entries of services without a route cost followers no read",
+  async () => {
+    await sleep(PACE.ownPollMs);
+    store.polls.clear();
+    const ids = Array.from({ length: 200 }, (_, index) => `other-${index}`);
+    for (const id of ids) {
+      const entry = { ...UPSTREAM, id, service: "other" };
+      store.put({ kind: "upstream", entry });
+    }
+    await sleep(2 * PACE.ownPollMs);
+    const followers = members.filter(({ plan }) => !plan.isRelay);
+    expect(followers.filter(({ name }) => store.polls.has(name))).toEqual([]);
+    expect(members.every(isTrusted)).toBe(true);
+    store.put(createConfiguration(2, { services: ["svc", "other"] }));
+    await until(
+      () => members.every(({ routing }) => routing.directory.size > ids.length),
+      { withinMs: BOUND_MS },
+    );
+  },
+  20_000,
+);
+
 test(
   "a configuration reaches routers that the store refuses",
   async () => {
--- a/src/control/peer_messages.ts
+++ b/src/control/peer_messages.ts
@@ -157,7 +157,7 @@
 /** Exceeds the rows that fit a datagram. */
 const MAX_ROLLOUT_ROWS = 1_024;
 /** Exceeds the services that are moved to a version at a time. */
-const MAX_ROLLOUT_ORDERS = 256;
+export const MAX_ROLLOUT_ORDERS = 256;
 /** A row has one item for each side of a route. */
 const MAX_ROW_ITEMS = 2 * MAX_ROW_ROUTES;
 /** Exceeds the length of the keys of prompt parts, requests and upstreams. */
@@ -324,15 +324,14 @@
     max: MAX_ROLLOUT_ORDERS,
     isItem: isKnownOrder,
   });
-  if (!rows || !orders) return undefined;
   return {
     promptParts: parts,
     rates: limits,
     rejections: refusals,
     links: down,
     ...(answers !== undefined && { answers }),
-    ...(rows.length > 0 && { rollouts: rows }),
-    ...(orders.length > 0 && { rolloutOrders: orders }),
+    ...(rows?.length && { rollouts: rows }),
+    ...(orders?.length && { rolloutOrders: orders }),
   };
 }
 
@@ -480,6 +479,7 @@
     version,
     ageMs,
     isStoreLost,
+    ...(value["lacksOthers"] === true && { lacksOthers: true }),
     storeBackMs: storeBackMs as number | undefined,
   };
 }
--- a/src/control/peer_messages_test.ts
+++ b/src/control/peer_messages_test.ts
@@ -440,6 +440,17 @@
   expect(message).not.toHaveProperty("loads.findings.rolloutOrders");
 });
 
+// Guards against messages that lose their loads since other programs have written
+// more orders than a message may list.
+test("too many orders of rollouts cost only themselves", () => {
+  const rates = [{ upstream: "up", rate: 1, ageMs: 1 }];
+  const rolloutOrders = Array(1_000).fill({ service: "svc", order: 7 });
+  const params = { ...LOADS, findings: { rates, rolloutOrders } };
+  const message = parse(JSON.stringify({ ...MESSAGES["loads"], params }));
+  expect(message).toMatchObject({ loads: { findings: { rates } } });
+  expect(message).not.toHaveProperty("loads.findings.rolloutOrders");
+});
+
 // Guards against a configuration of another router that no decoder has checked.
 test.each([
   ["a number", { version: 1e300 }],
--- a/src/control/rollout_controller.ts
+++ b/src/control/rollout_controller.ts
@@ -43,7 +43,11 @@
   VersionRule,
 } from "../routing/types.ts";
 import type { ReportReceiver } from "./peer_exchange.ts";
-import type { FindingsReport, KnownOrder } from "./peer_messages.ts";
+import {
+  type FindingsReport,
+  type KnownOrder,
+  MAX_ROLLOUT_ORDERS,
+} from "./peer_messages.ts";
 import type { RolloutChange } from "./rollout_items.ts";
 import type { RolloutStore } from "./routing_controller.ts";
 import { ServiceRollout, type Verdict } from "./service_rollout.ts";
@@ -436,6 +440,7 @@
         each === self || !isFollower && this.#passesOn(each, steady),
     });
     const current = running.filter((each) => !this.#isStale(each))
+      .slice(0, MAX_ROLLOUT_ORDERS)
       .map(({ service, order }) => ({ service, order: order!.revision }));
     return {
       ...(rows.length > 0 && { rollouts: rows }),
--- a/src/control/rollout_items.ts
+++ b/src/control/rollout_items.ts
@@ -33,6 +33,17 @@
   }
 }
 
+function getService(change: RolloutChange): string {
+  switch (change.kind) {
+    case "rollout-order":
+      return change.order.service;
+    case "rollout-record":
+      return change.record.service;
+    default:
+      return change.service;
+  }
+}
+
 function toGone(change: RolloutChange): RolloutChange {
   switch (change.kind) {
     case "rollout-order":
@@ -69,6 +80,12 @@
       getState(known).revision !== revision;
   }
 
+  /** Lists the orders and records of `services`. */
+  listOf(services: ReadonlySet<string>): RolloutChange[] {
+    return [...this.#items.values()]
+      .filter((change) => services.has(getService(change)));
+  }
+
   /** Records that the store has returned to a copy. */
   beginEra(): void {
     for (const key of this.#items.keys()) this.#ofEarlierEra.add(key);
--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -145,6 +145,11 @@
  * the store.
  */
 const MAX_SENT_CHANGES = 48;
+/**
+ * Most changes between two revisions that are passed on of services that no
+ * configuration names; a follower asks for those of two revisions at a time.
+ */
+const MAX_PASSED_OTHERS = 16;
 /**
  * Time for which state that the store has lost by returning to a copy stays in
  * use, in milliseconds. The platform states no time within which the operators
@@ -197,6 +202,10 @@
   /** Resolves the requests that wait for the first configuration. */
   readonly #tableWaiters = new Set<() => void>();
   #journal = new ChangeJournal();
+  /** Entries of services without a route in the journal since its revision. */
+  #passedOthers = 0;
+  /** Whether the journal lacks such entries. */
+  #hasUnpassedOthers = false;
   /** Era of the store; undefined before its first answer. */
   #era: number | undefined;
   /** Era in which other routers were asked for a newer configuration. */
@@ -385,6 +394,7 @@
       version: table.configuration.version,
       ageMs: Math.ceil(ageMs),
       isStoreLost: !this.#isStoreReachable,
+      ...(this.#hasUnpassedOthers && { lacksOthers: true }),
       storeBackMs: returnedAt === undefined
         ? undefined
         : Math.floor(now.steady - returnedAt),
@@ -404,6 +414,11 @@
     const { revision, changes, version, ageMs, storeBackMs } = update;
     const { steady } = this.#options.now();
     this.#isStoreLostToRelay = update.isStoreLost;
+    if (update.lacksOthers) {
+      this.#hasUnpassedOthers = true;
+      const { invalid, leftOut } = this.#unused;
+      this.#unused = { invalid, leftOut: Math.max(1, leftOut) };
+    }
     if ((update.era ?? 0) !== this.era) {
       // Revisions of different eras can't be compared; the store is read.
       this.recordMissedChanges();
@@ -563,6 +578,7 @@
   #advanceRevision(revision: number): void {
     this.#revision = revision;
     this.#journal.advance(revision, this.#options.now().steady);
+    this.#passedOthers = 0;
     this.#viewConfirmation.recordAdvance();
   }
 
@@ -937,7 +953,7 @@
       case "upstream-gone":
         // An entry that is not valid is gone with each of its heartbeats.
         if (this.directory.find(change.id) === undefined) break;
-        log.info("An upstream's entry was removed.", { upstream: change.id });
+        this.#logRemoval(change.id);
         this.directory.remove(change.id, steady);
         this.#journal.recordChange(change);
         break;
@@ -975,10 +991,19 @@
     }
   }
 
+  #logRemoval(id: string): void {
+    const service = this.directory.find(id)?.entry.service;
+    if (service === undefined || !this.#namedServices.has(service)) return;
+    const fields = { upstream: id };
+    this.#options.log.info("An upstream's entry was removed.", fields);
+  }
+
   #applyRollout(change: RolloutChange): void {
     if (!this.#rolloutItems.record(change)) return;
     this.#journal.recordChange(change);
-    this.#options.rollouts?.receive(change);
+    // An order for a service that no configuration names moves nothing.
+    const isFollowed = change.kind.endsWith("-gone") || this.#isNeeded(change);
+    if (isFollowed) this.#options.rollouts?.receive(change);
   }
 
   #recordRouterChange(change: StoreChange): void {
@@ -1016,19 +1041,35 @@
         ),
       ]),
     );
-    const isNew = [...this.#namedServices].some((each) => !known.has(each));
+    const added = [...this.#namedServices].filter((each) => !known.has(each));
+    if (added.length === 0) return;
+    for (const change of this.#rolloutItems.listOf(new Set(added))) {
+      this.#options.rollouts?.receive(change);
+    }
     // Their items may be among those that were left out.
-    if (isNew && this.#unused.leftOut > 0) this.#isFullReadDue = true;
+    if (this.#unused.leftOut > 0) this.#isFullReadDue = true;
+  }
+
+  /**
+   * Records a change of an entry for the routers that follow this one. Only some
+   * are passed on of services that no configuration names: many of them would
+   * exceed a message, so that each router reads the store itself.
+   */
+  #passOnUpstream(entry: UpstreamEntry): void {
+    if (
+      this.#namedServices.has(entry.service) ||
+      ++this.#passedOthers <= MAX_PASSED_OTHERS
+    ) this.#journal.recordChange({ kind: "upstream", entry });
+    else this.#hasUnpassedOthers = true;
   }
 
   #applyUpstream(entry: UpstreamEntry, now: Instant): void {
     const { log, onNewUpstream } = this.#options;
     const previous = this.directory.find(entry.id)?.entry;
-    if (this.directory.isChange(entry, now)) {
-      this.#journal.recordChange({ kind: "upstream", entry });
-    }
+    if (this.directory.isChange(entry, now)) this.#passOnUpstream(entry);
     const isNew = this.directory.recordEntry(entry, now);
     if (isNew) onNewUpstream?.(entry);
+    if (!this.#namedServices.has(entry.service)) return;
     const isCold = entry.coldLeftMs > 0;
     const wasCold = (previous?.coldLeftMs ?? 0) > 0;
     if (!isNew && previous?.state === entry.state && isCold === wasCold) return;
--- a/src/control/routing_controller_test.ts
+++ b/src/control/routing_controller_test.ts
@@ -172,3 +172,38 @@
   // The router would send a stream of v1 there without a question.
   expect(hasVersion && processes.isProven(findEntry()!)).toBe(false);
 });
+
+// Guards against orders of other programs that the routers carry out, report to
+// each other and answer in the store, as many as there are.
+test("an order is followed once a configuration names its service", async () => {
+  const followed: string[] = [];
+  let services = ["svc"];
+  const listChanges = (): StoreChange[] => [
+    {
+      kind: "configuration",
+      configuration: createConfiguration(services.length, services),
+    },
+    ...["svc", "other"].map((service) => ({
+      kind: "rollout-order" as const,
+      order: { service, target: "v2", durationMs: 1, revision: 3 },
+    })),
+  ];
+  await stub.open({
+    listChanges,
+    getEra: () => era,
+    rollouts: {
+      receive: (change) => {
+        if (change.kind === "rollout-order") {
+          followed.push(change.order.service);
+        }
+      },
+      recordStoreRestored: () => {},
+      writeChanges: () => Promise.resolve(),
+    },
+  });
+  await until(() => followed.length > 0);
+  expect(followed).toEqual(["svc"]);
+  services = ["svc", "other"];
+  era++;
+  await until(() => followed.includes("other"));
+});
--- a/src/control/testing/stub_routing.ts
+++ b/src/control/testing/stub_routing.ts
@@ -14,6 +14,7 @@
 import type { FetchConfiguration } from "../configuration_relay.ts";
 import {
   createRoutingController,
+  type RolloutStore,
   type RoutingController,
 } from "../routing_controller.ts";
 import { createTaskSystem } from "../task.ts";
@@ -32,6 +33,7 @@
   /** Returns the era of the store. */
   readonly getEra: () => number;
   readonly fetchConfiguration?: FetchConfiguration;
+  readonly rollouts?: RolloutStore;
 }
 
 /** Reads both clocks. */
@@ -39,15 +41,29 @@
   return { steady: performance.now(), wall: Date.now() };
 }
 
-/** Creates a configuration without routes. */
-export function createConfiguration(version: number): RoutingConfiguration {
+/** Creates a configuration of services without routes. */
+export function createConfiguration(
+  version: number,
+  services: readonly string[] = [],
+): RoutingConfiguration {
   const limits = {
     maxHeaderBytes: 1,
     maxBodyBytes: 1,
     headerTimeoutMs: 1,
     idleTimeoutMs: 1,
   };
-  return { version, routes: [], services: [], limits, workspaces: undefined };
+  return {
+    version,
+    routes: [],
+    services: services.map((name) => ({
+      name,
+      coldStartMs: 0,
+      coldRequestsPerSecond: 0,
+      isEngine: false,
+    })),
+    limits,
+    workspaces: undefined,
+  };
 }
 
 /** Waits until `isTrue`; rejects after 4 s. */
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -213,6 +213,11 @@
   readonly ageMs: number;
   /** Whether the store currently does not respond to the sender. */
   readonly isStoreLost: boolean;
+  /**
+   * Whether `changes` may lack entries of upstreams of services that no
+   * configuration names.
+   */
+  readonly lacksOthers?: boolean;
   /**
    * Time since the store responded again after its last outage, in
    * milliseconds; undefined if the sender knows of no outage.
