Have the soak write items of other programs into the store

The soak drew no items of other programs, so that it could not find routers that lose the store's state to them.

--- a/bench/chaos_faults.ts
+++ b/bench/chaos_faults.ts
@@ -174,6 +174,7 @@
       case "prompt-crashes":
       case "request-crashes":
       case "store-restored":
+      case "foreign-items":
       case "router-links-refused":
       case "router-links-hung":
       case "router-links-new-refused":
--- a/bench/store_chaos_main.ts
+++ b/bench/store_chaos_main.ts
@@ -3,14 +3,16 @@
  * schedule and checks the result.
  *
  * `node dist/bench/store_chaos_main.js [--seed N] [--seeds N] [--seconds S]
- * [--routers N] [--only-streams] [--only-ends] [--without-ends]
- * [--without-streams] [--without-links] [--other-bundle PATH]` exits with 0
- * only if every check passes for every seed. Logs are in
- * `out/store-chaos-<seed>`.
+ * [--routers N] [--only-streams] [--only-ends] [--only-items]
+ * [--without-items] [--without-ends] [--without-streams] [--without-links]
+ * [--other-bundle PATH]` exits with 0 only if every check passes for every seed.
+ * Logs are in `out/store-chaos-<seed>`.
  *
  * With `--only-streams` it draws only faults that cut off answers, twice as many,
- * with `--only-ends` only those under which a router may end by itself. With
- * `--without-ends` a seed draws the faults that it drew before there were these,
+ * with `--only-ends` only those under which a router may end by itself, with
+ * `--only-items` only items of other programs in the store and what has routers
+ * read it. With `--without-items` a seed draws the faults that it drew before there
+ * were such items, with `--without-ends` those before routers that end by themselves,
  * with `--without-streams` those before answers that are reset and engines that
  * change their version, with `--without-links` those before routers without links
  * and brittle upstreams. With `--other-bundle`, a `corianderflowd.js` of another
@@ -28,9 +30,11 @@
 import type { Call, StoreChaosEvidence } from "./store_chaos_evidence.ts";
 import { StoreFleet } from "./store_chaos_fleet.ts";
 import {
+  FOREIGN_ITEM_KINDS,
   getStoreChaosTargets,
   runStoreChaos,
   STORE_END_KINDS,
+  STORE_ITEM_KINDS,
   STORE_LINK_KINDS,
   STORE_SOAK_KINDS,
   STORE_STREAM_KINDS,
@@ -54,6 +58,8 @@
     seconds: { type: "string", default: "20" },
     routers: { type: "string", default: "6" },
     "only-streams": { type: "boolean", default: false },
+    "only-items": { type: "boolean", default: false },
+    "without-items": { type: "boolean", default: false },
     "only-ends": { type: "boolean", default: false },
     "without-ends": { type: "boolean", default: false },
     "without-streams": { type: "boolean", default: false },
@@ -80,8 +86,10 @@
 function getKinds(): readonly ChaosKind[] {
   if (values["only-streams"]) return STREAM_CUT_KINDS;
   if (values["only-ends"]) return ROUTER_END_KINDS;
+  if (values["only-items"]) return FOREIGN_ITEM_KINDS;
   if (hasStreamFaults) {
-    return values["without-ends"] ? STORE_STREAM_KINDS : STORE_END_KINDS;
+    if (values["without-ends"]) return STORE_STREAM_KINDS;
+    return values["without-items"] ? STORE_END_KINDS : STORE_ITEM_KINDS;
   }
   return values["without-links"] ? STORE_SOAK_KINDS : STORE_LINK_KINDS;
 }
--- a/bench/store_chaos_run.ts
+++ b/bench/store_chaos_run.ts
@@ -21,6 +21,7 @@
   ROUTER_END_KINDS,
   type RouterEndKind,
 } from "./store_chaos_end_faults.ts";
+import { writeForeignItems } from "./store_chaos_foreign_items.ts";
 import {
   STORE_CHAOS_BOUNDS,
   type StoreFleet,
@@ -97,11 +98,27 @@
   ...STORE_STREAM_KINDS,
   ...ROUTER_END_KINDS,
 ] as const satisfies readonly ChaosKind[];
+
+/** All of these, and items of other programs in the store. */
+export const STORE_ITEM_KINDS = [
+  ...STORE_END_KINDS,
+  "foreign-items",
+] as const satisfies readonly ChaosKind[];
 type StoreChaosKind = Exclude<
-  typeof STORE_END_KINDS[number],
+  typeof STORE_ITEM_KINDS[number],
   RouterEndKind
 >;
 
+/** Items of other programs, and what has routers read the whole store. */
+export const FOREIGN_ITEM_KINDS = [
+  "foreign-items",
+  "foreign-items",
+  "router-killed",
+  "router-stopped",
+  "watches-silent",
+  "engine-leaving",
+] as const satisfies readonly StoreChaosKind[];
+
 /** Those of all kinds that cut off answers in progress. */
 export const STREAM_CUT_KINDS = [
   "router-killed",
@@ -400,6 +417,8 @@
         await this.#injectStoreFault({ refusalStatus: 503 }, durationMs);
         fleet.store.returnToCopy();
         return await fleet.writeAgain();
+      case "foreign-items":
+        return writeForeignItems(fleet.store, { random: this.#random });
       case "prompt-crashes":
         return await this.#sendCrashingPrompts(durationMs);
       case "request-crashes":
--- a/bench/store_chaos_test.ts
+++ b/bench/store_chaos_test.ts
@@ -12,6 +12,7 @@
 import type { StoreChaosEvidence } from "./store_chaos_evidence.ts";
 import { StoreFleet } from "./store_chaos_fleet.ts";
 import {
+  FOREIGN_ITEM_KINDS,
   getStoreChaosTargets,
   runStoreChaos,
   STORE_CHAOS_KINDS,
@@ -135,3 +136,14 @@
   },
   TEST_TIMEOUT_MS,
 );
+
+// Guards against fleets that lose the store's state to items of other programs.
+test(
+  "a fleet with relays meets them beside items of other programs",
+  async () => {
+    const evidence = await runFaults(54, FOREIGN_ITEM_KINDS);
+    expect(evidence.windows.map(({ kind }) => kind)).toContain("foreign-items");
+    expect(findStoreChaosViolations(evidence)).toEqual([]);
+  },
+  TEST_TIMEOUT_MS,
+);
--- a/testing/chaos_schedule.ts
+++ b/testing/chaos_schedule.ts
@@ -37,6 +37,8 @@
   | "watches-silent"
   /** The metadata store is down and comes back from an older copy. */
   | "store-restored"
+  /** Another program writes items into the store that no router uses. */
+  | "foreign-items"
   /** Callers send requests with a prompt part that crashes engines. */
   | "prompt-crashes"
   /** Callers send one request again and again that crashes upstreams. */
@@ -227,6 +229,7 @@
     targets: "platform",
     durationRangeMs: { min: 200, max: 3_000 },
   },
+  "foreign-items": { targets: "platform", durationRangeMs: INSTANT },
   "prompt-crashes": {
     targets: "callers",
     durationRangeMs: { min: 5_000, max: 12_000 },
@@ -310,6 +313,7 @@
 /** Kinds that exist only in a fleet with a metadata store. */
 const METADATA_STORE_KINDS: ReadonlySet<ChaosKind> = new Set([
   "store-restored",
+  "foreign-items",
   "prompt-crashes",
   "request-crashes",
   "router-links-refused",
