Tell a reset with the last bytes from an end in the project's own fleet, too

Callers of the project's own fleet got a part of a response without a length as the whole if the connection was reset with the last bytes, or while an upload was still being written.

Cause: libuv reports an end without an error if the reset is there when the last bytes are read, and undici takes an end and a reset for the end of such a response. The fleet on the users' platform has told them apart since.

Change: both clients use its check, which moves to connection_reset.ts unchanged.

--- a/src/transport/http_client_test.ts
+++ b/src/transport/http_client_test.ts
@@ -1,4 +1,5 @@
 /** Responses without a length that are cut, as the project's own fleet reads them. */
+import { Buffer } from "node:buffer";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { createHttpClient } from "./http_client.ts";
@@ -10,15 +11,18 @@
 /** Time in which the bytes before a reset are read, in milliseconds. */
 const RESET_AFTER_MS = 40;
 const ROUNDS = 8;
+/** More than the sockets on both sides buffer. */
+const BODY_BYTES = 8_388_608;
 
 /** Reads a response, and returns its body or that it broke off. */
 async function read(
   end: (socket: Socket) => void,
-  { status = "200" }: { status?: string } = {},
+  { status = "200", body }: { status?: string; body?: Buffer } = {},
 ): Promise<string> {
   const server = createServer((socket) => {
     socket.on("error", () => {});
     socket.once("data", () => {
+      socket.pause();
       socket.write(`${createHead(status)}part`);
       end(socket);
     });
@@ -30,10 +34,10 @@
   try {
     const sent = await client.send({
       address: `127.0.0.1:${port}`,
-      method: "GET",
+      method: body === undefined ? "GET" : "POST",
       path: "/",
       headers: {},
-      body: undefined,
+      body,
       firstByteTimeoutMs: 1_000,
       betweenBytesTimeoutMs: 1_000,
       signal: new AbortController().signal,
@@ -60,6 +64,21 @@
   expect(await read(end)).toBe("broken off");
 });
 
+// Guards against the same while an upload is still being written.
+test.each([0, 3, RESET_AFTER_MS])(
+  "an early response to an upload that is reset after %d ms is broken off",
+  async (resetAfterMs) => {
+    const body = Buffer.alloc(BODY_BYTES);
+    const end = (socket: Socket) =>
+      void setTimeout(() => socket.resetAndDestroy(), resetAfterMs);
+    const texts = new Set<string>();
+    for (let round = 0; round < ROUNDS; round++) {
+      texts.add(await read(end, { body }));
+    }
+    expect([...texts]).toEqual(["broken off"]);
+  },
+);
+
 // Guards against an answer with a status that HTTP doesn't have, such as that of
 // an upstream in trouble, which callers get as an answer (MIXED).
 test.each(["000", "099", "600", "999"])(
--- a/src/transport/reset_client.ts
+++ b/src/transport/reset_client.ts
@@ -5,6 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import { type buildConnector, Client, type Dispatcher } from "undici";
+import { recordReset } from "./connection_reset.ts";
 
 /** Options of `ResetClient`; undici has made a function of `connect`. */
 export interface ResetClientOptions extends Client.Options {
@@ -13,8 +14,8 @@
 
 /** Sends requests on one connection at a time. */
 export class ResetClient extends Client {
-  /** Error of the current connection. */
-  #reset: Error | undefined;
+  /** The current connection. */
+  #connection = { isReset: false };
 
   constructor(origin: URL, { connect, ...options }: ResetClientOptions) {
     super(origin, {
@@ -23,9 +24,9 @@
         connect(target, (...result) => {
           const [cause, socket] = result;
           if (cause === null) {
-            this.#reset = undefined;
-            // Before undici's own listener, which completes the response.
-            socket.prependListener("error", (error) => this.#reset = error);
+            const connection = { isReset: false };
+            this.#connection = connection;
+            recordReset(socket, () => connection.isReset = true);
           }
           callback(...result);
         }),
@@ -38,7 +39,7 @@
   ): boolean {
     return super.dispatch(
       options,
-      new ResetHandler(handler, () => this.#reset),
+      new ResetHandler(handler, () => this.#connection.isReset),
     );
   }
 }
@@ -49,14 +50,14 @@
  */
 class ResetHandler implements Dispatcher.DispatchHandler {
   readonly #handler: Dispatcher.DispatchHandler;
-  readonly #getReset: () => Error | undefined;
+  readonly #isReset: () => boolean;
 
   constructor(
     handler: Dispatcher.DispatchHandler,
-    getReset: () => Error | undefined,
+    isReset: () => boolean,
   ) {
     this.#handler = handler;
-    this.#getReset = getReset;
+    this.#isReset = isReset;
   }
 
   onConnect(abort: (cause?: Error) => void): void {
@@ -77,9 +78,9 @@
   }
 
   onComplete(trailers: string[] | null): void {
-    const reset = this.#getReset();
-    if (reset === undefined) this.#handler.onComplete!(trailers);
-    else this.#handler.onError!(reset);
+    if (this.#isReset()) {
+      this.#handler.onError!(new Error("the connection was reset"));
+    } else this.#handler.onComplete!(trailers);
   }
 
   onError(cause: Error): void {
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -10,6 +10,7 @@
 import { Client, type Dispatcher } from "undici";
 import type { ContactResult } from "../policy/answer_end.ts";
 import type { Eviction } from "../policy/memory_budget.ts";
+import { recordReset } from "./connection_reset.ts";
 import {
   type FieldMemory,
   limitReads,
@@ -178,23 +179,6 @@
   }
 }
 
-/**
- * Calls `onReset` if the connection is reset, before undici takes its end for
- * that of a close-delimited response.
- */
-function recordReset(socket: Socket, onReset: () => void): void {
-  socket.prependListener("error", onReset);
-  socket.prependListener("end", () => {
-    // libuv reports an end without an error if the reset is there when the last
-    // bytes are read. A reset connection has no peer any more; one that the peer
-    // closed still has. Node caches the address once it was read.
-    if (socket.remoteAddress === undefined) onReset();
-  });
-  socket.prependListener("close", () => {
-    if (!socket.readableEnded) onReset();
-  });
-}
-
 class Connection {
   readonly client: Client;
   readonly address: string;
