--- a/src/platform/store_reader.ts
+++ b/src/platform/store_reader.ts
@@ -282,15 +282,18 @@
     }
   }
 
-  /** Reads a page, again if it fails: the pages before it were read already. */
+  /**
+   * Reads a page, again if the store refuses it: the pages before it were read
+   * already. Without an answer the store counts as lost.
+   */
   async #retryPage(
     range: { prefix: string; after?: string | undefined },
     collector: ItemCollector,
   ): Promise<Result<Page, PlatformFailure>> {
     for (let tries = 1;; tries++) {
       const read = await this.#readPage(range, collector);
-      const isFinal = read.ok || read.val.isTooLarge || tries >= MAX_PAGE_TRIES;
-      if (isFinal) return read;
+      const isRefused = read.err && read.val.status !== undefined;
+      if (!isRefused || tries >= MAX_PAGE_TRIES) return read;
       await sleep(PAGE_RETRY_PAUSE_MS * tries * (0.5 + Math.random()));
     }
   }
--- a/testing/metadata_store.ts
+++ b/testing/metadata_store.ts
@@ -95,6 +95,21 @@
 /** Revision of the empty store. */
 const FIRST_REVISION = 100;
 
+/** Returns the index from which on the items of a list meet a condition. */
+function findFirst<T>(
+  list: readonly T[],
+  isMet: (item: T) => boolean,
+): number {
+  let start = 0;
+  let end = list.length;
+  while (start < end) {
+    const middle = (start + end) >> 1;
+    if (isMet(list[middle]!)) end = middle;
+    else start = middle + 1;
+  }
+  return start;
+}
+
 /** A metadata store that holds its items in memory; listens on loopback. */
 export class MetadataStoreServer {
   readonly faults: MetadataStoreFaults = {
@@ -266,8 +281,13 @@
     const items: StoredItem[] = [];
     let length = 0;
     let isTruncated = false;
-    for (const key of this.#sortedKeys) {
-      if (key <= after || !key.startsWith(prefix)) continue;
+    const start = findFirst(
+      this.#sortedKeys,
+      (key) => key > after && key >= prefix,
+    );
+    for (let index = start; index < this.#sortedKeys.length; index++) {
+      const key = this.#sortedKeys[index]!;
+      if (!key.startsWith(prefix)) break;
       const item = this.#items.get(key)!;
       length += item.value.length;
       isTruncated = items.length >= this.pageItems ||
@@ -288,11 +308,9 @@
         return { status: 410, body: {} };
       }
       const isDeaf = this.faults.withholdsEvents;
-      const events = isDeaf
-        ? []
-        : this.#events.filter((event) =>
-          event.rev > after && event.key.startsWith(prefix)
-        );
+      const events = isDeaf ? [] : this.#events
+        .slice(findFirst(this.#events, ({ rev }) => rev > after))
+        .filter(({ key }) => key.startsWith(prefix));
       if (
         events.length > 0 || performance.now() >= deadlineMs || this.#isClosed
       ) {
