Move what a router holds of the store to a module of its own

The routing controller had grown by the room for items, the services that configurations name and what is not used. They move to held_items.ts; nothing else changes in the product.

Result: src/control, src/platform, foreign_items and faulty_store, 309 of 309.

--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -17,7 +17,6 @@
 import type { RelayPlan } from "../policy/relay_plan.ts";
 import { chooseStartPeers } from "../policy/start_peers.ts";
 import { getStartWait } from "../policy/start_wait.ts";
-import { StateRoom } from "../policy/state_room.ts";
 import { RouteTable } from "../policy/route_table.ts";
 import { UpstreamDirectory } from "../policy/upstream_directory.ts";
 import type {
@@ -28,11 +27,9 @@
   UpstreamEntry,
 } from "../routing/types.ts";
 import type { PlatformFailure } from "../store/key_value.ts";
-import type {
-  ConfigurationRead,
-  UnusedItems,
-} from "../platform/store_reader.ts";
+import type { ConfigurationRead } from "../platform/store_reader.ts";
 import type { FetchConfiguration } from "./configuration_relay.ts";
+import { HeldItems, type StoreGaps } from "./held_items.ts";
 import type { SharedRoutingState } from "./peer_exchange.ts";
 import {
   isRolloutChange,
@@ -80,12 +77,6 @@
   confirmView(): Promise<boolean>;
 }
 
-/** What a router does not use of the store. */
-export interface StoreGaps extends UnusedItems {
-  /** Whether the view may lack items that are needed. */
-  readonly isViewPartial: boolean;
-}
-
 /** Keeps the routing state up to date and this router registered. */
 export interface RoutingController extends RoutingView, SharedRoutingState {
   open(): void;
@@ -179,17 +170,9 @@
   /** Confirms the configuration alone. */
   readonly #configurationConfirmation: Confirmation;
   readonly #fullReads = new FullReadPace();
-  /** Room for the items that are held. */
-  #room: StateRoom;
+  readonly #items: HeldItems;
   /** Configuration of a read that is not in force, or not yet. */
   #offered: RoutingConfiguration | undefined;
-  /** Services of the configurations in force and offered. */
-  #namedServices: ReadonlySet<string> = new Set();
-  #unused: UnusedItems = { invalid: 0, leftOut: 0 };
-  /** Whether items that are needed may be missing for want of room. */
-  #isViewPartial = false;
-  /** Whether a configuration needs items that were left out. */
-  #isFullReadDue = false;
   readonly #routers = new Map<string, string>();
   /** Bandwidth of the host's link by router name, in Mbit/s. */
   readonly #linkMbps = new Map<string, number>();
@@ -235,18 +218,21 @@
   constructor(options: RoutingOptions) {
     this.#options = options;
     const { revocationMs, tasks, log } = options;
+    this.#items = new HeldItems({
+      isRouter: (name) => this.#routers.has(name) || name === options.self.name,
+      log,
+    });
     this.#versions = new VersionRecorder({
       ...options,
-      isNamed: (service) => this.#namedServices.has(service),
+      isNamed: (service) => this.#items.isNamed(service),
       directory: this.directory,
     });
     this.#confirmation = new Confirmation({ revocationMs });
     this.#configurationConfirmation = new Confirmation({ revocationMs });
-    this.#room = this.#createRoom();
     this.#viewConfirmation = new ViewConfirmation({
       store: {
         readVersions: () =>
-          options.store.readVersions({ room: this.#createRoom() }),
+          options.store.readVersions({ room: this.#items.createRoom() }),
       },
       clock: () => options.now().steady,
       hasRevision: (revision, era) =>
@@ -340,7 +326,7 @@
 
   getViewAgeMs(): number {
     // Entries of a copy may be those of earlier processes.
-    return this.#isRestoring() || this.#isViewPartial
+    return this.#isRestoring() || this.#items.isViewPartial
       ? Infinity
       : this.getChangesAgeMs();
   }
@@ -351,7 +337,7 @@
   }
 
   getStoreGaps(): StoreGaps {
-    return { ...this.#unused, isViewPartial: this.#isViewPartial };
+    return this.#items.gaps;
   }
 
   async confirmView(): Promise<boolean> {
@@ -359,7 +345,7 @@
       this.getChangesAgeMs() > this.#options.pace.ownPollMs;
     if (isStoreLost || !await this.#viewConfirmation.confirm()) return false;
     // A copy that the store has returned to may lack upstreams.
-    return !this.#isRestoring() && !this.#isViewPartial;
+    return !this.#isRestoring() && !this.#items.isViewPartial;
   }
 
   routers(): ReadonlyMap<string, string> {
@@ -416,8 +402,7 @@
     this.#isStoreLostToRelay = update.isStoreLost;
     if (update.lacksOthers) {
       this.#hasUnpassedOthers = true;
-      const { invalid, leftOut } = this.#unused;
-      this.#unused = { invalid, leftOut: Math.max(1, leftOut) };
+      this.#items.recordLeftOut();
     }
     if ((update.era ?? 0) !== this.era) {
       // Revisions of different eras can't be compared; the store is read.
@@ -654,15 +639,14 @@
 
   /** Whether the known state can only be completed by a read of all items. */
   #isFullReadNeeded(): boolean {
-    return this.#revision === undefined || this.#isFullReadDue ||
-      this.#isViewPartial;
+    return this.#revision === undefined || this.#items.isReadNeeded;
   }
 
   /** Reads all items; returns false if the store must be read again soon. */
   async #readStore(): Promise<boolean> {
     const { store, now } = this.#options;
     const startedAt = now().steady;
-    const room = this.#createRoom();
+    const room = this.#items.createRoom();
     let first: ConfigurationRead | undefined;
     const snapshot = await store.readAll({
       room,
@@ -680,8 +664,7 @@
     this.#recordStoreAnswer();
     const lost = await this.#fetchLostConfigurations(snapshot.val);
     for (const each of lost) this.#applyConfiguration(each);
-    this.#room = room;
-    this.#recordUnused(snapshot.val.unused);
+    this.#items.recordRead(room, snapshot.val.unused);
     this.#applySnapshot(snapshot.val);
     this.#fullReads.recordRead({ startedAt, now: now().steady });
     return true;
@@ -707,7 +690,7 @@
       : [{ kind: "configuration" as const, configuration }];
     const lost = await this.#fetchLostConfigurations({ changes, era });
     for (const each of lost) this.#applyConfiguration(each);
-    this.#isViewPartial = true;
+    this.#items.isViewPartial = true;
     this.#receiveConfiguration(read);
     log.error("The store exceeds the room; the known state stays in use.", {
       cause,
@@ -739,7 +722,7 @@
     this.#offered = configuration;
     this.#recordNamedServices();
     // A router that knows no upstreams yet is not ready.
-    if (!this.#hasSnapshot && !this.#isViewPartial) return;
+    if (!this.#hasSnapshot && !this.#items.isViewPartial) return;
     // An older copy may lack configurations that other routers know.
     if (era !== (this.#era ?? era) || era !== this.#askedEra) return;
     this.#applyConfiguration(configuration);
@@ -747,61 +730,6 @@
     this.#endTableWaits();
   }
 
-  #recordUnused(unused: UnusedItems): void {
-    const { invalid, leftOut } = unused;
-    this.#unused = unused;
-    if (invalid === 0 && leftOut === 0) return;
-    this.#options.log.warn("Items of the store are not used.", {
-      invalid,
-      leftOut,
-    });
-  }
-
-  #createRoom(): StateRoom {
-    return new StateRoom({ isNeeded: (change) => this.#isNeeded(change) });
-  }
-
-  /** Whether requests or the fleet depend on an item. */
-  #isNeeded(change: StoreChange): boolean {
-    switch (change.kind) {
-      case "upstream":
-        return this.#namedServices.has(change.entry.service);
-      case "versions":
-      case "rollout-record":
-        return this.#namedServices.has(change.record.service);
-      case "rollout-order":
-        return this.#namedServices.has(change.order.service);
-      case "router":
-        return this.#routers.has(change.name) ||
-          change.name === this.#options.self.name;
-      default:
-        return true;
-    }
-  }
-
-  /** Makes room for a change; returns false if it must not be applied. */
-  #makeRoom(change: StoreChange): boolean {
-    const finding = this.#room.hold(change);
-    if (finding === "held") return true;
-    const { invalid, leftOut } = this.#unused;
-    const isFirst = leftOut === 0;
-    this.#unused = { invalid, leftOut: Math.max(1, leftOut) };
-    if (finding === "exceeded" && !this.#isViewPartial) {
-      this.#isViewPartial = true;
-      this.#options.log.error("There is no room for items that are needed.", {
-        kind: change.kind,
-      });
-    } else if (isFirst) {
-      this.#options.log.warn(
-        "There is no room for items that are not needed.",
-        {
-          kind: change.kind,
-        },
-      );
-    }
-    return false;
-  }
-
   async #writeRecords(): Promise<void> {
     const { plan, self, rollouts } = this.#options;
     if (!plan.isRelay) return;
@@ -917,8 +845,6 @@
     for (const change of this.#rolloutItems.listMissing(changes, { isKept })) {
       this.#apply(change);
     }
-    this.#isViewPartial = false;
-    this.#isFullReadDue = false;
     this.#offered = undefined;
     this.#advanceRevision(revision);
     this.#hasMissedChanges = false;
@@ -937,7 +863,7 @@
     const { log, now, self } = this.#options;
     const instant = now();
     const { steady } = instant;
-    if (!this.#makeRoom(change)) {
+    if (!this.#items.makeRoom(change)) {
       // Its earlier value is no longer valid.
       if (change.kind !== "upstream") return;
       change = { kind: "upstream-gone", id: change.entry.id };
@@ -993,7 +919,7 @@
 
   #logRemoval(id: string): void {
     const service = this.directory.find(id)?.entry.service;
-    if (service === undefined || !this.#namedServices.has(service)) return;
+    if (service === undefined || !this.#items.isNamed(service)) return;
     const fields = { upstream: id };
     this.#options.log.info("An upstream's entry was removed.", fields);
   }
@@ -1002,7 +928,8 @@
     if (!this.#rolloutItems.record(change)) return;
     this.#journal.recordChange(change);
     // An order for a service that no configuration names moves nothing.
-    const isFollowed = change.kind.endsWith("-gone") || this.#isNeeded(change);
+    const isFollowed = change.kind.endsWith("-gone") ||
+      this.#items.isNeeded(change);
     if (isFollowed) this.#options.rollouts?.receive(change);
   }
 
@@ -1030,24 +957,13 @@
 
   /** Records which services the configurations name. */
   #recordNamedServices(): void {
-    const known = this.#namedServices;
-    const configurations = [this.#table?.configuration, this.#offered]
-      .filter((each) => each !== undefined);
-    this.#namedServices = new Set(
-      configurations.flatMap(({ services, routes }) => [
-        ...services.map(({ name }) => name),
-        ...routes.flatMap(({ targets }) =>
-          targets.map(({ service }) => service)
-        ),
-      ]),
+    const configurations = [this.#table?.configuration, this.#offered];
+    const added = this.#items.recordConfigurations(
+      configurations.filter((each) => each !== undefined),
     );
-    const added = [...this.#namedServices].filter((each) => !known.has(each));
-    if (added.length === 0) return;
-    for (const change of this.#rolloutItems.listOf(new Set(added))) {
+    for (const change of this.#rolloutItems.listOf(added)) {
       this.#options.rollouts?.receive(change);
     }
-    // Their items may be among those that were left out.
-    if (this.#unused.leftOut > 0) this.#isFullReadDue = true;
   }
 
   /**
@@ -1057,7 +973,7 @@
    */
   #passOnUpstream(entry: UpstreamEntry): void {
     if (
-      this.#namedServices.has(entry.service) ||
+      this.#items.isNamed(entry.service) ||
       ++this.#passedOthers <= MAX_PASSED_OTHERS
     ) this.#journal.recordChange({ kind: "upstream", entry });
     else this.#hasUnpassedOthers = true;
@@ -1069,7 +985,7 @@
     if (this.directory.isChange(entry, now)) this.#passOnUpstream(entry);
     const isNew = this.directory.recordEntry(entry, now);
     if (isNew) onNewUpstream?.(entry);
-    if (!this.#namedServices.has(entry.service)) return;
+    if (!this.#items.isNamed(entry.service)) return;
     const isCold = entry.coldLeftMs > 0;
     const wasCold = (previous?.coldLeftMs ?? 0) > 0;
     if (!isNew && previous?.state === entry.state && isCold === wasCold) return;
