Count the tries of a stream apart from those of streams with longer ids

A trace of a failed run shows other-1 at an upstream of v1, and other-1-again refused without a try; nothing ran at v2. It happens if more than ten streams are begun, which depends on their placement.

--- a/src/daemon/ingress_cut_test.ts
+++ b/src/daemon/ingress_cut_test.ts
@@ -102,7 +102,10 @@
 /** Versions of the upstreams that took part in a stream, once for each try. */
 function listVersions(id: string): string[] {
   return fleet.upstreams.flatMap((upstream, index) =>
-    upstream.arrived.filter((each) => each.id.startsWith(id))
+    // The id of another stream may begin with this one.
+    upstream.arrived.filter((each) =>
+      each.id === id || each.id.startsWith(`${id}-`)
+    )
       .map(() => index < 2 ? "v1" : "v2")
   );
 }
