Read items faster, and the next part of a long answer at once

Change: elements that lie within one part of the answer are parsed from it, without a copy for each string; FieldError takes no stack; after a part of the changes the next one is polled at once.

--- a/src/control/routing_controller.ts
+++ b/src/control/routing_controller.ts
@@ -202,6 +202,8 @@
   readonly #keptRouters = new Set<string>();
   /** Whether the store holds changes that other routers did not pass on. */
   #hasMissedChanges = false;
+  /** Whether the last poll brought only a part of the changes. */
+  #isBehind = false;
   /** Name of a router that has a newer configuration. */
   #newerConfigurationRouter: string | undefined;
   #revision: number | undefined;
@@ -441,7 +443,10 @@
       if (!this.#isStoreReadNeeded()) return;
       const isAnswered = await this.#readChanges();
       if (!isAnswered) pauseMs = this.#getRetryPauseMs();
-      else await this.#writeRecords();
+      else {
+        if (this.#isBehind) pauseMs = 0;
+        await this.#writeRecords();
+      }
     } finally {
       clearTimeout(this.#pollTimer);
       if (!this.#isClosed) {
@@ -599,6 +604,7 @@
       return false;
     }
     const { changes, revision, sentAt, era, isPartial } = poll.val;
+    this.#isBehind = isPartial;
     if (era !== this.#era) {
       if (era < this.era) {
         this.#options.log.warn("Ignoring an answer of an earlier era.", {
--- a/src/platform/fields.ts
+++ b/src/platform/fields.ts
@@ -13,7 +13,11 @@
 /** A field of a document is missing or not of the expected type or range. */
 export class FieldError extends Error {
   constructor(field: string, expected: string) {
+    // Documents of other programs may cause many; the message says where.
+    const { stackTraceLimit } = Error;
+    Error.stackTraceLimit = 0;
     super(`${field} is not ${expected}`);
+    Error.stackTraceLimit = stackTraceLimit;
     this.name = "FieldError";
   }
 }
--- a/src/store/json_list_reader.ts
+++ b/src/store/json_list_reader.ts
@@ -53,22 +53,23 @@
   readonly #options: JsonListOptions;
   /** Text outside the list. */
   readonly #rest = new ByteCollector();
-  /** Text of the current element up to the current string. */
+  /** Text of an element that began in an earlier part. */
   readonly #element = new ByteCollector();
-  /** The current string of an element without its quotes. */
-  readonly #string = new ByteCollector();
   #depth = 0;
   #isInList = false;
   #isInString = false;
   /** Whether the last byte was a backslash that escapes the next one. */
   #isEscaped = false;
+  /** Length of the current string so far, in bytes. */
+  #stringBytes = 0;
   /** Allowed length of the current string; undefined while it is short. */
   #maxStringBytes: number | undefined;
-  #isStringDropped = false;
+  /** Whether the rest of the current string is dropped. */
+  #isDropping = false;
   #isShortened = false;
   #elementValues = 0;
-  /** Bytes of the element without long strings. */
-  #elementBytes = 0;
+  /** Bytes of long strings of the element. */
+  #longBytes = 0;
   /** Why the text is not valid; its rest is only counted. */
   #fault: { readonly cause: unknown } | undefined;
   #invalidValues = 0;
@@ -86,12 +87,55 @@
   /** Reads the next part of the text; throws `OversizeError`. */
   push(chunk: Buffer): void {
     let index = 0;
+    // Start of what was read of the part and is not kept yet.
+    let runStart = 0;
     while (index < chunk.length) {
       if (this.#fault !== undefined) return this.#countValues(chunk, index);
-      index = this.#isInString
-        ? this.#readString(chunk, index)
-        : this.#readStructure(chunk, index);
+      if (this.#isInString) {
+        const start = index;
+        index = this.#findStringEnd(chunk, start);
+        runStart = this.#readString(chunk, { runStart, start, end: index });
+        if (index === chunk.length) break;
+        this.#isInString = false;
+        index++;
+        continue;
+      }
+      const byte = chunk[index]!;
+      const isBetween = this.#isInList && this.#depth === LIST_DEPTH;
+      if (isBetween && byte !== CLOSING_BRACKET) {
+        runStart = this.#readBetween(byte, index);
+        index++;
+        continue;
+      }
+      index++;
+      switch (byte) {
+        case QUOTE:
+          this.#beginString();
+          break;
+        case COMMA:
+          this.#elementValues++;
+          break;
+        case OPENING_BRACE:
+        case OPENING_BRACKET:
+          this.#elementValues++;
+          this.#depth++;
+          if (byte === OPENING_BRACKET && this.#depth === LIST_DEPTH) {
+            this.#keep(chunk, runStart, index);
+            runStart = index;
+            this.#isInList ||= this.#isAtList();
+          }
+          break;
+        case CLOSING_BRACE:
+        case CLOSING_BRACKET:
+          this.#depth--;
+          if (this.#isInList && this.#depth === LIST_DEPTH) {
+            this.#endElement(chunk, runStart, index);
+            runStart = index;
+          } else if (this.#depth === FIELD_DEPTH) this.#isInList = false;
+          break;
+      }
     }
+    if (this.#fault === undefined) this.#keep(chunk, runStart, chunk.length);
   }
 
   /**
@@ -108,48 +152,17 @@
     return this.#isInList && this.#depth > LIST_DEPTH;
   }
 
-  /** Reads up to the next string or part; returns where that begins. */
-  #readStructure(chunk: Buffer, start: number): number {
-    let runStart = start;
-    for (let index = start; index < chunk.length; index++) {
-      const byte = chunk[index]!;
-      if (this.#isInList && this.#depth === LIST_DEPTH) {
-        const isSkipped = byte === COMMA || WHITE_SPACE.has(byte);
-        if (!isSkipped && byte !== OPENING_BRACE && byte !== CLOSING_BRACKET) {
-          this.#fault = { cause: new SyntaxError("an element is no object") };
-          return index;
-        }
-        runStart = isSkipped ? index + 1 : index;
-        if (isSkipped) continue;
-        this.#elementValues = 0;
-        this.#elementBytes = 0;
-      }
-      if (byte === QUOTE) {
-        this.#keep(chunk.subarray(runStart, index + 1));
-        this.#isInString = true;
-        return index + 1;
-      }
-      if (byte === COMMA) this.#elementValues++;
-      if (byte === OPENING_BRACE || byte === OPENING_BRACKET) {
-        this.#depth++;
-        this.#elementValues++;
-        if (byte === OPENING_BRACKET && this.#depth === LIST_DEPTH) {
-          this.#keep(chunk.subarray(runStart, index + 1));
-          runStart = index + 1;
-          this.#isInList ||= this.#isAtList();
-        }
-      } else if (byte === CLOSING_BRACE || byte === CLOSING_BRACKET) {
-        this.#depth--;
-        if (this.#isInList && this.#depth === LIST_DEPTH) {
-          this.#keepElement(chunk.subarray(runStart, index + 1));
-          this.#endElement();
-          if (this.#fault !== undefined) return index + 1;
-          runStart = index + 1;
-        } else if (this.#depth === FIELD_DEPTH) this.#isInList = false;
-      }
+  /** Reads a byte between two elements; returns where the next run begins. */
+  #readBetween(byte: number, index: number): number {
+    if (byte === COMMA || WHITE_SPACE.has(byte)) return index + 1;
+    if (byte !== OPENING_BRACE) {
+      this.#fault = { cause: new SyntaxError("an element is no object") };
+      return index;
     }
-    this.#keep(chunk.subarray(runStart));
-    return chunk.length;
+    this.#depth++;
+    this.#elementValues = 0;
+    this.#longBytes = 0;
+    return index;
   }
 
   /** Whether the text so far ends where the list begins. */
@@ -160,16 +173,50 @@
     return tail.endsWith(JSON.stringify(this.#options.name));
   }
 
-  #readString(chunk: Buffer, start: number): number {
-    const end = this.#findStringEnd(chunk, start);
-    const part = chunk.subarray(start, end);
-    if (this.#isInElement) this.#keepString(part);
-    else this.#keep(part);
-    if (end === chunk.length) return end;
-    this.#isInString = false;
-    if (this.#isInElement) this.#endString();
-    this.#keep(chunk.subarray(end, end + 1));
-    return end + 1;
+  #beginString(): void {
+    this.#isInString = true;
+    this.#stringBytes = 0;
+    this.#maxStringBytes = undefined;
+    this.#isDropping = false;
+  }
+
+  /**
+   * Reads the part of a string from `start` to `end`. Returns where the run then
+   * begins, which is later if the string is dropped.
+   */
+  #readString(
+    chunk: Buffer,
+    { runStart, start, end }: { runStart: number; start: number; end: number },
+  ): number {
+    if (!this.#isInElement) return runStart;
+    if (this.#isDropping) return end;
+    const before = this.#stringBytes;
+    this.#stringBytes += end - start;
+    if (this.#stringBytes <= SHORT_STRING_BYTES) return runStart;
+    this.#element.push(chunk.subarray(runStart, start));
+    this.#maxStringBytes ??= this.#options.getMaxStringBytes(
+      this.#takeTextBefore(before, { isKept: true }).toString("utf8"),
+    );
+    if (this.#longBytes + this.#stringBytes > this.#maxStringBytes) {
+      this.#isDropping = true;
+      this.#isShortened = true;
+      this.#takeTextBefore(before, { isKept: false });
+      return end;
+    }
+    this.#element.push(chunk.subarray(start, end));
+    if (end < chunk.length) this.#longBytes += this.#stringBytes;
+    return end;
+  }
+
+  /**
+   * Returns the text of the element without its last `bytes`, which stay in it
+   * only if they are kept.
+   */
+  #takeTextBefore(bytes: number, { isKept }: { isKept: boolean }): Buffer {
+    const text = this.#element.take();
+    const before = text.subarray(0, text.length - bytes);
+    this.#element.push(isKept ? text : before);
+    return before;
   }
 
   /** Returns the index of the closing quote, or the length without one. */
@@ -179,67 +226,51 @@
     let quote = -1;
     for (;;) {
       if (quote < index) quote = chunk.indexOf(QUOTE, index);
-      const end = quote < 0 ? chunk.length : quote;
-      const offset = chunk.subarray(index, end).indexOf(BACKSLASH);
-      if (offset < 0) return end;
+      if (quote < 0) quote = chunk.length;
+      const offset = chunk.subarray(index, quote).indexOf(BACKSLASH);
+      if (offset < 0) return quote;
       index += offset + 2;
       if (index > chunk.length) {
         this.#isEscaped = true;
         return chunk.length;
       }
-      if (quote < 0) quote = chunk.length;
     }
   }
 
-  #keep(part: Buffer): void {
-    if (this.#isInElement) return this.#keepElement(part);
+  #keep(chunk: Buffer, start: number, end: number): void {
+    if (start >= end) return;
+    const part = chunk.subarray(start, end);
+    if (this.#isInElement) {
+      this.#element.push(part);
+      this.#checkElement(this.#element.length);
+      return;
+    }
     this.#rest.push(part);
     if (this.#rest.length > MAX_TEXT_BYTES) {
       throw new OversizeError("the text around the list is too large");
     }
   }
 
-  #keepElement(part: Buffer): void {
-    this.#element.push(part);
-    this.#elementBytes += part.length;
-    if (
-      this.#elementBytes > MAX_TEXT_BYTES ||
-      this.#elementValues > MAX_ELEMENT_VALUES
-    ) {
+  /** Checks an element with `bytes` so far, apart from its long strings. */
+  #checkElement(bytes: number): void {
+    const openBytes = this.#maxStringBytes === undefined || !this.#isInString
+      ? 0
+      : this.#stringBytes;
+    const isTooLong = bytes - this.#longBytes - openBytes > MAX_TEXT_BYTES;
+    if (isTooLong || this.#elementValues > MAX_ELEMENT_VALUES) {
       throw new OversizeError("an element of the list is too large");
     }
   }
 
-  #keepString(part: Buffer): void {
-    if (this.#isStringDropped) return;
-    this.#string.push(part);
-    if (this.#string.length <= SHORT_STRING_BYTES) return;
-    if (this.#maxStringBytes === undefined) {
-      const before = this.#element.take();
-      this.#element.push(before);
-      this.#maxStringBytes = this.#options.getMaxStringBytes(
-        before.toString("utf8"),
-      );
+  #endElement(chunk: Buffer, start: number, end: number): void {
+    this.#checkElement(this.#element.length + end - start);
+    let text: string;
+    if (this.#element.length === 0) text = chunk.toString("utf8", start, end);
+    else {
+      this.#element.push(chunk.subarray(start, end));
+      text = this.#element.take().toString("utf8");
     }
-    const longBytes = this.#element.length - this.#elementBytes;
-    if (this.#string.length + longBytes <= this.#maxStringBytes) return;
-    this.#string.clear();
-    this.#isStringDropped = true;
-    this.#isShortened = true;
-  }
-
-  #endString(): void {
-    const text = this.#string.take();
-    // The rest of a long string counts against the limit of long strings.
-    this.#elementBytes += Math.min(text.length, SHORT_STRING_BYTES);
-    this.#element.push(text);
-    this.#isStringDropped = false;
-    this.#maxStringBytes = undefined;
-  }
-
-  #endElement(): void {
     const isShortened = this.#isShortened;
-    const text = this.#element.take().toString("utf8");
     this.#isShortened = false;
     try {
       this.#options.onElement(JSON.parse(text), isShortened);
