Review: one runner that crashes ends every router beside slow readers

Cause: a reset of an upstream whose parser is paused raises an assertion within an event of the socket. The router logs it as an error that was not handled and ends its process after 20 of them in 10 s.

The case has one of four runners crash three times amid streams without a length to callers that read slowly.

--- a/review/lib_3/fleet.mjs
+++ b/review/lib_3/fleet.mjs
@@ -88,17 +88,25 @@
   output = "";
   #child;
   #ready = 0;
+  #settings = "";
 
   async start({ name, directory, storeAddress }) {
     const ports = [];
     while (ports.length < 4) ports.push(await findFreePort());
     [this.callers, this.#ready] = ports;
-    const settings = join(directory, `${name}.ini`);
-    writeFileSync(settings, renderSettings({ name, ports, storeAddress }));
+    this.#settings = join(directory, `${name}.ini`);
+    const text = renderSettings({ name, ports, storeAddress });
+    writeFileSync(this.#settings, text);
+    return await this.run();
+  }
+
+  /** Starts the process, again after its end as the platform does. */
+  async run() {
     const { PATH, HOME, LANG } = process.env;
+    this.end = undefined;
     this.#child = spawn(process.execPath, readRunArguments(), {
       cwd: ROOT,
-      env: { PATH, HOME, LANG, CORIANDERFLOW_SETTINGS: settings },
+      env: { PATH, HOME, LANG, CORIANDERFLOW_SETTINGS: this.#settings },
       stdio: ["ignore", "pipe", "pipe"],
     });
     this.#child.stdout.on("data", (text) => this.output += text);
--- a/review/lib_3/run_case.mjs
+++ b/review/lib_3/run_case.mjs
@@ -32,6 +32,12 @@
     const error = new Error("the case took too long");
     setTimeout(() => reject(error), MAX_CASE_MS).unref();
   });
+  for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+    process.once(signal, () => {
+      for (const router of fleet.routers) router.kill("SIGKILL");
+      process.exit(EXIT_NOT_RUN);
+    });
+  }
   try {
     await fleet.open();
     const played = play({ fleet, isTrouble, record });
