Review: a key that was taken away works on beside a long route name

Cause: a limit of 200 characters on names has a whole configuration rejected, and the one before it is confirmed as current by the same read.

The case takes a key away in a configuration that has a route name of 249 characters. Requests with the key run up to 14.9 s after the acknowledgement, 5 s allowed (CONFIG).

--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,125 +1,109 @@
 /**
- * Guards against a stop that closes a connection after a stream, while a later
- * request that was read from it runs at a runner (LOST).
+ * Guards against a key that works on after a configuration has taken it away,
+ * since that configuration also has a long name (CONFIG).
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { Caller } from "../lib_3/caller.mjs";
 import { runCase } from "../lib_3/run_case.mjs";
 
-const CALLERS = 6;
-/** Time from SIGTERM to the first request, in milliseconds. */
-const AFTER_STOP_MS = 300;
-/** Time from the stream's request to the booking, in milliseconds. */
-const BETWEEN_MS = 100;
-const FIRST_EVENT_MS = 400;
-const EVENTS = 4;
-const EVENT_INTERVAL_MS = 100;
-const BOOKING_MS = 50;
-const STREAM_DEADLINE_MS = 3_000;
-const BOOKING_DEADLINE_MS = 3_000;
+const ROUTERS = 2;
+const KEPT_KEY = "n2ctnfzs989anu6wsjnb";
+const REVOKED_KEY = "anfqasnmgkcuyj8pjbvk";
+const SHORT_NAME = "class-availability";
+const LONG_NAME = `${SHORT_NAME}-${"of-the-evening-courses-".repeat(10)}`;
+/** Bound of the users' small deployments, in milliseconds. */
+const REVOKE_MS = 5_000;
+const OBSERVED_MS = 15_000;
+const REQUEST_INTERVAL_MS = 100;
+const DEADLINE_MS = 1_500;
 
-function renderChunk(text) {
-  return `${text.length.toString(16)}\r\n${text}\r\n`;
-}
-
-async function stream({ id, socket }) {
-  await sleep(FIRST_EVENT_MS);
-  socket.write(
-    `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\nX-Response-Stamp: s/${id}\r\n` +
-      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-  );
-  for (let event = 1; event <= EVENTS; event++) {
-    socket.write(renderChunk(`id: ${event}\ndata: part ${event}\n\n`));
-    await sleep(EVENT_INTERVAL_MS);
-  }
-  socket.write("0\r\n\r\n");
+function createConfiguration({ name, keys }) {
+  return {
+    routes: [
+      { name: "seats", prefix: "/seats/", kind: "idempotent" },
+      { name, prefix: "/classes/", kind: "idempotent" },
+    ].map((route) => ({
+      ...route,
+      service: "booking",
+      timeoutMs: DEADLINE_MS,
+    })),
+    services: [{ name: "booking", coldStartS: 0, coldPerS: 0 }],
+    tenants: [{ name: "studio", apiKeys: keys, priority: 1 }],
+  };
 }
 
-async function book({ id, socket }) {
-  await sleep(BOOKING_MS);
-  const body = `booked ${id}`;
+async function answer({ id, socket }) {
+  await sleep(10);
   socket.write(
     `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\nX-Response-Stamp: s/${id}\r\n` +
-      `Content-Length: ${body.length}\r\n\r\n${body}`,
+      "Content-Length: 2\r\n\r\nok",
   );
 }
 
 await runCase(import.meta.url, async ({ fleet, isTrouble, record }) => {
-  fleet.putConfiguration({
-    routes: [
-      {
-        name: "tag",
-        prefix: "/tag/",
-        kind: "stream",
-        service: "model",
-        timeoutMs: STREAM_DEADLINE_MS,
-        maxAttempts: 1,
-      },
-      {
-        name: "book",
-        prefix: "/book/",
-        kind: "non_idempotent",
-        service: "booking",
-        timeoutMs: BOOKING_DEADLINE_MS,
-        maxAttempts: 1,
-      },
-    ],
-    services: ["model", "booking"]
-      .map((name) => ({ name, coldStartS: 0, coldPerS: 0 })),
-  });
-  for (const [service, script] of [["model", stream], ["booking", book]]) {
-    for (let index = 0; index < 2; index++) {
-      await fleet.addRunner({ id: `${service}-${index}`, service, script });
-    }
-  }
-  const router = await fleet.addRouter("router-1");
-  const callers = Array.from(
-    { length: CALLERS },
-    () => new Caller({ port: router.callers }),
-  );
-  const booking = {
-    method: "POST",
-    path: "/book/",
-    body: "{}",
-    deadlineMs: BOOKING_DEADLINE_MS,
-  };
-  for (const [index, caller] of callers.entries()) {
-    caller.send({ id: `first-${index}`, ...booking });
-    const first = await caller.receive({ timeoutMs: BOOKING_DEADLINE_MS });
-    record(`first-${index}: ${first?.status}`);
+  fleet.putConfiguration(createConfiguration({
+    name: SHORT_NAME,
+    keys: [KEPT_KEY, REVOKED_KEY],
+  }));
+  for (let index = 0; index < 3; index++) {
+    await fleet.addRunner({
+      id: `runner-${index}`,
+      service: "booking",
+      script: answer,
+    });
   }
-  if (isTrouble) {
-    router.kill("SIGTERM");
-    record("SIGTERM to the router");
+  const routers = [];
+  for (let index = 0; index < ROUTERS; index++) {
+    routers.push(await fleet.addRouter(`router-${index}`));
   }
-  await sleep(AFTER_STOP_MS);
-  for (const [index, caller] of callers.entries()) {
-    const deadlineMs = STREAM_DEADLINE_MS;
-    caller.send({ id: `tag-${index}`, path: "/tag/", deadlineMs });
-  }
-  record("sent the streams' requests");
-  await sleep(BETWEEN_MS);
-  for (const [index, caller] of callers.entries()) {
-    const head = caller.hasBytes ? "after" : "before";
-    caller.send({ id: `book-${index}`, ...booking });
-    record(`sent book-${index} ${head} any byte of the answer to tag-${index}`);
+  const callers = routers.map(({ callers: port }) => new Caller({ port }));
+  const lateRuns = [];
+  const counts = new Map();
+
+  /** Sends a request with a key to each router. */
+  async function callAll(key, { name, acknowledgedAt = Infinity }) {
+    await Promise.all(callers.map(async (caller, index) => {
+      const id = `${name}-${index}`;
+      const headers = { Authorization: `Bearer ${key}` };
+      const sinceMs = performance.now() - acknowledgedAt;
+      caller.send({ id, path: "/seats/", deadlineMs: DEADLINE_MS, headers });
+      const received = await caller.receive({ timeoutMs: 2 * DEADLINE_MS });
+      const isRun = fleet.arrived.some((each) => each.id === id);
+      const fate = `${received?.status ?? "none"}${isRun ? ", run" : ""}`;
+      const kind = key === REVOKED_KEY ? "revoked key" : "kept key";
+      const label = `${kind}: ${fate}`;
+      counts.set(label, (counts.get(label) ?? 0) + 1);
+      if (key === REVOKED_KEY && isRun && sinceMs > REVOKE_MS) {
+        lateRuns.push({ id, sinceMs });
+      }
+    }));
   }
-  const breaches = [];
-  for (const [index, caller] of callers.entries()) {
-    for (const id of [`tag-${index}`, `book-${index}`]) {
-      const received = await caller.receive({ timeoutMs: STREAM_DEADLINE_MS });
-      const run = fleet.arrived.find((each) => each.id === id);
-      const fate = received === undefined
-        ? `no whole answer, connection ${caller.end ?? "open"}`
-        : `${received.status}, connection: ${received.headers.connection}`;
-      record(`${id}: ${run ? "run" : "not run"}, ${fate}`);
-      const isClosed = received === undefined && caller.end !== undefined;
-      if (run === undefined || !isClosed) continue;
-      breaches.push(`${id} ran, and its connection ended without an answer`);
-    }
+
+  await callAll(REVOKED_KEY, { name: "before" });
+  const name = isTrouble ? LONG_NAME : SHORT_NAME;
+  fleet.putConfiguration(createConfiguration({ name, keys: [KEPT_KEY] }));
+  const acknowledgedAt = performance.now();
+  record(
+    `the store has accepted a configuration without ${REVOKED_KEY}, ` +
+      `with a route name of ${name.length} characters`,
+  );
+  for (let each = 0; performance.now() - acknowledgedAt < OBSERVED_MS; each++) {
+    const options = { acknowledgedAt };
+    await callAll(REVOKED_KEY, { ...options, name: `revoked-${each}` });
+    await callAll(KEPT_KEY, { ...options, name: `kept-${each}` });
+    await sleep(REQUEST_INTERVAL_MS);
   }
-  for (const line of router.output.split("\n")) {
-    if (line.includes('"requestId":"book-')) record(`router's log: ${line}`);
+  for (const [label, count] of counts) record(`${label}: ${count}`);
+  for (const router of routers) {
+    const line = router.output.split("\n")
+      .find((each) => each.includes("invalid item"));
+    if (line !== undefined) record(`router's log: ${line}`);
   }
-  return breaches;
+  if (lateRuns.length === 0) return [];
+  const last = lateRuns.at(-1);
+  return [
+    `${lateRuns.length} requests with the key ran that were sent later than ` +
+    `${REVOKE_MS} ms after the acknowledgement, the last, ${last.id}, after ` +
+    `${Math.round(last.sinceMs)} ms`,
+  ];
 });
