Review: streams whose event ids rise by six are cut off

Replaces the case of many long prompts at once: no site brings so many long heads to one router.

Cause: an id that rises by more than one counts as a missing event, also within the answer of one runner.

The case moves a route to runners that number events by tokens, and back.

--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -1,140 +1,130 @@
 /**
- * Guards against the end of a router's process when many callers at once send
- * requests with long prompts, whose heads are within the limit (LOST).
+ * Guards against streams that a router breaks off after their first event, when a
+ * configuration moves their route to runners whose event ids rise by more than
+ * one (LOST).
  */
-import { readFileSync } from "node:fs";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Caller } from "../lib_3/caller.mjs";
-import { HOST } from "../lib_3/fleet.mjs";
 import { runCase } from "../lib_3/run_case.mjs";
 
-const CALLERS = 1_000;
-/** Callers at a time without the burst. */
-const CALLERS_AT_A_TIME = 100;
-const RUNNERS = 4;
-const SLOTS = 64;
-/** Time from the arrival of a request to its first event, in milliseconds. */
-const FIRST_EVENT_MS = 6_000;
-const CALM_FIRST_EVENT_MS = 500;
-/** Between the connections of the callers, in milliseconds. */
-const PAUSE_MS = 2;
-const DEADLINE_MS = 12_000;
-/** Parts of a prompt; the first half is shared. */
-const PARTS = 1_200;
-const TOKENS_PER_PART = 512;
-/** Limit of the configuration. */
-const MAX_HEADER_BYTES = 16_384;
-/** Losses that the rule allows. */
-const MAX_LOST = 3;
+const CALLERS = 6;
+const EVENTS = 5;
+const EVENT_INTERVAL_MS = 40;
+/** Tokens that an event of the new runners holds; their ids count tokens. */
+const TOKENS_PER_EVENT = 6;
+const DEADLINE_MS = 3_000;
+const BEFORE_MS = 3_000;
+const AFTER_MOVE_MS = 2_500;
+const AFTER_MS = 6_000;
+/** Bounds of the users' small deployments, in milliseconds. */
+const CONFIG_APPLY_MS = 2_000;
+const PLANNED_MS = CONFIG_APPLY_MS + 1_000;
+const FACTOR = 3;
 
-function createPrompt(caller) {
-  const parts = Array.from({ length: PARTS }, (_, index) => {
-    const isShared = index < PARTS / 2;
-    const number = isShared ? index * 7_919 : caller * 100_003 + index * 31;
-    const id = (number >>> 0).toString(16).padStart(8, "0");
-    return `${id}:${TOKENS_PER_PART}`;
-  });
+function createConfiguration(service) {
   return {
-    "X-Model": "m",
-    "X-Token-Counts": `${PARTS * TOKENS_PER_PART},80`,
-    "X-Prompt-Prefix": parts.join(","),
+    routes: [{
+      name: "tag",
+      prefix: "/tag/",
+      kind: "stream",
+      service,
+      timeoutMs: DEADLINE_MS,
+      maxAttempts: 1,
+    }],
+    services: ["model-a", "model-b"]
+      .map((name) => ({ name, coldStartS: 0, coldPerS: 0 })),
   };
 }
 
-/** Size of a request's head, which has no more than a few other fields. */
-function getHeadBytes(headers) {
-  const fields = { Host: HOST, ...headers };
-  return Object.entries(fields)
-    .reduce((sum, [name, value]) => sum + name.length + value.length + 4, 120);
+function createScript(step) {
+  return async ({ id, socket }) => {
+    socket.write(
+      `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\n` +
+        `X-Response-Stamp: s/${id}\r\nContent-Type: text/event-stream\r\n` +
+        "Transfer-Encoding: chunked\r\n\r\n",
+    );
+    for (let each = 1; each <= EVENTS; each++) {
+      const event = `id: ${each * step}\ndata: part ${each}\n\n`;
+      socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
+      await sleep(EVENT_INTERVAL_MS);
+    }
+    socket.write("0\r\n\r\n");
+  };
 }
 
 await runCase(import.meta.url, async ({ fleet, isTrouble, record }) => {
-  fleet.putConfiguration({
-    routes: [{
-      name: "plan",
-      prefix: "/plan/",
-      kind: "stream",
-      service: "model",
-      timeoutMs: DEADLINE_MS,
-      maxAttempts: 1,
-      sticky: true,
-    }],
-    services: [{ name: "model", coldStartS: 0, coldPerS: 0, engine: {} }],
-  });
-  const firstEventMs = isTrouble ? FIRST_EVENT_MS : CALM_FIRST_EVENT_MS;
-  for (let index = 0; index < RUNNERS; index++) {
-    await fleet.addRunner({
-      id: `model-${index}`,
-      service: "model",
-      slots: SLOTS,
-      script: async ({ id, socket }) => {
-        await sleep(firstEventMs);
-        const event = "id: 1\ndata: a plan\n\n";
-        socket.write(
-          `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\n` +
-            `X-Response-Stamp: s/${id}\r\nContent-Type: text/event-stream\r\n` +
-            "Transfer-Encoding: chunked\r\n\r\n" +
-            `${event.length.toString(16)}\r\n${event}\r\n0\r\n\r\n`,
-        );
-      },
-    });
+  fleet.putConfiguration(createConfiguration("model-a"));
+  for (
+    const [service, step] of [["model-a", 1], ["model-b", TOKENS_PER_EVENT]]
+  ) {
+    for (let index = 0; index < 2; index++) {
+      const script = createScript(step);
+      await fleet.addRunner({ id: `${service}-${index}`, service, script });
+    }
   }
   const router = await fleet.addRouter("router-1");
-  const statuses = new Map();
-  const lost = [];
-  let largestBytes = 0;
+  const calls = [];
+  let isEnded = false;
 
-  async function call(index) {
-    const id = `plan-${index}`;
-    const headers = createPrompt(index);
-    largestBytes = Math.max(largestBytes, getHeadBytes(headers));
-    const caller = new Caller({ port: router.callers });
-    caller.send({ id, path: "/plan/", deadlineMs: DEADLINE_MS, headers });
-    const received = await caller.receive({ timeoutMs: DEADLINE_MS });
-    const fate = received?.status ?? `no answer, ${caller.end ?? "open"}`;
-    statuses.set(fate, (statuses.get(fate) ?? 0) + 1);
-    if (received === undefined && caller.end !== undefined) lost.push(id);
+  async function keepCalling(index) {
+    let caller = new Caller({ port: router.callers });
+    for (let each = 0; !isEnded; each++) {
+      const id = `tag-${index}-${each}`;
+      const sentAt = performance.now();
+      caller.send({ id, path: "/tag/", deadlineMs: DEADLINE_MS });
+      const received = await caller.receive({ timeoutMs: DEADLINE_MS });
+      const endedAt = performance.now();
+      const isRun = fleet.arrived.some((run) => run.id === id);
+      const isCut = received === undefined && caller.end !== undefined;
+      calls.push({ id, sentAt, endedAt, isCut: isCut && isRun });
+      if (caller.end !== undefined || received === undefined) {
+        caller.close();
+        caller = new Caller({ port: router.callers });
+      }
+    }
     caller.close();
   }
 
-  const calls = new Set();
-  let peakMb = 0;
-  for (let index = 0; index < CALLERS; index++) {
-    const each = call(index).finally(() => calls.delete(each));
-    calls.add(each);
-    await sleep(PAUSE_MS);
-    if (!isTrouble && calls.size >= CALLERS_AT_A_TIME) {
-      await Promise.race(calls);
-    }
-    peakMb = Math.max(peakMb, readMemoryMb(router.pid));
-    if (router.end !== undefined) break;
+  const callers = Array.from(
+    { length: CALLERS },
+    (_, index) => keepCalling(index),
+  );
+  const planned = [];
+  function move(service) {
+    fleet.putConfiguration(createConfiguration(service));
+    const at = performance.now();
+    planned.push({ from: at, to: at + PLANNED_MS });
+    record(`the store has accepted a configuration that names ${service}`);
   }
-  await Promise.all(calls);
-  record(`heads of up to ${largestBytes} bytes; limit ${MAX_HEADER_BYTES}`);
-  record(`largest memory of the router: ${Math.round(peakMb)} MB`);
-  const counts = [...statuses].map(([fate, count]) => `${fate}: ${count}`);
-  record(`calls by end: ${counts.join("; ")}`);
-  record(`runs: ${fleet.arrived.length}`);
-  const runs = new Set(fleet.arrived.map(({ id }) => id));
-  const lostRuns = lost.filter((id) => runs.has(id));
-  if (router.end !== undefined) {
-    record(`the router ended by itself: ${JSON.stringify(router.end)}`);
-    const reason = /FATAL ERROR.*/.exec(router.output)?.[0];
-    record(`its last words: ${reason}`);
+  await sleep(BEFORE_MS);
+  if (isTrouble) move("model-b");
+  await sleep(AFTER_MOVE_MS);
+  if (isTrouble) move("model-a");
+  await sleep(AFTER_MS);
+  isEnded = true;
+  await Promise.all(callers);
+
+  /** Whether a call lies within the time of planned work. */
+  function isBeside({ sentAt, endedAt }) {
+    return planned.some(({ from, to }) => sentAt >= from && endedAt <= to);
+  }
+  const beside = calls.filter(isBeside);
+  const others = calls.filter((call) => !isBeside(call));
+  const cutBeside = beside.filter(({ isCut }) => isCut);
+  const cutOthers = others.filter(({ isCut }) => isCut);
+  record(
+    `beside a configuration: ${cutBeside.length} of ${beside.length} ` +
+      `streams were cut; at other times ${cutOthers.length} of ${others.length}`,
+  );
+  for (const line of router.output.split("\n")) {
+    if (!line.includes(`"requestId":"${cutBeside[0]?.id}"`)) continue;
+    record(`router's log: ${line}`);
   }
-  if (lostRuns.length <= MAX_LOST) return [];
+  const shareBeside = cutBeside.length / Math.max(1, beside.length);
+  const shareOthers = cutOthers.length / Math.max(1, others.length);
+  if (cutBeside.length === 0 || shareBeside <= FACTOR * shareOthers) return [];
   return [
-    `${lostRuns.length} requests had reached runners when their connections ` +
-    "ended without an answer",
+    `${cutBeside.length} streams had been passed on to sound runners, and their ` +
+    "connections ended without a complete answer",
   ];
 });
-
-function readMemoryMb(pid) {
-  try {
-    const text = readFileSync(`/proc/${pid}/status`, "utf8");
-    return Number(/^VmRSS:\s+(\d+) kB/m.exec(text)[1]) / 1_024;
-  } catch {
-    // The process has ended.
-    return 0;
-  }
-}
