--- a/src/daemon/ingress_daemon.ts
+++ b/src/daemon/ingress_daemon.ts
@@ -35,11 +35,7 @@
 import { AdmissionFilter } from "../ingress/admission_filter.ts";
 import { RequestBodyFilter } from "../ingress/body_filter.ts";
 import { CrashWatch } from "../ingress/crash_watch.ts";
-import {
-  ForwardFilter,
-  type NoticeDetails,
-  type UpstreamNotice,
-} from "../ingress/forward_filter.ts";
+import { ForwardFilter } from "../ingress/forward_filter.ts";
 import { GraceEnd } from "../ingress/grace_end.ts";
 import type {
   IngressExchange,
@@ -58,6 +54,10 @@
 import { RouteFilter } from "../ingress/route_filter.ts";
 import { RouterForwarding } from "../ingress/router_forwarding.ts";
 import { StopFilter, type StopProgress } from "../ingress/stop_filter.ts";
+import type {
+  NoticeDetails,
+  UpstreamNotice,
+} from "../ingress/upstream_notices.ts";
 import { createLogFactory, type Log, type LogFactory } from "../log.ts";
 import { createStdoutLogWriter, type LogWriter } from "../log_writer.ts";
 import { createMetadataStore } from "../platform/metadata_store.ts";
--- a/src/ingress/event_burst_test.ts
+++ b/src/ingress/event_burst_test.ts
@@ -2,8 +2,9 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { HEADERS } from "../platform/names.ts";
+import type { StreamEvent } from "../transport/event_stream.ts";
 import { createUpstreamConnections } from "../transport/upstream_connections.ts";
-import type { StreamRelay } from "./stream_relay.ts";
+import type { RelayedResponse } from "./stream_relay.ts";
 import { UpstreamTry } from "./upstream_try.ts";
 
 const EVENTS = 3_000;
@@ -45,18 +46,23 @@
     isRepeatable: true,
     relay: {
       isStarted: true,
-      forward: (received: readonly unknown[]) => {
+      isBehind: false,
+      select: (received: readonly StreamEvent[]) => ({
+        events: received,
+        isInOrder: true,
+      }),
+      write: (received: readonly StreamEvent[]) => {
         events += received.length;
-        return true;
       },
-    } as unknown as StreamRelay,
+    } as unknown as RelayedResponse,
     silenceTimeoutMs: Infinity,
     isSuspect: () => false,
     endCheck: {
       recordHead: () => {},
       judge: () => Promise.resolve("whole" as const),
     },
-    mayReplaceTry: () => true,
+    others: { areOpen: false, leave: () => {} },
+    onSilent: () => {},
     onStreamStart: () => {},
     onLoad: () => {},
     onSurvival: () => {},
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -5,7 +5,6 @@
 import { createRefusal, type Refusal } from "../diagnostics.ts";
 import type { RoutingView } from "../control/routing_controller.ts";
 import { encodeUpstreamHeaders } from "../platform/message_headers.ts";
-import { STATUS_MISDIRECTED } from "../policy/answer_proof.ts";
 import { AttemptPlan } from "../policy/attempt_plan.ts";
 import type { MemoryBudget } from "../policy/memory_budget.ts";
 import { createRequestDigest } from "../policy/request_digest.ts";
@@ -17,8 +16,8 @@
   RequestSubjects,
 } from "../policy/crash_quarantine.ts";
 import type { RetryBudget } from "../policy/retry_budget.ts";
+import { getSilenceTimeoutMs, getSlotRule } from "../policy/silent_tries.ts";
 import type {
-  ResponseTraits,
   RoutedService,
   ServiceRoute,
   UpstreamEntry,
@@ -35,6 +34,12 @@
 import type { CrashWatch } from "./crash_watch.ts";
 import type { GraceEnd } from "./grace_end.ts";
 import type { LinkWatch } from "./link_watch.ts";
+import {
+  type EndedTry,
+  OpenTries,
+  type OpenTry,
+  type TryLimits,
+} from "./open_tries.ts";
 import {
   getSharedPartId,
   type Placement,
@@ -44,7 +49,7 @@
 import { refuseRetryable } from "./refusals.ts";
 import {
   type ForwardTarget,
-  isRefusalOfRouter,
+  isRefusedForRouter,
   MAX_FORWARD_TRIES,
   type RouterForwarding,
 } from "./router_forwarding.ts";
@@ -61,6 +66,10 @@
   recordTryEnd,
   type TryOutcome,
 } from "./try_end.ts";
+import {
+  UpstreamNotices,
+  type UpstreamNoticesOptions,
+} from "./upstream_notices.ts";
 import { type TryResult, UpstreamTry } from "./upstream_try.ts";
 
 /** Options of the filter. */
@@ -87,35 +96,7 @@
   /** Called when a try of `service` has ended, with how it ended. */
   readonly onTry: (service: string, end: string) => void;
   /** Called when an upstream states something of itself in an answer. */
-  readonly onNotice: (kind: UpstreamNotice, details: NoticeDetails) => void;
-}
-
-/**
- * What an upstream states of itself: that it is leaving, that it wants no
- * request for a time, which may be longer than is granted, that it takes only
- * so many requests a second, or that it ends if it has to reject more than so many
- * a second, and when that ends; that it is another process than its entry says,
- * or that it answers what may be for another request.
- */
-export type UpstreamNotice =
-  | "leaving"
-  | "pause"
-  | "long-pause"
-  | "limit"
-  | "limit-ended"
-  | "bad-limit"
-  | "brittle"
-  | "brittle-ended"
-  | "bad-brittle"
-  | "other-process"
-  | "unclear";
-
-/** What a notice says, for the log. */
-export interface NoticeDetails {
-  readonly upstream: string;
-  readonly pauseMs?: number;
-  /** Requests or rejections a second. */
-  readonly rate?: number;
+  readonly onNotice: UpstreamNoticesOptions["onNotice"];
 }
 
 /**
@@ -126,17 +107,6 @@
 const MAX_IDLE_NON_REPEATABLE_MS = 2_000;
 /** The same for a request that may run more than once, in milliseconds. */
 const MAX_IDLE_REPEATABLE_MS = 8_500;
-/**
- * Time without data after which another upstream of a plain service is tried,
- * as a multiple of the route's latency objective.
- */
-const PLAIN_SILENCE_TIMEOUT_FACTOR = 2;
-/**
- * Time without data, on top of the latency objective, after which a stream is
- * tried at another upstream, in milliseconds. Callers abandon a stream after
- * two seconds without an event.
- */
-const STREAM_SILENCE_TIMEOUT_BASE_MS = 1_200;
 /** Time before the deadline below which no try can succeed, in milliseconds. */
 const MIN_REMAINING_MS = 10;
 
@@ -150,9 +120,11 @@
   readonly #processes: ProcessChecks;
   readonly #trust = new ConnectionTrust();
   readonly #endChecks: AnswerEndChecks;
+  readonly #notices: UpstreamNotices;
 
   constructor(options: ForwardFilterOptions) {
     this.#options = options;
+    this.#notices = new UpstreamNotices(options);
     this.#endChecks = new AnswerEndChecks(options);
     this.#processes = new ProcessChecks(options);
   }
@@ -167,6 +139,7 @@
     const forwarding = new Forwarding(exchange, {
       ...this.#options,
       binding,
+      notices: this.#notices,
       trust: this.#trust,
       endChecks: this.#endChecks,
     });
@@ -182,6 +155,7 @@
 /** Options of a `Forwarding`. */
 interface ForwardingOptions extends ForwardFilterOptions {
   readonly binding: StreamBinding;
+  readonly notices: UpstreamNotices;
   readonly trust: ConnectionTrust;
   readonly endChecks: AnswerEndChecks;
 }
@@ -194,6 +168,7 @@
   /** Fixed before the first try. */
   #service: RoutedService;
   readonly #plan: AttemptPlan;
+  readonly #tries = new OpenTries({ onLeft: () => this.#plan.recordLeft() });
   readonly #relay: StreamRelay;
   readonly #excluded = new Set<string>();
   /** Addresses that the request was sent to. */
@@ -260,29 +235,108 @@
       const subject = this.#options.crashes.find(this.#subjects);
       if (subject !== undefined) return this.#endQuarantined(subject);
       if (this.#isRouterNeeded()) {
-        const outcome = await this.#tryRouter();
-        if (outcome !== undefined) return outcome;
-        continue;
-      }
-      this.#countRequest();
-      await graceEnd.limit(this.#binding.untilSettled());
-      if (this.#isCutByStop) continue;
-      const place = this.#findPlace();
-      if (!("entry" in place)) return this.#endWithoutUpstream(place);
-      if (this.#binding.needsProcessCheck(place.entry, this.#service)) {
-        await graceEnd.limit(
-          this.#binding.checkProcess(place.entry, this.#service),
-        );
-        // The choice may be outdated by now.
-        continue;
+        const router = this.#findRouter();
+        if (router !== undefined) this.#openRouterTry(router);
+        else if (this.#mayTryDirectly()) continue;
+        else return this.#endUnreachable();
+      } else {
+        this.#countRequest();
+        await graceEnd.limit(this.#binding.untilSettled());
+        if (this.#isCutByStop) continue;
+        const place = this.#findPlace();
+        if (!("entry" in place)) return this.#endWithoutUpstream(place);
+        const { entry } = place;
+        if (this.#binding.needsProcessCheck(entry, this.#service)) {
+          const check = this.#binding.checkProcess(entry, this.#service);
+          await graceEnd.limit(check);
+          // The choice may be outdated by now.
+          continue;
+        }
+        this.#openUpstreamTry(place);
       }
-      const tryOutcome = await this.#tryUpstream(place);
-      if (tryOutcome.kind !== "ended") return this.#endTry(tryOutcome);
-      const outcome = this.#handleFailedTry(tryOutcome);
+      const outcome = await this.#untilDecided();
       if (outcome !== undefined) return outcome;
     }
   }
 
+  /**
+   * Waits for the open tries, and opens others beside them while they are silent.
+   * Returns undefined once all have failed, if the request is to be tried again.
+   */
+  async #untilDecided(): Promise<IngressOutcome | undefined> {
+    for (;;) {
+      const ended = await this.#tries.next();
+      const isLast = this.#tries.size === 0;
+      if (ended !== undefined && (isLast || this.#isDecisive(ended.outcome))) {
+        this.#tries.leaveAll();
+        return this.#handleEnd(ended);
+      }
+      if (ended !== undefined) this.#recordUnusedTry(ended);
+      if (this.#tries.areSilent) this.#openTryBeside();
+    }
+  }
+
+  /** Whether the end of a try decides on the request while others are open. */
+  #isDecisive({ kind }: TryOutcome): boolean {
+    // Only events can follow those that the caller has.
+    if (kind === "answered") return !this.#relay.isStarted;
+    return kind !== "ended" && kind !== "router-refused";
+  }
+
+  /** Returns the outcome of the last try; undefined to try again. */
+  #handleEnd({ target, outcome }: EndedTry): IngressOutcome | undefined {
+    if (target.kind === "upstream") {
+      if ("answer" in outcome) this.#recordServed(target.entry);
+      return outcome.kind === "ended"
+        ? this.#handleFailedTry(outcome)
+        : this.#endTry(outcome);
+    }
+    if (outcome.kind === "ended") {
+      return this.#handleFailedForward(target.router, outcome);
+    }
+    if (!isRefusedForRouter(outcome)) return this.#endTry(outcome);
+    this.#options.routers.recordFailure(target.router.name);
+    return undefined;
+  }
+
+  /** Records a try that has failed while others are open. */
+  #recordUnusedTry({ target, outcome }: EndedTry): void {
+    if (target.kind === "upstream") {
+      this.#plan.recordFailure(
+        outcome.kind === "ended" ? outcome.end : "no-answer",
+      );
+    } else if (outcome.kind === "ended") {
+      this.#recordFailedForward(target.router, outcome);
+      if (outcome.end !== "not-sent") this.#plan.recordFailure("no-answer");
+    } else if (isRefusedForRouter(outcome)) {
+      this.#options.routers.recordFailure(target.router.name);
+    }
+  }
+
+  /** Sends the request elsewhere too, if that may bring an answer sooner. */
+  #openTryBeside(): void {
+    const { retries, clock, crashes } = this.#options;
+    const mayTry = this.#plan.mayTryBeside(this.#tries.size) &&
+      this.#relay.canContinue && !this.#isCutByStop &&
+      this.#getRemainingMs() >= MIN_REMAINING_MS &&
+      crashes.find(this.#subjects) === undefined;
+    if (!mayTry) return;
+    const tryRetry = () => retries.tryTakeRetry(clock());
+    if (this.#isRouterNeeded()) {
+      const router = this.#findRouter();
+      if (router !== undefined && tryRetry()) this.#openRouterTry(router);
+      return;
+    }
+    const place = this.#findPlace();
+    if (!("entry" in place)) return;
+    if (this.#binding.needsProcessCheck(place.entry, this.#service)) {
+      // The next check of the silent tries finds the result.
+      void this.#binding.checkProcess(place.entry, this.#service);
+      return;
+    }
+    if (tryRetry()) this.#openUpstreamTry(place);
+  }
+
   /** Counts the request once in the retry budget, before its first try. */
   #countRequest(): void {
     if (this.#isCounted) return;
@@ -291,7 +345,9 @@
   }
 
   /** Returns the outcome of a try that did not fail. */
-  #endTry(tryOutcome: Exclude<TryOutcome, { kind: "ended" }>): IngressOutcome {
+  #endTry(
+    tryOutcome: Exclude<TryOutcome, { kind: "ended" | "left" }>,
+  ): IngressOutcome {
     switch (tryOutcome.kind) {
       case "caller-left":
         return { kind: "caller-left" };
@@ -319,39 +375,53 @@
     return this.#needsRouter || this.#options.links.isDown(this.#service.name);
   }
 
-  /**
-   * Has another router serve the request. Returns undefined if it is to be tried
-   * again.
-   */
-  async #tryRouter(): Promise<IngressOutcome | undefined> {
-    const { links, routers } = this.#options;
-    const { name } = this.#service;
-    const target = this.#exchange.forwarded === undefined &&
+  /** Returns a router that may serve the request; undefined if there is none. */
+  #findRouter(): ForwardTarget | undefined {
+    return this.#exchange.forwarded === undefined &&
         this.#triedRouters.size < MAX_FORWARD_TRIES
-      ? routers.find(name, this.#triedRouters)
+      ? this.#options.routers.find(this.#service.name, this.#triedRouters)
       : undefined;
-    if (target === undefined) {
-      if (!links.isDown(name) || !links.hasRecentData(name)) {
-        return this.#endUnreachable();
-      }
-      // Connections that were open when the links failed may still work.
-      this.#isDirectOnly = true;
-      return undefined;
-    }
-    this.#triedRouters.add(target.name);
-    const tryOutcome = await this.#forward(target);
-    if (tryOutcome.kind === "ended") {
-      return this.#handleFailedForward(target, tryOutcome);
-    }
-    const isRefused = tryOutcome.kind === "router-refused" &&
-      tryOutcome.refusal.ran === "no" &&
-      isRefusalOfRouter(tryOutcome.refusal.code);
-    if (!isRefused) return this.#endTry(tryOutcome);
-    routers.recordFailure(target.name);
-    return undefined;
   }
 
-  async #forward(target: ForwardTarget): Promise<TryOutcome> {
+  /** Whether upstreams may be tried though the links to them are down. */
+  #mayTryDirectly(): boolean {
+    const { links } = this.#options;
+    const { name } = this.#service;
+    // Connections that were open when the links failed may still work.
+    this.#isDirectOnly = links.isDown(name) && links.hasRecentData(name);
+    return this.#isDirectOnly;
+  }
+
+  #openRouterTry(router: ForwardTarget): void {
+    const { connections, routers } = this.#options;
+    const { name, address } = router;
+    this.#triedRouters.add(name);
+    this.#tries.open({
+      target: { kind: "router", router },
+      isSuspect: () => true,
+      onAvoided: () => {
+        routers.recordFailure(name);
+        connections.closeIdle(address);
+      },
+    }, (openTry) => this.#forward(router, openTry));
+  }
+
+  #openUpstreamTry(place: PlacementResult): void {
+    const { placement, links } = this.#options;
+    const { entry } = place;
+    this.#tries.open({
+      target: { kind: "upstream", entry },
+      isSuspect: () =>
+        placement.isSuspect(entry.id, this.#service) ||
+        links.isDown(this.#service.name),
+      onAvoided: () => this.#recordSilent(entry),
+    }, (openTry) => this.#tryUpstream(place, openTry));
+  }
+
+  async #forward(
+    target: ForwardTarget,
+    openTry: OpenTry,
+  ): Promise<TryOutcome> {
     const { connections, clock, routers, onTry } = this.#options;
     const { isRepeatable } = this.#plan;
     const sentAt = clock();
@@ -365,24 +435,28 @@
       connections,
       clock,
       memory: this.#options.memory,
-      relay: this.#relay,
+      relay: this.#relay.beginResponse(),
+      others: openTry,
       forwarded: {
-        triesLeft: Math.max(1, this.#plan.triesLeft),
+        triesLeft: Math.max(1, this.#plan.triesLeft - this.#tries.size + 1),
         isCounted: this.#isCounted,
       },
       remainingMs: this.#getRemainingMs(),
       isRepeatable,
-      silenceTimeoutMs: this.#getSilenceTimeoutMs(),
+      silenceTimeoutMs: getSilenceTimeoutMs(this.#route, this.#plan),
       maxIdleMs: this.#maxIdleMs,
       isFresh: this.#recordAddress(target.address),
-      mayReplaceTry: () => this.#mayReplaceTry(),
+      onSilent: () => {
+        openTry.avoidTarget();
+        this.#tries.recordSilence();
+      },
       onStreamStart: ({ origin }) =>
         this.#binding.recordOrigin(origin ?? { service: this.#service.name }),
       onNotice: (upstream, notice) => {
         const known = upstream &&
           this.#options.routing.directory.find(upstream);
         if (!known) return;
-        this.#recordNotice(known.entry, { ...notice, sentAt });
+        this.#options.notices.record(known.entry, { ...notice, sentAt });
       },
     });
     const record: TryRecord = {
@@ -392,7 +466,7 @@
     };
     this.#exchange.trace.push(record);
     routers.recordSent(target.name);
-    const tryOutcome = await this.#waitForOutcome(attempt);
+    const tryOutcome = await openTry.untilEnded(attempt, this.#tryLimits);
     endCheck.close();
     routers.recordEnded(target.name);
     recordTryEnd(record, { tryOutcome, ms: clock() - sentAt });
@@ -400,33 +474,44 @@
     return tryOutcome;
   }
 
+  /** Records that a router has given no usable response. */
+  #recordFailedForward(
+    { name, address }: ForwardTarget,
+    result: TryResult & { kind: "ended" },
+  ): void {
+    const { connections, routers } = this.#options;
+    if (result.end === "not-sent") {
+      routers.recordFailure(name);
+      connections.closeIdle(address);
+      return;
+    }
+    if (result.isExcess === true) routers.recordFailure(name);
+    const { tries } = decodeServed(result.headers ?? {});
+    // The caller records one more.
+    this.#plan.recordForwarded(tries === undefined ? undefined : tries - 1);
+  }
+
   /**
    * Chooses the outcome after a router has given no usable response; undefined
    * if the request is to be tried again.
    */
   #handleFailedForward(
-    { name, address }: ForwardTarget,
+    target: ForwardTarget,
     result: TryResult & { kind: "ended" },
   ): IngressOutcome | undefined {
-    const { connections, routers, retries, clock } = this.#options;
-    if (result.end === "not-sent" || result.isSilent === true) {
-      routers.recordFailure(name);
-      connections.closeIdle(address);
-    } else if (result.isExcess === true) routers.recordFailure(name);
+    const { retries, clock } = this.#options;
+    this.#recordFailedForward(target, result);
     if (result.end === "not-sent") return undefined;
     // The router has made the retries that are allowed.
     if (result.end === "failed" && !this.#relay.isStarted) {
       return { kind: "whole", ...result.answer! };
     }
-    const { tries } = decodeServed(result.headers ?? {});
-    // `next` records one more.
-    this.#plan.recordForwarded(tries === undefined ? undefined : tries - 1);
     const step = this.#plan.next("no-answer", {
       tryRetry: () => retries.tryTakeRetry(clock()),
     });
     if (step === "try-again") return undefined;
     if (this.#relay.isStarted) return this.#abortStream();
-    const detail = `Router ${name} gave no answer: ${result.detail}.`;
+    const detail = `Router ${target.name} gave no answer: ${result.detail}.`;
     const refusal = createRefusal("upstream-failed", detail, {
       ran: "unknown",
     });
@@ -505,7 +590,10 @@
       this.#exchange.forwarded === undefined;
   }
 
-  async #tryUpstream(place: PlacementResult): Promise<TryOutcome> {
+  async #tryUpstream(
+    place: PlacementResult,
+    openTry: OpenTry,
+  ): Promise<TryOutcome> {
     const { placement, connections, crashes, onTry, clock, links, rollouts } =
       this.#options;
     const { name: service } = this.#service;
@@ -526,30 +614,31 @@
       engine,
       isRepeatable: this.#plan.isRepeatable,
     });
+    const relayed = this.#relay.beginResponse();
     const attempt = new UpstreamTry({
       connections,
       clock,
       memory: { budget: this.#options.memory, source: upstream },
-      request: this.#createRequest(place),
+      request: this.#createRequest(place, relayed.resumeAfter),
       requestId: this.#exchange.traits.requestId,
       isRepeatable: this.#plan.isRepeatable,
-      relay: this.#relay,
-      silenceTimeoutMs: this.#getSilenceTimeoutMs(),
+      relay: relayed,
+      others: openTry,
+      silenceTimeoutMs: getSilenceTimeoutMs(this.#route, this.#plan),
       endCheck,
-      mayReplaceTry: () => this.#mayReplaceTry(),
-      isSuspect: () =>
-        placement.isSuspect(upstream, this.#service) || links.isDown(service),
+      isSuspect: () => openTry.isSuspect,
+      onSilent: () => this.#tries.recordSilence(),
       onStreamStart: () => this.#recordStreamStart(place.entry),
       onData: () => {
         links.recordData(service);
-        this.#binding.recordData();
+        this.#binding.recordData(upstream);
       },
-      onSilence: () => links.recordSilence(service),
+      onLateHead: () => links.recordSilence(service),
       onSurvival: () => crashes.recordAnswer(this.#subjects),
       onLoad: (load) => placement.recordReportedLoad(upstream, load),
       onNotice: (status, traits) => {
         this.#recordServed(place.entry);
-        this.#recordNotice(place.entry, { status, traits, sentAt });
+        this.#options.notices.record(place.entry, { status, traits, sentAt });
       },
     });
     this.#binding.recordSent(place.entry, this.#service);
@@ -566,9 +655,9 @@
       isReused: attempt.isReused,
     };
     this.#exchange.trace.push(record);
-    const tryOutcome = await this.#waitForOutcome(attempt);
+    const tryOutcome = await openTry.untilEnded(attempt, this.#tryLimits);
     endCheck.close();
-    this.#binding.recordTryEnd();
+    this.#binding.recordTryEnd(upstream);
     const ms = clock() - sentAt;
     placement.recordEnded(place, {
       ...attempt.measures,
@@ -588,6 +677,8 @@
   }
 
   #recordStreamStart(entry: UpstreamEntry): void {
+    // Another try may have stated its own upstream since the head.
+    this.#recordServed(entry);
     this.#binding.recordStart(entry, this.#service);
     const { origin } = this.#binding;
     if (this.#exchange.forwarded === undefined || origin === undefined) return;
@@ -598,7 +689,7 @@
   #recordServed({ id }: UpstreamEntry): void {
     if (this.#exchange.forwarded === undefined) return;
     setServedHeaders(this.#exchange.response, {
-      tries: this.#plan.sent + 1,
+      tries: this.#plan.sent + Math.max(1, this.#tries.size),
       upstream: id,
     });
   }
@@ -633,38 +724,13 @@
     });
   }
 
-  /**
-   * Waits until the try ends, the caller disconnects, the deadline passes or the
-   * stop of this router cuts the request, then cancels a try that is still
-   * running.
-   */
-  #waitForOutcome(attempt: UpstreamTry): Promise<TryOutcome> {
-    const { response } = this.#exchange;
-    const { graceEnd } = this.#options;
-    return new Promise((resolve) => {
-      const onClose = () => finish({ kind: "caller-left" });
-      const onGraceEnd = () => {
-        if (this.#isCutByStop) finish({ kind: "router-ended" });
-      };
-      const timer = setTimeout(
-        () => finish({ kind: "timed-out" }),
-        this.#getRemainingMs(),
-      );
-      function finish(tryOutcome: TryOutcome): void {
-        clearTimeout(timer);
-        response.off("close", onClose);
-        graceEnd.removeListener(onGraceEnd);
-        attempt.cancel();
-        resolve(tryOutcome);
-      }
-      if (response.destroyed) {
-        finish({ kind: "caller-left" });
-        return;
-      }
-      response.once("close", onClose);
-      graceEnd.addListener(onGraceEnd);
-      void attempt.result.then(finish);
-    });
+  get #tryLimits(): TryLimits {
+    return {
+      response: this.#exchange.response,
+      graceEnd: this.#options.graceEnd,
+      remainingMs: this.#getRemainingMs(),
+      isCutByStop: () => this.#isCutByStop,
+    };
   }
 
   #recordOutcome(
@@ -676,7 +742,8 @@
       placement.recordHealth(entry.id, "answered");
       return;
     }
-    if (tryOutcome.kind !== "ended") return;
+    // What is silent was recorded when the request was sent elsewhere.
+    if (tryOutcome.kind !== "ended" || tryOutcome.isSilent === true) return;
     if (tryOutcome.isUnclear === true) this.#recordUnclear(entry);
     if (tryOutcome.end === "misdirected") {
       routing.directory.recordMisdirected(entry.id, clock());
@@ -694,7 +761,6 @@
     }
     // The answers of others may have taken the memory.
     if (tryOutcome.isGivenUp === true) return;
-    if (tryOutcome.isSilent === true) connections.closeIdle(entry.address);
     if (tryOutcome.end === "not-sent" || hasEnded) {
       placement.recordHealth(entry.id, "unreachable");
       // An unreachable upstream may be restarting, so it counts as cold.
@@ -705,76 +771,25 @@
     placement.recordHealth(entry.id, "failed");
   }
 
+  /** Records that an upstream leaves a request without an answer. */
+  #recordSilent({ id, address }: UpstreamEntry): void {
+    const { placement, connections, links } = this.#options;
+    // Without links, nothing says that the upstream is not sound.
+    if (links.isDown(this.#service.name)) return;
+    connections.closeIdle(address);
+    placement.recordHealth(id, "failed");
+  }
+
   #recordUnclear({ id, address }: UpstreamEntry): void {
     const { trust, clock, onNotice } = this.#options;
     const isNew = trust.recordUnclear(address, clock());
     if (isNew) onNotice("unclear", { upstream: id });
   }
 
-  /** Records what an upstream says of itself in the head of a response. */
-  #recordNotice(
-    entry: UpstreamEntry,
-    { status, traits, sentAt }: {
-      status: number;
-      traits: ResponseTraits;
-      sentAt: number;
-    },
-  ): void {
-    const { isLeaving, pauseMs, rate, rejectionLimit } = traits;
-    const { routing, placement, onNotice } = this.#options;
-    if (status === STATUS_MISDIRECTED) {
-      // Another upstream has answered; the statement is about that one.
-      const others = routing.directory.listOthersAt(entry.address, entry.id);
-      if (isLeaving) { for (const other of others) this.#recordLeaving(other); }
-      return;
-    }
-    if (isLeaving) this.#recordLeaving(entry);
-    this.#recordRate(entry, { rate, sentAt });
-    this.#recordRejectionLimit(entry, { rate: rejectionLimit, sentAt });
-    if (pauseMs !== undefined) {
-      const request = placement.recordPause(entry.id, pauseMs);
-      onNotice(request === "shortened" ? "long-pause" : "pause", {
-        upstream: entry.id,
-        pauseMs,
-      });
-    }
-  }
-
-  #recordRate(
-    { id }: UpstreamEntry,
-    { rate, sentAt }: Pick<ResponseTraits, "rate"> & { sentAt: number },
-  ): void {
-    const { placement, onNotice } = this.#options;
-    if (rate === undefined) {
-      onNotice("bad-limit", { upstream: id });
-      return;
-    }
-    if (!placement.recordRate(id, { rate, sentAt })) return;
-    if (rate === "none") onNotice("limit-ended", { upstream: id });
-    else onNotice("limit", { upstream: id, rate });
-  }
-
-  #recordRejectionLimit(
-    { id }: UpstreamEntry,
-    { rate, sentAt }: Pick<ResponseTraits, "rate"> & { sentAt: number },
-  ): void {
-    const { placement, onNotice } = this.#options;
-    if (rate === undefined) {
-      onNotice("bad-brittle", { upstream: id });
-      return;
-    }
-    if (!placement.recordRejectionLimit(id, { rate, sentAt })) return;
-    if (rate === "none") onNotice("brittle-ended", { upstream: id });
-    else onNotice("brittle", { upstream: id, rate });
-  }
-
-  #recordLeaving({ id, bornAt }: UpstreamEntry): void {
-    const { routing, clock, onNotice } = this.#options;
-    const isNew = routing.directory.recordLeaving(id, { bornAt, now: clock() });
-    if (isNew) onNotice("leaving", { upstream: id });
-  }
-
-  #createRequest({ entry, copyFrom }: PlacementResult) {
+  #createRequest(
+    { entry, copyFrom }: PlacementResult,
+    lastEventId: string | undefined,
+  ) {
     const { request, workspace, body } = this.#exchange;
     return {
       address: entry.address,
@@ -786,7 +801,7 @@
         workspace: workspace?.headerName ?? workspace?.name,
         priority: workspace?.priority ?? this.#route.priority,
         copyFrom,
-        lastEventId: this.#relay.beginTry(),
+        lastEventId,
       }),
       body: body !== undefined && body.length > 0 ? body : undefined,
       maxIdleMs: this.#maxIdleMs,
@@ -817,28 +832,13 @@
       : MAX_IDLE_NON_REPEATABLE_MS;
   }
 
-  #getSilenceTimeoutMs(): number {
-    if (!this.#plan.isRepeatable) return Infinity;
-    if (this.#route.kind === "stream") {
-      return STREAM_SILENCE_TIMEOUT_BASE_MS + this.#route.objectiveMs;
-    }
-    return this.#route.objectiveMs * PLAIN_SILENCE_TIMEOUT_FACTOR;
-  }
-
-  /** Whether a try without data may be replaced by another. */
-  #mayReplaceTry(): boolean {
-    if (!this.#relay.canContinue) return false;
-    if (this.#plan.sent + 1 >= this.#route.maxAttempts) return false;
-    if (this.#binding.softwareVersion === undefined) return true;
-    return "entry" in this.#findPlace();
-  }
-
   #findPlace(): PlacementResult | PlacementFailure {
     return this.#options.rollouts.find({
       service: this.#service,
       promptParts: this.#exchange.traits.promptParts,
       excluded: this.#excluded,
-      hasFailed: !this.#plan.isNotRun,
+      hasFailed: !this.#plan.isNotRun || this.#tries.size > 0,
+      slotRule: getSlotRule(this.#tries.list()),
       softwareVersion: this.#binding.softwareVersion,
       work: createWorkRequest(this.#exchange, this.#service),
     }, this.#route.name);
@@ -951,11 +951,9 @@
 
   #endTimedOut(): IngressOutcome {
     if (this.#relay.isStarted) return this.#abortStream();
-    const refusal = createRefusal(
-      "deadline-passed",
-      "No answer came in time.",
-      { ran: this.#plan.isNotRun ? "no" : "unknown" },
-    );
+    const ran = this.#plan.isNotRun ? "no" : "unknown";
+    const detail = "No answer came in time.";
+    const refusal = createRefusal("deadline-passed", detail, { ran });
     return { kind: "refused", refusal };
   }
 
--- a/src/ingress/held_answers_test.ts
+++ b/src/ingress/held_answers_test.ts
@@ -4,7 +4,7 @@
 import { HEADERS } from "../platform/names.ts";
 import { MemoryBudget } from "../policy/memory_budget.ts";
 import { createUpstreamConnections } from "../transport/upstream_connections.ts";
-import type { StreamRelay } from "./stream_relay.ts";
+import type { RelayedResponse } from "./stream_relay.ts";
 import { type TryResult, UpstreamTry } from "./upstream_try.ts";
 
 const LIMIT_BYTES = 1_000_000;
@@ -60,7 +60,7 @@
     },
     requestId: "id-1",
     isRepeatable: true,
-    relay: {} as StreamRelay,
+    relay: {} as RelayedResponse,
     ...(isRouter && { router: { lifeSignTimeoutMs: 1_000 } }),
     silenceTimeoutMs: Infinity,
     isSuspect: () => false,
@@ -68,7 +68,8 @@
       recordHead: () => {},
       judge: () => Promise.resolve("whole" as const),
     },
-    mayReplaceTry: () => false,
+    others: { areOpen: false, leave: () => {} },
+    onSilent: () => {},
     onStreamStart: () => {},
     onLoad: () => {},
     onSurvival: () => {},
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -31,6 +31,7 @@
 import type { KnownUpstream } from "../policy/upstream_directory.ts";
 import { parseAddress } from "../transport/address.ts";
 import type { ServiceLoad } from "../policy/service_room.ts";
+import type { SlotRule } from "../policy/silent_tries.ts";
 import { type RequestEnd, UpstreamHealth } from "../policy/upstream_health.ts";
 import { UpstreamLoads } from "../policy/upstream_loads.ts";
 import { type PaceMeans, UpstreamPace } from "../policy/upstream_pace.ts";
@@ -92,6 +93,8 @@
   readonly work?: RequestWork;
   /** Versions that a rollout of the service allows; any by default. */
   readonly versions?: VersionRule;
+  /** Whether only upstreams with a free slot may get it; any by default. */
+  readonly slotRule?: SlotRule;
 }
 
 /** The upstream chosen for a request. */
@@ -503,7 +506,8 @@
   }
 
   #listUsable(request: PlacementRequest, now: number): KnownUpstream[] {
-    const { service, softwareVersion, versions = ANY_VERSION } = request;
+    const { service, softwareVersion, versions = ANY_VERSION, slotRule } =
+      request;
     const { directory } = this.#options.routing;
     const usable = directory.listUsable(service.name, now);
     const allowed = filterByVersion(usable, versions);
@@ -512,7 +516,7 @@
       : allowed.filter(({ entry }) =>
         directory.hasVersion(entry.id, softwareVersion, now)
       );
-    return versions.kind === "canary"
+    return versions.kind === "canary" || slotRule === "free"
       ? this.#filterSpare(request, { known: bound, now })
       : bound;
   }
--- a/src/ingress/router_forwarding.ts
+++ b/src/ingress/router_forwarding.ts
@@ -7,6 +7,7 @@
 import type { DiagnosticCode } from "../diagnostics.ts";
 import { chooseForwardTarget } from "../policy/forward_target.ts";
 import type { LinkWatch } from "./link_watch.ts";
+import type { TryOutcome } from "./try_end.ts";
 
 /** Options of `RouterForwarding`. */
 export interface RouterForwardingOptions {
@@ -30,13 +31,13 @@
 /** Interval of the signs of life before a response, in milliseconds. */
 export const LIFE_SIGN_INTERVAL_MS = 250;
 /**
- * Time without a sign of life after which a request that may be repeated is
- * taken from a router, in milliseconds.
+ * Time without a sign of life after which a request that may be repeated is sent
+ * to another router as well, in milliseconds.
  */
 export const REPEATABLE_LIFE_SIGN_TIMEOUT_MS = 1_000;
 /**
- * The same for a request that may not be repeated, in milliseconds; a router
- * that is paused for shorter may still answer it.
+ * Time without a sign of life after which a router that has a request that may
+ * not be repeated is avoided for others, in milliseconds.
  */
 export const NON_REPEATABLE_LIFE_SIGN_TIMEOUT_MS = 3_000;
 /** Routers that one request is forwarded to while none has taken it. */
@@ -55,9 +56,10 @@
   "unknown-route",
 ]);
 
-/** Whether a refusal says nothing about other routers. */
-export function isRefusalOfRouter(code: DiagnosticCode): boolean {
-  return OTHER_ROUTER_CODES.has(code);
+/** Whether a router has refused a request that another router may serve. */
+export function isRefusedForRouter(outcome: TryOutcome): boolean {
+  return outcome.kind === "router-refused" && outcome.refusal.ran === "no" &&
+    OTHER_ROUTER_CODES.has(outcome.refusal.code);
 }
 
 /** Chooses the routers to forward to, and counts what each has. */
--- a/src/ingress/router_try.ts
+++ b/src/ingress/router_try.ts
@@ -19,8 +19,8 @@
   NON_REPEATABLE_LIFE_SIGN_TIMEOUT_MS,
   REPEATABLE_LIFE_SIGN_TIMEOUT_MS,
 } from "./router_forwarding.ts";
-import type { StreamRelay } from "./stream_relay.ts";
-import { UpstreamTry } from "./upstream_try.ts";
+import type { RelayedResponse } from "./stream_relay.ts";
+import { type OtherTries, UpstreamTry } from "./upstream_try.ts";
 
 /** Options of `createRouterTry`. */
 export interface RouterTryOptions {
@@ -30,7 +30,8 @@
   /** Reads the monotonic clock, in milliseconds. */
   readonly clock: () => number;
   readonly endCheck: AnswerEndCheck;
-  readonly relay: StreamRelay;
+  readonly relay: RelayedResponse;
+  readonly others: OtherTries;
   readonly forwarded: ForwardedTraits;
   /** Time until the caller's deadline, in milliseconds. */
   readonly remainingMs: number;
@@ -42,8 +43,8 @@
   readonly maxIdleMs: number;
   /** Whether it needs a new connection. */
   readonly isFresh: boolean;
-  /** Whether a try without data may be replaced by another. */
-  mayReplaceTry(): boolean;
+  /** Called when the try has become silent, and at intervals while it is. */
+  onSilent(): void;
   /** Called before the first events of a stream are written to the caller. */
   onStreamStart(served: ServedTraits): void;
   /** Called with what the upstream states of itself. */
@@ -54,7 +55,7 @@
 }
 
 /**
- * Time that the other router may need to replace a silent upstream, in
+ * Time that the other router may need for a try beside a silent one, in
  * milliseconds, in addition to the time without data that it waits for itself.
  */
 const REPLACEMENT_MS = 500;
@@ -66,7 +67,7 @@
 ): UpstreamTry {
   const { request, traits, body } = exchange;
   const { target, relay, remainingMs, isRepeatable, maxIdleMs } = options;
-  const lastEventId = relay.beginTry();
+  const lastEventId = relay.resumeAfter;
   return new UpstreamTry({
     connections: options.connections,
     clock: options.clock,
@@ -86,6 +87,7 @@
     requestId: traits.requestId,
     isRepeatable,
     relay,
+    others: options.others,
     router: {
       lifeSignTimeoutMs: isRepeatable
         ? REPEATABLE_LIFE_SIGN_TIMEOUT_MS
@@ -93,7 +95,7 @@
     },
     silenceTimeoutMs: options.silenceTimeoutMs + REPLACEMENT_MS,
     endCheck: options.endCheck,
-    mayReplaceTry: () => options.mayReplaceTry(),
+    onSilent: () => options.onSilent(),
     isSuspect: () => false,
     onStreamStart: (headers) => options.onStreamStart(decodeServed(headers)),
     // The other router records what the response says of the request and of the
--- a/src/ingress/slow_caller_test.ts
+++ b/src/ingress/slow_caller_test.ts
@@ -2,8 +2,9 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { HEADERS } from "../platform/names.ts";
+import type { StreamEvent } from "../transport/event_stream.ts";
 import { createUpstreamConnections } from "../transport/upstream_connections.ts";
-import type { StreamRelay } from "./stream_relay.ts";
+import type { RelayedResponse } from "./stream_relay.ts";
 import { UpstreamTry } from "./upstream_try.ts";
 
 const SILENCE_MS = 200;
@@ -30,6 +31,7 @@
   const clock = () => performance.now();
   const connections = createUpstreamConnections({ clock });
   let events = 0;
+  let silences = 0;
   const attempt = new UpstreamTry({
     connections,
     clock,
@@ -46,19 +48,23 @@
     relay: {
       isStarted: true,
       // Its buffer is full after the first event.
-      forward: (_: unknown, flow: { pause(): void }) => {
+      select: (received: readonly StreamEvent[]) => ({
+        events: received,
+        isInOrder: true,
+      }),
+      write: (_: unknown, flow: { pause(): void }) => {
         events++;
         flow.pause();
-        return true;
       },
-    } as unknown as StreamRelay,
+    } as unknown as RelayedResponse,
     silenceTimeoutMs: SILENCE_MS,
     isSuspect: () => false,
     endCheck: {
       recordHead: () => {},
       judge: () => Promise.resolve("whole" as const),
     },
-    mayReplaceTry: () => true,
+    others: { areOpen: false, leave: () => {} },
+    onSilent: () => silences++,
     onStreamStart: () => {},
     onLoad: () => {},
     onSurvival: () => {},
@@ -73,5 +79,6 @@
   for (const socket of sockets) socket.destroy();
   server.close();
   expect(events).toBe(1);
+  expect(silences).toBe(0);
   expect(result).toBe("running");
 });
--- a/src/ingress/stream_binding.ts
+++ b/src/ingress/stream_binding.ts
@@ -80,8 +80,8 @@
   #hasEnded = false;
   #isRunning = false;
   #origin: StreamOrigin | undefined;
-  /** Whether the upstream that began the stream goes on with it. */
-  #isConnected = false;
+  /** Upstream that began the stream, while it goes on with it. */
+  #connectedId: string | undefined;
   #doubt: StreamDoubt | undefined;
   #lookTimer: NodeJS.Timeout | undefined;
   /** Monotonic times, in milliseconds. */
@@ -180,7 +180,6 @@
    */
   recordSent(entry: UpstreamEntry, service: RoutedService): void {
     if (this.#softwareVersion !== undefined) return;
-    this.#isConnected = true;
     if (
       this.#isInDoubt(entry, service) &&
       this.#findVersions(entry.service).kind !== "sole"
@@ -190,19 +189,22 @@
     }
   }
 
-  /** Records that data of the upstream that works on the request has come. */
-  recordData(): void {
-    this.#lastDataAt = this.#options.clock();
+  /** Records that data of an upstream has come. */
+  recordData(upstream: string): void {
+    if (upstream === this.#connectedId) {
+      this.#lastDataAt = this.#options.clock();
+    }
   }
 
   /** Records that an upstream no longer works on the request. */
-  recordTryEnd(): void {
-    this.#isConnected = false;
+  recordTryEnd(upstream: string): void {
+    if (upstream === this.#connectedId) this.#connectedId = undefined;
   }
 
   /** Binds the stream, whose first events from `entry` are about to be sent. */
   recordStart(entry: UpstreamEntry, service: RoutedService): void {
     const isBound = this.#softwareVersion !== undefined;
+    this.#connectedId = entry.id;
     if (isBound || !this.#isInDoubt(entry, service)) {
       this.recordOrigin(entry);
       return;
@@ -285,8 +287,10 @@
     entry: UpstreamEntry,
     { coldStartMs }: RoutedService,
   ): Promise<void> {
-    this.#checked.add(entry.id);
     const { start } = await this.#options.processes.ask(entry.address);
+    // Several tries may ask at a time.
+    if (this.#checked.has(entry.id)) return;
+    this.#checked.add(entry.id);
     if (!isSameProcess(entry, start)) {
       this.#recordOther(entry, { start, coldStartMs });
     }
@@ -329,7 +333,7 @@
    */
   #look(): void {
     const { processes, routing } = this.#options;
-    if (this.#doubt === undefined || !this.#isConnected) return;
+    if (this.#doubt === undefined || this.#connectedId === undefined) return;
     const { entry } = this.#doubt;
     const known = routing.directory.find(entry.id)?.entry;
     if (known?.address !== entry.address) return;
--- a/src/ingress/stream_relay.ts
+++ b/src/ingress/stream_relay.ts
@@ -5,7 +5,11 @@
  */
 import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
-import { EventOrder, type StreamPosition } from "../policy/event_order.ts";
+import {
+  EventOrder,
+  type ResponseProgress,
+  type StreamPosition,
+} from "../policy/event_order.ts";
 import type { StreamTiming } from "./ingress_exchange.ts";
 import type { MemoryBudget } from "../policy/memory_budget.ts";
 import type { StreamEvent } from "../transport/event_stream.ts";
@@ -17,6 +21,13 @@
   resume(): void;
 }
 
+/** Events of a response that the caller does not have yet. */
+export interface SelectedEvents {
+  readonly events: readonly StreamEvent[];
+  /** Whether the event behind them, if there is one, may be the next. */
+  readonly isInOrder: boolean;
+}
+
 /** The event stream response to one request. */
 export class StreamRelay {
   readonly #response: ServerResponse;
@@ -63,23 +74,12 @@
     this.#order.recordPosition(position);
   }
 
-  /** Whether the current response lacks events that the caller has. */
-  get isBehind(): boolean {
-    return !this.#order.canEnd;
-  }
-
-  /** What is wrong with the event at which `forward` has stopped. */
-  get fault(): string {
-    return this.#order.fault;
-  }
-
   /**
-   * Begins a try. Returns the id of the event after which its upstream is to
-   * continue the stream; undefined to leave the id that the caller has named, or
-   * none.
+   * Begins the response of an upstream. Several may be open at a time until
+   * events of one of them are forwarded.
    */
-  beginTry(): string | undefined {
-    return this.#order.beginResponse();
+  beginResponse(): RelayedResponse {
+    return new RelayedResponse(this, this.#order.beginResponse());
   }
 
   /** Returns event timing for a request that arrived at `arrivedAt`. */
@@ -104,22 +104,27 @@
   }
 
   /**
-   * Forwards events that the caller does not have yet. Stops and returns false
-   * at an event that may not be the next one.
+   * Selects the events of a response that the caller does not have yet, up to one
+   * that may not be the next one.
    */
-  forward(events: readonly StreamEvent[], flow: FlowControl): boolean {
-    const forwarded: Buffer[] = [];
-    let isInOrder = true;
+  select(
+    events: readonly StreamEvent[],
+    response: ResponseProgress,
+  ): SelectedEvents {
+    const selected: StreamEvent[] = [];
     for (const event of events) {
-      const action = this.#order.receive(event);
+      const action = this.#order.receive(event, response);
       if (action === "gap" || action === "disorder") {
-        isInOrder = false;
-        break;
+        return { events: selected, isInOrder: false };
       }
-      if (action === "pass") forwarded.push(event.bytes);
+      if (action === "pass") selected.push(event);
     }
-    if (forwarded.length > 0) this.#write(forwarded, flow);
-    return isInOrder;
+    return { events: selected, isInOrder: true };
+  }
+
+  /** Whether a response may be the rest of the stream, up to its end. */
+  canEnd(response: ResponseProgress): boolean {
+    return this.#order.canEnd(response);
   }
 
   /** Ends a complete response. */
@@ -138,16 +143,17 @@
     this.#response.destroy();
   }
 
-  #write(forwarded: readonly Buffer[], flow: FlowControl): void {
+  /** Writes events to the caller. */
+  write(events: readonly StreamEvent[], flow: FlowControl): void {
     const now = this.#clock();
     this.#firstWriteAt ??= now;
     const pauseMs = now - (this.#lastWriteAt ?? now);
     this.#longestPauseMs = Math.max(this.#longestPauseMs, pauseMs);
     this.#lastWriteAt = now;
-    this.#eventCount += forwarded.length;
-    const bytes = forwarded.length === 1
-      ? forwarded[0]!
-      : Buffer.concat(forwarded);
+    this.#eventCount += events.length;
+    const bytes = events.length === 1
+      ? events[0]!.bytes
+      : Buffer.concat(events.map((event) => event.bytes));
     if (this.#response.write(bytes)) return;
     flow.pause();
     this.#unread.resize(this.#response.writableLength);
@@ -157,3 +163,52 @@
     });
   }
 }
+
+/** The response of one upstream, as a part of the caller's stream. */
+export class RelayedResponse {
+  readonly #relay: StreamRelay;
+  readonly #progress: ResponseProgress;
+
+  constructor(relay: StreamRelay, progress: ResponseProgress) {
+    this.#relay = relay;
+    this.#progress = progress;
+  }
+
+  /**
+   * Id of the event after which the upstream is to continue the stream; undefined
+   * to leave the id that the caller has named, or none.
+   */
+  get resumeAfter(): string | undefined {
+    return this.#progress.resumeAfter;
+  }
+
+  /** Whether the stream has started, with this or an earlier response. */
+  get isStarted(): boolean {
+    return this.#relay.isStarted;
+  }
+
+  /** Whether it lacks events that the caller has. */
+  get isBehind(): boolean {
+    return !this.#relay.canEnd(this.#progress);
+  }
+
+  /** What is wrong with the event at which `select` has stopped. */
+  get fault(): string {
+    return this.#progress.fault;
+  }
+
+  /** Writes status and headers of the stream. */
+  start(status: number, headers: Record<string, string | string[]>): void {
+    this.#relay.start(status, headers);
+  }
+
+  /** Selects the events that the caller does not have yet. */
+  select(events: readonly StreamEvent[]): SelectedEvents {
+    return this.#relay.select(events, this.#progress);
+  }
+
+  /** Writes selected events; `flow` pauses reading if the caller is slow. */
+  write(events: readonly StreamEvent[], flow: FlowControl): void {
+    this.#relay.write(events, flow);
+  }
+}
--- a/src/ingress/try_end.ts
+++ b/src/ingress/try_end.ts
@@ -7,6 +7,8 @@
 /** How a try ended, or why the router stopped waiting for it. */
 export type TryOutcome =
   | TryResult
+  /** The caller got the answer of another try, while this one was not silent. */
+  | { readonly kind: "left" }
   | { readonly kind: "caller-left" }
   | { readonly kind: "timed-out" }
   | { readonly kind: "router-ended" };
--- a/src/ingress/unread_answers_test.ts
+++ b/src/ingress/unread_answers_test.ts
@@ -32,7 +32,7 @@
   const relay = new StreamRelay(response, options);
   relay.start(200, {});
   const event = { isFinal: false, isError: false, isComment: false };
-  relay.forward(
+  relay.write(
     [{ ...event, id: 1, idText: "1", hasData: true, bytes: BODY }],
     {
       pause: () => {},
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -33,7 +33,7 @@
   UpstreamRequest,
 } from "../transport/upstream_connections.ts";
 import type { AnswerEndCheck } from "./answer_end_checks.ts";
-import type { StreamRelay } from "./stream_relay.ts";
+import type { FlowControl, RelayedResponse } from "./stream_relay.ts";
 
 /** A response that was received to its end. */
 export interface WholeResponse {
@@ -55,7 +55,7 @@
     readonly answer?: WholeResponse;
     /** Whether the upstream closed the connection before a whole response. */
     readonly isCutOff?: boolean;
-    /** Whether the try was given up because no data arrived for too long. */
+    /** Whether another try was preferred because no data arrived for too long. */
     readonly isSilent?: boolean;
     /** Whether the response may be a late copy of an earlier one. */
     readonly isUnclear?: boolean;
@@ -80,6 +80,13 @@
   readonly load: UpstreamLoad | undefined;
 }
 
+/** The other tries of the request that are open. */
+export interface OtherTries {
+  readonly areOpen: boolean;
+  /** Ends them, since the caller gets the answer of this one. */
+  leave(): void;
+}
+
 /** Options of a try. */
 export interface UpstreamTryOptions {
   readonly connections: UpstreamConnections;
@@ -93,16 +100,17 @@
   };
   /** Whether the request may run more than once. */
   readonly isRepeatable: boolean;
-  readonly relay: StreamRelay;
+  readonly relay: RelayedResponse;
+  readonly others: OtherTries;
   /**
    * Set if another router serves the request. It sends signs of life until the
-   * response begins; the try ends if none comes for `lifeSignTimeoutMs`
+   * response begins; the try is silent if none comes for `lifeSignTimeoutMs`
    * milliseconds. The time without data counts from the head then.
    */
   readonly router?: { readonly lifeSignTimeoutMs: number };
   /**
-   * Time without data after which the try ends if `mayReplaceTry` allows it, in
-   * milliseconds; Infinity to wait without a limit.
+   * Time without data after which the try is silent, in milliseconds; Infinity
+   * for a try that never is.
    */
   readonly silenceTimeoutMs: number;
   /** Reads the monotonic clock, in milliseconds. */
@@ -111,8 +119,11 @@
   readonly endCheck: Pick<AnswerEndCheck, "recordHead" | "judge">;
   /** Whether the upstream should be avoided by now. */
   isSuspect(): boolean;
-  /** Whether another try may replace this one, which receives no data. */
-  mayReplaceTry(): boolean;
+  /**
+   * Called when the try has become silent, and every SILENCE_CHECK_INTERVAL_MS
+   * while it is. It does not end: its upstream may still answer.
+   */
+  onSilent(): void;
   /**
    * Called with the headers of the response before the first events of a stream
    * are written to the caller.
@@ -121,7 +132,7 @@
   /** Called with each part of the response. */
   onData?(): void;
   /** Called once if no head has arrived for SUSPECT_SILENCE_MS. */
-  onSilence?(): void;
+  onLateHead?(): void;
   /** Called with the load that the upstream reports in its response. */
   onLoad(load: UpstreamLoad): void;
   /**
@@ -143,12 +154,12 @@
 const MIN_SERVER_ERROR_STATUS = 500;
 const EVENT_STREAM_TYPE = "text/event-stream";
 /**
- * Time without data after which a try ends if its upstream is avoided by then,
- * in milliseconds; that of a connection attempt.
+ * Time without data after which a try is silent if its upstream is avoided by
+ * then, in milliseconds; that of a connection attempt.
  */
 const SUSPECT_SILENCE_MS = 400;
-/** Interval of these checks, in milliseconds; half of that time. */
-const SUSPECT_CHECK_INTERVAL_MS = 200;
+/** Interval of the checks of a try without data, in milliseconds. */
+const SILENCE_CHECK_INTERVAL_MS = 200;
 /**
  * Time from the first data of a response, in milliseconds, in which an upstream
  * that its request crashes has ended.
@@ -179,10 +190,12 @@
     allows: (event) => this.#allowsEvent(event),
   });
   #resolve!: (result: TryResult) => void;
+  /** Runs after the last data. */
   #silenceTimer: NodeJS.Timeout | undefined;
+  /** Time without data, in milliseconds; undefined unless the try is silent. */
+  #silentMs: number | undefined;
   /** Whether reading waits for the caller. */
   #isPaused = false;
-  #suspectTimer: NodeJS.Timeout | undefined;
   /** Runs until the head arrives. */
   #headTimer: NodeJS.Timeout | undefined;
   #firstDataAt: number | undefined;
@@ -195,6 +208,18 @@
   /** Counts the events; set with the first of them. */
   #allowance: InputAllowance | undefined;
   #isDone = false;
+  /** Pauses reading while the caller reads slowly. */
+  readonly #flow: FlowControl = {
+    pause: () => {
+      this.#isPaused = true;
+      this.#exchange.pause();
+    },
+    resume: () => {
+      this.#isPaused = false;
+      if (!this.#isDone) this.#recordSignOfLife();
+      this.#exchange.resume();
+    },
+  };
   #head: {
     status: number;
     headers: IncomingHttpHeaders;
@@ -210,7 +235,8 @@
     const request = { ...options.request, memory: options.memory };
     this.#exchange = options.connections.send(request, {
       onInformation: () => {
-        if (options.router !== undefined) this.#headTimer?.refresh();
+        const { router } = options;
+        if (router !== undefined) this.#watchSilence(router.lifeSignTimeoutMs);
       },
       onHead: (status, headers) => this.#onHead(status, headers),
       onData: (chunk) => this.#onData(chunk),
@@ -228,8 +254,7 @@
         this.#end({ kind: "ended", end, detail, isCutOff: end !== "not-sent" });
       },
     });
-    this.#startHeadTimer();
-    if (options.router === undefined) this.#startSilenceTimer();
+    this.#startHeadTimers();
   }
 
   /** Whether the connection had served another request before. */
@@ -253,6 +278,14 @@
     };
   }
 
+  /**
+   * Time without data if that counts as silence, in milliseconds; undefined
+   * otherwise.
+   */
+  get silentMs(): number | undefined {
+    return this.#silentMs;
+  }
+
   /** Closes the connection, so that the upstream drops the request. */
   cancel(): void {
     if (this.#isDone) return;
@@ -302,62 +335,72 @@
 
   #clearTimers(): void {
     clearTimeout(this.#silenceTimer);
-    clearTimeout(this.#suspectTimer);
     clearTimeout(this.#headTimer);
   }
 
-  #startHeadTimer(): void {
-    const { router, onSilence } = this.#options;
+  #startHeadTimers(): void {
+    const { router, onLateHead, silenceTimeoutMs } = this.#options;
     if (router !== undefined) {
-      const { lifeSignTimeoutMs } = router;
-      this.#headTimer = setTimeout(
-        () => this.#endSilent(lifeSignTimeoutMs),
-        lifeSignTimeoutMs,
-      );
-    } else if (onSilence !== undefined) {
-      this.#headTimer = setTimeout(onSilence, SUSPECT_SILENCE_MS);
+      this.#watchSilence(router.lifeSignTimeoutMs);
+      return;
     }
+    if (onLateHead !== undefined) {
+      this.#headTimer = setTimeout(onLateHead, SUSPECT_SILENCE_MS);
+    }
+    this.#watchSilence(silenceTimeoutMs, SUSPECT_SILENCE_MS);
   }
 
-  #startSilenceTimer(): void {
-    const { silenceTimeoutMs } = this.#options;
-    if (!Number.isFinite(silenceTimeoutMs)) return;
+  /**
+   * Ends the silence and watches for another: `limitMs` without data, or the time
+   * of a check, from `firstCheckMs` on, if the upstream is avoided by then.
+   */
+  #watchSilence(limitMs: number, firstCheckMs = limitMs): void {
+    clearTimeout(this.#silenceTimer);
+    this.#silentMs = undefined;
+    if (!Number.isFinite(limitMs)) return;
+    const delayMs = Math.min(firstCheckMs, limitMs);
+    this.#scheduleSilenceCheck({ delayMs, quietMs: delayMs, limitMs });
+  }
+
+  #scheduleSilenceCheck(
+    { delayMs, quietMs, limitMs }: {
+      delayMs: number;
+      /** Time without data at the check, in milliseconds. */
+      quietMs: number;
+      limitMs: number;
+    },
+  ): void {
     this.#silenceTimer = setTimeout(() => {
       // A slow caller holds the upstream up, which may be sound.
       if (this.#isPaused) {
         this.#silenceTimer?.refresh();
         return;
       }
-      if (!this.#options.mayReplaceTry()) return;
-      this.#endSilent(silenceTimeoutMs);
-    }, silenceTimeoutMs);
-    if (this.#head === undefined) {
-      this.#scheduleSuspectCheck(SUSPECT_SILENCE_MS);
-    }
-  }
-
-  /** Ends the try early if its upstream turns out to be unreachable. */
-  #scheduleSuspectCheck(silentMs: number): void {
-    const { isSuspect, mayReplaceTry, silenceTimeoutMs } = this.#options;
-    if (silentMs >= silenceTimeoutMs) return;
-    const isFirst = silentMs === SUSPECT_SILENCE_MS;
-    this.#suspectTimer = setTimeout(() => {
-      if (isSuspect() && mayReplaceTry()) {
-        this.#endSilent(silentMs);
-        return;
-      }
-      this.#scheduleSuspectCheck(silentMs + SUSPECT_CHECK_INTERVAL_MS);
-    }, isFirst ? SUSPECT_SILENCE_MS : SUSPECT_CHECK_INTERVAL_MS);
+      const leftMs = limitMs - quietMs;
+      const isSilent = leftMs <= 0 ||
+        this.#head === undefined && this.#options.isSuspect();
+      this.#silentMs = isSilent ? quietMs : undefined;
+      const nextMs = leftMs <= 0
+        ? SILENCE_CHECK_INTERVAL_MS
+        : Math.min(SILENCE_CHECK_INTERVAL_MS, leftMs);
+      this.#scheduleSilenceCheck({
+        delayMs: nextMs,
+        quietMs: quietMs + nextMs,
+        limitMs,
+      });
+      if (isSilent) this.#options.onSilent();
+    }, delayMs);
   }
 
-  #endSilent(silentMs: number): void {
-    const detail = `no byte for ${Math.round(silentMs)} ms`;
-    this.#reject({ end: "no-answer", detail, isSilent: true });
+  #recordSignOfLife(): void {
+    const { silenceTimeoutMs } = this.#options;
+    if (this.#silentMs === undefined) this.#silenceTimer?.refresh();
+    else this.#watchSilence(silenceTimeoutMs);
   }
 
   #onHead(status: number, headers: IncomingHttpHeaders): void {
-    clearTimeout(this.#suspectTimer);
     clearTimeout(this.#headTimer);
+    this.#watchSilence(this.#options.silenceTimeoutMs);
     if (!isFinalStatus(status)) {
       const detail = `status ${status} is not one of HTTP`;
       this.#reject({ end: "no-answer", detail });
@@ -387,7 +430,6 @@
     }
     this.#head = { status, headers, traits, meaning, isStream };
     this.#options.endCheck.recordHead({ status, isFramed: this.#isFramed });
-    if (router !== undefined) this.#startSilenceTimer();
   }
 
   #interpret(
@@ -407,7 +449,7 @@
 
   #onData(chunk: Buffer): void {
     if (this.#isDone || this.#head === undefined) return;
-    this.#silenceTimer?.refresh();
+    this.#recordSignOfLife();
     this.#options.onData?.();
     this.#recordData();
     if (this.#head.isStream) {
@@ -431,7 +473,6 @@
   }
 
   #forwardEvents(chunk: Buffer): void {
-    const { relay } = this.#options;
     let events;
     try {
       events = this.#splitter.push(chunk);
@@ -443,18 +484,17 @@
     if (events.length === 0) return;
     this.#firstEventAt ??= this.#options.clock();
     this.#eventCount += events.length;
-    this.#startStream();
-    const isInOrder = relay.forward(events, {
-      pause: () => {
-        this.#isPaused = true;
-        this.#exchange.pause();
-      },
-      resume: () => {
-        this.#isPaused = false;
-        if (!this.#isDone) this.#silenceTimer?.refresh();
-        this.#exchange.resume();
-      },
-    });
+    this.#forwardSelected(events);
+  }
+
+  #forwardSelected(events: readonly StreamEvent[]): void {
+    const { relay, others } = this.#options;
+    const { events: selected, isInOrder } = relay.select(events);
+    // While other tries are open, only data decides which one the caller gets.
+    if (!others.areOpen || selected.some(({ hasData }) => hasData)) {
+      this.#startStream();
+      if (selected.length > 0) relay.write(selected, this.#flow);
+    }
     if (!isInOrder) {
       this.#reject({ end: "no-answer", detail: relay.fault });
     }
@@ -521,12 +561,13 @@
       const detail = "the stream ended before its last forwarded event";
       return { kind: "ended", end: "no-answer", detail };
     }
-    this.#startStream();
     return { kind: "stream-complete" };
   }
 
+  /** Makes this the try that the caller gets the stream from. */
   #startStream(): void {
-    const { relay } = this.#options;
+    const { relay, others } = this.#options;
+    others.leave();
     if (relay.isStarted) return;
     const { status, headers } = this.#head!;
     this.#options.onStreamStart(headers);
@@ -570,7 +611,6 @@
     ended: {
       end: TryFailure;
       detail: string;
-      isSilent?: boolean;
       isUnclear?: boolean;
       isExcess?: boolean;
       isGivenUp?: boolean;
@@ -586,6 +626,7 @@
     this.#isDone = true;
     this.#clearTimers();
     this.#release();
+    if (result.kind === "stream-complete") this.#startStream();
     const { router } = this.#options;
     if (router !== undefined && result.kind === "ended") {
       this.#resolve({ ...result, headers: this.#head?.headers });
--- a/src/ingress/upstream_try_test.ts
+++ b/src/ingress/upstream_try_test.ts
@@ -5,7 +5,7 @@
 import { renderProblem } from "../transport/problem.ts";
 import { REFUSAL_HEADER } from "../transport/router_hop.ts";
 import { createUpstreamConnections } from "../transport/upstream_connections.ts";
-import type { StreamRelay } from "./stream_relay.ts";
+import type { RelayedResponse } from "./stream_relay.ts";
 import { type TryResult, UpstreamTry } from "./upstream_try.ts";
 
 /** Returns the refusal of the request `id` by a router, as it is sent. */
@@ -49,7 +49,7 @@
       },
       requestId: `id-${count}`,
       isRepeatable: false,
-      relay: {} as StreamRelay,
+      relay: {} as RelayedResponse,
       router: { lifeSignTimeoutMs: 1_000 },
       silenceTimeoutMs: Infinity,
       isSuspect: () => false,
@@ -57,7 +57,8 @@
         recordHead: () => {},
         judge: () => Promise.resolve("whole" as const),
       },
-      mayReplaceTry: () => false,
+      others: { areOpen: false, leave: () => {} },
+      onSilent: () => {},
       onStreamStart: () => {},
       onLoad: () => {},
       onSurvival: () => {},
--- a/src/policy/attempt_plan.ts
+++ b/src/policy/attempt_plan.ts
@@ -77,8 +77,8 @@
    * fleet's budget; it is called only if another try is otherwise allowed.
    */
   next(end: TryFailure, { tryRetry }: { tryRetry: () => boolean }): NextStep {
+    this.recordFailure(end);
     if (end === "not-sent" || end === "misdirected") {
-      this.#unsent++;
       // A misdirected request reached an upstream, so resending it is a retry.
       const mayRepeat = end === "not-sent" || tryRetry();
       const isWithinUnsentLimit = this.#unsent < MAX_UNSENT_TRIES;
@@ -86,14 +86,36 @@
         ? "try-again"
         : this.#getFinalStep(end);
     }
-    this.#sent++;
-    if (end !== "refused") this.#mayHaveRun = true;
     const mayRepeat = end === "refused" || this.isRepeatable;
     const hasAttempts = this.#sent < this.#limits.maxAttempts;
     if (mayRepeat && hasAttempts && tryRetry()) return "try-again";
     return this.#getFinalStep(end);
   }
 
+  /**
+   * Whether the request may be sent to another upstream while `openTries` others
+   * may still answer it.
+   */
+  mayTryBeside(openTries: number): boolean {
+    return this.isRepeatable && openTries < this.triesLeft &&
+      this.#unsent < MAX_UNSENT_TRIES;
+  }
+
+  /** Records a failed try that decides on nothing, since others are open. */
+  recordFailure(end: TryFailure): void {
+    if (end === "not-sent" || end === "misdirected") {
+      this.#unsent++;
+      return;
+    }
+    this.#sent++;
+    if (end !== "refused") this.#mayHaveRun = true;
+  }
+
+  /** Records a try that was ended for another one. */
+  recordLeft(): void {
+    this.recordFailure("no-answer");
+  }
+
   /** Upstreams that the request may still be sent to. */
   get triesLeft(): number {
     return this.#limits.maxAttempts - this.#sent;
--- a/src/policy/attempt_plan_test.ts
+++ b/src/policy/attempt_plan_test.ts
@@ -80,3 +80,20 @@
   expect(plan.next("no-answer", { tryRetry })).toBe("fail");
   expect(tryRetry).not.toHaveBeenCalled();
 });
+
+// Guards against a request that is sent to more upstreams than its route allows
+// because several of them have it at a time (BUDGET).
+test("open tries count as attempts", () => {
+  const create = (kind: RouteKind) =>
+    new AttemptPlan({ kind, isResumable: false, maxAttempts: 3 });
+  const plan = create("idempotent");
+  expect([1, 2, 3].map((open) => plan.mayTryBeside(open)))
+    .toEqual([true, true, false]);
+  plan.recordFailure("refused");
+  expect([1, 2].map((open) => plan.mayTryBeside(open))).toEqual([true, false]);
+  expect(plan.isNotRun).toBe(true);
+  plan.recordLeft();
+  expect(plan.mayTryBeside(1)).toBe(false);
+  expect(plan.isNotRun).toBe(false);
+  expect(create("non-idempotent").mayTryBeside(1)).toBe(false);
+});
--- a/src/policy/event_order.ts
+++ b/src/policy/event_order.ts
@@ -52,7 +52,30 @@
   readonly value: bigint;
 }
 
-/** Tracks the event ids of one stream. */
+/**
+ * How far the response of one upstream is in the stream. Only `EventOrder`
+ * changes it.
+ */
+export interface ResponseProgress {
+  /**
+   * Id after which the upstream is to continue; undefined to leave the id that
+   * the caller has named, or none.
+   */
+  readonly resumeAfter: string | undefined;
+  /** Whether it was asked for the last forwarded event again. */
+  readonly isOverlapDue: boolean;
+  /** Last id of the response. */
+  lastId: bigint | undefined;
+  /** Whether it is known to be past what the caller has. */
+  isCaughtUp: boolean;
+  /** What is wrong with the event that was neither forwarded nor dropped. */
+  fault: string;
+}
+
+/**
+ * Tracks the event ids of one stream. Several responses may be open at a time,
+ * as long as the others end once events of one of them are forwarded.
+ */
 export class EventOrder {
   readonly #resumedFrom: bigint | undefined;
   /** Last event with an id that was forwarded, and the one before it. */
@@ -62,15 +85,8 @@
   #isCounted = true;
   /** Whether data without an id was forwarded since the last event with one. */
   #isPastLast = false;
-  /** Last id of the current response. */
-  #responseId: bigint | undefined;
-  /** Whether the current response is known to be past what the caller has. */
-  #isCaughtUp = true;
   /** Whether it is known which event follows those that the caller has. */
   #isNextKnown = false;
-  /** Whether the current response was asked for the last event again. */
-  #isOverlapDue = false;
-  #fault = "";
 
   /**
    * @param resumedFrom Id of the last event that the caller already has, if it
@@ -113,49 +129,47 @@
     return !this.#isPastLast;
   }
 
-  /**
-   * Whether the current response may end here. It can't be the rest of the stream
-   * while it repeats earlier events.
-   */
-  get canEnd(): boolean {
-    return this.#isCaughtUp ||
-      this.#responseId === undefined && !this.#isOverlapDue;
-  }
-
-  /** What is wrong with the event that was neither forwarded nor dropped. */
-  get fault(): string {
-    return this.#fault;
+  /** Begins the response of an upstream. */
+  beginResponse(): ResponseProgress {
+    const isCounted = this.#isCounted && this.#hasSteps;
+    const hasEnd = this.#last !== undefined || this.#isNextKnown;
+    const isOverlapDue = hasEnd && !isCounted;
+    return {
+      resumeAfter: (isOverlapDue ? this.#secondLast : this.#last)?.text,
+      isOverlapDue,
+      lastId: undefined,
+      isCaughtUp: this.#position === undefined,
+      fault: "",
+    };
   }
 
   /**
-   * Begins the response of another upstream. Returns the id after which that
-   * upstream is to continue; undefined to leave the id that the caller has named,
-   * or none.
+   * Whether a response may end here. It can't be the rest of the stream while it
+   * repeats earlier events.
    */
-  beginResponse(): string | undefined {
-    this.#responseId = undefined;
-    this.#isCaughtUp = this.#position === undefined;
-    const isCounted = this.#isCounted && this.#hasSteps;
-    const hasEnd = this.#last !== undefined || this.#isNextKnown;
-    this.#isOverlapDue = hasEnd && !isCounted;
-    return (this.#isOverlapDue ? this.#secondLast : this.#last)?.text;
+  canEnd({ isCaughtUp, lastId, isOverlapDue }: ResponseProgress): boolean {
+    return isCaughtUp || lastId === undefined && !isOverlapDue;
   }
 
-  /** Decides what to do with the next event of the current response. */
-  receive({ idText, hasData }: OrderedEvent): EventAction {
+  /** Decides what to do with the next event of a response. */
+  receive(
+    { idText, hasData }: OrderedEvent,
+    response: ResponseProgress,
+  ): EventAction {
     if (idText === undefined || !isEventId(idText)) {
-      return hasData ? this.#receiveWithoutId() : "pass";
+      return hasData ? this.#receiveWithoutId(response) : "pass";
     }
     const id = { text: idText, value: BigInt(idText) };
-    const before = this.#responseId;
+    const before = response.lastId;
     if (before !== undefined && id.value <= before) {
       if (id.value === before) return "drop";
-      this.#fault = `event ${idText} comes after ${before}`;
+      response.fault = `event ${idText} comes after ${before}`;
       return "disorder";
     }
-    this.#responseId = id.value;
-    if (!this.#isCaughtUp) {
-      const action = this.#catchUp(id, { isFirst: before === undefined });
+    response.lastId = id.value;
+    if (!response.isCaughtUp) {
+      const isFirst = before === undefined;
+      const action = this.#catchUp(id, { response, isFirst });
       if (action !== "pass") return action;
     }
     this.#record(id);
@@ -172,9 +186,10 @@
     return (this.#secondLast?.value ?? this.#resumedFrom) !== undefined;
   }
 
-  #receiveWithoutId(): EventAction {
-    const isRepeated = !this.#isCaughtUp &&
-      (this.#responseId !== undefined || this.#isOverlapDue);
+  #receiveWithoutId(
+    { isCaughtUp, lastId, isOverlapDue }: ResponseProgress,
+  ): EventAction {
+    const isRepeated = !isCaughtUp && (lastId !== undefined || isOverlapDue);
     if (isRepeated) return "drop";
     this.#isPastLast = true;
     return "pass";
@@ -183,20 +198,20 @@
   /** Decides on an event of a response that may repeat earlier events. */
   #catchUp(
     { text, value }: EventId,
-    { isFirst }: { isFirst: boolean },
+    { response, isFirst }: { response: ResponseProgress; isFirst: boolean },
   ): EventAction {
     const position = this.#position!;
     if (value <= position && !this.#isPastLast) {
-      this.#isCaughtUp = value === position;
+      response.isCaughtUp = value === position;
       return "drop";
     }
     const isAdjacent = value === position + 1n;
     const isCallersPart = this.#last === undefined && !this.#isNextKnown &&
       value > position;
-    this.#isCaughtUp = isFirst && (isAdjacent || isCallersPart);
-    if (this.#isCaughtUp) return "pass";
+    response.isCaughtUp = isFirst && (isAdjacent || isCallersPart);
+    if (response.isCaughtUp) return "pass";
     this.#isCounted = false;
-    this.#fault = `event ${text} may not be the next one after ${position}`;
+    response.fault = `event ${text} may not be the next one after ${position}`;
     return "gap";
   }
 
--- a/src/policy/event_order_test.ts
+++ b/src/policy/event_order_test.ts
@@ -1,9 +1,54 @@
 import fc from "fast-check";
-import { type EventAction, EventOrder } from "./event_order.ts";
+import {
+  type EventAction,
+  EventOrder,
+  type OrderedEvent,
+  type StreamPosition,
+} from "./event_order.ts";
+
+/** The order of a stream whose responses come one after the other. */
+class SequentialOrder {
+  readonly #order: EventOrder;
+  #response;
+
+  constructor(resumedFrom?: string) {
+    this.#order = new EventOrder(resumedFrom);
+    this.#response = this.#order.beginResponse();
+  }
+
+  beginResponse(): string | undefined {
+    this.#response = this.#order.beginResponse();
+    return this.#response.resumeAfter;
+  }
+
+  receive(event: OrderedEvent): EventAction {
+    return this.#order.receive(event, this.#response);
+  }
+
+  recordPosition(position: StreamPosition): void {
+    this.#order.recordPosition(position);
+  }
+
+  get position(): StreamPosition | undefined {
+    return this.#order.position;
+  }
+
+  get canContinue(): boolean {
+    return this.#order.canContinue;
+  }
+
+  get canEnd(): boolean {
+    return this.#order.canEnd(this.#response);
+  }
+
+  get fault(): string {
+    return this.#response.fault;
+  }
+}
 
 /** Passes events to `order`; returns the texts of those that it forwards. */
 function receiveAll(
-  order: EventOrder,
+  order: SequentialOrder,
   ids: readonly (string | undefined)[],
 ): { forwarded: (string | undefined)[]; end: EventAction } {
   const forwarded = [];
@@ -47,7 +92,7 @@
 test("streams of any ids are continued where the next upstream is told to", () => {
   fc.assert(
     fc.property(cutStreams, fc.boolean(), ({ ids, cut }, isObeyed) => {
-      const order = new EventOrder();
+      const order = new SequentialOrder();
       expect(order.beginResponse()).toBeUndefined();
       const first = receiveAll(order, ids.slice(0, cut));
       const after = order.beginResponse();
@@ -64,7 +109,7 @@
 test("a response that leaves out an event is never continued", () => {
   fc.assert(
     fc.property(cutStreams, ({ ids, cut }) => {
-      const order = new EventOrder();
+      const order = new SequentialOrder();
       order.beginResponse();
       receiveAll(order, ids.slice(0, cut));
       if (cut === 0) return;
@@ -81,7 +126,7 @@
 // Guards against a response that repeats a stream's begin and ends early, which
 // would pass for the rest of the stream (ORDER).
 test("a response that ends while it repeats events is not the rest", () => {
-  const order = new EventOrder();
+  const order = new SequentialOrder();
   order.beginResponse();
   receiveAll(order, ["6", "12"]);
   order.beginResponse();
@@ -93,14 +138,14 @@
 });
 
 test("what the caller has is dropped, and a later event of any id is next", () => {
-  const order = new EventOrder("12");
+  const order = new SequentialOrder("12");
   expect(order.beginResponse()).toBeUndefined();
   expect(receiveAll(order, ["18", "24"]).forwarded).toEqual(["18", "24"]);
-  const replayed = new EventOrder("12");
+  const replayed = new SequentialOrder("12");
   replayed.beginResponse();
   expect(receiveAll(replayed, ["6", "12", "18"]).forwarded).toEqual(["18"]);
   // These events are not those of which the caller has the twelfth.
-  const other = new EventOrder("12");
+  const other = new SequentialOrder("12");
   other.beginResponse();
   expect(receiveAll(other, ["5", "10", "15"]))
     .toEqual({ forwarded: [], end: "gap" });
@@ -111,13 +156,13 @@
 test("a caller's stream goes on right behind where it has ended", () => {
   fc.assert(
     fc.property(cutStreams, ({ ids, cut }) => {
-      const first = new EventOrder();
+      const first = new SequentialOrder();
       first.beginResponse();
       receiveAll(first, ids.slice(0, cut));
       const { position } = first;
       fc.pre(position?.secondLastId !== undefined);
       const create = () => {
-        const order = new EventOrder(ids[cut - 1]);
+        const order = new SequentialOrder(ids[cut - 1]);
         order.recordPosition(position!);
         return { order, after: order.beginResponse() ?? ids[cut - 1] };
       };
@@ -133,7 +178,7 @@
 
 // A position that is not that of the caller says nothing of what is next.
 test("a caller that has less than was forwarded resumes where it is", () => {
-  const order = new EventOrder("12");
+  const order = new SequentialOrder("12");
   const position = { lastId: "18", secondLastId: "12", isCounted: false };
   order.recordPosition(position);
   expect(order.beginResponse()).toBeUndefined();
@@ -141,7 +186,7 @@
 });
 
 test("ids of one response that fall end it", () => {
-  const order = new EventOrder();
+  const order = new SequentialOrder();
   order.beginResponse();
   expect(receiveAll(order, ["4711", "4711", "4702", "4712"]))
     .toEqual({ forwarded: ["4711"], end: "disorder" });
@@ -151,7 +196,7 @@
 // Guards against an event without an id that comes twice after another upstream
 // has continued the stream (ORDER).
 test("a stream is not continued after an event without an id", () => {
-  const order = new EventOrder();
+  const order = new SequentialOrder();
   order.beginResponse();
   expect(receiveAll(order, ["6", undefined]).forwarded)
     .toEqual(["6", undefined]);
@@ -164,7 +209,7 @@
 });
 
 test("what has no data is forwarded and changes nothing", () => {
-  const order = new EventOrder();
+  const order = new SequentialOrder();
   order.beginResponse();
   receiveAll(order, ["6", "12"]);
   const nothing = { idText: undefined, hasData: false };
@@ -175,9 +220,26 @@
 });
 
 test("ids are named as the upstream wrote them", () => {
-  const order = new EventOrder();
+  const order = new SequentialOrder();
   order.beginResponse();
   receiveAll(order, ["007", "010"]);
   expect(order.beginResponse()).toBe("007");
   expect(receiveAll(order, ["010", "013"]).forwarded).toEqual(["013"]);
 });
+
+// Guards against a response that is judged by the events of another one which is
+// open at the same time (ORDER).
+test("two open responses are each put in order", () => {
+  const order = new EventOrder();
+  const first = order.beginResponse();
+  const receive = (idText: string, response = first) =>
+    order.receive({ idText, hasData: true }, response);
+  expect([receive("6"), receive("12")]).toEqual(["pass", "pass"]);
+  const second = order.beginResponse();
+  expect(second.resumeAfter).toBe("6");
+  expect(order.canEnd(second)).toBe(false);
+  expect(receive("12", second)).toBe("drop");
+  expect([order.canEnd(first), order.canEnd(second)]).toEqual([true, true]);
+  expect(receive("18", second)).toBe("pass");
+  expect(order.position?.lastId).toBe("18");
+});
