Let the soak pause answers, and keep what proves their ends

The soak had no upstream that pauses: `answers-paused` stops the answers of one for 0.6 to 1.8 s, before the head, before the first event or amid the answer, while the others of its service are sound, full or pause too, with routers that stop meanwhile (`--only-pauses`). A call that reached an upstream has to be whole in the end, unless its own time limit has passed.

Cause: a try that is silent closed the idle connections of its upstream, and with them the connection without requests that proves the end of such an answer. While silence ended the try, nothing needed that any more. Now only the connections that requests reuse are closed, once the try is left.

--- a/bench/chaos_faults.ts
+++ b/bench/chaos_faults.ts
@@ -181,6 +181,7 @@
       case "upstreams-brittle":
       case "engine-upgraded":
       case "answers-reset":
+      case "answers-paused":
       case "log-reader-closed":
       case "log-reader-stalled":
       case "port-taken-at-start":
--- a/bench/store_chaos_calls.ts
+++ b/bench/store_chaos_calls.ts
@@ -72,7 +72,8 @@
 }
 
 export const ROUTE_HOST = "chats.example";
-const CALL_TIMEOUT_MS = 4_000;
+/** Time limit of a call, in milliseconds. */
+export const CALL_TIMEOUT_MS = 4_000;
 /** Far more than any whole answer has, in bytes. */
 const MAX_ANSWER_BYTES = 262_144;
 /** Requests for one stream in which it may be resumed. */
--- a/bench/store_chaos_main.ts
+++ b/bench/store_chaos_main.ts
@@ -3,19 +3,21 @@
  * schedule and checks the result.
  *
  * `node dist/bench/store_chaos_main.js [--seed N] [--seeds N] [--seconds S]
- * [--routers N] [--only-streams] [--only-ends] [--only-items]
- * [--without-items] [--without-ends] [--without-streams] [--without-links]
- * [--other-bundle PATH]` exits with 0 only if every check passes for every seed.
- * Logs are in `out/store-chaos-<seed>`.
+ * [--routers N] [--only-streams] [--only-ends] [--only-items] [--only-pauses]
+ * [--without-pauses] [--without-items] [--without-ends] [--without-streams]
+ * [--without-links] [--other-bundle PATH]` exits with 0 only if every check passes
+ * for every seed. Logs are in `out/store-chaos-<seed>`.
  *
  * With `--only-streams` it draws only faults that cut off answers, twice as many,
  * with `--only-ends` only those under which a router may end by itself, with
  * `--only-items` only items of other programs in the store and what has routers
- * read it. With `--without-items` a seed draws the faults that it drew before there
- * were such items, with `--without-ends` those before routers that end by themselves,
- * with `--without-streams` those before answers that are reset and engines that
- * change their version, with `--without-links` those before routers without links
- * and brittle upstreams. With `--other-bundle`, a `corianderflowd.js` of another
+ * read it, with `--only-pauses` only answers that pause and what routers do
+ * meanwhile. With `--without-pauses` a seed draws the faults that it drew before
+ * there were such answers, with `--without-items` those before items of other
+ * programs, with `--without-ends` those before routers that end by themselves, with
+ * `--without-streams` those before answers that are reset and engines that change
+ * their version, with `--without-links` those before routers without links and
+ * brittle upstreams. With `--other-bundle`, a `corianderflowd.js` of another
  * commit, every second router runs that build, and each is replaced by one of the
  * other build during the run.
  */
@@ -30,12 +32,14 @@
 import type { Call, StoreChaosEvidence } from "./store_chaos_evidence.ts";
 import { StoreFleet } from "./store_chaos_fleet.ts";
 import {
+  ANSWER_PAUSE_KINDS,
   FOREIGN_ITEM_KINDS,
   getStoreChaosTargets,
   runStoreChaos,
   STORE_END_KINDS,
   STORE_ITEM_KINDS,
   STORE_LINK_KINDS,
+  STORE_PAUSE_KINDS,
   STORE_SOAK_KINDS,
   STORE_STREAM_KINDS,
   STREAM_CUT_KINDS,
@@ -59,6 +63,8 @@
     routers: { type: "string", default: "6" },
     "only-streams": { type: "boolean", default: false },
     "only-items": { type: "boolean", default: false },
+    "only-pauses": { type: "boolean", default: false },
+    "without-pauses": { type: "boolean", default: false },
     "without-items": { type: "boolean", default: false },
     "only-ends": { type: "boolean", default: false },
     "without-ends": { type: "boolean", default: false },
@@ -87,9 +93,11 @@
   if (values["only-streams"]) return STREAM_CUT_KINDS;
   if (values["only-ends"]) return ROUTER_END_KINDS;
   if (values["only-items"]) return FOREIGN_ITEM_KINDS;
+  if (values["only-pauses"]) return ANSWER_PAUSE_KINDS;
   if (hasStreamFaults) {
     if (values["without-ends"]) return STORE_STREAM_KINDS;
-    return values["without-items"] ? STORE_END_KINDS : STORE_ITEM_KINDS;
+    if (values["without-items"]) return STORE_END_KINDS;
+    return values["without-pauses"] ? STORE_ITEM_KINDS : STORE_PAUSE_KINDS;
   }
   return values["without-links"] ? STORE_SOAK_KINDS : STORE_LINK_KINDS;
 }
--- a/bench/store_chaos_run.ts
+++ b/bench/store_chaos_run.ts
@@ -104,8 +104,14 @@
   ...STORE_END_KINDS,
   "foreign-items",
 ] as const satisfies readonly ChaosKind[];
+
+/** All of these, and answers that pause. */
+export const STORE_PAUSE_KINDS = [
+  ...STORE_ITEM_KINDS,
+  "answers-paused",
+] as const satisfies readonly ChaosKind[];
 type StoreChaosKind = Exclude<
-  typeof STORE_ITEM_KINDS[number],
+  typeof STORE_PAUSE_KINDS[number],
   RouterEndKind
 >;
 
@@ -119,6 +125,16 @@
   "engine-leaving",
 ] as const satisfies readonly StoreChaosKind[];
 
+/** Answers that pause, and what routers may do meanwhile. */
+export const ANSWER_PAUSE_KINDS = [
+  "answers-paused",
+  "answers-paused",
+  "answers-paused",
+  "router-stopped",
+  "signals-in-series",
+  "key-value-down",
+] as const satisfies readonly (StoreChaosKind | RouterEndKind)[];
+
 /** Those of all kinds that cut off answers in progress. */
 export const STREAM_CUT_KINDS = [
   "router-killed",
@@ -382,6 +398,11 @@
         upstream.resetsAnswers = false;
         return;
       }
+      case "answers-paused":
+        return await this.#pauseAnswers(
+          this.#findUpstream(target),
+          durationMs,
+        );
       case "link-silent":
       case "link-cut":
       case "link-cut-to-upstream":
@@ -600,6 +621,25 @@
     }
   }
 
+  /** Pauses the answers of an upstream while others may not replace it. */
+  async #pauseAnswers(
+    upstream: RegisteredUpstream,
+    durationMs: number,
+  ): Promise<void> {
+    const others = this.#options.fleet.upstreams.filter((each) =>
+      each !== upstream && each.service === upstream.service
+    );
+    const state = this.#random.pick(["sound", "full", "paused"] as const);
+    const paused = state === "paused" ? [upstream, ...others] : [upstream];
+    for (const each of paused) {
+      each.pausedUntilMs = performance.now() + durationMs;
+    }
+    if (state !== "full") return await sleep(durationMs);
+    for (const each of others) each.isFull = true;
+    await sleep(durationMs);
+    for (const each of others) each.isFull = false;
+  }
+
   #findRouter(name: string) {
     return this.#options.fleet.routers.find((each) => each.name === name)!;
   }
--- a/bench/store_chaos_test.ts
+++ b/bench/store_chaos_test.ts
@@ -12,6 +12,7 @@
 import type { StoreChaosEvidence } from "./store_chaos_evidence.ts";
 import { StoreFleet } from "./store_chaos_fleet.ts";
 import {
+  ANSWER_PAUSE_KINDS,
   FOREIGN_ITEM_KINDS,
   getStoreChaosTargets,
   runStoreChaos,
@@ -147,3 +148,17 @@
   },
   TEST_TIMEOUT_MS,
 );
+
+// Guards against answers that are cut off or given up while their upstream pauses,
+// though it goes on with them before callers leave (LOST).
+test(
+  "a fleet with relays meets them while answers pause",
+  async () => {
+    const evidence = await runFaults(65, ANSWER_PAUSE_KINDS);
+    expect(evidence.windows.map(({ kind }) => kind)).toContain(
+      "answers-paused",
+    );
+    expect(findStoreChaosViolations(evidence)).toEqual([]);
+  },
+  TEST_TIMEOUT_MS,
+);
--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -393,16 +393,13 @@
   }
 
   #openRouterTry(router: ForwardTarget): void {
-    const { connections, routers } = this.#options;
-    const { name, address } = router;
+    const { routers } = this.#options;
+    const { name } = router;
     this.#triedRouters.add(name);
     this.#tries.open({
       target: { kind: "router", router },
       isSuspect: () => true,
-      onAvoided: () => {
-        routers.recordFailure(name);
-        connections.closeIdle(address);
-      },
+      onAvoided: () => routers.recordFailure(name),
     }, (openTry) => this.#forward(router, openTry));
   }
 
@@ -414,7 +411,11 @@
       isSuspect: () =>
         placement.isSuspect(entry.id, this.#service) ||
         links.isDown(this.#service.name),
-      onAvoided: () => this.#recordSilent(entry),
+      onAvoided: () => {
+        // Without links, nothing says that the upstream is not sound.
+        if (links.isDown(this.#service.name)) return;
+        placement.recordHealth(entry.id, "failed");
+      },
     }, (openTry) => this.#tryUpstream(place, openTry));
   }
 
@@ -469,6 +470,7 @@
     const tryOutcome = await openTry.untilEnded(attempt, this.#tryLimits);
     endCheck.close();
     routers.recordEnded(target.name);
+    if ("isSilent" in tryOutcome) connections.closeReusable(target.address);
     recordTryEnd(record, { tryOutcome, ms: clock() - sentAt });
     onTry(this.#service.name, `router-${record.end}`);
     return tryOutcome;
@@ -742,8 +744,11 @@
       placement.recordHealth(entry.id, "answered");
       return;
     }
-    // What is silent was recorded when the request was sent elsewhere.
-    if (tryOutcome.kind !== "ended" || tryOutcome.isSilent === true) return;
+    if (tryOutcome.kind !== "ended") return;
+    if (tryOutcome.isSilent === true) {
+      connections.closeReusable(entry.address);
+      return;
+    }
     if (tryOutcome.isUnclear === true) this.#recordUnclear(entry);
     if (tryOutcome.end === "misdirected") {
       routing.directory.recordMisdirected(entry.id, clock());
@@ -771,15 +776,6 @@
     placement.recordHealth(entry.id, "failed");
   }
 
-  /** Records that an upstream leaves a request without an answer. */
-  #recordSilent({ id, address }: UpstreamEntry): void {
-    const { placement, connections, links } = this.#options;
-    // Without links, nothing says that the upstream is not sound.
-    if (links.isDown(this.#service.name)) return;
-    connections.closeIdle(address);
-    placement.recordHealth(id, "failed");
-  }
-
   #recordUnclear({ id, address }: UpstreamEntry): void {
     const { trust, clock, onNotice } = this.#options;
     const isNew = trust.recordUnclear(address, clock());
--- a/src/transport/upstream_connections.ts
+++ b/src/transport/upstream_connections.ts
@@ -96,10 +96,15 @@
    */
   send(request: UpstreamRequest, listener: ResponseListener): UpstreamExchange;
   /**
-   * Closes the idle connections to `address`. Used when a connection to it has
-   * become unresponsive or the process of the upstream is new.
+   * Closes the idle connections to `address`. Used when the process of the
+   * upstream is new.
    */
   closeIdle(address: string): void;
+  /**
+   * Closes those of them that requests would reuse, since a connection to
+   * `address` has become unresponsive. What `hold` keeps stays open.
+   */
+  closeReusable(address: string): void;
   /**
    * Whether a connection to `address` is open that was opened before `at`, a
    * monotonic time in milliseconds, so that the process there has run since
@@ -291,9 +296,13 @@
   }
 
   closeIdle(address: string): void {
+    this.closeReusable(address);
+    this.#sentinels.closeAddress(address);
+  }
+
+  closeReusable(address: string): void {
     for (const each of this.#idle.get(address) ?? []) each.destroy();
     this.#idle.delete(address);
-    this.#sentinels.closeAddress(address);
   }
 
   isOpenSince(address: string, at: number): boolean {
--- a/testing/chaos_schedule.ts
+++ b/testing/chaos_schedule.ts
@@ -58,6 +58,12 @@
   | "engine-upgraded"
   /** Answers without a length are reset. */
   | "answers-reset"
+  /**
+   * An upstream sends nothing of its answers for a while and then goes on with
+   * them, as an engine that preempts requests; the others of its service may be
+   * full or do the same.
+   */
+  | "answers-paused"
   /** The reader of a router's standard output closes its end. */
   | "log-reader-closed"
   /** It reads nothing for a while. */
@@ -262,6 +268,11 @@
     targets: "upstreams",
     durationRangeMs: { min: 1_000, max: 5_000 },
   },
+  "answers-paused": {
+    targets: "upstreams",
+    // Callers abandon a stream after two seconds without an event.
+    durationRangeMs: { min: 600, max: 1_800 },
+  },
   "log-reader-closed": { targets: "routers", durationRangeMs: INSTANT },
   "log-reader-stalled": {
     targets: "routers",
@@ -322,6 +333,7 @@
   "upstreams-brittle",
   "engine-upgraded",
   "answers-reset",
+  "answers-paused",
   "log-reader-closed",
   "log-reader-stalled",
   "port-taken-at-start",
--- a/testing/registered_upstream.ts
+++ b/testing/registered_upstream.ts
@@ -176,6 +176,11 @@
   return getEventCount(requestId) % UNFRAMED_SHARE === 0;
 }
 
+/** Whether a pause of the upstream comes after the head of an answer. */
+function hasEarlyHead(requestId: string): boolean {
+  return getEventCount(requestId) % 2 === 0;
+}
+
 /** Whether a request gets an answer without end from a faulty upstream. */
 function isOfEndlessShare(requestId: string): boolean {
   return getEventCount(requestId) % ENDLESS_SHARE === 0;
@@ -215,6 +220,10 @@
   #rejectedAtMs: number[] = [];
   /** Whether it resets answers without a length when half of them is sent. */
   resetsAnswers = false;
+  /** Monotonic time until which it sends nothing of its answers, in ms. */
+  pausedUntilMs = -Infinity;
+  /** Whether it rejects all requests for want of room. */
+  isFull = false;
   /** What never ends in its answers to some requests, if set. */
   endlessAnswer: EndlessAnswer | undefined;
   /** Share of the requests that it runs and answers with an error, 0 to 1. */
@@ -385,6 +394,15 @@
     return `${this.#runningRequests},0,${SLOTS}`;
   }
 
+  /** Waits until answers go on. */
+  async #untilResumed(): Promise<void> {
+    for (;;) {
+      const pauseMs = this.pausedUntilMs - performance.now();
+      if (pauseMs <= 0) return;
+      await sleep(pauseMs);
+    }
+  }
+
   /** Records a request that found no room; returns whether it was one too many. */
   #recordRejection(): boolean {
     if (this.brittlePerSecond === undefined) return false;
@@ -472,7 +490,8 @@
     const server = this.#server;
     const requestId = String(request.headers["x-attempt-id"] ?? "");
     const isMisdirected = request.headers["x-expect-instance"] !== this.id;
-    const isRun = !isMisdirected && this.#runningRequests < SLOTS;
+    const isRun = !isMisdirected && !this.isFull &&
+      this.#runningRequests < SLOTS;
     const lastEventId = Number(request.headers["last-event-id"] ?? 0);
     const promptParts = parsePromptParts(request.headers["x-prompt-prefix"]);
     const endlessAnswer = isRun && isOfEndlessShare(requestId)
@@ -500,7 +519,8 @@
     if (this.limitPerSecond !== undefined) {
       response.setHeader("server-limit", String(this.limitPerSecond));
     }
-    if (!isMisdirected && !isRun && this.#recordRejection()) return;
+    const isRejected = !isMisdirected && !isRun && !this.isFull;
+    if (isRejected && this.#recordRejection()) return;
     if (!isRun) {
       const status = isMisdirected ? STATUS_MISDIRECTED : STATUS_FULL;
       response.writeHead(status, {
@@ -516,6 +536,7 @@
     try {
       const body = JSON.stringify(await readJson(request));
       await sleep(SERVICE_MS);
+      if (!hasEarlyHead(requestId)) await this.#untilResumed();
       if (this.#server !== server || response.destroyed) return;
       if (isFailed) {
         response.writeHead(STATUS_FAILED, {
@@ -584,6 +605,7 @@
     response.write(body.slice(0, half));
     const server = this.#server;
     await sleep(SERVICE_MS);
+    await this.#untilResumed();
     if (response.destroyed || this.#server !== server) return;
     if (this.resetsAnswers) {
       this.#reset(response, { requestId, sent });
@@ -650,12 +672,14 @@
     const last = getEventCount(streamId);
     const begun = countEventsUpTo(streamId, lastEventId);
     let sent = begun;
+    response.flushHeaders();
     this.#watchCut(response, {
       requestId,
       isFramed: !hasNoLength,
       getSent: () => sent,
     });
     for (let index = begun + 1; index <= last; index++) {
+      await this.#untilResumed();
       // Connections close some time after the process has ended.
       if (response.destroyed || this.#server !== server) return;
       const isHalf = index > begun + (last - begun) / 2;
@@ -669,6 +693,8 @@
       response.write(`id: ${id}\ndata: ${data}\n\n`);
       await sleep(this.#options.eventIntervalMs);
     }
+    await this.#untilResumed();
+    if (response.destroyed || this.#server !== server) return;
     response.end();
   }
 }
