--- a/bench/router_links_test.ts
+++ b/bench/router_links_test.ts
@@ -161,3 +161,47 @@
   );
   expect(slowest).toBeLessThan(MAX_REFUSAL_MS);
 }, TEST_TIMEOUT_MS);
+
+const PAUSED_ENGINES = 3;
+/** Shorter than the time after which callers abandon a stream. */
+const PAUSE_MS = 1_800;
+/** Time of the load before a pause, in which requests reach the upstreams. */
+const BUSY_MS = 500;
+/** Requests at that router that reach an upstream, at the least. */
+const MIN_PAUSED_CALLS = 5;
+
+// Guards against an answer that is cut off at either router while it pauses, after
+// another router was asked for it (LOST).
+test("answers that pause are whole at a router without links", async () => {
+  const test = await openTestFleet({
+    routers: 3,
+    engines: PAUSED_ENGINES,
+    plainServices: PLAIN_SERVICES,
+    seed: 6,
+  });
+  const { fleet, random } = test;
+  const [cut] = fleet.routers;
+  fleet.cutLinks(cut!, "refused");
+  await sleep(CONTACT_MS);
+  const load = test.sendCalls(REQUESTS_PER_SECOND, () => ({
+    kind: random.pick(KINDS),
+    subject: `subject-${random.nextInteger({ min: 1, max: SUBJECTS })}`,
+  }));
+  await sleep(BUSY_MS);
+  const paused = fleet.upstreams[0]!;
+  for (const each of fleet.upstreams) each.isFull = each !== paused;
+  for (const each of fleet.upstreams) {
+    each.pausedUntilMs = performance.now() + PAUSE_MS;
+  }
+  await sleep(PAUSE_MS);
+  for (const each of fleet.upstreams) each.isFull = false;
+  const calls = await load.stop();
+  await test.close();
+  const ran = new Set(
+    fleet.arrivals.filter(({ isRun }) => isRun).map((each) => each.requestId),
+  );
+  const reached = calls.filter(({ requestId }) => ran.has(requestId));
+  const atCut = reached.filter(({ router }) => router === cut!.name);
+  expect(atCut.length).toBeGreaterThan(MIN_PAUSED_CALLS);
+  expect(reached.filter(({ first }) => first.end !== "whole")).toEqual([]);
+}, TEST_TIMEOUT_MS);
