Name the other tries of a request in OpenTry

A try hands what it may do with the others to UpstreamTry as an object of its own, in place of implementing that interface itself. No change of behaviour.

--- a/src/ingress/forward_filter.ts
+++ b/src/ingress/forward_filter.ts
@@ -437,7 +437,7 @@
       clock,
       memory: this.#options.memory,
       relay: this.#relay.beginResponse(),
-      others: openTry,
+      others: openTry.others,
       forwarded: {
         triesLeft: Math.max(1, this.#plan.triesLeft - this.#tries.size + 1),
         isCounted: this.#isCounted,
@@ -625,7 +625,7 @@
       requestId: this.#exchange.traits.requestId,
       isRepeatable: this.#plan.isRepeatable,
       relay: relayed,
-      others: openTry,
+      others: openTry.others,
       silenceTimeoutMs: getSilenceTimeoutMs(this.#route, this.#plan),
       endCheck,
       isSuspect: () => openTry.isSuspect,
--- a/src/ingress/open_tries.ts
+++ b/src/ingress/open_tries.ts
@@ -46,34 +46,30 @@
   | { readonly kind: "error"; readonly cause: unknown };
 
 /** One of the open tries. */
-export class OpenTry implements OtherTries {
-  readonly target: TryTarget;
-  readonly #tries: OpenTries;
+export class OpenTry {
+  /** The other open tries of the request. */
+  readonly others: OtherTries;
   readonly #options: OpenTryOptions;
   #attempt: UpstreamTry | undefined;
   #isAvoided = false;
   #end: ((outcome: TryOutcome) => void) | undefined;
 
   constructor(tries: OpenTries, options: OpenTryOptions) {
-    this.target = options.target;
-    this.#tries = tries;
     this.#options = options;
+    this.others = {
+      get areOpen() {
+        return tries.size > 1;
+      },
+      leave: () => tries.leaveAll({ except: this }),
+    };
   }
 
-  /** Whether others are open. */
-  get areOpen(): boolean {
-    return this.#tries.size > 1;
-  }
-
-  /** Ends the others. */
-  leave(): void {
-    this.#tries.leaveAll({ except: this });
-  }
-
+  /** Whether it has received no data for too long. */
   get isSilent(): boolean {
     return this.#attempt?.silentMs !== undefined;
   }
 
+  /** Whether its target should be avoided, so that it may never answer. */
   get isSuspect(): boolean {
     return this.#options.isSuspect();
   }
