--- a/bench/store_chaos_verdict.ts
+++ b/bench/store_chaos_verdict.ts
@@ -75,6 +75,8 @@
   "link-cut-to-upstream",
   "link-cut-to-router",
 ]);
+/** Timers end a call up to a millisecond before its time limit. */
+const MIN_TIMED_OUT_MS = CALL_TIMEOUT_MS - 1;
 /** Allowance for requests in transit to an upstream when a change occurs. */
 const MAX_TRANSIT_MS = 100;
 const SECOND_MS = 1_000;
@@ -348,7 +350,7 @@
     if (!isPaused) return end === "broken";
     // Several pauses can last longer than the time limit. A router that gives up
     // an answer before its head makes an error of it.
-    return toMs - fromMs < CALL_TIMEOUT_MS &&
+    return toMs - fromMs < MIN_TIMED_OUT_MS &&
       (end === "broken" || end === "failed");
   }
   return calls.filter((call) =>
--- a/bench/store_chaos_verdict_test.ts
+++ b/bench/store_chaos_verdict_test.ts
@@ -416,3 +416,23 @@
   ]);
   expect(find([{ first: { end: "whole", toMs: 11_100 } }])).toEqual([]);
 });
+
+test("counts answers that are given up while their upstream pauses", () => {
+  const arrivals = [createArrival()];
+  const windows: FaultWindow[] = [{
+    kind: "answers-paused",
+    target: "up-0",
+    fromMs: 9_000,
+    toMs: 10_500,
+  }];
+  const find = (fields: Partial<Call>) =>
+    findViolations({ calls: [createCall(fields)], arrivals, windows });
+  const promise = "what was passed on is answered";
+  expect(find({ end: "broken" })).toEqual([promise]);
+  expect(find({ end: "failed" })).toEqual([promise]);
+  // Pauses in a row may last as long as the time limit of a call.
+  expect(find({ end: "broken", toMs: 13_999.5 })).toEqual([]);
+  const later = { fromMs: 10_600, toMs: 10_700 };
+  expect(find({ end: "failed", ...later })).toEqual([]);
+  expect(find({ end: "broken", ...later })).toEqual([promise]);
+});
