Forward events without data while another try is open

Callers would miss an event: one that has an id and no data, sent by a second upstream while the first try was still open, was recorded as forwarded and not written. Cause: only data decided which try goes on, so that such an event was held for a comment. Now any event with an id decides. Found while reading the change again; no run had shown it. The new test fails without the change and passes with it.

--- a/src/daemon/ingress_silence_test.ts
+++ b/src/daemon/ingress_silence_test.ts
@@ -176,6 +176,32 @@
   expect(closedAt - resumedAt).toBeLessThan(400);
 });
 
+// Guards against an event that is missing because it has no data and another try
+// is open when it comes (ORDER).
+test("an event without data is forwarded while another try is open", async () => {
+  const arrived: ReceivedRequest[] = [];
+  fleet.script((request) => {
+    beginStream(request);
+    if (arrived.push(request) === 1) {
+      sendEvent(request, 1);
+      sendEvent(request, 2);
+      return;
+    }
+    request.socket.write("7\r\nid: 3\n\n\r\n");
+    sendEvent(request, 4);
+    endStream(request);
+  });
+  const { text, isComplete } = await fleet.ask({
+    path: STREAM_PATH,
+    deadlineMs: 5_000,
+  });
+  expect(arrived.length).toBe(2);
+  expect({ text, isComplete }).toEqual({
+    text: WHOLE_STREAM.replace("data: d3\n", ""),
+    isComplete: true,
+  });
+});
+
 // Guards against a request that holds two slots after its first upstream has gone
 // on, and against events of two upstreams in one answer (ORDER).
 test("a stream that goes on ends the try beside it", async () => {
--- a/src/ingress/upstream_try.ts
+++ b/src/ingress/upstream_try.ts
@@ -490,8 +490,10 @@
   #forwardSelected(events: readonly StreamEvent[]): void {
     const { relay, others } = this.#options;
     const { events: selected, isInOrder } = relay.select(events);
-    // While other tries are open, only data decides which one the caller gets.
-    if (!others.areOpen || selected.some(({ hasData }) => hasData)) {
+    // While other tries are open, comments don't decide which one the caller gets.
+    const goesOn = selected
+      .some(({ hasData, idText }) => hasData || idText !== undefined);
+    if (!others.areOpen || goesOn) {
       this.#startStream();
       if (selected.length > 0) relay.write(selected, this.#flow);
     }
